--- /dev/null
+++ b/internal/code/code.go
@@ -0,0 +1,204 @@
+// Package code holds the numbered result codes that callers, operators and
+// daemons see. The table in docs/CODES.md is checked against this package.
+package code
+
+import "net/http"
+
+// Code is a numbered result. The hundreds group them: 1xx manifest, 2xx
+// settings, 3xx publishing, 4xx applying, 5xx calls, 6xx claims, 7xx platform.
+type Code uint32
+
+// Outcome is what a caller may conclude about its request.
+type Outcome string
+
+// Outcomes of a request that the system itself answered.
+const (
+	// NotRun means that no upstream ran the request, and none will.
+	NotRun Outcome = "not-run"
+	// Unknown means that an upstream may have run the request.
+	Unknown Outcome = "unknown"
+	// NoOutcome is for codes that are no answer to a caller.
+	NoOutcome Outcome = ""
+)
+
+// The result codes.
+const (
+	// OK is no error.
+	OK Code = 0
+
+	ManifestSyntax       Code = 101
+	ManifestUnknownField Code = 102
+	ManifestWrongType    Code = 103
+	ManifestMissingField Code = 104
+	ManifestDuplicate    Code = 105
+	ManifestDangling     Code = 106
+	ManifestUnreachable  Code = 107
+	ManifestOutOfRange   Code = 108
+	ManifestUnsafeRetry  Code = 109
+	ManifestTooLarge     Code = 110
+
+	SettingsSyntax       Code = 201
+	SettingsUnknownField Code = 202
+	SettingsWrongType    Code = 203
+	SettingsMissingField Code = 204
+	SettingsOutOfRange   Code = 205
+	SettingsUnreadable   Code = 206
+
+	PublishConflict      Code = 301
+	PublishUnknownResult Code = 302
+	PublishNoProposal    Code = 303
+	PublishRefused       Code = 304
+	PublishNotInForce    Code = 305
+
+	ApplyDigestMismatch Code = 401
+	ApplySecondDigest   Code = 402
+	ApplyOlderHead      Code = 403
+	ApplyCompileFailed  Code = 404
+	ApplyBelowFloor     Code = 405
+
+	CallNoRoute           Code = 501
+	CallNoUpstream        Code = 502
+	CallNotReady          Code = 503
+	CallShed              Code = 504
+	CallDeadlineNotRun    Code = 505
+	CallDeadlineUnknown   Code = 506
+	CallUpstreamLost      Code = 507
+	CallConnectRefused    Code = 508
+	CallFenced            Code = 509
+	CallDraining          Code = 510
+	CallQuarantined       Code = 511
+	CallBodyTooLarge      Code = 512
+	CallBadRequest        Code = 513
+	CallPeerLost          Code = 514
+	CallRetryBudget       Code = 515
+	CallCancelled         Code = 516
+	CallAnswerBroken      Code = 517
+	CallHeadersTooLarge   Code = 518
+	CallUpstreamRefused   Code = 519
+	ClaimHomeUnreachable  Code = 601
+	ClaimHolderNoTenure   Code = 602
+	ClaimKeyReused        Code = 603
+	ClaimStillRunning     Code = 604
+	ClaimRunAnswerNotKept Code = 605
+	ClaimTableUnavailable Code = 606
+	ClaimKeyInvalid       Code = 607
+	ClaimOverloaded       Code = 608
+
+	PlatformUnavailable Code = 701
+	PlatformUnknown     Code = 702
+	PlatformConflict    Code = 703
+	PlatformNotFound    Code = 704
+	PlatformBadAnswer   Code = 705
+)
+
+// Info is one row of the table of codes.
+type Info struct {
+	Code Code
+	// Name is the stable name in logs and JSON.
+	Name string
+	// Text says in one sentence what happened.
+	Text string
+	// Outcome is set for codes that answer a call.
+	Outcome Outcome
+	// Status is the HTTP status of an answer with this code, or 0.
+	Status int
+	// Retry tells whether the answer carries Retry-After.
+	Retry bool
+}
+
+var table = []Info{
+	{OK, "ok", "No error.", NoOutcome, 0, false},
+	{ManifestSyntax, "manifest-syntax", "The manifest is not JSON with comments.", NoOutcome, 0, false},
+	{ManifestUnknownField, "manifest-unknown-field", "The manifest has a field that the format does not know.", NoOutcome, 0, false},
+	{ManifestWrongType, "manifest-wrong-type", "A manifest field has a value of the wrong type.", NoOutcome, 0, false},
+	{ManifestMissingField, "manifest-missing-field", "A required manifest field is absent.", NoOutcome, 0, false},
+	{ManifestDuplicate, "manifest-duplicate", "A name stands twice in the manifest.", NoOutcome, 0, false},
+	{ManifestDangling, "manifest-dangling", "A manifest entry refers to one that does not exist.", NoOutcome, 0, false},
+	{ManifestUnreachable, "manifest-unreachable", "A route can never be taken because an earlier one takes all its requests.", NoOutcome, 0, false},
+	{ManifestOutOfRange, "manifest-out-of-range", "A manifest value is outside its allowed range.", NoOutcome, 0, false},
+	{ManifestUnsafeRetry, "manifest-unsafe-retry", "A retry rule would repeat a non-idempotent request that may have run.", NoOutcome, 0, false},
+	{ManifestTooLarge, "manifest-too-large", "The manifest exceeds the size limit.", NoOutcome, 0, false},
+
+	{SettingsSyntax, "settings-syntax", "The settings file is not JSON with comments.", NoOutcome, 0, false},
+	{SettingsUnknownField, "settings-unknown-field", "The settings file has a field that is not known.", NoOutcome, 0, false},
+	{SettingsWrongType, "settings-wrong-type", "A settings field has a value of the wrong type.", NoOutcome, 0, false},
+	{SettingsMissingField, "settings-missing-field", "A required settings field is absent.", NoOutcome, 0, false},
+	{SettingsOutOfRange, "settings-out-of-range", "A settings value is outside its allowed range.", NoOutcome, 0, false},
+	{SettingsUnreadable, "settings-unreadable", "The settings file cannot be read.", NoOutcome, 0, false},
+
+	{PublishConflict, "publish-conflict", "Another manifest was accepted first.", NoOutcome, 0, false},
+	{PublishUnknownResult, "publish-unknown-result", "The platform did not say whether the acceptance took effect.", NoOutcome, 0, false},
+	{PublishNoProposal, "publish-no-proposal", "No proposed manifest has this digest.", NoOutcome, 0, false},
+	{PublishRefused, "publish-refused", "A daemon refused the accepted configuration.", NoOutcome, 0, false},
+	{PublishNotInForce, "publish-not-in-force", "The configuration is not in force everywhere within the time allowed.", NoOutcome, 0, false},
+
+	{ApplyDigestMismatch, "apply-digest-mismatch", "The manifest's body does not match its digest.", NoOutcome, 0, false},
+	{ApplySecondDigest, "apply-second-digest", "Two digests were seen under one version.", NoOutcome, 0, false},
+	{ApplyOlderHead, "apply-older-head", "The platform offers an older version than the one in force.", NoOutcome, 0, false},
+	{ApplyCompileFailed, "apply-compile-failed", "The manifest does not compile.", NoOutcome, 0, false},
+	{ApplyBelowFloor, "apply-below-floor", "The version is below one this instance applied before it restarted.", NoOutcome, 0, false},
+
+	{CallNoRoute, "call-no-route", "No route takes the request.", NotRun, http.StatusNotFound, false},
+	{CallNoUpstream, "call-no-upstream", "The service has no upstream that takes requests.", NotRun, http.StatusServiceUnavailable, true},
+	{CallNotReady, "call-not-ready", "The daemon holds no configuration yet.", NotRun, http.StatusServiceUnavailable, true},
+	{CallShed, "call-shed", "The service is overloaded.", NotRun, http.StatusServiceUnavailable, true},
+	{CallDeadlineNotRun, "call-deadline-not-run", "The deadline passed before the request was started.", NotRun, http.StatusGatewayTimeout, false},
+	{CallDeadlineUnknown, "call-deadline-unknown", "The deadline passed while the request may have been running.", Unknown, http.StatusGatewayTimeout, false},
+	{CallUpstreamLost, "call-upstream-lost", "The upstream went away while it ran the request.", Unknown, http.StatusBadGateway, false},
+	{CallConnectRefused, "call-connect-refused", "The upstream accepted no connection.", NotRun, http.StatusServiceUnavailable, true},
+	{CallFenced, "call-fenced", "The attempt was fenced before it started.", NotRun, http.StatusServiceUnavailable, true},
+	{CallDraining, "call-draining", "The instance takes no new requests.", NotRun, http.StatusServiceUnavailable, true},
+	{CallQuarantined, "call-quarantined", "The request has crashed upstreams and is refused.", NotRun, http.StatusServiceUnavailable, true},
+	{CallBodyTooLarge, "call-body-too-large", "The request body exceeds the limit.", NotRun, http.StatusRequestEntityTooLarge, false},
+	{CallBadRequest, "call-bad-request", "The request is malformed.", NotRun, http.StatusBadRequest, false},
+	{CallPeerLost, "call-peer-lost", "The executing daemon went away and could not be asked.", Unknown, http.StatusBadGateway, false},
+	{CallRetryBudget, "call-retry-budget", "The request failed and the retry budget is spent.", NotRun, http.StatusServiceUnavailable, true},
+	{CallCancelled, "call-cancelled", "The caller went away.", Unknown, 499, false},
+	{CallAnswerBroken, "call-answer-broken", "The upstream's answer ended early.", Unknown, http.StatusBadGateway, false},
+	{CallHeadersTooLarge, "call-headers-too-large", "The request headers exceed the limit.", NotRun, http.StatusRequestHeaderFieldsTooLarge, false},
+	{CallUpstreamRefused, "call-upstream-refused", "The upstream refused the request before it ran it.", NotRun, http.StatusServiceUnavailable, true},
+
+	{ClaimHomeUnreachable, "claim-home-unreachable", "The key's home data centre cannot be reached.", NotRun, http.StatusServiceUnavailable, true},
+	{ClaimHolderNoTenure, "claim-holder-no-tenure", "The claim holder has not held the key long enough to decide without the platform.", NotRun, http.StatusServiceUnavailable, true},
+	{ClaimKeyReused, "claim-key-reused", "The Idempotency-Key was used for a different request.", NotRun, http.StatusUnprocessableEntity, false},
+	{ClaimStillRunning, "claim-still-running", "The first request with this key is still running.", Unknown, http.StatusConflict, true},
+	{ClaimRunAnswerNotKept, "claim-run-answer-not-kept", "The first request with this key has run or may have run; its answer is not kept.", Unknown, http.StatusConflict, false},
+	{ClaimTableUnavailable, "claim-table-unavailable", "The claim could not be recorded.", NotRun, http.StatusServiceUnavailable, true},
+	{ClaimKeyInvalid, "claim-key-invalid", "The Idempotency-Key is malformed.", NotRun, http.StatusBadRequest, false},
+	{ClaimOverloaded, "claim-overloaded", "The claim holder has too many claims waiting.", NotRun, http.StatusServiceUnavailable, true},
+
+	{PlatformUnavailable, "platform-unavailable", "The platform did not take the request.", NoOutcome, 0, false},
+	{PlatformUnknown, "platform-unknown", "The platform's answer was lost; the write may have taken effect.", NoOutcome, 0, false},
+	{PlatformConflict, "platform-conflict", "A precondition of the transaction did not hold.", NoOutcome, 0, false},
+	{PlatformNotFound, "platform-not-found", "The platform holds no such row or object.", NoOutcome, 0, false},
+	{PlatformBadAnswer, "platform-bad-answer", "The platform's answer could not be read.", NoOutcome, 0, false},
+}
+
+var byCode = index()
+
+func index() map[Code]Info {
+	m := make(map[Code]Info, len(table))
+	for _, info := range table {
+		m[info.Code] = info
+	}
+	return m
+}
+
+// All returns the table of codes in ascending order.
+func All() []Info {
+	return append([]Info(nil), table...)
+}
+
+// Info returns the code's row, or a row without a name for a code that this
+// release does not know.
+func (c Code) Info() Info {
+	return byCode[c]
+}
+
+// String returns the code's stable name.
+func (c Code) String() string {
+	if info, ok := byCode[c]; ok {
+		return info.Name
+	}
+	return "unknown-code"
+}
--- /dev/null
+++ b/internal/manifest/manifest.go
@@ -0,0 +1,169 @@
+// Package manifest is the configuration that operators publish: its types,
+// strict parsing, validation, canonical form, compilation into a route table,
+// differences between two manifests and deltas between their bodies.
+//
+// The same code runs in the tool and in the daemon, so what the tool accepts
+// compiles in every daemon of the same release.
+package manifest
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+)
+
+// Manifest is one whole configuration. A value returned by Parse is valid and
+// must not be changed.
+type Manifest struct {
+	// Mesh is the name of the mesh; daemons of another mesh refuse it.
+	Mesh string `json:"mesh"`
+	// DataCentres lists the data centres that may be home to an
+	// Idempotency-Key. Removing one declares it lost.
+	DataCentres []string  `json:"data_centres"`
+	Services    []Service `json:"services"`
+	// Routes are tried in order; the first that matches is taken.
+	Routes     []Route     `json:"routes"`
+	RetryRules []RetryRule `json:"retry_rules"`
+}
+
+// Service is a set of upstreams that run the same program.
+type Service struct {
+	Name string `json:"name"`
+	// QueueLimit is how many admitted requests may wait for a slot at one
+	// instance. Default 2 for each slot of the upstream when 0.
+	QueueLimit int `json:"queue_limit"`
+	// SlowStart is how long a newly ready upstream gets a growing share.
+	SlowStart Duration `json:"slow_start"`
+	// MaxBody is the largest request body in bytes.
+	MaxBody int64 `json:"max_body_bytes"`
+}
+
+// Route gives the requests it matches to a service.
+type Route struct {
+	Name  string `json:"name"`
+	Match Match  `json:"match"`
+	// Service is the name of the service that runs the request.
+	Service string `json:"service"`
+	// Deadline bounds a request that brings no deadline of its own.
+	Deadline Duration `json:"deadline"`
+	// Idempotent overrides what the method says: GET, HEAD, OPTIONS, PUT and
+	// DELETE are idempotent, POST and PATCH are not.
+	Idempotent *bool `json:"idempotent"`
+	// Retry is the name of a retry rule, or empty for no retries.
+	Retry string `json:"retry"`
+}
+
+// Match says which requests a route takes. Absent parts match everything.
+type Match struct {
+	// Host is compared without its port, in lower case.
+	Host string `json:"host"`
+	// Path matches exactly; PathPrefix matches whole segments. At most one of
+	// them is set.
+	Path       string        `json:"path"`
+	PathPrefix string        `json:"path_prefix"`
+	Methods    []string      `json:"methods"`
+	Headers    []HeaderMatch `json:"headers"`
+}
+
+// HeaderMatch asks for a header with exactly this value.
+type HeaderMatch struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+// RetryOn is a kind of failure after which an attempt may be repeated.
+type RetryOn string
+
+// The kinds of failure a retry rule may name.
+const (
+	// RetryNotRun is a proved not-run; safe for every method.
+	RetryNotRun RetryOn = "not-run"
+	// RetryUnknown is an attempt that may have run; idempotent routes only.
+	RetryUnknown RetryOn = "unknown"
+	// RetryTimeout is an attempt past its per-try timeout; idempotent routes
+	// only.
+	RetryTimeout RetryOn = "per-try-timeout"
+	// RetryStatus5xx is a 502, 503 or 504 answered by the upstream itself;
+	// idempotent routes only.
+	RetryStatus5xx RetryOn = "upstream-5xx"
+)
+
+// RetryRule is when and how often a request is tried again.
+type RetryRule struct {
+	Name string `json:"name"`
+	// Attempts counts all sends, the first included.
+	Attempts int `json:"attempts"`
+	// PerTryTimeout bounds one attempt; 0 leaves only the deadline.
+	PerTryTimeout Duration  `json:"per_try_timeout"`
+	On            []RetryOn `json:"on"`
+	// BudgetPercent is how many retries are allowed for each 100 first sends
+	// through one daemon.
+	BudgetPercent int `json:"budget_percent"`
+}
+
+// Duration is a time.Duration written as a Go duration string ("250ms").
+type Duration time.Duration
+
+// Std returns the standard library's form.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// String returns the form used in manifests.
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("duration %q: %w", text, err)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// DigestSize is the size of a digest in bytes.
+const DigestSize = sha256.Size
+
+// Digest is the SHA-256 of a canonical manifest body.
+type Digest [DigestSize]byte
+
+// DigestOf returns the digest of a canonical body.
+func DigestOf(body []byte) Digest { return sha256.Sum256(body) }
+
+// String returns the digest in lower-case hex.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// Short returns the first 12 hex digits, for logs.
+func (d Digest) Short() string { return d.String()[:12] }
+
+// ParseDigest reads a digest in hex.
+func ParseDigest(text string) (Digest, error) {
+	var d Digest
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != DigestSize {
+		return d, fmt.Errorf("digest %q: want %d hex digits", text, 2*DigestSize)
+	}
+	copy(d[:], raw)
+	return d, nil
+}
+
+// ID names one accepted configuration. The zero ID means none.
+type ID struct {
+	// Version counts accepted configurations from 1.
+	Version uint64
+	Digest  Digest
+}
+
+// IsZero reports whether the ID names no configuration.
+func (id ID) IsZero() bool { return id.Version == 0 }
+
+// String returns version and short digest.
+func (id ID) String() string {
+	if id.IsZero() {
+		return "none"
+	}
+	return fmt.Sprintf("%d/%s", id.Version, id.Digest.Short())
+}
