Parse manifests and settings strictly, match routes

Cause: daemons and the tool need one strict reading of manifests and settings before anything else can be built on them.

Change: strictjson decodes JSON with comments into structs and reports every problem with line, column and code. manifest parses, checks, normalizes, writes the canonical form, compiles and matches through an index by host and path. settings is the daemon's file. Duration moves to strictjson, with an alias in manifest. A new code 207 names a settings field given twice.

--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -43,6 +43,7 @@
 	SettingsMissingField Code = 204
 	SettingsOutOfRange   Code = 205
 	SettingsUnreadable   Code = 206
+	SettingsDuplicate    Code = 207
 
 	PublishConflict      Code = 301
 	PublishUnknownResult Code = 302
@@ -125,6 +126,7 @@
 	{SettingsMissingField, "settings-missing-field", "A required settings field is absent.", NoOutcome, 0, false},
 	{SettingsOutOfRange, "settings-out-of-range", "A settings value is outside its allowed range.", NoOutcome, 0, false},
 	{SettingsUnreadable, "settings-unreadable", "The settings file cannot be read.", NoOutcome, 0, false},
+	{SettingsDuplicate, "settings-duplicate", "A settings field is given twice.", NoOutcome, 0, false},
 
 	{PublishConflict, "publish-conflict", "Another manifest was accepted first.", NoOutcome, 0, false},
 	{PublishUnknownResult, "publish-unknown-result", "The platform did not say whether the acceptance took effect.", NoOutcome, 0, false},
--- /dev/null
+++ b/internal/manifest/canonical.go
@@ -0,0 +1,102 @@
+package manifest
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net/textproto"
+	"slices"
+	"strings"
+)
+
+// Canonical returns the deterministic JSON form of the manifest, whose SHA-256
+// is the digest. Parsing it gives the same manifest. Each service, route and
+// retry rule is on a line of its own; lists whose order has no meaning are
+// sorted. The manifest must be valid.
+func (m *Manifest) Canonical() []byte {
+	c := m.clone()
+	c.normalize()
+	var out bytes.Buffer
+	out.WriteString(`{"mesh":`)
+	writeJSON(&out, c.Mesh)
+	out.WriteString(",\n\"data_centres\":")
+	writeJSON(&out, c.DataCentres)
+	writeEntries(&out, "services", c.Services)
+	writeEntries(&out, "routes", c.Routes)
+	writeEntries(&out, "retry_rules", c.RetryRules)
+	out.WriteString("}\n")
+	return out.Bytes()
+}
+
+// Digest returns the digest of the canonical form.
+func (m *Manifest) Digest() Digest {
+	return DigestOf(m.Canonical())
+}
+
+func writeEntries[T any](out *bytes.Buffer, name string, entries []T) {
+	fmt.Fprintf(out, ",\n%q:[", name)
+	for i := range entries {
+		if i > 0 {
+			out.WriteByte(',')
+		}
+		out.WriteByte('\n')
+		writeJSON(out, &entries[i])
+	}
+	out.WriteString("\n]")
+}
+
+// writeJSON writes the value without a line break at the end.
+func writeJSON(out *bytes.Buffer, value any) {
+	encoder := json.NewEncoder(out)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(value); err != nil {
+		// The manifest's types hold nothing that JSON cannot express.
+		panic(fmt.Sprintf("manifest: encode %T: %v", value, err))
+	}
+	out.Truncate(out.Len() - 1)
+}
+
+// clone copies everything that normalize changes.
+func (m *Manifest) clone() *Manifest {
+	c := *m
+	c.DataCentres = slices.Clone(m.DataCentres)
+	c.Services = slices.Clone(m.Services)
+	c.Routes = slices.Clone(m.Routes)
+	for i := range c.Routes {
+		match := &c.Routes[i].Match
+		match.Methods = slices.Clone(match.Methods)
+		match.Headers = slices.Clone(match.Headers)
+	}
+	c.RetryRules = slices.Clone(m.RetryRules)
+	for i := range c.RetryRules {
+		c.RetryRules[i].On = slices.Clone(c.RetryRules[i].On)
+	}
+	return &c
+}
+
+// normalize gives equal manifests one form: names that have no case in lower
+// or canonical case, and lists without a meaningful order sorted.
+func (m *Manifest) normalize() {
+	if m.DataCentres == nil {
+		m.DataCentres = []string{}
+	}
+	slices.Sort(m.DataCentres)
+	slices.SortFunc(m.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(m.RetryRules, func(a, b RetryRule) int { return cmp.Compare(a.Name, b.Name) })
+	for i := range m.RetryRules {
+		slices.Sort(m.RetryRules[i].On)
+	}
+	for i := range m.Routes {
+		m.Routes[i].Match.normalize()
+	}
+}
+
+func (m *Match) normalize() {
+	m.Host = strings.ToLower(m.Host)
+	slices.Sort(m.Methods)
+	for i := range m.Headers {
+		m.Headers[i].Name = textproto.CanonicalMIMEHeaderKey(m.Headers[i].Name)
+	}
+	slices.SortFunc(m.Headers, func(a, b HeaderMatch) int { return cmp.Compare(a.Name, b.Name) })
+}
--- /dev/null
+++ b/internal/manifest/check.go
@@ -0,0 +1,122 @@
+package manifest
+
+import (
+	"time"
+
+	"godwitmount/internal/code"
+	"godwitmount/internal/strictjson"
+)
+
+// checker finds what is wrong with the values of a manifest whose types are
+// right.
+type checker struct {
+	*strictjson.Document
+	manifest *Manifest
+	services map[string]bool
+	rules    map[string]*RetryRule
+}
+
+func check(m *Manifest, doc *strictjson.Document) {
+	c := &checker{
+		Document: doc,
+		manifest: m,
+		services: map[string]bool{},
+		rules:    map[string]*RetryRule{},
+	}
+	c.name(strictjson.Path("mesh"), m.Mesh)
+	c.dataCentres()
+	c.checkServices()
+	c.checkRules()
+	c.checkRoutes()
+}
+
+func (c *checker) dataCentres() {
+	path := strictjson.Path("data_centres")
+	c.count(path, len(c.manifest.DataCentres), 1, MaxDataCentres)
+	seen := map[string]bool{}
+	for i, name := range c.manifest.DataCentres {
+		entry := strictjson.Path("data_centres", i)
+		c.name(entry, name)
+		c.unique(entry, "data centre", name, seen)
+	}
+}
+
+func (c *checker) checkServices() {
+	c.count(strictjson.Path("services"), len(c.manifest.Services), 1, MaxServices)
+	for i := range c.manifest.Services {
+		s := &c.manifest.Services[i]
+		path := strictjson.Path("services", i)
+		c.name(path+"/name", s.Name)
+		c.unique(path+"/name", "service", s.Name, c.services)
+		c.within(path+"/queue_limit", int64(s.QueueLimit), 0, MaxQueueLimit)
+		c.between(path+"/slow_start", s.SlowStart, 0, MaxSlowStart)
+		c.within(path+"/max_body_bytes", s.MaxBody, 1, MaxBodyLimit)
+	}
+}
+
+func (c *checker) checkRules() {
+	c.count(strictjson.Path("retry_rules"), len(c.manifest.RetryRules), 0, MaxRetryRules)
+	seen := map[string]bool{}
+	for i := range c.manifest.RetryRules {
+		rule := &c.manifest.RetryRules[i]
+		path := strictjson.Path("retry_rules", i)
+		c.name(path+"/name", rule.Name)
+		c.unique(path+"/name", "retry rule", rule.Name, seen)
+		c.rules[rule.Name] = rule
+		c.rule(path, rule)
+	}
+}
+
+func (c *checker) rule(path string, rule *RetryRule) {
+	c.within(path+"/attempts", int64(rule.Attempts), 1, MaxAttempts)
+	c.within(path+"/budget_percent", int64(rule.BudgetPercent), 0, MaxBudgetPercent)
+	if c.Present(path + "/per_try_timeout") {
+		c.between(path+"/per_try_timeout", rule.PerTryTimeout, MinDeadline, MaxDeadline)
+	}
+	if len(rule.On) == 0 {
+		c.Add(path+"/on", code.ManifestOutOfRange, "at least one kind of failure is needed; known are %s", knownRetryOn())
+	}
+	seen := map[string]bool{}
+	for i, on := range rule.On {
+		entry := path + strictjson.Path("on", i)
+		c.unique(entry, "kind of failure", string(on), seen)
+		if !on.known() {
+			c.Add(entry, code.ManifestOutOfRange, "unknown kind of failure %q; known are %s", on, knownRetryOn())
+		}
+		if on == RetryTimeout && rule.PerTryTimeout == 0 {
+			c.Add(entry, code.ManifestMissingField, "%q needs the field \"per_try_timeout\"", on)
+		}
+	}
+}
+
+// unique reports a name that stands twice in its list.
+func (c *checker) unique(path, kind, name string, seen map[string]bool) {
+	if seen[name] {
+		c.Add(path, code.ManifestDuplicate, "%s %q is given twice", kind, name)
+	}
+	seen[name] = true
+}
+
+func (c *checker) name(path, name string) {
+	if !strictjson.ValidName(name, MaxNameLength) {
+		c.Add(path, code.ManifestOutOfRange, "name %q %s", name, strictjson.NameRule(MaxNameLength))
+	}
+}
+
+func (c *checker) count(path string, n, least, most int) {
+	if n < least || n > most {
+		c.Add(path, code.ManifestOutOfRange, "%d entries; want %d to %d", n, least, most)
+	}
+}
+
+func (c *checker) within(path string, n, least, most int64) {
+	if n < least || n > most {
+		c.Add(path, code.ManifestOutOfRange, "%d is outside %d to %d", n, least, most)
+	}
+}
+
+func (c *checker) between(path string, d Duration, least, most time.Duration) {
+	if d.Std() < least || d.Std() > most {
+		c.Add(path, code.ManifestOutOfRange, "%s is outside %s to %s", d, least, most)
+	}
+}
--- /dev/null
+++ b/internal/manifest/check_route.go
@@ -0,0 +1,139 @@
+package manifest
+
+import (
+	"slices"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+
+	"godwitmount/internal/code"
+	"godwitmount/internal/strictjson"
+)
+
+func (c *checker) checkRoutes() {
+	c.count(strictjson.Path("routes"), len(c.manifest.Routes), 1, MaxRoutes)
+	seen := map[string]bool{}
+	for i := range c.manifest.Routes {
+		r := &c.manifest.Routes[i]
+		path := strictjson.Path("routes", i)
+		c.name(path+"/name", r.Name)
+		c.unique(path+"/name", "route", r.Name, seen)
+		c.between(path+"/deadline", r.Deadline, MinDeadline, MaxDeadline)
+		if !c.services[r.Service] {
+			c.Add(path+"/service", code.ManifestDangling, "route %q refers to service %q, which does not exist", r.Name, r.Service)
+		}
+		c.match(path+"/match", &r.Match)
+		c.retry(path+"/retry", r)
+	}
+	c.unreachable()
+}
+
+func (c *checker) match(path string, m *Match) {
+	if m.Host != "" && !validHost(m.Host) {
+		c.Add(path+"/host", code.ManifestOutOfRange, "host %q must be a host name or IP number without port", m.Host)
+	}
+	if m.Path != "" && m.PathPrefix != "" {
+		c.Add(path+"/path_prefix", code.ManifestOutOfRange, "a route has either \"path\" or \"path_prefix\"")
+	}
+	c.path(path+"/path", m.Path)
+	c.path(path+"/path_prefix", m.PathPrefix)
+	if len(m.PathPrefix) > 1 && strings.HasSuffix(m.PathPrefix, "/") {
+		c.Add(path+"/path_prefix", code.ManifestOutOfRange, "prefix %q must not end in a slash; it matches whole segments", m.PathPrefix)
+	}
+	c.methods(path, m.Methods)
+	c.headers(path, m.Headers)
+}
+
+func (c *checker) path(path, value string) {
+	if !c.Present(path) {
+		return
+	}
+	if !validPath(value) {
+		c.Add(path, code.ManifestOutOfRange, "path %q must begin with a slash, have no '?', '#', control character or segment \".\" or \"..\", and at most %d bytes", value, MaxPathLength)
+	}
+}
+
+func (c *checker) methods(path string, methods []string) {
+	if c.Present(path+"/methods") && len(methods) == 0 {
+		c.Add(path+"/methods", code.ManifestOutOfRange, "the list is empty; leave the field out to take every method")
+	}
+	seen := map[string]bool{}
+	for i, method := range methods {
+		entry := path + strictjson.Path("methods", i)
+		c.unique(entry, "method", method, seen)
+		if !httpguts.ValidHeaderFieldName(method) || strings.ToUpper(method) != method {
+			c.Add(entry, code.ManifestOutOfRange, "method %q must be an HTTP method in upper case", method)
+		}
+	}
+}
+
+func (c *checker) headers(path string, headers []HeaderMatch) {
+	if len(headers) > MaxHeaders {
+		c.Add(path+"/headers", code.ManifestOutOfRange, "%d headers; want at most %d", len(headers), MaxHeaders)
+	}
+	seen := map[string]bool{}
+	for i, h := range headers {
+		entry := path + strictjson.Path("headers", i)
+		c.unique(entry+"/name", "header", strings.ToLower(h.Name), seen)
+		if !httpguts.ValidHeaderFieldName(h.Name) {
+			c.Add(entry+"/name", code.ManifestOutOfRange, "%q is not a header name", h.Name)
+		}
+		if strings.EqualFold(h.Name, "Host") {
+			c.Add(entry+"/name", code.ManifestOutOfRange, "use the field \"host\" to match the host")
+		}
+		if !httpguts.ValidHeaderFieldValue(h.Value) || len(h.Value) > MaxHeaderValue || strings.TrimSpace(h.Value) != h.Value {
+			c.Add(entry+"/value", code.ManifestOutOfRange, "%q is not a header value of at most %d bytes without outer spaces", h.Value, MaxHeaderValue)
+		}
+	}
+}
+
+// retry checks the route's retry rule: that it exists and that it repeats no
+// non-idempotent request that may have run.
+func (c *checker) retry(path string, r *Route) {
+	if r.Retry == "" {
+		if c.Present(path) {
+			c.Add(path, code.ManifestOutOfRange, "the name is empty; leave the field out for no retries")
+		}
+		return
+	}
+	rule, ok := c.rules[r.Retry]
+	if !ok {
+		c.Add(path, code.ManifestDangling, "route %q refers to retry rule %q, which does not exist", r.Name, r.Retry)
+		return
+	}
+	method, ok := r.nonIdempotentMethod()
+	if !ok {
+		return
+	}
+	for _, on := range rule.On {
+		if on != RetryNotRun {
+			c.Add(path, code.ManifestUnsafeRetry, "retry rule %q repeats on %q, but route %q takes %s, which is not idempotent", rule.Name, on, r.Name, method)
+		}
+	}
+}
+
+func validHost(host string) bool {
+	if len(host) > MaxHostLength || strings.Count(host, ":") == 1 {
+		return false
+	}
+	for _, b := range []byte(host) {
+		letter := b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9'
+		if !letter && !strings.ContainsRune("-._:", rune(b)) {
+			return false
+		}
+	}
+	return !strings.HasSuffix(host, ".")
+}
+
+func validPath(path string) bool {
+	if !strings.HasPrefix(path, "/") || len(path) > MaxPathLength {
+		return false
+	}
+	if strings.ContainsAny(path, "?#") {
+		return false
+	}
+	if slices.ContainsFunc([]byte(path), func(b byte) bool { return b < ' ' || b == 0x7f }) {
+		return false
+	}
+	return !hasDotSegment(path)
+}
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -10,66 +10,71 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"time"
+
+	"godwitmount/internal/strictjson"
 )
 
 // Manifest is one whole configuration. A value returned by Parse is valid and
 // must not be changed.
 type Manifest struct {
 	// Mesh is the name of the mesh; daemons of another mesh refuse it.
-	Mesh string `json:"mesh"`
+	Mesh string `json:"mesh" strict:"required"`
 	// DataCentres lists the data centres that may be home to an
 	// Idempotency-Key. Removing one declares it lost.
-	DataCentres []string  `json:"data_centres"`
-	Services    []Service `json:"services"`
+	DataCentres []string  `json:"data_centres" strict:"required"`
+	Services    []Service `json:"services" strict:"required"`
 	// Routes are tried in order; the first that matches is taken.
-	Routes     []Route     `json:"routes"`
-	RetryRules []RetryRule `json:"retry_rules"`
+	Routes     []Route     `json:"routes" strict:"required"`
+	RetryRules []RetryRule `json:"retry_rules,omitempty"`
 }
 
 // Service is a set of upstreams that run the same program.
 type Service struct {
-	Name string `json:"name"`
+	Name string `json:"name" strict:"required"`
 	// QueueLimit is how many admitted requests may wait for a slot at one
-	// instance. Default 2 for each slot of the upstream when 0.
+	// instance. 0 means DefaultQueuePerSlot for each slot of the upstream.
 	QueueLimit int `json:"queue_limit"`
-	// SlowStart is how long a newly ready upstream gets a growing share.
+	// SlowStart is how long a newly ready upstream gets a growing share. A
+	// manifest without it gets DefaultSlowStart; 0 gives the full share at
+	// once.
 	SlowStart Duration `json:"slow_start"`
-	// MaxBody is the largest request body in bytes.
+	// MaxBody is the largest request body in bytes. A manifest without it gets
+	// DefaultMaxBody.
 	MaxBody int64 `json:"max_body_bytes"`
 }
 
 // Route gives the requests it matches to a service.
 type Route struct {
-	Name  string `json:"name"`
-	Match Match  `json:"match"`
+	Name  string `json:"name" strict:"required"`
+	Match Match  `json:"match" strict:"required"`
 	// Service is the name of the service that runs the request.
-	Service string `json:"service"`
-	// Deadline bounds a request that brings no deadline of its own.
+	Service string `json:"service" strict:"required"`
+	// Deadline bounds a request that brings no deadline of its own. A manifest
+	// without it gets DefaultDeadline.
 	Deadline Duration `json:"deadline"`
-	// Idempotent overrides what the method says: GET, HEAD, OPTIONS, PUT and
-	// DELETE are idempotent, POST and PATCH are not.
-	Idempotent *bool `json:"idempotent"`
+	// Idempotent overrides what the method says: GET, HEAD, OPTIONS, TRACE,
+	// PUT and DELETE are idempotent, all others are not.
+	Idempotent *bool `json:"idempotent,omitempty"`
 	// Retry is the name of a retry rule, or empty for no retries.
-	Retry string `json:"retry"`
+	Retry string `json:"retry,omitempty"`
 }
 
 // Match says which requests a route takes. Absent parts match everything.
 type Match struct {
 	// Host is compared without its port, in lower case.
-	Host string `json:"host"`
+	Host string `json:"host,omitempty"`
 	// Path matches exactly; PathPrefix matches whole segments. At most one of
 	// them is set.
-	Path       string        `json:"path"`
-	PathPrefix string        `json:"path_prefix"`
-	Methods    []string      `json:"methods"`
-	Headers    []HeaderMatch `json:"headers"`
+	Path       string        `json:"path,omitempty"`
+	PathPrefix string        `json:"path_prefix,omitempty"`
+	Methods    []string      `json:"methods,omitempty"`
+	Headers    []HeaderMatch `json:"headers,omitempty"`
 }
 
 // HeaderMatch asks for a header with exactly this value.
 type HeaderMatch struct {
-	Name  string `json:"name"`
-	Value string `json:"value"`
+	Name  string `json:"name" strict:"required"`
+	Value string `json:"value" strict:"required"`
 }
 
 // RetryOn is a kind of failure after which an attempt may be repeated.
@@ -91,38 +96,19 @@
 
 // RetryRule is when and how often a request is tried again.
 type RetryRule struct {
-	Name string `json:"name"`
+	Name string `json:"name" strict:"required"`
 	// Attempts counts all sends, the first included.
-	Attempts int `json:"attempts"`
+	Attempts int `json:"attempts" strict:"required"`
 	// PerTryTimeout bounds one attempt; 0 leaves only the deadline.
-	PerTryTimeout Duration  `json:"per_try_timeout"`
-	On            []RetryOn `json:"on"`
+	PerTryTimeout Duration  `json:"per_try_timeout,omitempty"`
+	On            []RetryOn `json:"on" strict:"required"`
 	// BudgetPercent is how many retries are allowed for each 100 first sends
-	// through one daemon.
+	// through one daemon. A manifest without it gets DefaultBudgetPercent.
 	BudgetPercent int `json:"budget_percent"`
 }
 
 // Duration is a time.Duration written as a Go duration string ("250ms").
-type Duration time.Duration
-
-// Std returns the standard library's form.
-func (d Duration) Std() time.Duration { return time.Duration(d) }
-
-// String returns the form used in manifests.
-func (d Duration) String() string { return time.Duration(d).String() }
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("duration %q: %w", text, err)
-	}
-	*d = Duration(parsed)
-	return nil
-}
+type Duration = strictjson.Duration
 
 // DigestSize is the size of a digest in bytes.
 const DigestSize = sha256.Size
--- /dev/null
+++ b/internal/manifest/parse.go
@@ -0,0 +1,62 @@
+package manifest
+
+import (
+	"fmt"
+
+	"godwitmount/internal/code"
+	"godwitmount/internal/strictjson"
+)
+
+// Problem is one thing wrong with a manifest.
+type Problem = strictjson.Problem
+
+// Problems lists everything wrong with a manifest, in the order of the file.
+type Problems = strictjson.Problems
+
+// codes are the result codes of manifest files.
+var codes = strictjson.Codes{
+	Syntax:       code.ManifestSyntax,
+	UnknownField: code.ManifestUnknownField,
+	WrongType:    code.ManifestWrongType,
+	MissingField: code.ManifestMissingField,
+	Duplicate:    code.ManifestDuplicate,
+	OutOfRange:   code.ManifestOutOfRange,
+}
+
+// canonicalFile stands for the file name in problems of a canonical body.
+const canonicalFile = "canonical"
+
+// Parse reads a manifest in JSON with comments. It returns either a valid
+// manifest with all defaults filled in, or every problem found.
+func Parse(file string, source []byte) (*Manifest, Problems) {
+	if len(source) > MaxSourceSize {
+		return nil, Problems{strictjson.Whole(file, code.ManifestTooLarge, "%d bytes exceed the limit of %d", len(source), MaxSourceSize)}
+	}
+	m := &Manifest{}
+	doc := strictjson.Decode(file, source, codes, m)
+	if problems := doc.Problems(); problems != nil {
+		return nil, problems
+	}
+	check(m, doc)
+	if problems := doc.Problems(); problems != nil {
+		return nil, problems
+	}
+	m.normalize()
+	if size := len(m.Canonical()); size > MaxSourceSize {
+		return nil, Problems{strictjson.Whole(file, code.ManifestTooLarge, "the canonical form of %d bytes exceeds the limit of %d", size, MaxSourceSize)}
+	}
+	return m, nil
+}
+
+// ParseCanonical reads a body made by Canonical. A body that is not byte for
+// byte in canonical form is refused, so that a digest names one meaning.
+func ParseCanonical(body []byte) (*Manifest, error) {
+	m, problems := Parse(canonicalFile, body)
+	if problems != nil {
+		return nil, problems
+	}
+	if string(m.Canonical()) != string(body) {
+		return nil, fmt.Errorf("manifest body is not in canonical form")
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/manifest/unreachable.go
@@ -0,0 +1,76 @@
+package manifest
+
+import (
+	"slices"
+	"strings"
+
+	"godwitmount/internal/code"
+	"godwitmount/internal/strictjson"
+)
+
+// unreachable reports each route that an earlier one hides completely.
+func (c *checker) unreachable() {
+	routes := slices.Clone(c.manifest.Routes)
+	for i := range routes {
+		routes[i].Match.Host = strings.ToLower(routes[i].Match.Host)
+	}
+	index := indexRoutes(routes)
+	for i := range routes {
+		m := &routes[i].Match
+		earlier := index.first(m.Host, m.probe(), func(j int32) bool {
+			return int(j) < i && routes[j].Match.hides(m)
+		})
+		if int(earlier) < i {
+			c.Add(strictjson.Path("routes", i), code.ManifestUnreachable, "route %q is never taken: route %q (line %d) takes all its requests", routes[i].Name, routes[earlier].Name, c.Line(strictjson.Path("routes", int(earlier))))
+		}
+	}
+}
+
+// probe returns the path that every route hiding this one matches.
+func (m *Match) probe() string {
+	if m.Path != "" {
+		return m.Path
+	}
+	return m.prefix()
+}
+
+// hides reports whether m takes every request that other takes.
+func (m *Match) hides(other *Match) bool {
+	return m.hidesPath(other) && m.hidesMethods(other) && m.hidesHeaders(other) && m.takesHost(other.Host)
+}
+
+func (m *Match) hidesPath(other *Match) bool {
+	if m.Path != "" {
+		return m.Path == other.Path
+	}
+	return underPrefix(other.probe(), m.prefix())
+}
+
+func (m *Match) hidesMethods(other *Match) bool {
+	if len(m.Methods) == 0 {
+		return true
+	}
+	if len(other.Methods) == 0 {
+		return false
+	}
+	for _, method := range other.Methods {
+		if !slices.Contains(m.Methods, method) {
+			return false
+		}
+	}
+	return true
+}
+
+// hidesHeaders reports whether other asks for every header that m asks for.
+func (m *Match) hidesHeaders(other *Match) bool {
+	for _, want := range m.Headers {
+		if !slices.ContainsFunc(other.Headers, want.same) {
+			return false
+		}
+	}
+	return true
+}
+
+func (h HeaderMatch) same(other HeaderMatch) bool {
+	return strings.EqualFold(h.Name, other.Name) && h.Value == other.Value
+}
--- /dev/null
+++ b/internal/strictjson/decode.go
@@ -0,0 +1,268 @@
+package strictjson
+
+import (
+	"encoding"
+	"errors"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/tailscale/hujson"
+)
+
+// Defaulter is implemented by structs that preset fields the file may leave
+// out. It is called before the struct is decoded.
+type Defaulter interface {
+	SetDefaults()
+}
+
+// Decode reads source into the struct that target points to. Struct fields
+// carry the tag `json:"name"`; `strict:"required"` refuses a file without the
+// field. Fields may be strings, booleans, integers, slices, structs, pointers
+// (null or absent gives nil) and encoding.TextUnmarshaler.
+//
+// The problems are in the document; target is only meaningful when there are
+// none.
+func Decode(file string, source []byte, codes Codes, target any) *Document {
+	d := newDocument(file, source, codes)
+	if offset := invalidUTF8(source); offset >= 0 {
+		d.addAt(offset, "", codes.Syntax, "the text is not valid UTF-8")
+		return d
+	}
+	if offset := tooDeep(source); offset >= 0 {
+		d.addAt(offset, "", codes.Syntax, fmt.Sprintf("values are nested more than %d deep", MaxDepth))
+		return d
+	}
+	root, err := hujson.Parse(source)
+	if err != nil {
+		offset, text := d.syntaxError(err)
+		d.addAt(offset, "", codes.Syntax, text)
+		return d
+	}
+	d.decode("", &root, reflect.ValueOf(target).Elem())
+	return d
+}
+
+// invalidUTF8 returns the offset of the first byte that is not UTF-8, or -1.
+func invalidUTF8(source []byte) int {
+	for i := 0; i < len(source); {
+		r, size := utf8.DecodeRune(source[i:])
+		if r == utf8.RuneError && size == 1 {
+			return i
+		}
+		i += size
+	}
+	return -1
+}
+
+// syntaxError takes the place out of the parser's message.
+func (d *Document) syntaxError(err error) (offset int, text string) {
+	var line, column int
+	if _, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &line, &column); scanErr != nil {
+		return 0, err.Error()
+	}
+	offset = min(d.lines[line-1]+column-1, len(d.source))
+	if inner := errors.Unwrap(err); inner != nil {
+		return offset, inner.Error()
+	}
+	return offset, err.Error()
+}
+
+func (d *Document) decode(path string, value *hujson.Value, target reflect.Value) {
+	d.offsets[path] = value.StartOffset
+	if target.Kind() == reflect.Pointer {
+		d.decodePointer(path, value, target)
+		return
+	}
+	if text, ok := target.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.decodeText(path, value, text)
+		return
+	}
+	switch target.Kind() {
+	case reflect.Struct:
+		d.decodeStruct(path, value, target)
+	case reflect.Slice:
+		d.decodeSlice(path, value, target)
+	default:
+		d.decodeScalar(path, value, target)
+	}
+}
+
+func (d *Document) decodePointer(path string, value *hujson.Value, target reflect.Value) {
+	if value.Value.Kind() == 'n' {
+		target.SetZero()
+		return
+	}
+	target.Set(reflect.New(target.Type().Elem()))
+	d.decode(path, value, target.Elem())
+}
+
+func (d *Document) decodeText(path string, value *hujson.Value, target encoding.TextUnmarshaler) {
+	literal, ok := d.literal(path, value, '"', "a string")
+	if !ok {
+		return
+	}
+	if err := target.UnmarshalText([]byte(literal.String())); err != nil {
+		d.addAt(value.StartOffset, path, d.codes.WrongType, err.Error())
+	}
+}
+
+func (d *Document) decodeSlice(path string, value *hujson.Value, target reflect.Value) {
+	array, ok := value.Value.(*hujson.Array)
+	if !ok {
+		d.wrongType(path, value, "an array")
+		return
+	}
+	slice := reflect.MakeSlice(target.Type(), len(array.Elements), len(array.Elements))
+	for i := range array.Elements {
+		d.decode(path+"/"+strconv.Itoa(i), &array.Elements[i], slice.Index(i))
+	}
+	target.Set(slice)
+}
+
+func (d *Document) decodeStruct(path string, value *hujson.Value, target reflect.Value) {
+	object, ok := value.Value.(*hujson.Object)
+	if !ok {
+		d.wrongType(path, value, "an object")
+		return
+	}
+	if defaulter, ok := target.Addr().Interface().(Defaulter); ok {
+		defaulter.SetDefaults()
+	}
+	fields := fieldsOf(target.Type())
+	seen := make(map[string]bool, len(object.Members))
+	for i := range object.Members {
+		d.decodeMember(path, &object.Members[i], target, fields, seen)
+	}
+	for _, field := range fields {
+		if field.required && !seen[field.name] {
+			d.addAt(value.StartOffset, path+"/"+field.name, d.codes.MissingField, fmt.Sprintf("field %q is required", field.name))
+		}
+	}
+}
+
+func (d *Document) decodeMember(path string, member *hujson.ObjectMember, target reflect.Value, fields []field, seen map[string]bool) {
+	name := member.Name.Value.(hujson.Literal).String()
+	memberPath := path + Path(name)
+	field, known := find(fields, name)
+	switch {
+	case !known:
+		d.addAt(member.Name.StartOffset, memberPath, d.codes.UnknownField, fmt.Sprintf("unknown field %q; known are %s", name, names(fields)))
+	case seen[name]:
+		d.addAt(member.Name.StartOffset, memberPath, d.codes.Duplicate, fmt.Sprintf("field %q is given twice", name))
+	default:
+		seen[name] = true
+		d.decode(memberPath, &member.Value, target.Field(field.index))
+	}
+}
+
+func (d *Document) decodeScalar(path string, value *hujson.Value, target reflect.Value) {
+	switch target.Kind() {
+	case reflect.String:
+		if literal, ok := d.literal(path, value, '"', "a string"); ok {
+			target.SetString(literal.String())
+		}
+	case reflect.Bool:
+		d.decodeBool(path, value, target)
+	case reflect.Int, reflect.Int64, reflect.Int32:
+		d.decodeInt(path, value, target)
+	default:
+		panic(fmt.Sprintf("strictjson: field of type %s", target.Type()))
+	}
+}
+
+func (d *Document) decodeBool(path string, value *hujson.Value, target reflect.Value) {
+	switch value.Value.Kind() {
+	case 't':
+		target.SetBool(true)
+	case 'f':
+		target.SetBool(false)
+	default:
+		d.wrongType(path, value, "true or false")
+	}
+}
+
+func (d *Document) decodeInt(path string, value *hujson.Value, target reflect.Value) {
+	literal, ok := d.literal(path, value, '0', "an integer")
+	if !ok {
+		return
+	}
+	n, err := strconv.ParseInt(string(literal), 10, target.Type().Bits())
+	switch {
+	case errors.Is(err, strconv.ErrRange):
+		d.addAt(value.StartOffset, path, d.codes.OutOfRange, fmt.Sprintf("%s is too large or too small", literal))
+	case err != nil:
+		d.addAt(value.StartOffset, path, d.codes.WrongType, fmt.Sprintf("%s is not an integer", literal))
+	default:
+		target.SetInt(n)
+	}
+}
+
+func (d *Document) literal(path string, value *hujson.Value, kind hujson.Kind, want string) (hujson.Literal, bool) {
+	literal, ok := value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != kind {
+		d.wrongType(path, value, want)
+		return nil, false
+	}
+	return literal, true
+}
+
+func (d *Document) wrongType(path string, value *hujson.Value, want string) {
+	d.addAt(value.StartOffset, path, d.codes.WrongType, fmt.Sprintf("want %s, found %s", want, describe(value.Value.Kind())))
+}
+
+func describe(kind hujson.Kind) string {
+	switch kind {
+	case 'n':
+		return "null"
+	case 't', 'f':
+		return "a boolean"
+	case '"':
+		return "a string"
+	case '0':
+		return "a number"
+	case '{':
+		return "an object"
+	default:
+		return "an array"
+	}
+}
+
+// field is one struct field that a file may set.
+type field struct {
+	name     string
+	index    int
+	required bool
+}
+
+func fieldsOf(t reflect.Type) []field {
+	var fields []field
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name == "" || name == "-" {
+			continue
+		}
+		required := t.Field(i).Tag.Get("strict") == "required"
+		fields = append(fields, field{name: name, index: i, required: required})
+	}
+	return fields
+}
+
+func find(fields []field, name string) (field, bool) {
+	for _, f := range fields {
+		if f.name == name {
+			return f, true
+		}
+	}
+	return field{}, false
+}
+
+func names(fields []field) string {
+	all := make([]string, len(fields))
+	for i, f := range fields {
+		all[i] = f.name
+	}
+	return strings.Join(all, ", ")
+}
