--- /dev/null
+++ b/internal/ctl/check.go
@@ -0,0 +1,85 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"godwitmount/internal/manifest"
+)
+
+const checkHelp = `
+Reads a manifest in JSON with comments and reports every problem with its file,
+line, column and code. A manifest that passes compiles in every daemon of the
+same release. Nothing is sent anywhere.`
+
+// manifestFile is the positional argument of commands on one manifest.
+type manifestFile struct {
+	File flags.Filename `positional-arg-name:"FILE" description:"manifest file"`
+}
+
+type checkCommand struct {
+	Args manifestFile `positional-args:"yes" required:"yes"`
+}
+
+// summary describes a valid manifest.
+type summary struct {
+	File        string `json:"file"`
+	Mesh        string `json:"mesh"`
+	Digest      string `json:"digest"`
+	DataCentres int    `json:"data_centres"`
+	Services    int    `json:"services"`
+	Routes      int    `json:"routes"`
+	RetryRules  int    `json:"retry_rules"`
+	// Bytes is the size of the canonical body.
+	Bytes int `json:"bytes"`
+}
+
+func (c *checkCommand) run(context.Context) (output, error) {
+	m, err := readManifest(string(c.Args.File))
+	if err != nil {
+		return nil, err
+	}
+	return summarize(string(c.Args.File), m), nil
+}
+
+// readManifest parses and compiles a file; the error may be Problems.
+func readManifest(file string) (*manifest.Manifest, error) {
+	source, err := os.ReadFile(file)
+	if err != nil {
+		return nil, failed(ExitUnavailable, 0, "%v", err)
+	}
+	m, problems := manifest.Parse(file, source)
+	if problems != nil {
+		return nil, problems
+	}
+	if _, err := manifest.Compile(m); err != nil {
+		return nil, failed(ExitInvalid, 0, "%s: %v", file, err)
+	}
+	return m, nil
+}
+
+func summarize(file string, m *manifest.Manifest) *summary {
+	body := m.Canonical()
+	return &summary{
+		File:        file,
+		Mesh:        m.Mesh,
+		Digest:      manifest.DigestOf(body).String(),
+		DataCentres: len(m.DataCentres),
+		Services:    len(m.Services),
+		Routes:      len(m.Routes),
+		RetryRules:  len(m.RetryRules),
+		Bytes:       len(body),
+	}
+}
+
+func (s *summary) writeText(w io.Writer) {
+	fmt.Fprintf(w, "%s is valid\n", s.File)
+	fmt.Fprintf(w, "mesh    %s\n", s.Mesh)
+	fmt.Fprintf(w, "digest  %s\n", s.Digest)
+	fmt.Fprintf(w, "holds   %d data centres, %d services, %d routes, %d retry rules; %d bytes\n",
+		s.DataCentres, s.Services, s.Routes, s.RetryRules, s.Bytes)
+}
--- /dev/null
+++ b/internal/ctl/completion.go
@@ -0,0 +1,51 @@
+package ctl
+
+import (
+	"context"
+	"io"
+)
+
+const completionHelp = `
+Prints a script that makes the shell complete commands, options and file names.
+For bash:
+
+  source <(godwitmountctl completion bash)`
+
+// bashScript asks the tool itself for completions.
+const bashScript = `_godwitmountctl() {
+    local args=("${COMP_WORDS[@]:1:$COMP_CWORD}")
+    local IFS=$'\n'
+    COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${args[@]}"))
+    return 0
+}
+complete -F _godwitmountctl godwitmountctl
+`
+
+// shell is the name of a supported shell.
+type shell string
+
+// shellBash is the only one.
+const shellBash shell = "bash"
+
+type completionCommand struct {
+	Args struct {
+		Shell shell `positional-arg-name:"SHELL" description:"bash"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// script is a completion script.
+type script struct {
+	Shell  shell  `json:"shell"`
+	Script string `json:"script"`
+}
+
+func (c *completionCommand) run(context.Context) (output, error) {
+	if c.Args.Shell != shellBash {
+		return nil, failed(ExitUsage, 0, "shell %q is not supported; only %s is", c.Args.Shell, shellBash)
+	}
+	return &script{Shell: shellBash, Script: bashScript}, nil
+}
+
+func (s *script) writeText(w io.Writer) {
+	io.WriteString(w, s.Script)
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,119 @@
+// Package ctl holds the commands of godwitmountctl. Each command returns an
+// output, which is written as text or as JSON, or an error that carries the
+// exit code.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// programName is how the tool calls itself in messages.
+const programName = "godwitmountctl"
+
+// globalOptions apply to every command.
+type globalOptions struct {
+	JSON bool `long:"json" description:"Write the result, or the error, as one JSON object on standard output."`
+}
+
+// command is one command with its options set by the parser.
+type command interface {
+	run(ctx context.Context) (output, error)
+}
+
+// output is the result of a command. It is encoded as JSON or written as text.
+type output interface {
+	writeText(w io.Writer)
+}
+
+// exiter is an output that is a result but no success.
+type exiter interface {
+	exit() ExitCode
+}
+
+// tool is the command line and what it may run.
+type tool struct {
+	parser   *flags.Parser
+	options  globalOptions
+	commands map[*flags.Command]command
+	out, err io.Writer
+}
+
+// Run parses the arguments, runs the command and returns the exit code.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) ExitCode {
+	t := newTool(stdout, stderr)
+	if _, err := t.parser.ParseArgs(args); err != nil {
+		return t.reportUsage(err)
+	}
+	result, err := t.selected().run(ctx)
+	if err != nil {
+		return t.reportError(err)
+	}
+	t.report(result)
+	if e, ok := result.(exiter); ok {
+		return e.exit()
+	}
+	return ExitOK
+}
+
+func newTool(stdout, stderr io.Writer) *tool {
+	t := &tool{commands: map[*flags.Command]command{}, out: stdout, err: stderr}
+	t.parser = flags.NewNamedParser(programName, flags.HelpFlag|flags.PassDoubleDash)
+	t.parser.ShortDescription = "checks, publishes and follows configurations"
+	t.parser.LongDescription = "godwitmountctl checks, publishes and follows configurations of a service mesh.\n\n" + exitCodeHelp()
+	t.group(t.parser.AddGroup("Global options", "", &t.options))
+	t.add(t.parser.Command, "check", "Check a manifest", checkHelp, &checkCommand{})
+	t.add(t.parser.Command, "match", "Show which route takes a request, and why", matchHelp, &matchCommand{})
+	t.add(t.parser.Command, "diff", "Show what differs between two manifests", diffHelp, &diffCommand{})
+	settings := t.add(t.parser.Command, "settings", "Work on settings files", settingsHelp, nil)
+	t.add(settings, "check", "Check a daemon's settings file", settingsCheckHelp, &settingsCheckCommand{})
+	t.add(t.parser.Command, "completion", "Print a shell completion script", completionHelp, &completionCommand{})
+	t.add(t.parser.Command, "version", "Print the version", versionHelp, &versionCommand{})
+	return t
+}
+
+// add registers a command, or with a nil command a parent of commands.
+func (t *tool) add(parent *flags.Command, name, short, long string, c command) *flags.Command {
+	data := any(c)
+	if c == nil {
+		data = &struct{}{}
+	}
+	added, err := parent.AddCommand(name, short, strings.TrimSpace(long), data)
+	if err != nil {
+		panic(fmt.Sprintf("ctl: command %s: %v", name, err))
+	}
+	if c != nil {
+		t.commands[added] = c
+	}
+	return added
+}
+
+func (t *tool) group(_ *flags.Group, err error) {
+	if err != nil {
+		panic(fmt.Sprintf("ctl: options: %v", err))
+	}
+}
+
+// selected returns the command that the arguments named.
+func (t *tool) selected() command {
+	active := t.parser.Active
+	for active.Active != nil {
+		active = active.Active
+	}
+	return t.commands[active]
+}
+
+// reportUsage writes help or a wrong command line's error.
+func (t *tool) reportUsage(err error) ExitCode {
+	var usage *flags.Error
+	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		fmt.Fprintln(t.out, usage.Message)
+		return ExitOK
+	}
+	return t.reportError(&failure{exit: ExitUsage, text: err.Error() + "; see " + programName + " --help"})
+}
--- /dev/null
+++ b/internal/ctl/diff.go
@@ -0,0 +1,70 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"godwitmount/internal/manifest"
+)
+
+const diffHelp = `
+Shows what differs between two manifests: services, routes and retry rules that
+are added, removed, changed or moved, field by field. Comments and the order of
+anything but routes make no difference.`
+
+type diffCommand struct {
+	ExitCode bool `long:"exit-code" description:"Exit with 1 when the manifests differ."`
+	Args     struct {
+		Old flags.Filename `positional-arg-name:"OLD" description:"manifest file"`
+		New flags.Filename `positional-arg-name:"NEW" description:"manifest file"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// diffResult is what differs between two manifests.
+type diffResult struct {
+	Old     string            `json:"old"`
+	New     string            `json:"new"`
+	Changes []manifest.Change `json:"changes"`
+	// differs is the exit code when there are changes.
+	differs ExitCode
+}
+
+func (c *diffCommand) run(context.Context) (output, error) {
+	old, err := readManifest(string(c.Args.Old))
+	if err != nil {
+		return nil, err
+	}
+	new, err := readManifest(string(c.Args.New))
+	if err != nil {
+		return nil, err
+	}
+	result := &diffResult{
+		Old:     old.Digest().String(),
+		New:     new.Digest().String(),
+		Changes: manifest.Diff(old, new),
+	}
+	if c.ExitCode {
+		result.differs = ExitInvalid
+	}
+	return result, nil
+}
+
+func (r *diffResult) exit() ExitCode {
+	if len(r.Changes) == 0 {
+		return ExitOK
+	}
+	return r.differs
+}
+
+func (r *diffResult) writeText(w io.Writer) {
+	if len(r.Changes) == 0 {
+		fmt.Fprintln(w, "no differences")
+		return
+	}
+	for _, change := range r.Changes {
+		fmt.Fprintln(w, change)
+	}
+}
--- /dev/null
+++ b/internal/ctl/match.go
@@ -0,0 +1,153 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"godwitmount/internal/manifest"
+)
+
+const matchHelp = `
+Shows which route of a manifest takes a request, and why the routes before it do
+not. URL is an absolute URL or just a path. Without a matching route the exit
+code is 1.`
+
+type matchCommand struct {
+	Header []string `short:"H" long:"header" value-name:"NAME:VALUE" description:"A header of the request; may be given several times."`
+	All    bool     `long:"all" description:"Show the routes behind the one taken as well."`
+	Args   struct {
+		File   flags.Filename `positional-arg-name:"FILE" description:"manifest file"`
+		Method string         `positional-arg-name:"METHOD" description:"HTTP method"`
+		URL    string         `positional-arg-name:"URL" description:"absolute URL or path"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// matchResult says which route takes a request.
+type matchResult struct {
+	// Taken is nil when no route takes the request.
+	Taken  *takenRoute            `json:"taken"`
+	Routes []manifest.Explanation `json:"routes"`
+}
+
+type takenRoute struct {
+	Route      string              `json:"route"`
+	Service    string              `json:"service"`
+	Deadline   manifest.Duration   `json:"deadline"`
+	Idempotent bool                `json:"idempotent"`
+	MaxBody    int64               `json:"max_body_bytes"`
+	Retry      *manifest.RetryRule `json:"retry,omitempty"`
+}
+
+func (c *matchCommand) run(context.Context) (output, error) {
+	m, err := readManifest(string(c.Args.File))
+	if err != nil {
+		return nil, err
+	}
+	request, err := c.request()
+	if err != nil {
+		return nil, err
+	}
+	table, err := manifest.Compile(m)
+	if err != nil {
+		return nil, err
+	}
+	result := &matchResult{Routes: table.Explain(request)}
+	if route, ok := table.Match(request); ok {
+		result.Taken = describeRoute(route, request.Method)
+		result.Routes = c.shown(result.Routes)
+	}
+	return result, nil
+}
+
+func describeRoute(route *manifest.CompiledRoute, method string) *takenRoute {
+	return &takenRoute{
+		Route:      route.Name,
+		Service:    route.Service,
+		Deadline:   route.Deadline,
+		Idempotent: route.IsIdempotent(method),
+		MaxBody:    route.Target.MaxBody,
+		Retry:      route.Rule,
+	}
+}
+
+func (c *matchCommand) request() (manifest.Request, error) {
+	target, err := url.Parse(c.Args.URL)
+	if err != nil {
+		return manifest.Request{}, failed(ExitUsage, 0, "URL %q: %v", c.Args.URL, err)
+	}
+	header := http.Header{}
+	for _, text := range c.Header {
+		name, value, ok := strings.Cut(text, ":")
+		if !ok {
+			return manifest.Request{}, failed(ExitUsage, 0, "header %q is not NAME:VALUE", text)
+		}
+		header.Add(strings.TrimSpace(name), strings.TrimSpace(value))
+	}
+	path := target.Path
+	if path == "" {
+		path = "/"
+	}
+	return manifest.Request{Method: strings.ToUpper(c.Args.Method), Host: target.Host, Path: path, Header: header}, nil
+}
+
+// shown leaves out the routes behind the one taken, unless all are asked for.
+func (c *matchCommand) shown(routes []manifest.Explanation) []manifest.Explanation {
+	if c.All {
+		return routes
+	}
+	for i := range routes {
+		if routes[i].Taken {
+			return routes[:i+1]
+		}
+	}
+	return routes
+}
+
+func (r *matchResult) exit() ExitCode {
+	if r.Taken == nil {
+		return ExitInvalid
+	}
+	return ExitOK
+}
+
+func (r *matchResult) writeText(w io.Writer) {
+	for _, route := range r.Routes {
+		mark := " "
+		if route.Taken {
+			mark = ">"
+		}
+		fmt.Fprintf(w, "%s %s: %s\n", mark, route.Route, route.Reason)
+	}
+	if r.Taken == nil {
+		fmt.Fprintln(w, "no route takes the request")
+		return
+	}
+	r.Taken.writeText(w)
+}
+
+func (t *takenRoute) writeText(w io.Writer) {
+	fmt.Fprintf(w, "route       %s\n", t.Route)
+	fmt.Fprintf(w, "service     %s\n", t.Service)
+	fmt.Fprintf(w, "deadline    %s\n", t.Deadline)
+	fmt.Fprintf(w, "idempotent  %t\n", t.Idempotent)
+	fmt.Fprintf(w, "body        at most %d bytes\n", t.MaxBody)
+	if t.Retry == nil {
+		fmt.Fprintln(w, "retry       none")
+		return
+	}
+	fmt.Fprintf(w, "retry       %s: %d attempts on %s, budget %d%%\n", t.Retry.Name, t.Retry.Attempts, joinOn(t.Retry.On), t.Retry.BudgetPercent)
+}
+
+func joinOn(on []manifest.RetryOn) string {
+	names := make([]string, len(on))
+	for i := range on {
+		names[i] = string(on[i])
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/manifest/diff.go
@@ -0,0 +1,162 @@
+package manifest
+
+import (
+	"fmt"
+	"strings"
+)
+
+// ChangeKind is what happened to an entry between two manifests.
+type ChangeKind string
+
+// The kinds of change.
+const (
+	Added   ChangeKind = "added"
+	Removed ChangeKind = "removed"
+	Changed ChangeKind = "changed"
+	// Moved is a route that is tried earlier or later among the routes that
+	// both manifests have.
+	Moved ChangeKind = "moved"
+)
+
+// EntryKind is what sort of entry changed.
+type EntryKind string
+
+// The kinds of entry.
+const (
+	EntryMesh       EntryKind = "mesh"
+	EntryDataCentre EntryKind = "data centre"
+	EntryService    EntryKind = "service"
+	EntryRoute      EntryKind = "route"
+	EntryRetryRule  EntryKind = "retry rule"
+)
+
+// Change is one difference between two manifests.
+type Change struct {
+	Kind  ChangeKind `json:"kind"`
+	Entry EntryKind  `json:"entry"`
+	// Name is the entry's name.
+	Name string `json:"name"`
+	// Fields are the values that differ; for added and removed entries, all
+	// that are set.
+	Fields []FieldChange `json:"fields,omitempty"`
+}
+
+// FieldChange is one value that differs. Old or New is empty where the field
+// is not set.
+type FieldChange struct {
+	Field string `json:"field"`
+	Old   string `json:"old,omitempty"`
+	New   string `json:"new,omitempty"`
+}
+
+// String returns the change in one line, and one line for each field.
+func (c Change) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s %q", c.Kind, c.Entry, c.Name)
+	for _, f := range c.Fields {
+		b.WriteString("\n    ")
+		b.WriteString(f.String())
+	}
+	return b.String()
+}
+
+// String returns "field: old -> new", or "field: value" when one is not set.
+func (f FieldChange) String() string {
+	switch {
+	case f.Old == "":
+		return fmt.Sprintf("%s: %s", f.Field, f.New)
+	case f.New == "":
+		return fmt.Sprintf("%s: was %s", f.Field, f.Old)
+	default:
+		return fmt.Sprintf("%s: %s -> %s", f.Field, f.Old, f.New)
+	}
+}
+
+// Diff lists what differs between two valid manifests: mesh, data centres,
+// services, routes, retry rules, in this order. Within a kind, entries come in
+// the order of the old manifest, then those that only the new one has. Either
+// manifest may be nil, which stands for one without entries.
+func Diff(old, new *Manifest) []Change {
+	before, after := normalized(old), normalized(new)
+	var changes []Change
+	changes = append(changes, diffMesh(before, after)...)
+	changes = append(changes, diffEntries(EntryDataCentre, dataCentreEntries(before), dataCentreEntries(after))...)
+	changes = append(changes, diffEntries(EntryService, serviceEntries(before), serviceEntries(after))...)
+	routesBefore, routesAfter := routeEntries(before), routeEntries(after)
+	changes = append(changes, diffEntries(EntryRoute, routesBefore, routesAfter)...)
+	changes = append(changes, diffOrder(routesBefore, routesAfter)...)
+	changes = append(changes, diffEntries(EntryRetryRule, ruleEntries(before), ruleEntries(after))...)
+	return changes
+}
+
+func normalized(m *Manifest) *Manifest {
+	if m == nil {
+		return &Manifest{}
+	}
+	c := m.clone()
+	c.normalize()
+	return c
+}
+
+func diffMesh(old, new *Manifest) []Change {
+	if old.Mesh == new.Mesh || old.Mesh == "" || new.Mesh == "" {
+		return nil
+	}
+	field := FieldChange{Field: "mesh", Old: quote(old.Mesh), New: quote(new.Mesh)}
+	return []Change{{Kind: Changed, Entry: EntryMesh, Name: new.Mesh, Fields: []FieldChange{field}}}
+}
+
+// entry is one named part of a manifest with its fields as text.
+type entry struct {
+	name   string
+	fields []fieldText
+}
+
+func diffEntries(kind EntryKind, old, new []entry) []Change {
+	before, after := byName(old), byName(new)
+	var changes []Change
+	for _, e := range old {
+		other, kept := after[e.name]
+		if !kept {
+			changes = append(changes, Change{Kind: Removed, Entry: kind, Name: e.name, Fields: diffFields(e.fields, nil)})
+			continue
+		}
+		if fields := diffFields(e.fields, other.fields); len(fields) > 0 {
+			changes = append(changes, Change{Kind: Changed, Entry: kind, Name: e.name, Fields: fields})
+		}
+	}
+	for _, e := range new {
+		if _, known := before[e.name]; !known {
+			changes = append(changes, Change{Kind: Added, Entry: kind, Name: e.name, Fields: diffFields(nil, e.fields)})
+		}
+	}
+	return changes
+}
+
+func byName(entries []entry) map[string]entry {
+	m := make(map[string]entry, len(entries))
+	for _, e := range entries {
+		m[e.name] = e
+	}
+	return m
+}
+
+// diffFields compares fields of one entry; a side that lacks all of them is
+// nil.
+func diffFields(old, new []fieldText) []FieldChange {
+	all := max(len(old), len(new))
+	var changes []FieldChange
+	for i := range all {
+		var change FieldChange
+		if old != nil {
+			change.Field, change.Old = old[i].field, old[i].text
+		}
+		if new != nil {
+			change.Field, change.New = new[i].field, new[i].text
+		}
+		if change.Old != change.New {
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
--- /dev/null
+++ b/internal/manifest/diff_fields.go
@@ -0,0 +1,84 @@
+package manifest
+
+import (
+	"bytes"
+	"reflect"
+	"strings"
+)
+
+// fieldText is one field of an entry, written as in a manifest.
+type fieldText struct {
+	field string
+	// text is empty when the field is not set.
+	text string
+}
+
+func dataCentreEntries(m *Manifest) []entry {
+	entries := make([]entry, len(m.DataCentres))
+	for i, name := range m.DataCentres {
+		entries[i] = entry{name: name}
+	}
+	return entries
+}
+
+func serviceEntries(m *Manifest) []entry {
+	entries := make([]entry, len(m.Services))
+	for i := range m.Services {
+		entries[i] = entry{m.Services[i].Name, fieldTexts(&m.Services[i])}
+	}
+	return entries
+}
+
+func routeEntries(m *Manifest) []entry {
+	entries := make([]entry, len(m.Routes))
+	for i := range m.Routes {
+		entries[i] = entry{m.Routes[i].Name, fieldTexts(&m.Routes[i])}
+	}
+	return entries
+}
+
+func ruleEntries(m *Manifest) []entry {
+	entries := make([]entry, len(m.RetryRules))
+	for i := range m.RetryRules {
+		entries[i] = entry{m.RetryRules[i].Name, fieldTexts(&m.RetryRules[i])}
+	}
+	return entries
+}
+
+// fieldTexts returns the fields of the struct that entry points to, but for
+// its name. Every struct of a type gives the same fields in the same order.
+func fieldTexts(entry any) []fieldText {
+	return appendFields(nil, "", reflect.ValueOf(entry).Elem())
+}
+
+func appendFields(fields []fieldText, prefix string, value reflect.Value) []fieldText {
+	for i := range value.NumField() {
+		name, options, _ := strings.Cut(value.Type().Field(i).Tag.Get("json"), ",")
+		if name == "name" && prefix == "" {
+			continue
+		}
+		member := value.Field(i)
+		if member.Kind() == reflect.Struct {
+			fields = appendFields(fields, prefix+name+".", member)
+			continue
+		}
+		text := ""
+		if options != "omitempty" || !isEmpty(member) {
+			text = jsonText(member.Interface())
+		}
+		fields = append(fields, fieldText{prefix + name, text})
+	}
+	return fields
+}
+
+func isEmpty(value reflect.Value) bool {
+	return value.IsZero() || value.Kind() == reflect.Slice && value.Len() == 0
+}
+
+func quote(text string) string { return jsonText(text) }
+
+func jsonText(value any) string {
+	var out bytes.Buffer
+	writeJSON(&out, value)
+	return out.String()
+}
