--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -80,11 +80,11 @@
 	for {
 		decision := p.choose(c, history)
 		if decision.Chosen == nil {
-			return nil, history.finalWithoutUpstream(), history.sends
+			return history.final(fail(code.CallNoUpstream))
 		}
 		body, ok := c.body.attempt(int64(history.sends))
 		if !ok {
-			return nil, history.last, history.sends
+			return history.final(history.last)
 		}
 		attempt := c.id + "." + strconv.Itoa(history.sends)
 		p.decisions.routed(c, attempt, decision)
@@ -92,23 +92,13 @@
 		history.add(decision.Chosen.Instance, a, f)
 		verdict := p.decide(c, history, a, f)
 		if !verdict.again {
-			return p.final(a, verdict.failure, history.sends)
-		}
-		if a != nil {
-			a.finish(context.Canceled)
+			return history.final(verdict.failure)
 		}
 		p.metrics.retried(verdict.why)
 		p.decisions.retried(c, attempt, verdict.why)
 	}
 }
 
-func (p *Proxy) final(a *answer, f *failure, sends int) (*answer, *failure, int) {
-	if f != nil {
-		return nil, f, sends
-	}
-	return a, nil, sends
-}
-
 func (p *Proxy) choose(c *call, h *history) routing.Decision {
 	ask := routing.Ask{
 		Local:  p.cfg.DataCentre,
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -129,6 +129,10 @@
 
 // startAndRun starts an admitted attempt unless it was fenced meanwhile.
 func (p *Proxy) startAndRun(ctx context.Context, x *execution, u *Upstream, slot admission.Slot) (*answer, *failure) {
+	if f := x.holdBody(p.cfg.BufferedBody); f != nil {
+		slot.Release()
+		return nil, f
+	}
 	if x.fenced && !p.deps.Fences.Start(x.attempt) {
 		slot.Release()
 		return nil, fail(code.CallFenced)
@@ -150,6 +154,21 @@
 	return a, nil
 }
 
+// holdBody reads a short body before the attempt starts, so that it leaves in
+// one piece and an entry daemon that goes away is noticed.
+func (x *execution) holdBody(limit int) *failure {
+	body := x.body.body
+	if body.whole() || body.length < 0 || body.length > int64(limit) {
+		return nil
+	}
+	held, _, err := readUpTo(body.rest, body.length, limit)
+	if err != nil {
+		return fail(code.CallBadRequest)
+	}
+	x.body = attemptBody{body: &requestBody{held: held, length: body.length}}
+	return nil
+}
+
 // brokenByUpstream tells whether an answer ended early although nobody here
 // gave it up.
 func (p *Proxy) brokenByUpstream(ctx context.Context, u *Upstream, err error) bool {
--- a/internal/proxy/fate.go
+++ b/internal/proxy/fate.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
-	"syscall"
 
 	"godwitmount/internal/code"
 	"godwitmount/internal/routing"
@@ -86,9 +84,3 @@
 	}
 	return "started"
 }
-
-// isRefusedConnection tells that nobody listens at an address.
-func isRefusedConnection(err error) bool {
-	var op *net.OpError
-	return errors.Is(err, syscall.ECONNREFUSED) || (errors.As(err, &op) && op.Op == "dial")
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -86,9 +86,15 @@
 	p.loopback.transport.CloseIdleConnections()
 }
 
-// SetUpstream takes what the local upstream last announced.
+// SetUpstream takes what the local upstream last announced. One that is not
+// ready gets no new work, not even what already waits for a slot.
 func (p *Proxy) SetUpstream(u Upstream) {
 	p.upstream.Store(&u)
+	if u.State == membership.UpstreamReady && !p.draining.Load() {
+		p.gate.Reopen()
+		return
+	}
+	p.gate.Drain()
 }
 
 // BeginDrain refuses new work for the local upstream from now on. Calls of
--- a/internal/proxy/retry.go
+++ b/internal/proxy/retry.go
@@ -15,24 +15,44 @@
 	// crashes counts sends that ended with a lost upstream.
 	crashes int
 	tried   []string
-	last    *failure
+	// last is the failure of the last send, or nil if it was answered.
+	last *failure
+	// answer is the last answer of an upstream, and unknown the last failure
+	// of a send that may have run; either forbids to tell not-run.
+	answer  *answer
+	unknown *failure
 }
 
 func (h *history) add(instance string, a *answer, f *failure) {
 	h.sends++
 	h.tried = append(h.tried, instance)
 	h.last = f
-	if a == nil && f != nil && lostUpstream(f.code) {
+	if f == nil {
+		h.answer = a
+		return
+	}
+	if lostUpstream(f.code) {
 		h.crashes++
 	}
+	if !f.notRun() {
+		h.unknown = f
+	}
 }
 
-// finalWithoutUpstream is the failure when nobody is left to try.
-func (h *history) finalWithoutUpstream() *failure {
-	if h.last != nil {
-		return h.last
+// final is what the caller is told after the last send: f, or with nil the
+// answer. When an earlier send ran or may have run, a not-run of a later one
+// is not the truth about the request.
+func (h *history) final(f *failure) (*answer, *failure, int) {
+	if f == nil || (f.notRun() && h.answer != nil) {
+		return h.answer, nil, h.sends
+	}
+	if f.notRun() && h.unknown != nil {
+		return nil, h.unknown, h.sends
 	}
-	return fail(code.CallNoUpstream)
+	if f.notRun() && h.last != nil && f.code == code.CallNoUpstream {
+		return nil, h.last, h.sends
+	}
+	return nil, f, h.sends
 }
 
 func lostUpstream(c code.Code) bool {
@@ -89,7 +109,7 @@
 	if ground == whyNot {
 		return verdict{failure: f}
 	}
-	if f != nil && f.code == code.CallShed && !p.otherHasRoom(c, h) {
+	if f.overload() && !p.otherHasRoom(c, h) {
 		return verdict{failure: f}
 	}
 	if ground == whyRedirect {
@@ -103,6 +123,14 @@
 	return verdict{again: true, why: ground}
 }
 
+// overload tells that the upstream had no room for the request in time.
+func (f *failure) overload() bool {
+	if f == nil || f.timedOut {
+		return false
+	}
+	return f.code == code.CallShed || f.code == code.CallDeadlineNotRun
+}
+
 // withoutBudget is the final failure when a retry was allowed but the budget
 // is spent; a request that may have run keeps its own code.
 func withoutBudget(f *failure) *failure {
@@ -167,9 +195,6 @@
 		}
 	case code.CallShed, code.CallFenced, code.CallUpstreamRefused:
 	case code.CallDeadlineNotRun:
-		if !in.Failure.timedOut {
-			return whyNot
-		}
 		if in.allows(manifest.RetryTimeout) {
 			return whyTimeout
 		}
