--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,225 @@
+// Package daemon runs one daemon: it listens, drives the control reducer on
+// one goroutine, carries out its effects, and serves calls on others.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"godwitmount/gen/godwitmount/peer/v1/peerv1connect"
+	"godwitmount/internal/claim"
+	"godwitmount/internal/control"
+	"godwitmount/internal/event"
+	"godwitmount/internal/membership"
+	"godwitmount/internal/platform"
+	"godwitmount/internal/proxy"
+	"godwitmount/internal/quarantine"
+	"godwitmount/internal/routing"
+	"godwitmount/internal/settings"
+	"godwitmount/internal/step"
+	"godwitmount/internal/version"
+)
+
+const (
+	// headerTimeout bounds reading a request's headers.
+	headerTimeout = 10 * time.Second
+	// serverIdleTimeout closes an idle connection. It is longer than the data
+	// path keeps its own, so that a server never closes one about to be used.
+	serverIdleTimeout = 5 * time.Minute
+	// maxHeaderBytes bounds a request's headers before the data path sees it.
+	maxHeaderBytes = 64 << 10
+	// leaveSpread is how long a stopping daemon goes on after its work is done,
+	// so that peers learn of its leaving first.
+	leaveSpread = 500 * time.Millisecond
+)
+
+// Config is what a daemon is started with.
+type Config struct {
+	Settings *settings.Daemon
+	Log      *zap.Logger
+	// Dial opens connections to peers; nil dials directly.
+	Dial DialFunc
+	// Transport carries gossip; nil listens on UDP beside the peer listener.
+	Transport membership.Transport
+}
+
+// Addresses are the listening addresses in use, as host:port.
+type Addresses struct {
+	Caller string `json:"caller"`
+	Peer   string `json:"peer"`
+	Local  string `json:"local"`
+	// Instance is the daemon's instance id.
+	Instance string `json:"instance"`
+}
+
+// Daemon is one running daemon.
+type Daemon struct {
+	cfg      Config
+	log      *zap.Logger
+	instance string
+	// background ends when the daemon has stopped.
+	background context.Context
+	cancel     context.CancelFunc
+
+	listeners  listeners
+	servers    []*http.Server
+	loop       *loop
+	gossip     membership.Transport
+	peers      *peerClients
+	store      platform.Store
+	service    *peerService
+	proxy      *proxy.Proxy
+	claims     *claim.Client
+	quarantine *quarantine.Set
+	metrics    *metrics
+
+	snapshot        atomic.Pointer[routing.Snapshot]
+	upstreamAddress atomic.Pointer[string]
+	stopping        atomic.Bool
+}
+
+// Start opens the listeners and begins to serve. The caller ends the daemon
+// with Stop.
+func Start(cfg Config) (*Daemon, error) {
+	if cfg.Dial == nil {
+		cfg.Dial = defaultDial()
+	}
+	opened, err := listen(cfg.Settings, cfg.Transport)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{cfg: cfg, log: cfg.Log, listeners: opened, gossip: opened.gossip}
+	d.instance = cfg.Settings.InstanceID(opened.peer.Addr().String())
+	d.background, d.cancel = context.WithCancel(context.Background())
+	if err := d.build(); err != nil {
+		d.cancel()
+		opened.close()
+		return nil, err
+	}
+	d.serve()
+	return d, nil
+}
+
+// build makes the daemon's parts and joins them.
+func (d *Daemon) build() error {
+	s := d.cfg.Settings
+	registry := prometheus.NewRegistry()
+	d.metrics = newMetrics(registry)
+	d.peers = newPeerClients(d.cfg.Dial)
+	d.store = newStore(s.PlatformURL)
+	d.quarantine = quarantine.NewSet()
+
+	start := time.Now()
+	incarnation := uint64(start.UnixMilli())
+	d.loop = newLoop(nil, start, d.log)
+	d.loop.core = control.New(d.controlConfig(incarnation), d.loop.moment())
+	d.loop.perform = d.perform
+	d.claims = claim.NewClient(claim.DefaultClientConfig(s.Mesh), claimCaller{daemon: d})
+
+	path, err := proxy.New(proxy.Config{
+		Instance:    d.instance,
+		Incarnation: incarnation,
+		DataCentre:  s.DataCentre,
+	}, proxy.Deps{
+		Snapshot:   d.snapshot.Load,
+		Claims:     d.claims,
+		Fences:     claim.NewFences(claim.DefaultFenceConfig(), time.Now),
+		Quarantine: d.tracker(),
+		FencePeer:  d.fencePeer,
+		Report:     d.report,
+		Log:        d.log,
+		Registerer: registry,
+	})
+	if err != nil {
+		return fmt.Errorf("data path: %w", err)
+	}
+	d.proxy = path
+	d.service = &peerService{mesh: s.Mesh, loop: d.loop, fence: path.FenceAttempt}
+	d.metrics.watch(d)
+	d.servers = []*http.Server{
+		newServer(path.CallerHandler()),
+		newServer(d.peerHandler()),
+		newServer(d.localHandler(registry)),
+	}
+	return nil
+}
+
+// peerHandler serves control calls and, on all other paths, calls from other
+// daemons to the local upstream.
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewPeerServiceHandler(d.service))
+	mux.Handle(peerv1connect.NewOperatorServiceHandler(d.service))
+	data := d.proxy.PeerHandler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if proxy.IsPeerCall(r) {
+			data.ServeHTTP(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       serverIdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// serve starts the goroutines.
+func (d *Daemon) serve() {
+	go d.loop.run(d.background)
+	d.gossip.Receive(d.receivePacket)
+	for i, listener := range d.listeners.tcp() {
+		go d.serveHTTP(d.servers[i], listener)
+	}
+	event.DaemonStarted.Info(d.log,
+		zap.String("instance", d.instance),
+		zap.String("data_centre", d.cfg.Settings.DataCentre),
+		zap.String("release", version.Get().String()),
+		zap.Any("addresses", d.Addresses()))
+}
+
+func (d *Daemon) serveHTTP(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		event.ListenFailed.Error(d.log, zap.Error(err))
+	}
+}
+
+// receivePacket hands a datagram to the control loop.
+func (d *Daemon) receivePacket(from string, datagram []byte) {
+	packet, err := membership.Decode(datagram, d.cfg.Settings.Mesh)
+	if err != nil {
+		d.loop.post(membership.PacketRefused{From: from, Err: err})
+		return
+	}
+	d.loop.post(membership.PacketReceived{From: from, Packet: packet})
+}
+
+// report takes what the data path saw.
+func (d *Daemon) report(ev step.Event) {
+	if _, lost := ev.(proxy.LocalUpstreamLost); lost {
+		d.loop.post(control.UpstreamLost{})
+	}
+}
+
+// Addresses returns the addresses in use.
+func (d *Daemon) Addresses() Addresses {
+	return Addresses{
+		Caller:   d.listeners.caller.Addr().String(),
+		Peer:     d.listeners.peer.Addr().String(),
+		Local:    d.listeners.local.Addr().String(),
+		Instance: d.instance,
+	}
+}
