Keep the member table by gossip and table comparison

Cause: there is no list of upstreams; each daemon has to learn of all others by itself. Change: a pure reducer of the member table with probing, suspicion, piggybacked updates, urgent pushes, delegates between data centres, contact rows, applied versions and reports per data centre; the codec of its packets and a UDP transport. Conclusion: 24 cores of three data centres that know one seed address each meet in the in-test network. Faults are not yet tested.

--- /dev/null
+++ b/internal/membership/network_test.go
@@ -0,0 +1,349 @@
+package membership
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "godwitmount/gen/godwitmount/peer/v1"
+	"godwitmount/internal/platform"
+	"godwitmount/internal/step"
+)
+
+const (
+	testMesh = "test"
+	testTick = 100 * time.Millisecond
+)
+
+var errCut = errors.New("cut")
+
+// node is one core of a test network.
+type node struct {
+	cfg    Config
+	core   *Core
+	down   bool
+	frozen bool
+	// late holds what arrived while frozen.
+	late          []step.Event
+	nextTick      time.Duration
+	sentBytes     int
+	sentPackets   int
+	exchangeBytes int
+	notices       int
+	counts        map[string]int
+}
+
+// delivery is an event on its way to an address.
+type delivery struct {
+	at    time.Duration
+	order int
+	to    string
+	from  string
+	event step.Event
+	call  func(*node)
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	if d[i].at != d[j].at {
+		return d[i].at < d[j].at
+	}
+	return d[i].order < d[j].order
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+// network steps cores on a virtual clock and carries what they send.
+type network struct {
+	t      testing.TB
+	now    time.Duration
+	random *rand.Rand
+	queue  deliveries
+	order  int
+	nodes  []*node
+	byAddr map[string]*node
+	// loss is the share of datagrams lost.
+	loss float64
+	// cut reports whether two nodes cannot reach each other.
+	cut func(a, b *node) bool
+	// packets may change a datagram's fate: how many copies and delays.
+	packets func(from *node, send SendPacket) []time.Duration
+	rows    map[string]platform.Row
+	reads   int
+	writes  int
+}
+
+func newNetwork(t testing.TB, seed uint64) *network {
+	return &network{
+		t:      t,
+		random: rand.New(rand.NewPCG(seed, seed)),
+		byAddr: map[string]*node{},
+		rows:   map[string]platform.Row{},
+	}
+}
+
+func (n *network) moment() step.Moment {
+	return step.Moment{Now: n.now, Wall: time.Unix(1_700_000_000, 0).Add(n.now), Random: n.random.Uint64()}
+}
+
+// add starts a core; index names its instance and address.
+func (n *network) add(dataCentre string, index int, change func(*Config)) *node {
+	cfg := Config{
+		Mesh:        testMesh,
+		Instance:    fmt.Sprintf("%s-%03d", dataCentre, index),
+		Incarnation: uint64(1_700_000_000_000 + n.now.Milliseconds()),
+		DataCentre:  dataCentre,
+		Address:     fmt.Sprintf("10.%d.%d.%d:7000", dataCentre[len(dataCentre)-1], index/200, index%200+1),
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	v := &node{cfg: cfg, counts: map[string]int{}}
+	n.nodes = append(n.nodes, v)
+	n.byAddr[cfg.Address] = v
+	n.boot(v)
+	return v
+}
+
+// boot starts a node's process anew.
+func (n *network) boot(v *node) {
+	v.cfg.Incarnation = uint64(1_700_000_000_000 + n.now.Milliseconds())
+	v.core = New(v.cfg, n.moment())
+	v.down, v.frozen, v.late = false, false, nil
+	v.nextTick = n.now + time.Duration(n.random.Int64N(int64(testTick)))
+}
+
+// dataCentres starts data centres of a size; the first instance of each is
+// the seed of all.
+func (n *network) dataCentres(size int, names ...string) {
+	var seeds []string
+	for _, name := range names {
+		seeds = append(seeds, fmt.Sprintf("10.%d.0.1:7000", name[len(name)-1]))
+	}
+	for i := range size {
+		for _, name := range names {
+			n.add(name, i, func(cfg *Config) { cfg.Peers = seeds })
+		}
+	}
+}
+
+func (n *network) step(v *node, event step.Event) {
+	if v.down {
+		return
+	}
+	if v.frozen {
+		v.late = append(v.late, event)
+		return
+	}
+	for _, effect := range v.core.Step(n.moment(), event) {
+		n.carry(v, effect)
+	}
+}
+
+func (n *network) push(after time.Duration, d delivery) {
+	n.order++
+	d.at, d.order = n.now+after, n.order
+	heap.Push(&n.queue, d)
+}
+
+func (n *network) carry(v *node, effect step.Effect) {
+	switch e := effect.(type) {
+	case SendPacket:
+		n.carryPacket(v, e)
+	case StartExchange:
+		n.carryExchange(v, e)
+	case ReadContacts:
+		n.reads++
+		var rows []platform.Row
+		for _, row := range n.rows {
+			rows = append(rows, row)
+		}
+		n.push(time.Millisecond, delivery{to: v.cfg.Address, from: v.cfg.Address, event: ContactsRead{Rows: rows}})
+	case WriteContact:
+		n.writes++
+		row := n.rows[e.Write.Key]
+		err := error(nil)
+		if row.Revision != e.Precondition.Revision {
+			err = &platform.ConflictError{Key: e.Write.Key, Current: row}
+		} else {
+			n.rows[e.Write.Key] = platform.Row{Key: e.Write.Key, Value: e.Write.Value, Revision: uint64(n.writes)}
+		}
+		n.push(time.Millisecond, delivery{to: v.cfg.Address, from: v.cfg.Address, event: ContactWritten{Key: e.Write.Key, Err: err}})
+	case NoticeArrived:
+		v.notices++
+	case step.Log:
+		v.counts[e.Event.String()]++
+	default:
+		v.counts[effect.EffectName()]++
+	}
+}
+
+func (n *network) apart(a, b *node) bool {
+	return a == nil || b == nil || a.down || b.down || n.cut != nil && n.cut(a, b)
+}
+
+func (n *network) carryPacket(v *node, send SendPacket) {
+	datagram, err := Encode(send.Packet)
+	if err != nil {
+		n.t.Errorf("%s sent a packet that does not encode: %v", v.cfg.Instance, err)
+		return
+	}
+	v.sentBytes += len(datagram)
+	v.sentPackets++
+	delays := []time.Duration{n.latency()}
+	if n.packets != nil {
+		delays = n.packets(v, send)
+	} else if n.random.Float64() < n.loss {
+		delays = nil
+	}
+	for _, delay := range delays {
+		packet, err := Decode(datagram, testMesh)
+		if err != nil {
+			n.t.Errorf("%s sent a packet that does not decode: %v", v.cfg.Instance, err)
+			return
+		}
+		n.push(delay, delivery{to: send.Address, from: v.cfg.Address, event: PacketReceived{From: v.cfg.Address, Packet: packet}})
+	}
+}
+
+func (n *network) latency() time.Duration {
+	return time.Millisecond + time.Duration(n.random.Int64N(int64(4*time.Millisecond)))
+}
+
+// carryExchange runs a call: request, response, each with a delay.
+func (n *network) carryExchange(v *node, start StartExchange) {
+	to := n.byAddr[start.Address]
+	fail := func(after time.Duration) {
+		n.push(after, delivery{to: v.cfg.Address, from: v.cfg.Address, event: ExchangeAnswered{Address: start.Address, Err: errCut}})
+	}
+	if n.apart(v, to) || to.frozen {
+		fail(2 * time.Second)
+		return
+	}
+	v.exchangeBytes += proto.Size(start.Request)
+	n.push(n.latency(), delivery{to: start.Address, from: v.cfg.Address, call: func(server *node) {
+		if server.frozen || n.apart(v, server) {
+			fail(2 * time.Second)
+			return
+		}
+		for _, effect := range server.core.Step(n.moment(), ExchangeRequested{Call: 1, Request: start.Request}) {
+			reply, ok := effect.(step.Reply)
+			if !ok {
+				n.carry(server, effect)
+				continue
+			}
+			response := reply.Message.(*peerv1.ExchangeMembersResponse)
+			server.exchangeBytes += proto.Size(response)
+			n.push(n.latency(), delivery{to: v.cfg.Address, from: server.cfg.Address, event: ExchangeAnswered{Address: start.Address, Response: response}})
+		}
+	}})
+}
+
+// run moves the clock on.
+func (n *network) run(d time.Duration) {
+	end := n.now + d
+	for n.now < end {
+		next := end
+		for _, v := range n.nodes {
+			next = min(next, v.nextTick)
+		}
+		if len(n.queue) > 0 {
+			next = min(next, n.queue[0].at)
+		}
+		n.now = next
+		for len(n.queue) > 0 && n.queue[0].at <= n.now {
+			n.deliver(heap.Pop(&n.queue).(delivery))
+		}
+		for _, v := range n.nodes {
+			if v.nextTick <= n.now {
+				v.nextTick = n.now + testTick
+				if !v.frozen {
+					n.step(v, step.Tick{})
+				}
+			}
+		}
+	}
+}
+
+func (n *network) deliver(d delivery) {
+	to := n.byAddr[d.to]
+	if n.apart(n.byAddr[d.from], to) {
+		return
+	}
+	if d.call != nil {
+		d.call(to)
+		return
+	}
+	n.step(to, d.event)
+}
+
+// wake ends a freeze: the process is told, then gets what waited.
+func (n *network) wake(v *node, gap time.Duration) {
+	v.frozen = false
+	n.step(v, step.Paused{Gap: gap})
+	late := v.late
+	v.late = nil
+	for _, event := range late {
+		n.step(v, event)
+	}
+}
+
+// until runs until a condition holds and returns how long that took.
+func (n *network) until(limit time.Duration, what string, holds func() bool) time.Duration {
+	n.t.Helper()
+	start := n.now
+	for !holds() {
+		if n.now-start >= limit {
+			n.t.Fatalf("%s: not within %v", what, limit)
+		}
+		n.run(testTick)
+	}
+	return n.now - start
+}
+
+// up returns the nodes that run.
+func (n *network) up() []*node {
+	var running []*node
+	for _, v := range n.nodes {
+		if !v.down {
+			running = append(running, v)
+		}
+	}
+	return running
+}
+
+// sees reports whether a holds b for a liveness.
+func (v *node) sees(other *node, want ...Liveness) bool {
+	r, _ := v.core.Lookup(other.cfg.Instance)
+	for _, l := range want {
+		if r.Liveness == l {
+			return true
+		}
+	}
+	return false
+}
+
+// whole reports whether all that run see each other as they are.
+func (n *network) whole() bool {
+	for _, a := range n.up() {
+		for _, b := range n.up() {
+			r, known := a.core.Lookup(b.cfg.Instance)
+			if !known || r != b.core.Self() {
+				return false
+			}
+		}
+	}
+	return true
+}
