--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,8 +47,8 @@
 	Log      *zap.Logger
 	// Dial opens connections to peers; nil dials directly.
 	Dial DialFunc
-	// Transport carries gossip; nil listens on UDP beside the peer listener.
-	Transport membership.Transport
+	// Gossip wraps the datagram transport; nil uses it as it is.
+	Gossip func(membership.Transport) membership.Transport
 }
 
 // Addresses are the listening addresses in use, as host:port.
@@ -92,11 +92,14 @@
 	if cfg.Dial == nil {
 		cfg.Dial = defaultDial()
 	}
-	opened, err := listen(cfg.Settings, cfg.Transport)
+	d := &Daemon{cfg: cfg, log: cfg.Log}
+	d.loop = newLoop(time.Now(), cfg.Log)
+	opened, err := listen(cfg.Settings, d.openGossip)
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{cfg: cfg, log: cfg.Log, listeners: opened, gossip: opened.gossip}
+	d.listeners = opened
+	d.gossip = opened.gossip
 	d.instance = cfg.Settings.InstanceID(opened.peer.Addr().String())
 	d.background, d.cancel = context.WithCancel(context.Background())
 	if err := d.build(); err != nil {
@@ -117,9 +120,7 @@
 	d.store = newStore(s.PlatformURL)
 	d.quarantine = quarantine.NewSet()
 
-	start := time.Now()
-	incarnation := uint64(start.UnixMilli())
-	d.loop = newLoop(nil, start, d.log)
+	incarnation := uint64(d.loop.start.UnixMilli())
 	d.loop.core = control.New(d.controlConfig(incarnation), d.loop.moment())
 	d.loop.perform = d.perform
 	d.claims = claim.NewClient(claim.DefaultClientConfig(s.Mesh), claimCaller{daemon: d})
@@ -160,7 +161,7 @@
 	mux.Handle(peerv1connect.NewOperatorServiceHandler(d.service))
 	data := d.proxy.PeerHandler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if proxy.IsPeerCall(r) {
+		if r.Header.Get(proxy.HeaderAttempt) != "" {
 			data.ServeHTTP(w, r)
 			return
 		}
@@ -180,7 +181,6 @@
 // serve starts the goroutines.
 func (d *Daemon) serve() {
 	go d.loop.run(d.background)
-	d.gossip.Receive(d.receivePacket)
 	for i, listener := range d.listeners.tcp() {
 		go d.serveHTTP(d.servers[i], listener)
 	}
@@ -197,14 +197,16 @@
 	}
 }
 
-// receivePacket hands a datagram to the control loop.
-func (d *Daemon) receivePacket(from string, datagram []byte) {
-	packet, err := membership.Decode(datagram, d.cfg.Settings.Mesh)
+// openGossip listens for datagrams; each becomes an event.
+func (d *Daemon) openGossip(address string) (membership.Transport, error) {
+	udp, err := membership.ListenUDP(address, d.cfg.Settings.Mesh, d.loop.post)
 	if err != nil {
-		d.loop.post(membership.PacketRefused{From: from, Err: err})
-		return
+		return nil, err
+	}
+	if d.cfg.Gossip == nil {
+		return udp, nil
 	}
-	d.loop.post(membership.PacketReceived{From: from, Packet: packet})
+	return d.cfg.Gossip(udp), nil
 }
 
 // report takes what the data path saw.
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 
+	"godwitmount/internal/membership"
 	"godwitmount/internal/settings"
 )
 
@@ -11,15 +12,18 @@
 // have.
 const peerListenTries = 16
 
+// openGossip opens the datagram transport on host:port.
+type openGossip func(address string) (membership.Transport, error)
+
 // listeners are the open sockets of a daemon.
 type listeners struct {
 	caller, peer, local net.Listener
-	// udp shares the peer listener's address.
-	udp net.PacketConn
+	// gossip shares the peer listener's address.
+	gossip membership.Transport
 }
 
 // listen opens all sockets, or none.
-func listen(s *settings.Daemon) (listeners, error) {
+func listen(s *settings.Daemon, gossip openGossip) (listeners, error) {
 	var l listeners
 	var err error
 	if l.caller, err = net.Listen("tcp", s.CallerListen); err != nil {
@@ -29,7 +33,7 @@
 		l.close()
 		return l, fmt.Errorf("local_listen: %w", err)
 	}
-	if err = l.openPeer(s.PeerListen); err != nil {
+	if err = l.openPeer(s.PeerListen, gossip); err != nil {
 		l.close()
 		return l, fmt.Errorf("peer_listen: %w", err)
 	}
@@ -38,13 +42,13 @@
 
 // openPeer opens TCP and UDP on one port. With port 0 the system's choice for
 // TCP may be taken for UDP, so another is tried.
-func (l *listeners) openPeer(address string) error {
+func (l *listeners) openPeer(address string, gossip openGossip) error {
 	var err error
 	for range peerListenTries {
 		if l.peer, err = net.Listen("tcp", address); err != nil {
 			return err
 		}
-		if l.udp, err = net.ListenPacket("udp", l.peer.Addr().String()); err == nil {
+		if l.gossip, err = gossip(l.peer.Addr().String()); err == nil {
 			return nil
 		}
 		_ = l.peer.Close()
@@ -64,7 +68,7 @@
 			_ = listener.Close()
 		}
 	}
-	if l.udp != nil {
-		_ = l.udp.Close()
+	if l.gossip != nil {
+		_ = l.gossip.Close()
 	}
 }
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -52,9 +52,10 @@
 	overflows atomic.Uint64
 }
 
-func newLoop(core reducer, start time.Time, log *zap.Logger) *loop {
+// newLoop returns a loop that takes events at once; core and perform must be
+// set before run.
+func newLoop(start time.Time, log *zap.Logger) *loop {
 	return &loop{
-		core:    core,
 		log:     log,
 		start:   start,
 		events:  make(chan step.Event, queueLength),
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -47,7 +47,7 @@
 	case control.ConfigRefused:
 		d.metrics.refused(e.Code)
 	case membership.SendPacket:
-		d.gossip.Send(e.Address, e.Packet)
+		d.sendPacket(e)
 	case membership.StartExchange:
 		go d.exchange(e)
 	case membership.ReadContacts:
@@ -81,6 +81,13 @@
 	}
 }
 
+// sendPacket queues a datagram; one that cannot be sent counts as lost.
+func (d *Daemon) sendPacket(e membership.SendPacket) {
+	if err := d.gossip.Send(e); err != nil {
+		event.PacketDropped.Warn(d.log, zap.String("to", e.Address), zap.Error(err))
+	}
+}
+
 func (d *Daemon) writeLog(e step.Log) {
 	fields := make([]zap.Field, 0, len(e.Fields))
 	for _, field := range e.Fields {
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -136,3 +137,19 @@
 	}
 	return fmt.Errorf("%s wrote no addresses within %s\n%s", p.Name, startTimeout, p.Log())
 }
+
+// awaitText waits until file holds a line and returns it.
+func (p *Process) awaitText(file string) (string, error) {
+	deadline := time.Now().Add(startTimeout)
+	for time.Now().Before(deadline) {
+		text, err := os.ReadFile(file)
+		if err == nil && strings.HasSuffix(string(text), "\n") {
+			return strings.TrimSpace(string(text)), nil
+		}
+		if !p.Running() {
+			return "", fmt.Errorf("%s ended while starting: %v\n%s", p.Name, p.err, p.Log())
+		}
+		time.Sleep(pollInterval)
+	}
+	return "", fmt.Errorf("%s wrote no address within %s\n%s", p.Name, startTimeout, p.Log())
+}
