--- a/internal/publish/read.go
+++ b/internal/publish/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"godwitmount/internal/code"
 
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/platform"
@@ -14,6 +15,9 @@
 	Want, Got manifest.Digest
 }
 
+// Code returns the numbered result code.
+func (e *DigestError) Code() code.Code { return code.ApplyDigestMismatch }
+
 // Error implements error.
 func (e *DigestError) Error() string {
 	return fmt.Sprintf("body has digest %s, want %s", e.Got.Short(), e.Want.Short())
