Publish and follow versions with godwitmountctl

Cause: operators drive the mesh only by publishing, and need to see a version through to every instance.

The acceptance of publish takes a note for the history.

--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -8,6 +8,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"godwitmount/internal/code"
 	"godwitmount/internal/manifest"
 )
 
@@ -38,7 +39,7 @@
 	Bytes int `json:"bytes"`
 }
 
-func (c *checkCommand) run(context.Context) (output, error) {
+func (c *checkCommand) run(context.Context, io.Writer) (output, error) {
 	m, err := readManifest(string(c.Args.File))
 	if err != nil {
 		return nil, err
@@ -50,14 +51,14 @@
 func readManifest(file string) (*manifest.Manifest, error) {
 	source, err := os.ReadFile(file)
 	if err != nil {
-		return nil, failed(ExitUnavailable, 0, "%v", err)
+		return nil, failed(ExitUnavailable, code.OK, "%v", err)
 	}
 	m, problems := manifest.Parse(file, source)
 	if problems != nil {
 		return nil, problems
 	}
 	if _, err := manifest.Compile(m); err != nil {
-		return nil, failed(ExitInvalid, 0, "%s: %v", file, err)
+		return nil, failed(ExitInvalid, code.OK, "%s: %v", file, err)
 	}
 	return m, nil
 }
@@ -80,6 +81,6 @@
 	fmt.Fprintf(w, "%s is valid\n", s.File)
 	fmt.Fprintf(w, "mesh    %s\n", s.Mesh)
 	fmt.Fprintf(w, "digest  %s\n", s.Digest)
-	fmt.Fprintf(w, "holds   %d data centres, %d services, %d routes, %d retry rules; %d bytes\n",
+	fmt.Fprintf(w, "holds   data centres %d, services %d, routes %d, retry rules %d; %d bytes\n",
 		s.DataCentres, s.Services, s.Routes, s.RetryRules, s.Bytes)
 }
--- a/internal/ctl/completion.go
+++ b/internal/ctl/completion.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+
+	"godwitmount/internal/code"
 )
 
 const completionHelp = `
@@ -39,9 +41,9 @@
 	Script string `json:"script"`
 }
 
-func (c *completionCommand) run(context.Context) (output, error) {
+func (c *completionCommand) run(context.Context, io.Writer) (output, error) {
 	if c.Args.Shell != shellBash {
-		return nil, failed(ExitUsage, 0, "shell %q is not supported; only %s is", c.Args.Shell, shellBash)
+		return nil, failed(ExitUsage, code.OK, "shell %q is not supported; only %s is", c.Args.Shell, shellBash)
 	}
 	return &script{Shell: shellBash, Script: bashScript}, nil
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -23,7 +23,8 @@
 
 // command is one command with its options set by the parser.
 type command interface {
-	run(ctx context.Context) (output, error)
+	// run does the work; progress takes lines for people while it lasts.
+	run(ctx context.Context, progress io.Writer) (output, error)
 }
 
 // output is the result of a command. It is encoded as JSON or written as text.
@@ -50,7 +51,7 @@
 	if _, err := t.parser.ParseArgs(args); err != nil {
 		return t.reportUsage(err)
 	}
-	result, err := t.selected().run(ctx)
+	result, err := t.selected().run(ctx, t.err)
 	if err != nil {
 		return t.reportError(err)
 	}
@@ -72,6 +73,10 @@
 	t.add(t.parser.Command, "diff", "Show what differs between two manifests", diffHelp, &diffCommand{})
 	settings := t.add(t.parser.Command, "settings", "Work on settings files", settingsHelp, nil)
 	t.add(settings, "check", "Check a daemon's settings file", settingsCheckHelp, &settingsCheckCommand{})
+	t.add(t.parser.Command, "propose", "Store a manifest on the platform for review", proposeHelp, &proposeCommand{})
+	t.add(t.parser.Command, "accept", "Make a proposed manifest the next version", acceptHelp, &acceptCommand{})
+	t.add(t.parser.Command, "history", "List accepted versions", historyHelp, &historyCommand{})
+	t.add(t.parser.Command, "status", "Show the versions in force and the instances", statusHelp, &statusCommand{})
 	t.add(t.parser.Command, "completion", "Print a shell completion script", completionHelp, &completionCommand{})
 	t.add(t.parser.Command, "version", "Print the version", versionHelp, &versionCommand{})
 	return t
--- a/internal/ctl/match.go
+++ b/internal/ctl/match.go
@@ -10,6 +10,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"godwitmount/internal/code"
 	"godwitmount/internal/manifest"
 )
 
@@ -44,7 +45,7 @@
 	Retry      *manifest.RetryRule `json:"retry,omitempty"`
 }
 
-func (c *matchCommand) run(context.Context) (output, error) {
+func (c *matchCommand) run(context.Context, io.Writer) (output, error) {
 	m, err := readManifest(string(c.Args.File))
 	if err != nil {
 		return nil, err
@@ -79,13 +80,13 @@
 func (c *matchCommand) request() (manifest.Request, error) {
 	target, err := url.Parse(c.Args.URL)
 	if err != nil {
-		return manifest.Request{}, failed(ExitUsage, 0, "URL %q: %v", c.Args.URL, err)
+		return manifest.Request{}, failed(ExitUsage, code.OK, "URL %q: %v", c.Args.URL, err)
 	}
 	header := http.Header{}
 	for _, text := range c.Header {
 		name, value, ok := strings.Cut(text, ":")
 		if !ok {
-			return manifest.Request{}, failed(ExitUsage, 0, "header %q is not NAME:VALUE", text)
+			return manifest.Request{}, failed(ExitUsage, code.OK, "header %q is not NAME:VALUE", text)
 		}
 		header.Add(strings.TrimSpace(name), strings.TrimSpace(value))
 	}
--- a/internal/ctl/settings.go
+++ b/internal/ctl/settings.go
@@ -30,7 +30,7 @@
 	Settings *settings.Daemon `json:"settings"`
 }
 
-func (c *settingsCheckCommand) run(context.Context) (output, error) {
+func (c *settingsCheckCommand) run(context.Context, io.Writer) (output, error) {
 	daemon, problems := settings.Load(string(c.Args.File))
 	if problems != nil {
 		return nil, problems
--- a/internal/ctl/version.go
+++ b/internal/ctl/version.go
@@ -18,7 +18,7 @@
 	version.Info
 }
 
-func (versionCommand) run(context.Context) (output, error) {
+func (versionCommand) run(context.Context, io.Writer) (output, error) {
 	return versionInfo{version.Get()}, nil
 }
 
--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -51,6 +51,8 @@
 	Base manifest.ID
 	// Operator is recorded in the history.
 	Operator string
+	// Note is recorded in the history; it may be empty.
+	Note string
 	// MinVersion, when larger than the head's next, is the version to take:
 	// it lifts the numbering above what daemons hold after the platform was
 	// restored from old data.
@@ -155,6 +157,7 @@
 		Digest:      next.Digest.String(),
 		Acceptance:  a.ID,
 		Operator:    a.Operator,
+		Note:        a.Note,
 		Accepted:    p.cfg.Now().UTC(),
 		BaseVersion: head.ID.Version,
 	}
--- a/internal/publish/rows.go
+++ b/internal/publish/rows.go
@@ -62,7 +62,9 @@
 	// Acceptance is the id given by the operator's tool.
 	Acceptance string `json:"acceptance"`
 	// Operator is who accepted, as the tool was told.
-	Operator string    `json:"operator"`
+	Operator string `json:"operator"`
+	// Note is what the operator wrote about it; it may be empty.
+	Note     string    `json:"note,omitempty"`
 	Accepted time.Time `json:"accepted"`
 	// BaseVersion is the version that was replaced, 0 for the first.
 	BaseVersion uint64 `json:"base_version"`
