--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -11,10 +11,6 @@
 	"godwitmount/internal/membership"
 )
 
-// handOffWait bounds how long a stopping daemon waits for its claims to be
-// handed over once its other work is done.
-const handOffWait = 2 * time.Second
-
 // Stop is the planned stop: peers are told first, new work is refused, work in
 // flight is finished, claims are handed over. It returns an error when ctx
 // ended before that was done.
