--- /dev/null
+++ b/internal/confsync/network_test.go
@@ -0,0 +1,302 @@
+package confsync
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	peerv1 "godwitmount/gen/godwitmount/peer/v1"
+	"godwitmount/internal/manifest"
+	"godwitmount/internal/membership"
+	"godwitmount/internal/step"
+)
+
+const (
+	linkDelay  = time.Millisecond
+	tickPeriod = 50 * time.Millisecond
+	gossipTick = time.Second
+)
+
+// delivery is one event on its way to a node, or work of the test itself.
+type delivery struct {
+	at  time.Duration
+	seq int
+	to  string
+	ev  step.Event
+	do  func()
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int      { return len(d) }
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d deliveries) Less(i, j int) bool {
+	if d[i].at != d[j].at {
+		return d[i].at < d[j].at
+	}
+	return d[i].seq < d[j].seq
+}
+func (d *deliveries) Push(x any) { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	old := *d
+	last := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return last
+}
+
+// node is one instance across its restarts.
+type node struct {
+	name, dc string
+	core     *Core
+	// highest is what the instance ever applied.
+	highest     manifest.ID
+	frozenUntil time.Duration
+	frozen      []delivery
+	// cut drops what goes to and comes from the node; noPlatform fails its
+	// reads.
+	cut        bool
+	noPlatform bool
+}
+
+// network runs several cores against a fake platform, in simulated time.
+type network struct {
+	t       *testing.T
+	now     time.Duration
+	seq     int
+	random  uint64
+	queue   deliveries
+	nodes   map[string]*node
+	order   []string
+	head    manifest.ID
+	bodies  map[manifest.Digest][]byte
+	records []membership.Record
+	// intercept sees each message between processes before it is queued and
+	// reports whether it took it over.
+	intercept func(d delivery) bool
+	// counts of what crossed.
+	headReads, objectReads, remoteBodies int
+}
+
+func newNetwork(t *testing.T, names ...string) *network {
+	n := &network{t: t, nodes: map[string]*node{}, bodies: map[manifest.Digest][]byte{}}
+	for _, name := range names {
+		dc := strings.Split(name, "-")[0]
+		n.order = append(n.order, name)
+		n.nodes[name] = &node{name: name, dc: dc}
+		n.records = append(n.records, membership.Record{Instance: name, Address: name, DataCentre: dc, Liveness: membership.Alive})
+	}
+	for _, name := range names {
+		n.start(name)
+		n.tickLater(name, tickPeriod)
+		n.gossipLater(name, gossipTick)
+	}
+	return n
+}
+
+func (n *network) start(name string) {
+	node := n.nodes[name]
+	node.core = New(testConfig(name, node.dc), n.moment())
+	n.at(n.now, func() { n.step(node, MembersChanged{Members: n.records}) })
+}
+
+func (n *network) moment() step.Moment {
+	n.random += 0x9e3779b97f4a7c15
+	return step.Moment{Now: n.now, Random: n.random}
+}
+
+func (n *network) at(at time.Duration, do func()) {
+	n.push(delivery{at: at, do: do})
+}
+
+func (n *network) push(d delivery) {
+	n.seq++
+	d.seq = n.seq
+	heap.Push(&n.queue, d)
+}
+
+// send carries one message between processes.
+func (n *network) send(to string, ev step.Event) {
+	d := delivery{at: n.now + linkDelay, to: to, ev: ev}
+	if n.intercept == nil || !n.intercept(d) {
+		n.push(d)
+	}
+}
+
+func (n *network) tickLater(name string, after time.Duration) {
+	n.at(n.now+after, func() {
+		if node := n.nodes[name]; n.now >= node.frozenUntil {
+			n.step(node, step.Tick{})
+		}
+		n.tickLater(name, tickPeriod)
+	})
+}
+
+// gossipLater makes a node tell one peer after the other what it has applied,
+// as each gossip packet does.
+func (n *network) gossipLater(name string, after time.Duration) {
+	n.at(n.now+after, func() {
+		node := n.nodes[name]
+		peer := n.order[int(n.moment().Random>>32)%len(n.order)]
+		if peer != name && !node.cut && n.now >= node.frozenUntil {
+			n.send(peer, PeerApplied{Instance: name, Address: name, ID: node.core.Applied()})
+		}
+		n.gossipLater(name, gossipTick)
+	})
+}
+
+// run lets simulated time pass until done, or at most the given time.
+func (n *network) run(atMost time.Duration, done func() bool) bool {
+	end := n.now + atMost
+	for len(n.queue) > 0 && n.queue[0].at <= end {
+		d := heap.Pop(&n.queue).(delivery)
+		n.now = max(n.now, d.at)
+		n.deliver(d)
+		if done != nil && done() {
+			return true
+		}
+	}
+	n.now = end
+	return done != nil && done()
+}
+
+func (n *network) deliver(d delivery) {
+	if d.do != nil {
+		d.do()
+		return
+	}
+	node := n.nodes[d.to]
+	if node.cut {
+		return
+	}
+	if n.now < node.frozenUntil {
+		node.frozen = append(node.frozen, d)
+		return
+	}
+	n.step(node, d.ev)
+}
+
+func (n *network) freeze(name string, gap time.Duration) {
+	node := n.nodes[name]
+	node.frozenUntil = n.now + gap
+	n.at(node.frozenUntil, func() {
+		n.step(node, step.Paused{Gap: gap})
+		waiting := node.frozen
+		node.frozen = nil
+		for _, d := range waiting {
+			n.step(node, d.ev)
+		}
+	})
+}
+
+func (n *network) step(node *node, ev step.Event) {
+	for _, effect := range node.core.Step(n.moment(), ev) {
+		n.perform(node, effect)
+	}
+}
+
+func (n *network) perform(node *node, effect step.Effect) {
+	switch e := effect.(type) {
+	case Applied:
+		n.checkApplied(node, e)
+	case ReadHead:
+		n.headReads++
+		ev := HeadRead{Attempt: e.Attempt, ID: n.head}
+		if node.noPlatform {
+			ev = HeadRead{Attempt: e.Attempt, Err: errors.New("away")}
+		}
+		n.sendFrom(node, node.name, ev)
+	case FetchObject:
+		n.objectReads++
+		ev := ObjectFetched{Attempt: e.Attempt, ID: e.ID, Body: n.bodies[e.ID.Digest]}
+		if node.noPlatform || ev.Body == nil {
+			ev = ObjectFetched{Attempt: e.Attempt, ID: e.ID, Err: errors.New("away")}
+		}
+		n.sendFrom(node, node.name, ev)
+	case SendNotice:
+		for _, address := range e.Addresses {
+			n.sendFrom(node, address, NoticeReceived{From: node.name, Address: node.name, ID: idFromProto(e.Notice.Id), Remaining: e.Notice.Remaining})
+		}
+	case FetchFromPeer:
+		n.call(node, e.Address, FetchRequested{Request: e.Request}, func(reply step.Reply) step.Event {
+			resp := reply.Message.(*peerv1.FetchConfigResponse)
+			if len(resp.Body) > 0 && n.nodes[e.Address].dc != node.dc {
+				n.remoteBodies++
+			}
+			return PeerFetched{Attempt: e.Attempt, Address: e.Address, Response: resp}
+		})
+	case AskFloor:
+		n.call(node, e.Address, FloorRequested{Request: e.Request}, func(reply step.Reply) step.Event {
+			return FloorRemembered{Attempt: e.Attempt, Address: e.Address, Response: reply.Message.(*peerv1.RememberFloorResponse)}
+		})
+	}
+}
+
+func (n *network) sendFrom(from *node, to string, ev step.Event) {
+	if !from.cut {
+		n.send(to, ev)
+	}
+}
+
+func (n *network) call(from *node, to string, ev step.Event, answer func(step.Reply) step.Event) {
+	server := n.nodes[to]
+	if from.cut {
+		return
+	}
+	d := delivery{at: n.now + linkDelay, to: to, ev: ev}
+	d.do = func() {
+		if server.cut || n.now < server.frozenUntil {
+			return
+		}
+		for _, effect := range server.core.Step(n.moment(), ev) {
+			if reply, ok := effect.(step.Reply); ok {
+				n.sendFrom(server, from.name, answer(reply))
+				continue
+			}
+			n.perform(server, effect)
+		}
+	}
+	if n.intercept == nil || !n.intercept(d) {
+		n.push(d)
+	}
+}
+
+// checkApplied holds what must always be true of a version put in force.
+func (n *network) checkApplied(node *node, e Applied) {
+	n.t.Helper()
+	if e.ID.Version < node.highest.Version || e.ID.Version == node.highest.Version && e.ID != node.highest {
+		n.t.Fatalf("%s at %v applied %s after %s", node.name, n.now, e.ID, node.highest)
+	}
+	if e.Table == nil || manifest.DigestOf(e.Body) != e.ID.Digest {
+		n.t.Fatalf("%s applied %s in part", node.name, e.ID)
+	}
+	node.highest = e.ID
+}
+
+// accept publishes a body as the next version.
+func (n *network) accept(body string) manifest.ID {
+	n.head = idOf(n.head.Version+1, body)
+	n.bodies[n.head.Digest] = []byte(body)
+	return n.head
+}
+
+func (n *network) allAt(id manifest.ID) func() bool {
+	return func() bool {
+		for _, node := range n.nodes {
+			if node.core.Applied() != id {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (n *network) applied() string {
+	var b strings.Builder
+	for _, name := range n.order {
+		fmt.Fprintf(&b, "%s=%s ", name, n.nodes[name].core.Applied())
+	}
+	return b.String()
+}
