--- a/cmd/upstream-standin/main.go
+++ b/cmd/upstream-standin/main.go
@@ -28,6 +28,7 @@
 	ColdStart   time.Duration `long:"cold-start" description:"time before it is ready" default:"0s"`
 	ServiceTime time.Duration `long:"service-time" description:"time a request runs" default:"5ms"`
 	Drain       time.Duration `long:"drain" description:"longest wait for running requests in a planned stop" default:"30s"`
+	LogRuns     bool          `long:"log-runs" description:"write a log line for each request before it runs"`
 	Linger      time.Duration `long:"linger" description:"time that requests are still taken after a planned stop was announced" default:"200ms"`
 }
 
@@ -78,6 +79,7 @@
 
 func config(opts options, log *zap.Logger) upstreamstandin.Config {
 	return upstreamstandin.Config{
+		LogRuns:     opts.LogRuns,
 		Instance:    opts.Instance,
 		Service:     opts.Service,
 		Listen:      opts.Listen,
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -7,7 +7,7 @@
 
 // Number identifies a kind of log line. The thousands group them: 1xxx
 // process, 2xxx configuration, 3xxx membership, 4xxx calls, 5xxx claims, 6xxx
-// quarantine, 7xxx platform.
+// quarantine, 7xxx platform, 8xxx stand-ins.
 type Number uint16
 
 // The events.
@@ -69,6 +69,8 @@
 	PlatformLost      Number = 7001
 	PlatformRecovered Number = 7002
 	PlatformSlow      Number = 7003
+
+	StandinRan Number = 8001
 )
 
 // Info is one row of the catalogue.
@@ -137,6 +139,8 @@
 	{PlatformLost, "platform-lost", "The platform stopped answering."},
 	{PlatformRecovered, "platform-recovered", "The platform answers again."},
 	{PlatformSlow, "platform-slow", "The platform answered slowly."},
+
+	{StandinRan, "standin-ran", "The upstream stand-in begins to run a request."},
 }
 
 var byNumber = index()
--- a/internal/upstreamstandin/requests.go
+++ b/internal/upstreamstandin/requests.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"go.uber.org/zap"
+
+	"godwitmount/internal/event"
 )
 
 // Headers that steer one request.
@@ -39,7 +42,7 @@
 		}
 		defer s.give()
 		r := c.Request()
-		s.counts.began(r.Header.Get("Idempotency-Key"), r.Header.Get(HeaderTag))
+		s.began(r.Header.Get("Idempotency-Key"), r.Header.Get(HeaderTag))
 		if r.Header.Get(HeaderCrash) != "" {
 			s.crash()
 		}
@@ -51,6 +54,14 @@
 	}
 }
 
+// began counts a request that runs now.
+func (s *Standin) began(key, tag string) {
+	s.counts.began(key, tag)
+	if s.cfg.LogRuns {
+		event.StandinRan.Info(s.cfg.Log, zap.String("key", key), zap.String("tag", tag))
+	}
+}
+
 // take gets a slot; there is none during the cold start.
 func (s *Standin) take() bool {
 	if time.Now().Before(s.ready) {
--- a/internal/upstreamstandin/standin.go
+++ b/internal/upstreamstandin/standin.go
@@ -42,7 +42,10 @@
 	// Exit ends the process at a request that crashes it; nil takes a panic of
 	// the listener: all connections are closed.
 	Exit func()
-	Log  *zap.Logger
+	// LogRuns writes a line for each request before it runs, so that runs can
+	// be counted also after the process was killed.
+	LogRuns bool
+	Log     *zap.Logger
 }
 
 // Standin is one running upstream.
