--- a/test/e2e/load_test.go
+++ b/test/e2e/load_test.go
@@ -70,7 +70,7 @@
 func (l *load) run(caller int, entries []*harness.Instance, keyed bool, headers map[string]string) {
 	defer l.group.Done()
 	for i := 0; ; i++ {
-		name := fmt.Sprintf("c%d-%d", caller, i)
+		name := fmt.Sprintf("%s%d-%d", kindOf(keyed), caller, i)
 		for try := 0; ; try++ {
 			select {
 			case <-l.stop:
@@ -91,6 +91,14 @@
 	}
 }
 
+// kindOf keeps the tags of two loads apart.
+func kindOf(keyed bool) string {
+	if keyed {
+		return "keyed"
+	}
+	return "plain"
+}
+
 func keyOf(name string, keyed bool) string {
 	if keyed {
 		return "key-" + name
--- a/test/harness/mesh.go
+++ b/test/harness/mesh.go
@@ -168,11 +168,20 @@
 
 // StartUpstream starts the instance's upstream.
 func (i *Instance) StartUpstream(args ...string) error {
+	return i.startUpstream("upstream", args)
+}
+
+// RestartUpstream starts the upstream anew; its log goes to a file of its own.
+func (i *Instance) RestartUpstream(suffix string, args ...string) error {
+	return i.startUpstream("upstream-"+suffix, args)
+}
+
+func (i *Instance) startUpstream(log string, args []string) error {
 	args = append([]string{
 		"--instance", i.name(), "--service", i.Service,
 		"--daemon", i.Local, "--slots", fmt.Sprint(i.slots),
 	}, args...)
-	process, err := i.mesh.Binaries.Start(i.mesh.Dir, i.name()+".upstream", "upstream-standin", args...)
+	process, err := i.mesh.Binaries.Start(i.mesh.Dir, i.name()+"."+log, "upstream-standin", args...)
 	if err != nil {
 		return err
 	}
