Report type and value errors together; parse canonical bodies quickly

Cause: a file with one wrong type hid every wrong value behind it. Each daemon parses each version, and the reader that keeps every value's place is too slow for that.

Change: value checks run beside type errors and pass over what could not be decoded, so that no problem is a mere consequence of another. ParseCanonical decodes without places and compares with the canonical form; only a body it refuses is read again for its problems.

--- /dev/null
+++ b/internal/manifest/bench_test.go
@@ -0,0 +1,80 @@
+package manifest
+
+import (
+	"testing"
+	"time"
+)
+
+func largeTable(b *testing.B) *Table {
+	b.Helper()
+	table, err := Compile(large(120, 1000))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return table
+}
+
+func BenchmarkMatch(b *testing.B) {
+	table := largeTable(b)
+	request := Request{Method: "GET", Host: "shop.example:8080", Path: "/area-39/items-999/7"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := table.Match(request); !ok {
+			b.Fatal("no route")
+		}
+	}
+}
+
+func BenchmarkMatchNone(b *testing.B) {
+	table := largeTable(b)
+	request := Request{Method: "POST", Host: "shop.example:8080", Path: "/area-39/items-999/7"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := table.Match(request); ok {
+			b.Fatal("a route")
+		}
+	}
+}
+
+func BenchmarkParseCanonical(b *testing.B) {
+	body := large(120, 1000).Canonical()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := ParseCanonical(body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkCompile(b *testing.B) {
+	m := large(120, 1000)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Compile(m); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkDelta(b *testing.B) {
+	base := large(120, 1000).Canonical()
+	changed := large(120, 1000)
+	changed.Routes[500].Deadline = Duration(1234 * time.Millisecond)
+	target := changed.Canonical()
+	delta := MakeDelta(base, target)
+	b.Run("make", func(b *testing.B) {
+		b.ReportAllocs()
+		b.ReportMetric(float64(len(delta)), "delta-bytes")
+		for b.Loop() {
+			MakeDelta(base, target)
+		}
+	})
+	b.Run("apply", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := ApplyDelta(base, delta); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/manifest/check_route.go
+++ b/internal/manifest/check_route.go
@@ -19,13 +19,15 @@
 		c.name(path+"/name", r.Name)
 		c.unique(path+"/name", "route", r.Name, seen)
 		c.between(path+"/deadline", r.Deadline, MinDeadline, MaxDeadline)
-		if !c.services[r.Service] {
+		if c.Decoded("/services") && !c.services[r.Service] {
 			c.Add(path+"/service", code.ManifestDangling, "route %q refers to service %q, which does not exist", r.Name, r.Service)
 		}
 		c.match(path+"/match", &r.Match)
 		c.retry(path+"/retry", r)
 	}
-	c.unreachable()
+	if c.Decoded("/routes") {
+		c.unreachable()
+	}
 }
 
 func (c *checker) match(path string, m *Match) {
@@ -96,6 +98,9 @@
 		}
 		return
 	}
+	if !c.Decoded("/retry_rules") || !c.Decoded(strings.TrimSuffix(path, "/retry")) {
+		return
+	}
 	rule, ok := c.rules[r.Retry]
 	if !ok {
 		c.Add(path, code.ManifestDangling, "route %q refers to retry rule %q, which does not exist", r.Name, r.Retry)
--- /dev/null
+++ b/internal/manifest/fuzz_test.go
@@ -0,0 +1,54 @@
+package manifest
+
+import (
+	"bytes"
+	"os"
+	"testing"
+)
+
+// FuzzParse checks that parsing never panics, that it gives either a manifest
+// or problems, and that what it accepts has one canonical form and compiles.
+func FuzzParse(f *testing.F) {
+	for _, file := range exampleFiles(f) {
+		source, err := os.ReadFile(file)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(source)
+	}
+	f.Add(large(2, 5).Canonical())
+	f.Fuzz(func(t *testing.T, source []byte) {
+		m, problems := Parse("fuzz", source)
+		if (m == nil) == (len(problems) == 0) {
+			t.Fatalf("manifest %v with problems %v", m, problems)
+		}
+		if m == nil {
+			return
+		}
+		body := m.Canonical()
+		again, err := ParseCanonical(body)
+		if err != nil {
+			t.Fatalf("canonical form refused: %v\n%s", err, body)
+		}
+		if !bytes.Equal(again.Canonical(), body) {
+			t.Fatalf("canonical form changes:\n%s", body)
+		}
+		if _, err := Compile(m); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// FuzzApplyDelta checks that no delta panics or gives more than the limit.
+func FuzzApplyDelta(f *testing.F) {
+	base, target := large(2, 5).Canonical(), large(2, 6).Canonical()
+	f.Add(base, MakeDelta(base, target))
+	f.Add([]byte(nil), MakeDelta(nil, target))
+	f.Add(base, []byte("no delta"))
+	f.Fuzz(func(t *testing.T, base, delta []byte) {
+		got, err := ApplyDelta(base, delta)
+		if err == nil && len(got) > MaxSourceSize {
+			t.Fatalf("%d bytes", len(got))
+		}
+	})
+}
--- a/internal/manifest/manifest_test.go
+++ b/internal/manifest/manifest_test.go
@@ -1,9 +1,15 @@
 package manifest
 
 import (
+	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+	"time"
+
+	"godwitmount/internal/code"
 )
 
 // exampleFiles returns the paths of the committed example manifests.
@@ -29,6 +35,28 @@
 	return m
 }
 
+// large returns a valid manifest with this many services and routes.
+func large(services, routes int) *Manifest {
+	m := &Manifest{
+		Mesh:        "large",
+		DataCentres: []string{"a", "b"},
+		RetryRules:  []RetryRule{{Name: "read", Attempts: 3, On: []RetryOn{RetryNotRun, RetryUnknown}, BudgetPercent: 20}},
+	}
+	for i := range services {
+		m.Services = append(m.Services, Service{Name: fmt.Sprintf("service-%d", i), SlowStart: Duration(time.Second), MaxBody: 1 << 20})
+	}
+	for i := range routes {
+		m.Routes = append(m.Routes, Route{
+			Name:     fmt.Sprintf("route-%d", i),
+			Match:    Match{PathPrefix: fmt.Sprintf("/area-%d/items-%d", i%services, i), Methods: []string{"GET", "HEAD"}},
+			Service:  fmt.Sprintf("service-%d", i%services),
+			Deadline: Duration(time.Duration(i%7+1) * time.Second),
+			Retry:    "read",
+		})
+	}
+	return m
+}
+
 func TestExamplesHaveOneCanonicalForm(t *testing.T) {
 	for _, file := range exampleFiles(t) {
 		m := mustParse(t, file)
@@ -40,8 +68,125 @@
 		if again.Digest() != m.Digest() || DigestOf(body) != m.Digest() {
 			t.Errorf("%s: the digest changes when the canonical form is parsed", file)
 		}
-		if _, err := Compile(again); err != nil {
-			t.Errorf("%s: %v", file, err)
+		if changes := Diff(m, again); len(changes) != 0 {
+			t.Errorf("%s: %v", file, changes)
+		}
+	}
+}
+
+func TestParseCanonicalRefusesOtherForms(t *testing.T) {
+	body := large(2, 3).Canonical()
+	others := map[string][]byte{
+		"space":    append(bytes.Clone(body), ' '),
+		"comment":  append([]byte("// x\n"), body...),
+		"order":    bytes.Replace(body, []byte(`["a","b"]`), []byte(`["b","a"]`), 1),
+		"default":  bytes.Replace(body, []byte(`"queue_limit":0,`), nil, 1),
+		"truncate": body[:len(body)/2],
+		"empty":    nil,
+	}
+	for name, other := range others {
+		if _, err := ParseCanonical(other); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	if _, err := ParseCanonical(body); err != nil {
+		t.Errorf("the canonical form itself: %v", err)
+	}
+}
+
+func TestParseBoundsItsInput(t *testing.T) {
+	cases := map[string]struct {
+		source []byte
+		want   code.Code
+	}{
+		"size":          {bytes.Repeat([]byte(" "), MaxSourceSize+1), code.ManifestTooLarge},
+		"depth":         {bytes.Repeat([]byte("["), MaxSourceSize), code.ManifestSyntax},
+		"hidden depth":  {[]byte(`/* [ */ "[" // [` + "\n" + strings.Repeat("[", 1000)), code.ManifestSyntax},
+		"invalid utf-8": {[]byte("{\"mesh\": \"\xff\"}"), code.ManifestSyntax},
+		"no value":      {[]byte("// only a comment"), code.ManifestSyntax},
+	}
+	for name, c := range cases {
+		m, problems := Parse("m", c.source)
+		if m != nil || len(problems) != 1 || problems[0].Code != c.want {
+			t.Errorf("%s: %v", name, problems)
+		}
+	}
+}
+
+// TestNestingInCommentsDoesNotCount also covers brackets in strings, escaped
+// quotes included.
+func TestNestingInCommentsDoesNotCount(t *testing.T) {
+	brackets := strings.Repeat("[{", 100)
+	source := "// " + brackets + "\n/* " + brackets + " */\n" + `{"mesh": "\"` + brackets + `"}`
+	_, problems := Parse("m", []byte(source))
+	if problems.Has(code.ManifestSyntax) {
+		t.Error(problems[0])
+	}
+}
+
+func TestCompileRefusesWhatItCannotResolve(t *testing.T) {
+	noService := large(1, 1)
+	noService.Routes[0].Service = "absent"
+	noRule := large(1, 1)
+	noRule.Routes[0].Retry = "absent"
+	for name, m := range map[string]*Manifest{"service": noService, "rule": noRule, "panic": nil} {
+		table, err := Compile(m)
+		if err == nil || table != nil {
+			t.Errorf("%s: compiled", name)
+		}
+	}
+}
+
+func TestCompileLeavesTheManifestAlone(t *testing.T) {
+	m := &Manifest{
+		Mesh:        "m",
+		DataCentres: []string{"b", "a"},
+		Services:    []Service{{Name: "z"}, {Name: "a"}},
+		Routes:      []Route{{Name: "r", Service: "z", Match: Match{Host: "H", Methods: []string{"PUT", "GET"}}}},
+	}
+	table, err := Compile(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m.Services[0].Name != "z" || m.Services[0].MaxBody != 0 || m.DataCentres[0] != "b" || m.Routes[0].Match.Methods[0] != "PUT" {
+		t.Errorf("changed to %+v", m)
+	}
+	route, ok := table.Match(Request{Method: "GET", Host: "h", Path: "/"})
+	if !ok || route.Deadline.Std() != DefaultDeadline || route.Target.MaxBody != DefaultMaxBody {
+		t.Errorf("route %+v, found %t", route, ok)
+	}
+}
+
+func TestMatchDoesNotAllocate(t *testing.T) {
+	table, err := Compile(large(120, 1000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request := Request{Method: "GET", Host: "shop.example:8080", Path: "/area-39/items-999/7"}
+	allocations := testing.AllocsPerRun(100, func() {
+		if route, ok := table.Match(request); !ok || route.Name != "route-999" {
+			t.Fatal("wrong route")
 		}
+	})
+	if allocations != 0 {
+		t.Errorf("%v allocations", allocations)
+	}
+}
+
+func TestDeltaNeedsItsBase(t *testing.T) {
+	base, target := large(2, 50).Canonical(), large(2, 51).Canonical()
+	delta := MakeDelta(base, target)
+	if len(delta) >= len(target)/10 {
+		t.Errorf("delta of %d bytes for a body of %d", len(delta), len(target))
+	}
+	for name, other := range map[string][]byte{"none": nil, "another": large(3, 50).Canonical()} {
+		got, err := ApplyDelta(other, delta)
+		if err == nil && bytes.Equal(got, target) {
+			t.Errorf("base %s gives the target", name)
+		}
+	}
+	bomb := MakeDelta(nil, make([]byte, 2*MaxSourceSize))
+	if _, err := ApplyDelta(nil, bomb); err == nil {
+		t.Error("a result above the size limit was accepted")
 	}
 }
--- a/internal/manifest/parse.go
+++ b/internal/manifest/parse.go
@@ -1,6 +1,8 @@
 package manifest
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 
 	"godwitmount/internal/code"
@@ -34,9 +36,6 @@
 	}
 	m := &Manifest{}
 	doc := strictjson.Decode(file, source, codes, m)
-	if problems := doc.Problems(); problems != nil {
-		return nil, problems
-	}
 	check(m, doc)
 	if problems := doc.Problems(); problems != nil {
 		return nil, problems
@@ -51,12 +50,31 @@
 // ParseCanonical reads a body made by Canonical. A body that is not byte for
 // byte in canonical form is refused, so that a digest names one meaning.
 func ParseCanonical(body []byte) (*Manifest, error) {
-	m, problems := Parse(canonicalFile, body)
+	if m, ok := parseQuickly(body); ok {
+		return m, nil
+	}
+	_, problems := Parse(canonicalFile, body)
 	if problems != nil {
 		return nil, problems
 	}
-	if string(m.Canonical()) != string(body) {
-		return nil, fmt.Errorf("manifest body is not in canonical form")
+	return nil, fmt.Errorf("manifest body is not in canonical form")
+}
+
+// parseQuickly reads a body without keeping the place of each value. Unknown,
+// repeated and absent fields need no check of their own: they would make the
+// canonical form differ from the body.
+func parseQuickly(body []byte) (*Manifest, bool) {
+	if len(body) > MaxSourceSize {
+		return nil, false
 	}
-	return m, nil
+	m := &Manifest{}
+	if err := json.Unmarshal(body, m); err != nil {
+		return nil, false
+	}
+	doc := strictjson.NewDocument(canonicalFile, codes)
+	check(m, doc)
+	if doc.Problems() != nil {
+		return nil, false
+	}
+	return m, bytes.Equal(m.Canonical(), body)
 }
--- /dev/null
+++ b/internal/manifest/transcript_test.go
@@ -0,0 +1,104 @@
+package manifest
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestTranscripts runs the files under testdata/transcripts. "parse" prints
+// the canonical form or every problem and keeps a valid manifest; "match" and
+// "explain" ask it about requests, one "METHOD host path [name=value]" a line;
+// "diff" compares it with the one given.
+func TestTranscripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/transcripts", func(t *testing.T, path string) {
+		var current *Manifest
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "parse":
+				m, problems := Parse("m", []byte(d.Input))
+				if problems != nil {
+					return problems.Error() + "\n"
+				}
+				current = m
+				return string(m.Canonical())
+			case "match":
+				return ask(t, current, d.Input, false)
+			case "explain":
+				return ask(t, current, d.Input, true)
+			case "diff":
+				return diffText(t, current, d.Input)
+			default:
+				t.Fatalf("unknown directive %s", d.Cmd)
+				return ""
+			}
+		})
+	})
+}
+
+func ask(t *testing.T, m *Manifest, input string, explain bool) string {
+	table, err := Compile(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	for line := range strings.Lines(input) {
+		request := requestOf(strings.Fields(line))
+		route, ok := table.Match(request)
+		name := "none"
+		if ok {
+			name = route.Name + " -> " + route.Target.Name
+		}
+		fmt.Fprintf(&out, "%s: %s\n", strings.TrimSpace(line), name)
+		for _, e := range table.Explain(request) {
+			if e.Taken != (ok && e.Route == route.Name) {
+				t.Errorf("%s: Explain and Match disagree on %s", line, e.Route)
+			}
+			if explain {
+				fmt.Fprintf(&out, "  %s: %s\n", e.Route, e.Reason)
+			}
+		}
+	}
+	return out.String()
+}
+
+func requestOf(words []string) Request {
+	request := Request{Method: words[0], Path: words[2], Header: http.Header{}}
+	if words[1] != "-" {
+		request.Host = words[1]
+	}
+	for _, word := range words[3:] {
+		name, value, _ := strings.Cut(word, "=")
+		request.Header.Add(name, value)
+	}
+	return request
+}
+
+// diffText compares, and checks that a delta turns the one into the other.
+func diffText(t *testing.T, old *Manifest, source string) string {
+	m, problems := Parse("m", []byte(source))
+	if problems != nil {
+		t.Fatal(problems)
+	}
+	base, target := old.Canonical(), m.Canonical()
+	got, err := ApplyDelta(base, MakeDelta(base, target))
+	if err != nil || !bytes.Equal(got, target) {
+		t.Errorf("delta: %v, body equal %t", err, bytes.Equal(got, target))
+	}
+	changes := Diff(old, m)
+	if (len(changes) == 0) != bytes.Equal(base, target) {
+		t.Errorf("%d changes, bodies equal %t", len(changes), bytes.Equal(base, target))
+	}
+	var out strings.Builder
+	for _, change := range changes {
+		fmt.Fprintln(&out, change)
+	}
+	if len(changes) == 0 {
+		out.WriteString("no differences\n")
+	}
+	return out.String()
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -136,9 +136,6 @@
 	}
 	daemon := &Daemon{}
 	doc := strictjson.Decode(file, source, codes, daemon)
-	if problems := doc.Problems(); problems != nil {
-		return nil, problems
-	}
 	check(daemon, doc)
 	if problems := doc.Problems(); problems != nil {
 		return nil, problems
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -1,12 +1,12 @@
 package strictjson
 
 import (
+	"bytes"
 	"encoding"
 	"errors"
 	"fmt"
 	"reflect"
 	"strconv"
-	"strings"
 	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
@@ -23,22 +23,22 @@
 // field. Fields may be strings, booleans, integers, slices, structs, pointers
 // (null or absent gives nil) and encoding.TextUnmarshaler.
 //
-// The problems are in the document; target is only meaningful when there are
-// none.
+// The problems are in the document. Fields of target that could not be decoded
+// are as SetDefaults left them.
 func Decode(file string, source []byte, codes Codes, target any) *Document {
 	d := newDocument(file, source, codes)
 	if offset := invalidUTF8(source); offset >= 0 {
-		d.addAt(offset, "", codes.Syntax, "the text is not valid UTF-8")
+		d.refuse(offset, "", codes.Syntax, "the text is not valid UTF-8")
 		return d
 	}
 	if offset := tooDeep(source); offset >= 0 {
-		d.addAt(offset, "", codes.Syntax, fmt.Sprintf("values are nested more than %d deep", MaxDepth))
+		d.refuse(offset, "", codes.Syntax, "values are nested more than %d deep", MaxDepth)
 		return d
 	}
 	root, err := hujson.Parse(source)
 	if err != nil {
 		offset, text := d.syntaxError(err)
-		d.addAt(offset, "", codes.Syntax, text)
+		d.refuse(offset, "", codes.Syntax, "%s", text)
 		return d
 	}
 	d.decode("", &root, reflect.ValueOf(target).Elem())
@@ -104,8 +104,8 @@
 	if !ok {
 		return
 	}
-	if err := target.UnmarshalText([]byte(literal.String())); err != nil {
-		d.addAt(value.StartOffset, path, d.codes.WrongType, err.Error())
+	if err := target.UnmarshalText([]byte(textOf(literal))); err != nil {
+		d.refuse(value.StartOffset, path, d.codes.WrongType, "%v", err)
 	}
 }
 
@@ -138,20 +138,20 @@
 	}
 	for _, field := range fields {
 		if field.required && !seen[field.name] {
-			d.addAt(value.StartOffset, path+"/"+field.name, d.codes.MissingField, fmt.Sprintf("field %q is required", field.name))
+			d.refuse(value.StartOffset, path+"/"+field.name, d.codes.MissingField, "field %q is required", field.name)
 		}
 	}
 }
 
 func (d *Document) decodeMember(path string, member *hujson.ObjectMember, target reflect.Value, fields []field, seen map[string]bool) {
-	name := member.Name.Value.(hujson.Literal).String()
+	name := textOf(member.Name.Value.(hujson.Literal))
 	memberPath := path + Path(name)
 	field, known := find(fields, name)
 	switch {
 	case !known:
-		d.addAt(member.Name.StartOffset, memberPath, d.codes.UnknownField, fmt.Sprintf("unknown field %q; known are %s", name, names(fields)))
+		d.refuse(member.Name.StartOffset, memberPath, d.codes.UnknownField, "unknown field %q; known are %s", name, names(fields))
 	case seen[name]:
-		d.addAt(member.Name.StartOffset, memberPath, d.codes.Duplicate, fmt.Sprintf("field %q is given twice", name))
+		d.refuse(member.Name.StartOffset, memberPath, d.codes.Duplicate, "field %q is given twice", name)
 	default:
 		seen[name] = true
 		d.decode(memberPath, &member.Value, target.Field(field.index))
@@ -162,7 +162,7 @@
 	switch target.Kind() {
 	case reflect.String:
 		if literal, ok := d.literal(path, value, '"', "a string"); ok {
-			target.SetString(literal.String())
+			target.SetString(textOf(literal))
 		}
 	case reflect.Bool:
 		d.decodeBool(path, value, target)
@@ -192,9 +192,9 @@
 	n, err := strconv.ParseInt(string(literal), 10, target.Type().Bits())
 	switch {
 	case errors.Is(err, strconv.ErrRange):
-		d.addAt(value.StartOffset, path, d.codes.OutOfRange, fmt.Sprintf("%s is too large or too small", literal))
+		d.refuse(value.StartOffset, path, d.codes.OutOfRange, "%s is too large or too small", literal)
 	case err != nil:
-		d.addAt(value.StartOffset, path, d.codes.WrongType, fmt.Sprintf("%s is not an integer", literal))
+		d.refuse(value.StartOffset, path, d.codes.WrongType, "%s is not an integer", literal)
 	default:
 		target.SetInt(n)
 	}
@@ -209,8 +209,16 @@
 	return literal, true
 }
 
+// textOf returns the text of a string literal; most have no escapes.
+func textOf(literal hujson.Literal) string {
+	if bytes.IndexByte(literal, '\\') >= 0 {
+		return literal.String()
+	}
+	return string(literal[1 : len(literal)-1])
+}
+
 func (d *Document) wrongType(path string, value *hujson.Value, want string) {
-	d.addAt(value.StartOffset, path, d.codes.WrongType, fmt.Sprintf("want %s, found %s", want, describe(value.Value.Kind())))
+	d.refuse(value.StartOffset, path, d.codes.WrongType, "want %s, found %s", want, describe(value.Value.Kind()))
 }
 
 func describe(kind hujson.Kind) string {
@@ -229,40 +237,3 @@
 		return "an array"
 	}
 }
-
-// field is one struct field that a file may set.
-type field struct {
-	name     string
-	index    int
-	required bool
-}
-
-func fieldsOf(t reflect.Type) []field {
-	var fields []field
-	for i := range t.NumField() {
-		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
-		if name == "" || name == "-" {
-			continue
-		}
-		required := t.Field(i).Tag.Get("strict") == "required"
-		fields = append(fields, field{name: name, index: i, required: required})
-	}
-	return fields
-}
-
-func find(fields []field, name string) (field, bool) {
-	for _, f := range fields {
-		if f.name == name {
-			return f, true
-		}
-	}
-	return field{}, false
-}
-
-func names(fields []field) string {
-	all := make([]string, len(fields))
-	for i, f := range fields {
-		all[i] = f.name
-	}
-	return strings.Join(all, ", ")
-}
--- a/internal/strictjson/document.go
+++ b/internal/strictjson/document.go
@@ -22,6 +22,9 @@
 	// offsets maps the JSON pointer of each value present to its offset.
 	offsets  map[string]int
 	problems []placed
+	// undecoded holds the paths of values that could not be decoded and so
+	// say nothing.
+	undecoded map[string]bool
 }
 
 // placed is a problem with its byte offset, or -1 for the whole file.
@@ -30,13 +33,20 @@
 	offset int
 }
 
+// NewDocument returns a document without source, for values that did not come
+// from a file: every problem is placed at its start.
+func NewDocument(file string, codes Codes) *Document {
+	return newDocument(file, nil, codes)
+}
+
 func newDocument(file string, source []byte, codes Codes) *Document {
 	return &Document{
-		file:    file,
-		source:  source,
-		codes:   codes,
-		lines:   lineStarts(source),
-		offsets: map[string]int{},
+		file:      file,
+		source:    source,
+		codes:     codes,
+		lines:     lineStarts(source),
+		offsets:   map[string]int{},
+		undecoded: map[string]bool{},
 	}
 }
 
@@ -51,8 +61,19 @@
 }
 
 // Add reports a problem with the value at the path. When the file has no such
-// value, the nearest value around it gives the place.
+// value, the nearest value around it gives the place. A value that could not
+// be decoded is passed over: its problem is known already.
 func (d *Document) Add(path string, c code.Code, format string, args ...any) {
+	for around := path; ; {
+		if d.undecoded[around] {
+			return
+		}
+		cut := strings.LastIndexByte(around, '/')
+		if cut < 0 {
+			break
+		}
+		around = around[:cut]
+	}
 	d.addAt(d.offsetOf(path), path, c, fmt.Sprintf(format, args...))
 }
 
@@ -62,6 +83,17 @@
 	return ok
 }
 
+// Decoded reports whether the value at the path and everything in it could be
+// decoded. Checks across several values are meaningless without.
+func (d *Document) Decoded(path string) bool {
+	for bad := range d.undecoded {
+		if bad == "" || bad == path || strings.HasPrefix(bad, path+"/") {
+			return false
+		}
+	}
+	return true
+}
+
 // Line returns the line of the value at the path, counted from 1.
 func (d *Document) Line(path string) int {
 	line, _ := d.position(d.offsetOf(path))
@@ -81,6 +113,12 @@
 	return problems
 }
 
+// refuse reports a value that could not be decoded.
+func (d *Document) refuse(offset int, path string, c code.Code, format string, args ...any) {
+	d.undecoded[path] = true
+	d.addAt(offset, path, c, fmt.Sprintf(format, args...))
+}
+
 func (d *Document) addAt(offset int, path string, c code.Code, text string) {
 	line, column := d.position(offset)
 	d.problems = append(d.problems, placed{
