--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -34,6 +34,21 @@
 	})
 }
 
+func TestExitCodesAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, row := range exitCodes {
+		if int(row.code) != i {
+			t.Errorf("exit code %d stands at place %d", row.code, i)
+		}
+		if line := fmt.Sprintf("| %d | %s |\n", row.code, row.text); !strings.Contains(string(page), line) {
+			t.Errorf("docs/OPERATIONS.md lacks %q", line)
+		}
+	}
+}
+
 // session is one transcript's files, platform and daemon.
 type session struct {
 	dir      string
@@ -45,6 +60,10 @@
 }
 
 func newSession(t *testing.T) *session {
+	for _, name := range []string{"GODWITMOUNT_PLATFORM", "GODWITMOUNT_DAEMON"} {
+		t.Setenv(name, "")
+		os.Unsetenv(name)
+	}
 	t.Setenv("USER", "ana")
 	s := &session{dir: t.TempDir(), store: platformstandin.NewStore(platformstandin.Config{}), daemon: &scriptedDaemon{}}
 	s.platform = httptest.NewServer(platformstandin.NewHandler(s.store))
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -13,7 +13,8 @@
 	// ExitOK means that the command did what it was asked for.
 	ExitOK ExitCode = 0
 	// ExitInvalid means that a file has problems, that no route takes the
-	// request, or that the platform holds no such manifest.
+	// request, that the platform holds no such manifest, or that manifests
+	// differ.
 	ExitInvalid ExitCode = 1
 	// ExitUsage means that the command line is wrong.
 	ExitUsage ExitCode = 2
@@ -38,7 +39,7 @@
 	text string
 }{
 	{ExitOK, "done"},
-	{ExitInvalid, "a file has problems, no route takes the request, or there is no such manifest"},
+	{ExitInvalid, "a file has problems, no route takes the request, there is no such manifest, or diff --exit-code found differences"},
 	{ExitUsage, "wrong command line"},
 	{ExitUnavailable, "a file, the platform or every given daemon could not be read; nothing changed"},
 	{ExitConflict, "another manifest was accepted first; nothing changed"},
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -7,16 +7,20 @@
 
 	peerv1 "godwitmount/gen/godwitmount/peer/v1"
 	"godwitmount/internal/code"
+	"godwitmount/internal/platform"
+	"godwitmount/internal/publish"
 )
 
 const statusHelp = `
 Asks a daemon which versions are in force in each data centre, which instances
 are behind or refuse a version, and which upstreams take requests. With several
---daemon the first that answers is taken.`
+--daemon the first that answers is taken. With --platform the accepted version
+is shown as well.`
 
 type statusCommand struct {
 	daemonOptions
-	Mesh string `long:"mesh" value-name:"NAME" description:"Refuse a daemon of another mesh."`
+	Mesh     string `long:"mesh" value-name:"NAME" description:"Refuse a daemon of another mesh."`
+	Platform string `long:"platform" value-name:"URL" env:"GODWITMOUNT_PLATFORM" description:"Base URL of the platform, to show the accepted version."`
 }
 
 // status is what one daemon knows of the mesh.
@@ -26,6 +30,7 @@
 	Instance          string             `json:"instance"`
 	DaemonVersion     string             `json:"daemon_version"`
 	Applied           configID           `json:"applied"`
+	Accepted          *acceptedStatus    `json:"accepted,omitempty"`
 	PlatformReachable bool               `json:"platform_reachable"`
 	Refused           *refusal           `json:"refused,omitempty"`
 	DataCentres       []dataCentreStatus `json:"data_centres"`
@@ -33,6 +38,13 @@
 	Instances         instanceCounts     `json:"instances"`
 }
 
+// acceptedStatus is what the platform holds as accepted.
+type acceptedStatus struct {
+	configID
+	// Error is set, and the version is 0, when the platform could not be read.
+	Error string `json:"error,omitempty"`
+}
+
 // dataCentreStatus is a data centre's last report.
 type dataCentreStatus struct {
 	Name string `json:"name"`
@@ -73,7 +85,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return statusOf(answer), nil
+	s := statusOf(answer)
+	if c.Platform != "" {
+		s.Accepted = readAcceptedStatus(ctx, openPlatform(c.Platform))
+	}
+	return s, nil
+}
+
+// readAcceptedStatus never fails: the daemons' status is worth showing while
+// the platform is away.
+func readAcceptedStatus(ctx context.Context, store platform.Store) *acceptedStatus {
+	head, err := publish.ReadHead(ctx, store)
+	if err != nil {
+		return &acceptedStatus{Error: err.Error()}
+	}
+	return &acceptedStatus{configID: configOf(head.ID)}
 }
 
 func statusOf(answer daemonStatus) *status {
--- a/internal/ctl/status_text.go
+++ b/internal/ctl/status_text.go
@@ -11,6 +11,9 @@
 func (s *status) writeText(w io.Writer) {
 	fmt.Fprintf(w, "daemon     %s at %s, %s\n", s.Instance, s.Daemon, s.DaemonVersion)
 	fmt.Fprintf(w, "in force   %s\n", s.Applied)
+	if s.Accepted != nil {
+		fmt.Fprintf(w, "accepted   %s\n", s.Accepted)
+	}
 	fmt.Fprintf(w, "platform   %s\n", reachability(s.PlatformReachable))
 	fmt.Fprintf(w, "instances  %d alive, %d suspect, %d dead, %d left\n", s.Instances.Alive, s.Instances.Suspect, s.Instances.Dead, s.Instances.Left)
 	if s.Refused != nil {
@@ -20,6 +23,14 @@
 	writeServices(w, s.Services)
 }
 
+// String returns the accepted version, or why it is not known.
+func (a *acceptedStatus) String() string {
+	if a.Error != "" {
+		return a.Error
+	}
+	return a.configID.String()
+}
+
 func reachability(reachable bool) string {
 	if reachable {
 		return "reachable"
--- a/internal/manifest/compile.go
+++ b/internal/manifest/compile.go
@@ -1,8 +1,6 @@
 package manifest
 
-import (
-	"fmt"
-)
+import "fmt"
 
 // Table is a compiled manifest: routes ready to match, each with its service
 // and retry rule resolved. It is immutable and safe for concurrent use.
@@ -33,12 +31,7 @@
 // leaves the manifest as it is. An error means that the manifest must not be
 // applied; a panic inside comes out as an error, too.
 func Compile(m *Manifest) (table *Table, err error) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			table = nil
-			err = fmt.Errorf("compile manifest: panic: %v", cause)
-		}
-	}()
+	defer recoverAs("compile manifest", &err)
 	return compile(m)
 }
 
--- a/internal/manifest/parse.go
+++ b/internal/manifest/parse.go
@@ -48,8 +48,14 @@
 }
 
 // ParseCanonical reads a body made by Canonical. A body that is not byte for
-// byte in canonical form is refused, so that a digest names one meaning.
-func ParseCanonical(body []byte) (*Manifest, error) {
+// byte in canonical form is refused, so that a digest names one meaning. A
+// panic inside comes out as an error.
+func ParseCanonical(body []byte) (m *Manifest, err error) {
+	defer recoverAs("parse manifest", &err)
+	return parseCanonical(body)
+}
+
+func parseCanonical(body []byte) (*Manifest, error) {
 	if m, ok := parseQuickly(body); ok {
 		return m, nil
 	}
@@ -78,3 +84,11 @@
 	}
 	return m, bytes.Equal(m.Canonical(), body)
 }
+
+// recoverAs turns a panic of the function that defers it into an error, so
+// that no manifest can stop a daemon.
+func recoverAs(work string, err *error) {
+	if cause := recover(); cause != nil {
+		*err = fmt.Errorf("%s: panic: %v", work, cause)
+	}
+}
--- a/internal/manifest/unreachable.go
+++ b/internal/manifest/unreachable.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"godwitmount/internal/code"
 	"godwitmount/internal/strictjson"
@@ -10,10 +9,9 @@
 
 // unreachable reports each route that an earlier one hides completely.
 func (c *checker) unreachable() {
-	routes := slices.Clone(c.manifest.Routes)
-	for i := range routes {
-		routes[i].Match.Host = strings.ToLower(routes[i].Match.Host)
-	}
+	normal := c.manifest.clone()
+	normal.normalize()
+	routes := normal.Routes
 	index := indexRoutes(routes)
 	for i := range routes {
 		m := &routes[i].Match
@@ -64,13 +62,9 @@
 // hidesHeaders reports whether other asks for every header that m asks for.
 func (m *Match) hidesHeaders(other *Match) bool {
 	for _, want := range m.Headers {
-		if !slices.ContainsFunc(other.Headers, want.same) {
+		if !slices.Contains(other.Headers, want) {
 			return false
 		}
 	}
 	return true
 }
-
-func (h HeaderMatch) same(other HeaderMatch) bool {
-	return strings.EqualFold(h.Name, other.Name) && h.Value == other.Value
-}
