--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -116,20 +116,21 @@
 func (p *Proxy) attempt(ctx context.Context, c *call, d routing.Decision, attempt string, body attemptBody) (*answer, *failure) {
 	chosen := d.Chosen
 	chosen.Begin()
-	bounded, cancel := p.boundAttempt(ctx, c)
+	bounded, bound := p.boundAttempt(ctx, c)
 	a, f := p.dispatch(bounded, c, chosen, attempt, body)
 	if f == nil {
 		f = p.holdAnswer(bounded, c, a)
 	}
 	if f != nil {
-		cancel()
+		bound.end()
 		p.observeFailure(c, chosen, f)
 		chosen.End()
 		return nil, f
 	}
+	bound.lift()
 	p.observeAnswer(chosen, a)
 	finishWith(a, func() {
-		cancel()
+		bound.end()
 		chosen.End()
 	})
 	return a, nil
@@ -138,7 +139,7 @@
 // dispatch skips the hop between daemons when the own upstream is chosen.
 func (p *Proxy) dispatch(ctx context.Context, c *call, chosen *routing.Candidate, attempt string, body attemptBody) (*answer, *failure) {
 	if chosen.Instance == p.cfg.Instance {
-		return p.execute(ctx, p.ownExecution(ctx, c, attempt, body))
+		return p.execute(ctx, p.ownExecution(c, attempt, body))
 	}
 	return p.sendPeer(ctx, c, chosen, attempt, body)
 }
@@ -171,23 +172,45 @@
 	}
 }
 
+// attemptBound ends an attempt that has no answer in time. The body of a long
+// answer is bounded by the caller's deadline only.
+type attemptBound struct {
+	timer  *time.Timer
+	cancel context.CancelCauseFunc
+}
+
+// lift keeps the bound from ending the attempt any more.
+func (b attemptBound) lift() { b.timer.Stop() }
+
+// end releases what the bound holds; it ends the attempt too.
+func (b attemptBound) end() {
+	b.timer.Stop()
+	b.cancel(nil)
+}
+
 // boundAttempt leaves time for a fence before the caller's deadline, and
 // applies the rule's bound for one attempt.
-func (p *Proxy) boundAttempt(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
-	now := time.Now()
-	left := c.deadline.Sub(now)
-	const reserveShare = 10
-	allowed := left - min(p.cfg.FenceBound, left/reserveShare)
+func (p *Proxy) boundAttempt(ctx context.Context, c *call) (context.Context, attemptBound) {
+	allowed := time.Until(p.lastMoment(c))
 	if rule := c.route.Rule; rule != nil && rule.PerTryTimeout > 0 {
 		allowed = min(allowed, rule.PerTryTimeout.Std())
 	}
-	return context.WithDeadline(ctx, now.Add(allowed))
+	bounded, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(allowed, func() { cancel(context.DeadlineExceeded) })
+	return bounded, attemptBound{timer, cancel}
+}
+
+// lastMoment is when an attempt must have an answer, so that there is time for
+// a fence before the caller's deadline.
+func (p *Proxy) lastMoment(c *call) time.Time {
+	const reserveShare = 10
+	reserve := min(p.cfg.FenceBound, time.Until(c.deadline)/reserveShare)
+	return c.deadline.Add(-reserve)
 }
 
 // sendPeer sends the call to the executing daemon beside the upstream.
 func (p *Proxy) sendPeer(ctx context.Context, c *call, chosen *routing.Candidate, attempt string, body attemptBody) (*answer, *failure) {
-	deadline, _ := ctx.Deadline()
-	left := remaining(deadline)
+	left := remaining(p.lastMoment(c))
 	if left <= 0 {
 		return nil, fail(code.CallDeadlineNotRun)
 	}
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -33,8 +33,7 @@
 }
 
 // ownExecution is an attempt of this daemon's own callers.
-func (p *Proxy) ownExecution(ctx context.Context, c *call, attempt string, body attemptBody) *execution {
-	deadline, _ := ctx.Deadline()
+func (p *Proxy) ownExecution(c *call, attempt string, body attemptBody) *execution {
 	return &execution{
 		attempt:     attempt,
 		service:     c.route.Service,
@@ -42,7 +41,7 @@
 		request:     c.request,
 		body:        body,
 		header:      forwardable(c.request.Header),
-		deadline:    deadline,
+		deadline:    c.deadline,
 		key:         c.key,
 		keyHash:     c.keyHash,
 		fingerprint: c.fingerprint,
@@ -238,9 +237,7 @@
 		return fail(code.CallConnectRefused)
 	}
 	if ctx.Err() != nil {
-		f := failureOfContext(ctx.Err())
-		f.timedOut = f.code == code.CallDeadlineUnknown
-		return f
+		return failureOfContext(ctx)
 	}
 	p.deps.Report(LocalUpstreamLost{Address: u.Address})
 	return fail(code.CallUpstreamLost)
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -113,13 +113,11 @@
 	}
 }
 
-// failureOfContext maps the end of a context while the request may run.
-func failureOfContext(err error) *failure {
-	if isTimeout(err) {
-		return fail(code.CallDeadlineUnknown)
+// failureOfContext is the failure when a context ended while the request may
+// have been running.
+func failureOfContext(ctx context.Context) *failure {
+	if isTimeout(context.Cause(ctx)) {
+		return &failure{code: code.CallDeadlineUnknown, timedOut: true}
 	}
-	if errors.Is(err, context.Canceled) {
-		return fail(code.CallCancelled)
-	}
-	return fail(code.CallUpstreamLost)
+	return fail(code.CallCancelled)
 }
--- a/internal/proxy/path_test.go
+++ b/internal/proxy/path_test.go
@@ -23,9 +23,11 @@
 }
 
 func send(req *http.Request) told {
-	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return told{broken: true}
+		return told{broken: true, body: err.Error()}
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
--- a/internal/proxy/peer.go
+++ b/internal/proxy/peer.go
@@ -66,7 +66,7 @@
 		return nil
 	}
 	if ctx.Err() != nil {
-		return failureOfContext(ctx.Err())
+		return failureOfContext(ctx)
 	}
 	return fail(code.CallAnswerBroken)
 }
