--- a/internal/claim/client.go
+++ b/internal/claim/client.go
@@ -197,20 +197,23 @@
 	}()
 }
 
-// tell sends one report to the holder named, or to the key's holder in the
-// latest view when that one is gone.
-func (c *Client) tell(ctx context.Context, key Hash, holder string, msg *peerv1.FinishClaimRequest) bool {
+// tell sends one report: to the key's holder in the latest view, which was
+// handed the claim, and when that one does not know it, to the one that
+// granted it.
+func (c *Client) tell(ctx context.Context, key Hash, grantedBy string, msg *peerv1.FinishClaimRequest) bool {
 	view := c.view.Load()
 	if view == nil {
 		return false
 	}
-	to, ok := view.find(key, holder)
-	if !ok {
-		to, ok = view.holderOf(key)
-	}
-	if !ok {
-		return false
+	current, ok := view.holderOf(key)
+	if ok && c.tellOne(ctx, current, msg) {
+		return true
 	}
+	granter, ok := view.find(key, grantedBy)
+	return ok && granter != current && c.tellOne(ctx, granter, msg)
+}
+
+func (c *Client) tellOne(ctx context.Context, to Endpoint, msg *peerv1.FinishClaimRequest) bool {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.FinishTimeout)
 	defer cancel()
 	resp, err := c.caller.Finish(ctx, to, msg)
