--- a/internal/confsync/apply.go
+++ b/internal/confsync/apply.go
@@ -122,23 +122,20 @@
 	c.offer(idFromProto(ev.Response.GetApplied()), offerFrom{address: ev.Address, hops: c.cfg.NoticeHops})
 }
 
-// abandon gives up a version that a peer's memory rules out.
+// abandon gives up a version that a peer's memory of this instance rules out,
+// and wants the remembered one in its place.
 func (c *Core) abandon(remembered manifest.ID, address string) {
 	id := c.pending.v.id
 	c.pending = nil
 	c.learnFloor(remembered, address)
+	ev, reason := event.ConfigRefused, code.ApplyBelowFloor
 	if remembered.Version == id.Version {
-		c.refuseForGood(event.ConfigSecondDigest, Refusal{
-			ID:     id,
-			Code:   code.ApplySecondDigest,
-			Detail: "a peer remembers " + remembered.String(),
-		})
-		return
+		ev, reason = event.ConfigSecondDigest, code.ApplySecondDigest
 	}
-	c.refuse(event.ConfigRefused, Refusal{
+	c.refuseForGood(ev, Refusal{
 		ID:     id,
-		Code:   code.ApplyBelowFloor,
-		Detail: "this instance applied " + remembered.String() + " before",
+		Code:   reason,
+		Detail: "a peer remembers that this instance applied " + remembered.String(),
 	})
 	c.offer(remembered, offerFrom{hops: c.cfg.NoticeHops})
 }
--- a/internal/confsync/core_test.go
+++ b/internal/confsync/core_test.go
@@ -118,7 +118,7 @@
 	case "members":
 		return MembersChanged{Members: members(d.Input)}
 	case "head":
-		return HeadRead{Attempt: tr.core.poll.inFlight, ID: tr.id(t, d, "id"), Err: failure(t, d)}
+		return HeadRead{Attempt: tr.attempt(t, d, tr.core.poll.inFlight), ID: tr.id(t, d, "id"), Err: failure(t, d)}
 	case "notice":
 		remaining, _ := strconv.Atoi(arg(t, d, "remaining"))
 		return NoticeReceived{From: arg(t, d, "from"), Address: arg(t, d, "from"), ID: tr.id(t, d, "id"), Remaining: uint32(remaining)}
@@ -150,7 +150,7 @@
 		Floor:        idToProto(tr.id(t, d, "floor")),
 		RetryAfterMs: uint32(tr.number(t, d, "retry-ms")),
 	}
-	return PeerFetched{Attempt: tr.core.target.inFlight, Address: tr.core.target.from, Response: resp, Err: failure(t, d)}
+	return PeerFetched{Attempt: tr.attempt(t, d, tr.core.target.inFlight), Address: tr.core.target.from, Response: resp, Err: failure(t, d)}
 }
 
 func arg(t *testing.T, d *datadriven.TestData, key string) string {
@@ -174,6 +174,14 @@
 	return n
 }
 
+// attempt returns the attempt argument, or the one in flight.
+func (tr *transcript) attempt(t *testing.T, d *datadriven.TestData, inFlight uint64) uint64 {
+	if d.HasArg("attempt") {
+		return tr.number(t, d, "attempt")
+	}
+	return inFlight
+}
+
 func failure(t *testing.T, d *datadriven.TestData) error {
 	if text := arg(t, d, "err"); text != "" {
 		return errors.New(text)
@@ -234,7 +242,7 @@
 func (tr *transcript) renderOne(e step.Effect) string {
 	switch e := e.(type) {
 	case ReadHead:
-		return ""
+		return fmt.Sprintf("attempt=%d", e.Attempt)
 	case FetchFromPeer:
 		return fmt.Sprintf("%s have=%s", e.Address, tr.proto(e.Request.Have))
 	case FetchObject:
--- a/internal/confsync/fetch.go
+++ b/internal/confsync/fetch.go
@@ -168,7 +168,7 @@
 }
 
 func (c *Core) objectFetched(ev ObjectFetched) {
-	if ev.Attempt != c.target.inFlight {
+	if !c.target.awaits(ev.Attempt) {
 		return
 	}
 	if ev.Err != nil {
@@ -188,7 +188,7 @@
 }
 
 func (c *Core) peerFetched(ev PeerFetched) {
-	if ev.Attempt != c.target.inFlight {
+	if !c.target.awaits(ev.Attempt) {
 		return
 	}
 	if ev.Err != nil {
--- a/internal/confsync/floors.go
+++ b/internal/confsync/floors.go
@@ -49,9 +49,7 @@
 		return
 	}
 	c.floor = id
-	if !c.ids.note(id) {
-		c.refuseSecondDigest(id)
-	}
+	c.ids.prefer(id)
 	if id.Version > c.Applied().Version {
 		c.emit(step.Log{Event: event.ConfigFloorLearnt, Fields: []step.Field{
 			step.F("floor", id),
--- a/internal/confsync/ids.go
+++ b/internal/confsync/ids.go
@@ -26,11 +26,16 @@
 	if known, seen := l.digests[id.Version]; seen {
 		return known == id.Digest
 	}
+	l.prefer(id)
+	return true
+}
+
+// prefer remembers the ID in place of another digest under its version.
+func (l *idLog) prefer(id manifest.ID) {
 	l.digests[id.Version] = id.Digest
 	if len(l.digests) > maxIDs {
 		l.forgetLowest()
 	}
-	return true
 }
 
 func (l *idLog) forgetLowest() {
--- a/internal/confsync/poll.go
+++ b/internal/confsync/poll.go
@@ -49,7 +49,7 @@
 }
 
 func (c *Core) headRead(ev HeadRead) {
-	if ev.Attempt != c.poll.inFlight {
+	if c.poll.inFlight == 0 || ev.Attempt != c.poll.inFlight {
 		return
 	}
 	if ev.Err != nil {
--- a/internal/confsync/target.go
+++ b/internal/confsync/target.go
@@ -121,6 +121,11 @@
 	return 2*c.cfg.RemoteDelay + c.jitter(c.cfg.RemoteDelay)
 }
 
+// awaits reports whether the fetch in flight has this attempt.
+func (t *target) awaits(attempt uint64) bool {
+	return t.inFlight != 0 && t.inFlight == attempt
+}
+
 // drop wants nothing any more; a fetch in flight is ignored.
 func (t *target) drop() { *t = target{} }
 
