Cause each fault against the member table and mend what it showed

Mended on the way: a daemon that hears nobody now holds back for a fixed time instead of one that grows with its own distrust; updates are no longer spent on repeated pings and on suspects; a claim from an exchange that a neighbour is dead makes it the next to be probed; exchanges inside the data centre are frequent after a start and then rare.

--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -40,10 +40,9 @@
 
 // contacts schedules the reads and writes of contact rows.
 type contacts struct {
-	next     time.Duration
-	nextRead time.Duration
-	reading  bool
-	writing  bool
+	next    time.Duration
+	reading bool
+	writing bool
 	// maintain is set when the read in flight is for keeping the own row.
 	maintain bool
 	used     int
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -75,7 +75,7 @@
 func (c *Core) scheduleStart() {
 	now := c.now()
 	c.prober.next = now + c.jitter(c.cfg.ProbeInterval)
-	c.exchanges.nextLocal = now + c.jitter(c.cfg.LocalExchangeInterval)
+	c.exchanges.nextLocal = now + c.around(firstLocalExchange)
 	c.exchanges.nextRemote = now + c.jitter(c.cfg.ExchangeInterval)
 	c.prober.nextDead = now + c.jitter(c.cfg.DeadRetry)
 	c.reports.nextRefresh = now + c.jitter(c.cfg.ReportRefresh)
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -26,6 +26,9 @@
 	// meetInterval is the least time between two exchanges with unknown
 	// senders.
 	meetInterval = time.Second
+	// firstLocalExchange is the mean wait for the first exchange inside the
+	// data centre after a start or pause; it doubles from there.
+	firstLocalExchange = 2 * time.Second
 	// retentionInterval is the time between two searches for expired records.
 	retentionInterval = 10 * time.Second
 )
@@ -53,7 +56,10 @@
 	// of this one.
 	pushed map[string]uint64
 
-	nextLocal     time.Duration
+	nextLocal time.Duration
+	// localBound is the mean wait for the next exchange inside the data
+	// centre; short after a start or pause, then growing.
+	localBound    time.Duration
 	nextRemote    time.Duration
 	nextMeet      time.Duration
 	nextRetention time.Duration
@@ -76,12 +82,14 @@
 	x.failures = map[string]int{}
 	x.pushed = map[string]uint64{}
 	x.joinBound = cfg.JoinInterval
+	x.localBound = firstLocalExchange
 	x.tokens = 10 * cfg.ServeRate
 }
 
 // afterPause makes the next exchanges due at once.
 func (x *exchanges) afterPause(now time.Duration) {
 	x.pending = map[string]*pending{}
+	x.localBound = firstLocalExchange
 	x.nextLocal = now
 	x.nextRemote = now
 }
@@ -144,7 +152,9 @@
 	if c.now() < c.exchanges.nextLocal {
 		return
 	}
-	c.exchanges.nextLocal = c.now() + c.around(c.cfg.LocalExchangeInterval)
+	x := &c.exchanges
+	x.nextLocal = c.now() + c.around(x.localBound)
+	x.localBound = min(2*x.localBound, c.cfg.LocalExchangeInterval)
 	if peers := c.peers(); len(peers) > 0 {
 		c.startExchange(c.addressOf(peers[0]), c.cfg.DataCentre, nil)
 	}
@@ -321,6 +331,7 @@
 		return
 	}
 	c.exchanges.contacted = true
+	c.exchanges.nextLocal = c.now() + c.around(firstLocalExchange)
 	c.emit(step.Log{Event: event.FirstContact, Fields: []step.Field{
 		step.F("address", address),
 		step.F("attempts", c.exchanges.joins),
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -4,7 +4,9 @@
 	"container/heap"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,9 +82,13 @@
 	cut func(a, b *node) bool
 	// packets may change a datagram's fate: how many copies and delays.
 	packets func(from *node, send SendPacket) []time.Duration
-	rows    map[string]platform.Row
-	reads   int
-	writes  int
+	// calls does the same for exchanges.
+	calls func(from *node, start StartExchange) []time.Duration
+	// trace, when set, is told of every effect.
+	trace  func(from *node, effect step.Effect)
+	rows   map[string]platform.Row
+	reads  int
+	writes int
 }
 
 func newNetwork(t testing.TB, seed uint64) *network {
@@ -159,6 +165,9 @@
 }
 
 func (n *network) carry(v *node, effect step.Effect) {
+	if n.trace != nil {
+		n.trace(v, effect)
+	}
 	switch e := effect.(type) {
 	case SendPacket:
 		n.carryPacket(v, e)
@@ -167,8 +176,8 @@
 	case ReadContacts:
 		n.reads++
 		var rows []platform.Row
-		for _, row := range n.rows {
-			rows = append(rows, row)
+		for _, key := range slices.Sorted(maps.Keys(n.rows)) {
+			rows = append(rows, n.rows[key])
 		}
 		n.push(time.Millisecond, delivery{to: v.cfg.Address, from: v.cfg.Address, event: ContactsRead{Rows: rows}})
 	case WriteContact:
@@ -233,7 +242,20 @@
 		return
 	}
 	v.exchangeBytes += proto.Size(start.Request)
-	n.push(n.latency(), delivery{to: start.Address, from: v.cfg.Address, call: func(server *node) {
+	delays := []time.Duration{n.latency()}
+	if n.calls != nil {
+		delays = n.calls(v, start)
+	}
+	if len(delays) == 0 {
+		fail(2 * time.Second)
+	}
+	for _, delay := range delays {
+		n.serveExchange(v, start, delay, fail)
+	}
+}
+
+func (n *network) serveExchange(v *node, start StartExchange, delay time.Duration, fail func(time.Duration)) {
+	n.push(delay, delivery{to: start.Address, from: v.cfg.Address, call: func(server *node) {
 		if server.frozen || n.apart(v, server) {
 			fail(2 * time.Second)
 			return
@@ -278,8 +300,8 @@
 }
 
 func (n *network) deliver(d delivery) {
-	to := n.byAddr[d.to]
-	if n.apart(n.byAddr[d.from], to) {
+	from, to := n.byAddr[d.from], n.byAddr[d.to]
+	if to == nil || to.down || n.cut != nil && n.cut(from, to) {
 		return
 	}
 	if d.call != nil {
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	peerv1 "godwitmount/gen/godwitmount/peer/v1"
@@ -70,11 +72,14 @@
 	p.health = min(max(p.health+points, 0), maxLocalHealth)
 }
 
-// verify asks an instance soon whether it lives.
+// verify asks an instance soon whether it lives, and probes it next.
 func (p *prober) verify(instance string) {
-	if len(p.verifies) < maxVerify {
-		p.verifies = append(p.verifies, instance)
+	if len(p.verifies) >= maxVerify || slices.Contains(p.verifies, instance) {
+		return
 	}
+	p.verifies = append(p.verifies, instance)
+	p.order = slices.DeleteFunc(p.order, func(other string) bool { return other == instance })
+	p.order = slices.Insert(p.order, 0, instance)
 }
 
 // LocalHealth returns this daemon's distrust of its own timing, from 0 for
@@ -124,12 +129,13 @@
 
 func (c *Core) sendProbePing() {
 	p := c.prober.probe
-	p.seqs = append(p.seqs, c.ping(p.target))
+	p.seqs = append(p.seqs, c.ping(p.target, p.repeats == 0))
 }
 
 // ping sends one ping and returns its sequence number. A target in doubt is
-// told so first, so that it can refute.
-func (c *Core) ping(target string) uint64 {
+// told so, so that it can refute. Updates go only where an answer is likely,
+// as each is passed on a limited number of times.
+func (c *Core) ping(target string, first bool) uint64 {
 	e := c.table.entries[target]
 	packet := c.header()
 	packet.Body = &peerv1.Packet_Ping{Ping: &peerv1.Ping{Target: target}}
@@ -137,8 +143,9 @@
 		packet.Updates = append(packet.Updates, MemberOf(e.Record))
 		packet.Address = c.cfg.Address
 		packet.DataCentre = c.cfg.DataCentre
+	} else if first {
+		c.fill(packet)
 	}
-	c.fill(packet)
 	c.send(e.Address, packet)
 	return packet.GetSeq()
 }
@@ -191,10 +198,8 @@
 	if e == nil || !e.living() {
 		return
 	}
-	if p.asked == 0 {
+	if p.asked == 0 || p.nacks < p.asked {
 		c.prober.worse(1)
-	} else {
-		c.prober.worse(p.asked - p.nacks)
 	}
 	if e.Liveness == Alive {
 		c.suspect(e.Record)
@@ -224,12 +229,7 @@
 }
 
 func (p *probe) expects(seq uint64) bool {
-	for _, s := range p.seqs {
-		if s == seq {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(p.seqs, seq)
 }
 
 func (c *Core) nacked(packet *peerv1.Packet) {
@@ -246,7 +246,7 @@
 	if e == nil || e.Instance == c.cfg.Instance || len(c.prober.relays) >= maxRelays {
 		return
 	}
-	seq := c.ping(request.GetTarget())
+	seq := c.ping(request.GetTarget(), false)
 	c.prober.relays[seq] = relay{
 		target:  request.GetTarget(),
 		address: from,
@@ -258,7 +258,8 @@
 // expireRelays tells those who asked that the target did not answer in time,
 // which proves at least that this daemon is well and reachable.
 func (c *Core) expireRelays() {
-	for seq, r := range c.prober.relays {
+	for _, seq := range slices.Sorted(maps.Keys(c.prober.relays)) {
+		r := c.prober.relays[seq]
 		if c.now() >= r.expires {
 			delete(c.prober.relays, seq)
 			c.answerRelay(r, false)
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -10,6 +10,10 @@
 // hears nobody at all.
 const isolationFactor = 4
 
+// silentIntervals is after how many probe intervals without any packet this
+// daemon counts as hearing nobody.
+const silentIntervals = 3
+
 // suspicion is the time an instance has left to refute.
 type suspicion struct {
 	started  time.Duration
@@ -64,7 +68,7 @@
 		}
 		if s.asker && c.now() >= s.nextPing {
 			s.nextPing = c.now() + c.cfg.ProbeInterval
-			c.ping(instance)
+			c.ping(instance, false)
 		}
 		if c.now() >= s.deadline && !c.holdsBack(s) {
 			dead := e.Record
@@ -78,7 +82,7 @@
 // itself for some more time.
 func (c *Core) holdsBack(s *suspicion) bool {
 	silence := c.now() - c.prober.heard
-	if silence < c.scaled(3*c.cfg.ProbeInterval) {
+	if silence < silentIntervals*c.cfg.ProbeInterval {
 		return false
 	}
 	return c.now()-s.started < isolationFactor*(s.deadline-s.started)
