--- a/internal/membership/delegate.go
+++ b/internal/membership/delegate.go
@@ -10,23 +10,32 @@
 // delegatesPerDataCentre is how many instances speak for their data centre.
 const delegatesPerDataCentre = 2
 
-// delegates caches who speaks for each data centre; the pairs rotate with the
+// delegates caches who polls and who speaks for each data centre; the pairs rotate with the
 // epoch of the wall clock, so the work is shared by all.
 type delegates struct {
 	version uint64
 	epoch   int64
 	pairs   map[string][]string
+	// pollers are those of this data centre.
+	pollers []string
 }
 
-func (c *Core) delegatesOf(dataCentre string) []string {
+// ranked returns the cache, emptied after a change of the table or epoch.
+func (c *Core) ranked() *delegates {
 	epoch := c.moment.Wall.UnixNano() / int64(c.cfg.DelegateEpoch)
 	d := &c.delegates
 	if d.pairs == nil || d.version != c.table.version || d.epoch != epoch {
 		*d = delegates{version: c.table.version, epoch: epoch, pairs: map[string][]string{}}
+		d.pollers = PollersOf(c.cfg.DataCentre, c.table.alive(c.cfg.DataCentre))
 	}
+	return d
+}
+
+func (c *Core) delegatesOf(dataCentre string) []string {
+	d := c.ranked()
 	pair, known := d.pairs[dataCentre]
 	if !known {
-		key := fmt.Sprintf("delegates/%s/%d", dataCentre, epoch)
+		key := fmt.Sprintf("delegates/%s/%d", dataCentre, d.epoch)
 		pair = rendezvous.Top(key, c.table.alive(dataCentre), delegatesPerDataCentre)
 		d.pairs[dataCentre] = pair
 	}
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -89,6 +89,8 @@
 	rows   map[string]platform.Row
 	reads  int
 	writes int
+	// stepTime sums the processor time of events, for benchmarks.
+	stepTime time.Duration
 }
 
 func newNetwork(t testing.TB, seed uint64) *network {
@@ -153,7 +155,11 @@
 		v.late = append(v.late, event)
 		return
 	}
-	for _, effect := range v.core.Step(n.moment(), event) {
+	moment := n.moment()
+	begin := time.Now()
+	effects := v.core.Step(moment, event)
+	n.stepTime += time.Since(begin)
+	for _, effect := range effects {
 		n.carry(v, effect)
 	}
 }
--- a/internal/membership/report.go
+++ b/internal/membership/report.go
@@ -75,9 +75,9 @@
 }
 
 // Pollers returns which living instances of this data centre poll the
-// platform.
+// platform. The slice is shared and must not be changed.
 func (c *Core) Pollers() []string {
-	return PollersOf(c.cfg.DataCentre, c.table.alive(c.cfg.DataCentre))
+	return c.ranked().pollers
 }
 
 func (c *Core) isPoller() bool {
