--- a/test/e2e/calls_test.go
+++ b/test/e2e/calls_test.go
@@ -9,7 +9,7 @@
 
 func TestWholePath(t *testing.T) {
 	mesh := startMesh(t, 2)
-	publish(t, mesh, manifestSource(0))
+	publishManifest(t, mesh, manifestSource(0))
 	awaitVersion(t, mesh.Instances, 1)
 	awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
 	load := startLoad(mesh.Instances, 6, false, nil)
@@ -25,7 +25,7 @@
 // centre while callers send slow requests.
 func TestPlannedStopsCutOffNothing(t *testing.T) {
 	mesh := startMesh(t, 2, "--service-time", "150ms")
-	publish(t, mesh, manifestSource(0))
+	publishManifest(t, mesh, manifestSource(0))
 	awaitVersion(t, mesh.Instances, 1)
 	awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
 	load := startLoad(mesh.Instances, 12, false, nil)
@@ -54,7 +54,7 @@
 // begins nothing once its draining is known, long before it ends.
 func TestDrainingUpstreamGetsNoNewWork(t *testing.T) {
 	mesh := startMesh(t, 1, "--service-time", "2ms", "--linger", "4s")
-	publish(t, mesh, manifestSource(0))
+	publishManifest(t, mesh, manifestSource(0))
 	awaitVersion(t, mesh.Instances, 1)
 	awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
 	load := startLoad(mesh.Instances, 6, false, nil)
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -14,7 +14,7 @@
 // are killed, frozen and started anew and the platform loses answers.
 func TestAtMostOnceUnderKills(t *testing.T) {
 	mesh := startMesh(t, 2, "--service-time", "10ms")
-	publish(t, mesh, manifestSource(0))
+	publishManifest(t, mesh, manifestSource(0))
 	awaitVersion(t, mesh.Instances, 1)
 	awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
 	must(t, mesh.Platform.Faults(`{"lose_percent": 30}`))
@@ -59,7 +59,7 @@
 	for _, outage := range []string{`{"outage": "refuse"}`, `{"outage": "hang"}`, `{"slow_ms": 400}`} {
 		t.Run(outage, func(t *testing.T) {
 			mesh := startMesh(t, 1)
-			publish(t, mesh, manifestSource(0))
+			publishManifest(t, mesh, manifestSource(0))
 			awaitVersion(t, mesh.Instances, 1)
 			awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
 			keyed := startLoad(mesh.Instances, 4, true, nil)
@@ -83,7 +83,7 @@
 // runs it, again and again and through all daemons.
 func TestCrashingRequestIsRefused(t *testing.T) {
 	mesh := startMesh(t, 2, "--service-time", "1ms")
-	publish(t, mesh, manifestSource(0))
+	publishManifest(t, mesh, manifestSource(0))
 	awaitVersion(t, mesh.Instances, 1)
 	awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
 	load := startLoad(nil, 0, false, nil)
@@ -124,13 +124,13 @@
 // down, frozen and started anew, and the platform comes and goes.
 func TestVersionsNeverGoBack(t *testing.T) {
 	mesh := startMesh(t, 2)
-	publish(t, mesh, manifestSource(0))
+	publishManifest(t, mesh, manifestSource(0))
 	awaitVersion(t, mesh.Instances, 1)
 	watch := watchVersions(mesh.Instances)
 	frozen := mesh.Instances[1]
 	must(t, frozen.Daemon.Freeze())
-	publish(t, mesh, manifestSource(1))
-	publish(t, mesh, manifestSource(2))
+	publishManifest(t, mesh, manifestSource(1))
+	publishManifest(t, mesh, manifestSource(2))
 	must(t, mesh.Platform.Faults(`{"stale_revisions": 3}`))
 	time.Sleep(time.Second)
 	must(t, mesh.Platform.Faults(`{}`))
@@ -144,7 +144,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	must(t, mesh.Platform.Faults(`{}`))
-	publish(t, mesh, manifestSource(3))
+	publishManifest(t, mesh, manifestSource(3))
 	awaitVersion(t, mesh.Instances, 4)
 	for _, fault := range watch.end() {
 		t.Error(fault)
@@ -205,7 +205,7 @@
 // version: one wins, the others are told.
 func TestOperatorsRace(t *testing.T) {
 	mesh := startMesh(t, 1)
-	publish(t, mesh, manifestSource(0))
+	publishManifest(t, mesh, manifestSource(0))
 	const operators = 5
 	digests := make([]string, operators)
 	for i := range digests {
--- a/test/e2e/main_test.go
+++ b/test/e2e/main_test.go
@@ -136,8 +136,8 @@
 	return proposal.Digest
 }
 
-// publish proposes and accepts a manifest.
-func publish(t *testing.T, mesh *harness.Mesh, source string) {
+// publishManifest proposes and accepts a manifest.
+func publishManifest(t *testing.T, mesh *harness.Mesh, source string) {
 	t.Helper()
 	digest := propose(t, mesh, source)
 	out, code := tool(t, mesh, "accept", digest, "--platform", mesh.Platform.URL)
