--- a/internal/manifest/check.go
+++ b/internal/manifest/check.go
@@ -16,7 +16,8 @@
 	rules    map[string]*RetryRule
 }
 
-func check(m *Manifest, doc *strictjson.Document) {
+// checkValues reports every value that would make the manifest wrong in force.
+func checkValues(m *Manifest, doc *strictjson.Document) {
 	c := &checker{
 		Document: doc,
 		manifest: m,
--- a/internal/manifest/check_route.go
+++ b/internal/manifest/check_route.go
@@ -25,9 +25,6 @@
 		c.match(path+"/match", &r.Match)
 		c.retry(path+"/retry", r)
 	}
-	if c.Decoded("/routes") {
-		c.unreachable()
-	}
 }
 
 func (c *checker) match(path string, m *Match) {
--- a/internal/manifest/parse.go
+++ b/internal/manifest/parse.go
@@ -36,7 +36,10 @@
 	}
 	m := &Manifest{}
 	doc := strictjson.Decode(file, source, codes, m)
-	check(m, doc)
+	checkValues(m, doc)
+	if doc.Decoded("/routes") {
+		checkReachable(m, doc)
+	}
 	if problems := doc.Problems(); problems != nil {
 		return nil, problems
 	}
@@ -48,8 +51,9 @@
 }
 
 // ParseCanonical reads a body made by Canonical. A body that is not byte for
-// byte in canonical form is refused, so that a digest names one meaning. A
-// panic inside comes out as an error.
+// byte in canonical form is refused, so that a digest names one meaning. Routes
+// that can never be taken are let pass: they do no harm in force. A panic inside
+// comes out as an error.
 func ParseCanonical(body []byte) (m *Manifest, err error) {
 	defer recoverAs("parse manifest", &err)
 	return parseCanonical(body)
@@ -78,7 +82,7 @@
 		return nil, false
 	}
 	doc := strictjson.NewDocument(canonicalFile, codes)
-	check(m, doc)
+	checkValues(m, doc)
 	if doc.Problems() != nil {
 		return nil, false
 	}
--- a/internal/manifest/unreachable.go
+++ b/internal/manifest/unreachable.go
@@ -7,20 +7,22 @@
 	"godwitmount/internal/strictjson"
 )
 
-// unreachable reports each route that an earlier one hides completely.
-func (c *checker) unreachable() {
-	normal := c.manifest.clone()
+// checkReachable reports each route that an earlier one hides completely.
+func checkReachable(m *Manifest, doc *strictjson.Document) {
+	normal := m.clone()
 	normal.normalize()
 	routes := normal.Routes
 	index := indexRoutes(routes)
 	for i := range routes {
-		m := &routes[i].Match
-		earlier := index.first(m.Host, m.probe(), func(j int32) bool {
-			return int(j) < i && routes[j].Match.hides(m)
+		match := &routes[i].Match
+		earlier := index.first(match.Host, match.probe(), func(j int32) bool {
+			return int(j) < i && routes[j].Match.hides(match)
 		})
-		if int(earlier) < i {
-			c.Add(strictjson.Path("routes", i), code.ManifestUnreachable, "route %q is never taken: route %q (line %d) takes all its requests", routes[i].Name, routes[earlier].Name, c.Line(strictjson.Path("routes", int(earlier))))
+		if int(earlier) >= i {
+			continue
 		}
+		line := doc.Line(strictjson.Path("routes", int(earlier)))
+		doc.Add(strictjson.Path("routes", i), code.ManifestUnreachable, "route %q is never taken: route %q (line %d) takes all its requests", routes[i].Name, routes[earlier].Name, line)
 	}
 }
 
