--- a/internal/claim/handover.go
+++ b/internal/claim/handover.go
@@ -352,6 +352,12 @@
 			c.abandon(e, code.ClaimHolderNoTenure)
 		}
 	}
+	for _, id := range c.handOverIDs() {
+		if !c.handOvers[id].replica {
+			// It tells what concerns a joiner, not what falls to a successor.
+			delete(c.handOvers, id)
+		}
+	}
 	clear(c.handed)
 }
 
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -333,6 +333,13 @@
 	case releasing:
 		c.forget(e)
 	case claimed, done:
+		if e.foreign {
+			// A copy that its holder told and did not grant, or granted later
+			// under another attempt through the table.
+			e.attempt, e.executor = held.GetAttempt(), held.GetExecutor()
+			e.written, e.revision = true, row.Revision
+			return
+		}
 		// Granted from memory, and by another holder too: the tenure rule was
 		// broken. The row stands; this entry goes on blocking the key.
 		e.written = true
--- a/internal/claim/tenure.go
+++ b/internal/claim/tenure.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"math"
 	"time"
 
 	"godwitmount/internal/event"
@@ -19,8 +20,8 @@
 // tenured: could somebody else have granted the key through the table within
 // the horizon? It is asked before a grant from memory, when the table cannot
 // be read. It needs that this daemon was the holder under every view of the
-// horizon, and that no instance was lost in it: an instance that is cut off,
-// and not dead, goes on granting through the table.
+// horizon, and that no instance went silent in it: one that is cut off, and
+// not dead, goes on granting through the table.
 
 // informed reports whether this daemon knows every claim that may have been
 // granted from memory under the key within the window.
@@ -142,17 +143,27 @@
 }
 
 // tenureStart is from when on this daemon's tenure counts, for the one that it
-// hands over to.
+// hands over to. It does not reach back beyond a loss: what a lost instance
+// granted through the table is known to nobody, and the receiver may be the
+// process that takes its place.
 func (c *Core) tenureStart() time.Duration {
 	h := &c.views
 	start := h.tenureSince
-	if start != h.began || !c.vouchedByAll() {
-		return start
+	if start == h.began && c.vouchedByAll() {
+		start = c.inheritedTenure()
 	}
-	inherited := time.Duration(-1 << 62)
-	for _, m := range h.current().members {
-		if m.Instance != h.self {
-			inherited = max(inherited, h.vouches[m.Instance].tenure)
+	if len(h.losses) > 0 {
+		start = max(start, h.losses[len(h.losses)-1])
+	}
+	return start
+}
+
+// inheritedTenure is the latest start of tenure among those that handed over.
+func (c *Core) inheritedTenure() time.Duration {
+	inherited := time.Duration(math.MinInt64)
+	for _, m := range c.views.current().members {
+		if m.Instance != c.views.self {
+			inherited = max(inherited, c.views.vouches[m.Instance].tenure)
 		}
 	}
 	return inherited
@@ -174,7 +185,7 @@
 	if diff.homes {
 		c.views.homesChanged = c.now.Now
 	}
-	if len(diff.lost) > 0 {
+	if diff.cutOff {
 		c.resetTenure("instance-lost")
 	} else if diff.homes {
 		c.resetTenure("homes-changed")
--- a/internal/claim/views.go
+++ b/internal/claim/views.go
@@ -123,6 +123,9 @@
 	moved bool
 	// lost are members that went without a planned stop.
 	lost []memberID
+	// cutOff is set when a lost one may still be running: it went silent, and
+	// no later process of the same instance has taken its place.
+	cutOff bool
 	// joined are members that were not known before.
 	joined []memberID
 	// homes is set when the list of possible homes changed.
@@ -164,9 +167,11 @@
 	for _, m := range from.members {
 		now, stays := to.member(m.Instance)
 		replaced := stays && now.Incarnation != m.Incarnation
-		if replaced || !stays && !slices.Contains(left, m.Instance) {
+		silent := !stays && !slices.Contains(left, m.Instance)
+		if replaced || silent {
 			diff.lost = append(diff.lost, m.id())
 		}
+		diff.cutOff = diff.cutOff || silent
 	}
 	for _, m := range to.members {
 		before, known := from.member(m.Instance)
