Stamp call ids with their time of creation

Cause: a fence that is forgotten must not let its attempt start, and ids without a time of creation cannot be judged. Change: call ids begin with the time, made in one allocation; fences refuse ids without one. Conclusion: forgetting a fence closes the door on all older attempts.

--- a/internal/claim/fence.go
+++ b/internal/claim/fence.go
@@ -78,10 +78,12 @@
 	stampBase = 36
 )
 
-// StampAttempt returns an attempt id that carries its time of creation: a mark,
-// Unix milliseconds in base 36, a dash, and the unique rest.
-func StampAttempt(created time.Time, rest string) string {
-	return stampMark + strconv.FormatInt(created.UnixMilli(), stampBase) + "-" + rest
+// StampAttempt begins an attempt id, to which the unique rest is appended: a
+// mark, the time of creation as Unix milliseconds in base 36, and a dash.
+func StampAttempt(id []byte, created time.Time) []byte {
+	id = append(id, stampMark...)
+	id = strconv.AppendInt(id, created.UnixMilli(), stampBase)
+	return append(id, '-')
 }
 
 // createdAt reads the time of creation of an attempt in Unix milliseconds.
@@ -97,8 +99,7 @@
 
 // Start reports whether the attempt may start, and remembers that it did. It
 // returns true at most once for an attempt, and never after Fence has returned
-// true. An id without a time of creation counts as created when it is first
-// seen.
+// true. Ids without a valid time of creation never start.
 func (f *Fences) Start(attempt string) bool {
 	_, decidedNow := f.decide(attempt, true)
 	return decidedNow
@@ -114,11 +115,11 @@
 // decide settles an attempt unless it was settled before. For start, ok tells
 // whether it was settled now; for a fence, whether its fate is known.
 func (f *Fences) decide(attempt string, start bool) (started, ok bool) {
-	now := f.now().UnixMilli()
 	created, valid := createdAt(attempt)
 	if !valid {
-		created = now
+		return false, false
 	}
+	now := f.now().UnixMilli()
 	id := xxhash.Sum64String(attempt)
 	shard := &f.shards[id%fenceShards]
 	shard.mu.Lock()
--- a/internal/claim/fence_test.go
+++ b/internal/claim/fence_test.go
@@ -20,6 +20,10 @@
 func (c *fakeClock) now() time.Time          { return time.UnixMilli(c.millis.Load()) }
 func (c *fakeClock) advance(d time.Duration) { c.millis.Add(d.Milliseconds()) }
 
+func stamped(created time.Time, rest string) string {
+	return string(StampAttempt(nil, created)) + rest
+}
+
 func testFences(maxAttempts int) (*Fences, *fakeClock) {
 	clock := newFakeClock()
 	cfg := DefaultFenceConfig()
@@ -29,8 +33,8 @@
 
 func TestFenceAndStartExcludeEachOther(t *testing.T) {
 	fences, clock := testFences(1 << 16)
-	started := StampAttempt(clock.now(), "started")
-	fenced := StampAttempt(clock.now(), "fenced")
+	started := stamped(clock.now(), "started")
+	fenced := stamped(clock.now(), "fenced")
 	steps := []struct {
 		name string
 		got  bool
@@ -42,7 +46,9 @@
 		{"first fence", fences.Fence(fenced), true},
 		{"start of a fenced one", fences.Start(fenced), false},
 		{"second fence", fences.Fence(fenced), true},
-		{"start from the future", fences.Start(StampAttempt(clock.now().Add(time.Hour), "f")), false},
+		{"start without a time of creation", fences.Start("kendal-a-1"), false},
+		{"fence without a time of creation", fences.Fence("kendal-a-1"), false},
+		{"start from the future", fences.Start(stamped(clock.now().Add(time.Hour), "f")), false},
 	}
 	for _, s := range steps {
 		if s.got != s.want {
@@ -67,7 +73,7 @@
 			fences, clock := testFences(tc.limit)
 			var attempts []string
 			for i := range 500 {
-				attempt := StampAttempt(clock.now(), fmt.Sprint(i))
+				attempt := stamped(clock.now(), fmt.Sprint(i))
 				attempts = append(attempts, attempt)
 				if !fences.Fence(attempt) {
 					t.Fatalf("attempt %d not fenced", i)
@@ -76,7 +82,7 @@
 			}
 			clock.advance(tc.pass)
 			for i := range 500 {
-				fences.Start(StampAttempt(clock.now(), fmt.Sprint("other", i)))
+				fences.Start(stamped(clock.now(), fmt.Sprint("other", i)))
 			}
 			for _, attempt := range attempts {
 				if fences.Start(attempt) {
@@ -94,7 +100,7 @@
 	const attempts = 2000
 	var starts, fenced atomic.Int64
 	for i := range attempts {
-		attempt := StampAttempt(clock.now(), fmt.Sprint(i))
+		attempt := stamped(clock.now(), fmt.Sprint(i))
 		var ready, group sync.WaitGroup
 		ready.Add(1)
 		race := func(decide func(string) bool, won *atomic.Int64) {
@@ -121,7 +127,7 @@
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			fences.Start(StampAttempt(time.Now(), fmt.Sprint(n.Add(1))))
+			fences.Start(stamped(time.Now(), fmt.Sprint(n.Add(1))))
 		}
 	})
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"godwitmount/internal/admission"
+	"godwitmount/internal/claim"
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/membership"
 	"godwitmount/internal/routing"
@@ -148,10 +149,19 @@
 // now is the monotonic time since the proxy was made.
 func (p *Proxy) now() time.Duration { return time.Since(p.epoch) }
 
+// nextID returns the id of a new call. Attempt ids begin with it, so it carries
+// the time of creation that fences need.
 func (p *Proxy) nextID() string {
-	return p.idPrefix + strconv.FormatUint(p.ids.Add(1), 36)
+	var buffer [maxIDLength]byte
+	id := claim.StampAttempt(buffer[:0], time.Now())
+	id = append(id, p.idPrefix...)
+	return string(strconv.AppendUint(id, p.ids.Add(1), 36))
 }
 
+// maxIDLength is the size in bytes up to which an id is made without a second
+// allocation.
+const maxIDLength = 128
+
 // budgetOf returns the retry budget of a rule.
 func (p *Proxy) budgetOf(rule *manifest.RetryRule) *routing.Budget {
 	key := budgetKey{rule.Name, rule.BudgetPercent}
