Drop a doubt's news with the doubt, and tell a stop from a death

Cause: transcripts and a test of a pause in the midst of a doubt showed that a woken daemon still passed its old suspicion on; that the last daemon of a data centre told nobody that it left; and that a leaving instance whose last word was lost was called dead. Change: a dropped suspicion is no longer piggybacked; a daemon without peers tells the other data centres itself; a leaving suspect counts as left; first contact also comes by packet.

--- a/internal/membership/broadcast.go
+++ b/internal/membership/broadcast.go
@@ -272,7 +272,7 @@
 	if due[0] == c.cfg.Instance {
 		targets = append(slices.Clone(targets), c.delegatesOf(c.cfg.DataCentre)...)
 	}
-	if c.isDelegate() && c.anyLocal(due) {
+	if c.speaksFor(peers) && c.anyLocal(due) {
 		targets = append(slices.Clone(targets), c.remoteDelegates()...)
 	}
 	addresses := make([]string, 0, len(targets))
@@ -285,6 +285,12 @@
 	return addresses
 }
 
+// speaksFor reports whether this daemon tells other data centres: as their
+// delegate, or as the last one to go.
+func (c *Core) speaksFor(peers []string) bool {
+	return c.isDelegate() || len(peers) == 0
+}
+
 func (c *Core) anyLocal(instances []string) bool {
 	return slices.ContainsFunc(instances, func(instance string) bool {
 		return c.isLocal(c.table.entries[instance].Record)
--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -137,12 +137,16 @@
 	})
 	n.run(10 * time.Minute)
 	n.cut = nil
+	before := n.deaths()
 	took := n.until(2*time.Minute, "sides merged", n.whole)
 	t.Logf("20 daemons agree %v after the cut healed", took)
 	n.run(time.Minute)
 	if !n.whole() {
 		t.Error("the sides fell apart again")
 	}
+	if again := n.deaths() - before; again != 0 {
+		t.Errorf("%d deaths were declared after the cut had healed", again)
+	}
 }
 
 func TestHerdRestart(t *testing.T) {
@@ -220,6 +224,30 @@
 	}
 }
 
+func TestDoubtsFromBeforeAPauseAreDropped(t *testing.T) {
+	for offset := range 10 {
+		n := steady(t, 25, 8, "dc-a")
+		n.run(time.Duration(offset) * testTick)
+		v, doubted := n.nodes[2], n.nodes[5]
+		v.core.suspect(doubted.core.Self())
+		v.frozen = true
+		n.run(20 * time.Second)
+		// What arrived meanwhile did not fit the socket's buffer.
+		v.late = nil
+		n.wake(v, 20*time.Second)
+		if !v.sees(doubted, Alive) {
+			t.Errorf("offset %d: the woken daemon still doubts %s", offset, doubted.cfg.Instance)
+		}
+		n.run(time.Second / 2)
+		if got := v.counts["member-dead"]; got != 0 {
+			t.Errorf("offset %d: the woken daemon declared %d dead", offset, got)
+		}
+		if got := v.counts["member-suspected"]; got != 0 {
+			t.Errorf("offset %d: the woken daemon suspected %d on account of the gap", offset, got)
+		}
+	}
+}
+
 func TestPauseLapsesTheAnnouncement(t *testing.T) {
 	n := steady(t, 19, 4, "dc-a")
 	v := n.nodes[1]
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -90,6 +90,7 @@
 	for _, member := range packet.GetUpdates() {
 		c.merge(member, viaGossip)
 	}
+	c.firstContact(e.From)
 	c.heardApplied(packet.GetFrom(), packet.GetIncarnation(), packet.GetApplied(), packet.GetRefused())
 	c.ahead(packet.GetFrom(), e.From, IDOf(packet.GetApplied()))
 	if len(packet.GetQuarantined()) > 0 {
--- a/internal/membership/spread_test.go
+++ b/internal/membership/spread_test.go
@@ -92,6 +92,29 @@
 	}
 }
 
+func TestLastOfADataCentreSaysGoodbye(t *testing.T) {
+	n := steady(t, 6, 1, "dc-a", "dc-b", "dc-c")
+	v := n.nodes[1]
+	n.step(v, LeaveFinished{})
+	v.down = true
+	n.run(time.Second)
+	if !n.allSee(v, Left) {
+		t.Error("the other data centres were not told that the only daemon of one left")
+	}
+}
+
+func TestLeavingInstanceThatFallsSilentHasLeft(t *testing.T) {
+	n := steady(t, 7, 8, "dc-a", "dc-b")
+	v := n.nodes[3]
+	n.step(v, LeaveRequested{})
+	n.run(3 * time.Second)
+	v.down = true
+	n.until(settle, "all hold it for left", func() bool { return n.allSee(v, Left) })
+	if n.deaths() != 0 {
+		t.Errorf("%d daemons took a planned stop for a death", n.deaths())
+	}
+}
+
 func TestUpstreamChangesCrossDataCentres(t *testing.T) {
 	n := steady(t, 4, 10, "dc-a", "dc-b", "dc-c")
 	v := n.nodes[12]
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -71,13 +71,21 @@
 			c.ping(instance, false)
 		}
 		if c.now() >= s.deadline && !c.holdsBack(s) {
-			dead := e.Record
-			dead.Liveness = Dead
-			c.apply(dead)
+			c.apply(lost(e.Record))
 		}
 	}
 }
 
+// lost returns the record of a suspect that did not refute. One that was
+// leaving has left.
+func lost(r Record) Record {
+	r.Liveness = Dead
+	if r.Leaving {
+		r.Liveness = Left
+	}
+	return r
+}
+
 // holdsBack reports whether this daemon, which hears nobody, rather doubts
 // itself for some more time.
 func (c *Core) holdsBack(s *suspicion) bool {
@@ -99,6 +107,7 @@
 		r := e.Record
 		r.Liveness = Alive
 		c.table.put(r, c.now())
+		delete(c.gossip.updates, instance)
 	}
 }
 
