Sharpen the tests that let injected faults pass

Cause: of 27 faults injected into the member table's code one by one, six went unseen: a platform that guards nothing, joining tried only once, records that go back under replay, a table that believes an old death, doubts kept over a pause, and effects in random order.

--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -175,8 +175,8 @@
 			t.Logf("72 daemons agree %v after the restart, at most %d bytes of exchanges at one, %d reads and %d writes of the platform",
 				took, bytes, n.reads, n.writes)
 			n.run(time.Minute)
-			if n.writes > 2*24 {
-				t.Errorf("%d contact rows were written after the restart, want at most two for each row", n.writes)
+			if n.writes > 8 {
+				t.Errorf("%d of 24 contact rows were written after the restart, though they were fresh", n.writes)
 			}
 			if n.deaths() != 0 {
 				t.Errorf("%d instances were declared dead", n.deaths())
@@ -202,6 +202,23 @@
 	n.until(2*time.Minute, "two daemons meet through the contact rows", n.whole)
 }
 
+func TestJoinOutlastsItsPeersAndThePlatform(t *testing.T) {
+	n := newNetwork(t, 26)
+	n.outage = true
+	seed := n.add("dc-a", 0, nil)
+	seed.down = true
+	late := n.add("dc-a", 1, func(cfg *Config) { cfg.Peers = []string{seed.cfg.Address} })
+	n.run(10 * time.Minute)
+	if n.reads < 10 || n.reads > 60 {
+		t.Errorf("%d reads of the unreachable platform in ten minutes, want some, but few", n.reads)
+	}
+	n.boot(seed)
+	n.until(settle, "joined once the peer was back", n.whole)
+	if late.counts["first-contact"] != 1 {
+		t.Errorf("first contact was logged %d times, want once", late.counts["first-contact"])
+	}
+}
+
 func TestFrozenDaemonDeclaresNobodyDead(t *testing.T) {
 	for _, gap := range []time.Duration{4 * time.Second, 30 * time.Second, 10 * time.Minute} {
 		n := steady(t, 18, 16, "dc-a", "dc-b")
--- a/internal/membership/flow_test.go
+++ b/internal/membership/flow_test.go
@@ -187,9 +187,11 @@
 		n.trace = func(from *node, effect step.Effect) {
 			trace = append(trace, fmt.Sprintf("%v %s %T %+v", n.now, from.cfg.Instance, effect, describe(effect)))
 		}
-		n.dataCentres(6, "dc-a", "dc-b")
+		n.dataCentres(24, "dc-a")
 		n.run(10 * time.Second)
-		n.nodes[2].down = true
+		for _, v := range n.nodes[4:14] {
+			v.down = true
+		}
 		n.run(20 * time.Second)
 		return trace
 	}
--- a/internal/membership/hostile_test.go
+++ b/internal/membership/hostile_test.go
@@ -164,22 +164,29 @@
 	n.run(30 * time.Second)
 	n.until(settle, "all agree", n.whole)
 
-	victim := n.nodes[0]
-	before := slices.Clone(victim.core.Records())
 	n.random.Shuffle(len(captured), func(i, j int) { captured[i], captured[j] = captured[j], captured[i] })
+	for _, victim := range n.up() {
+		replay(n, victim, captured)
+	}
+}
+
+// replay gives a node all it ever received once more, and checks that no
+// record changes on the way.
+func replay(n *network, victim *node, captured []delivery) {
+	before := slices.Clone(victim.core.Records())
 	replayed := 0
 	for _, d := range captured {
-		if d.to == victim.cfg.Address {
-			replayed++
-			victim.core.Step(n.moment(), d.event)
+		if d.to != victim.cfg.Address {
+			continue
+		}
+		replayed++
+		victim.core.Step(n.moment(), d.event)
+		if after := victim.core.Records(); !slices.Equal(before, after) {
+			n.t.Fatalf("%s: replayed packet %+v changed the table:\n%v\n%v", victim.cfg.Instance, d.event, before, after)
 		}
 	}
-	t.Logf("%d packets replayed, dropped: %v", replayed, victim.core.Drops())
-	if after := victim.core.Records(); !slices.Equal(before, after) {
-		t.Errorf("replayed packets changed the table:\n%v\n%v", before, after)
-	}
-	if victim.core.Drops()[DropReplayed] == 0 {
-		t.Error("no replayed packet was counted")
+	if replayed == 0 || victim.core.Drops()[DropReplayed] == 0 {
+		n.t.Errorf("%s: %d packets replayed, drops %v", victim.cfg.Instance, replayed, victim.core.Drops())
 	}
 }
 
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -85,8 +85,10 @@
 	// calls does the same for exchanges.
 	calls func(from *node, start StartExchange) []time.Duration
 	// trace, when set, is told of every effect.
-	trace  func(from *node, effect step.Effect)
-	rows   map[string]platform.Row
+	trace func(from *node, effect step.Effect)
+	rows  map[string]platform.Row
+	// outage makes reads of the platform fail.
+	outage bool
 	reads  int
 	writes int
 	// stepTime sums the processor time of events, for benchmarks.
@@ -185,7 +187,11 @@
 		for _, key := range slices.Sorted(maps.Keys(n.rows)) {
 			rows = append(rows, n.rows[key])
 		}
-		n.push(time.Millisecond, delivery{to: v.cfg.Address, from: v.cfg.Address, event: ContactsRead{Rows: rows}})
+		read := ContactsRead{Rows: rows}
+		if n.outage {
+			read = ContactsRead{Err: platform.ErrUnavailable}
+		}
+		n.push(time.Millisecond, delivery{to: v.cfg.Address, from: v.cfg.Address, event: read})
 	case WriteContact:
 		n.writes++
 		row := n.rows[e.Write.Key]
