--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -137,12 +137,16 @@
 	})
 	n.run(10 * time.Minute)
 	n.cut = nil
+	before := n.deaths()
 	took := n.until(2*time.Minute, "sides merged", n.whole)
 	t.Logf("20 daemons agree %v after the cut healed", took)
 	n.run(time.Minute)
 	if !n.whole() {
 		t.Error("the sides fell apart again")
 	}
+	if again := n.deaths() - before; again != 0 {
+		t.Errorf("%d deaths were declared after the cut had healed", again)
+	}
 }
 
 func TestHerdRestart(t *testing.T) {
@@ -171,8 +175,8 @@
 			t.Logf("72 daemons agree %v after the restart, at most %d bytes of exchanges at one, %d reads and %d writes of the platform",
 				took, bytes, n.reads, n.writes)
 			n.run(time.Minute)
-			if n.writes > 2*24 {
-				t.Errorf("%d contact rows were written after the restart, want at most two for each row", n.writes)
+			if n.writes > 8 {
+				t.Errorf("%d of 24 contact rows were written after the restart, though they were fresh", n.writes)
 			}
 			if n.deaths() != 0 {
 				t.Errorf("%d instances were declared dead", n.deaths())
@@ -198,6 +202,23 @@
 	n.until(2*time.Minute, "two daemons meet through the contact rows", n.whole)
 }
 
+func TestJoinOutlastsItsPeersAndThePlatform(t *testing.T) {
+	n := newNetwork(t, 26)
+	n.outage = true
+	seed := n.add("dc-a", 0, nil)
+	seed.down = true
+	late := n.add("dc-a", 1, func(cfg *Config) { cfg.Peers = []string{seed.cfg.Address} })
+	n.run(10 * time.Minute)
+	if n.reads < 10 || n.reads > 60 {
+		t.Errorf("%d reads of the unreachable platform in ten minutes, want some, but few", n.reads)
+	}
+	n.boot(seed)
+	n.until(settle, "joined once the peer was back", n.whole)
+	if late.counts["first-contact"] != 1 {
+		t.Errorf("first contact was logged %d times, want once", late.counts["first-contact"])
+	}
+}
+
 func TestFrozenDaemonDeclaresNobodyDead(t *testing.T) {
 	for _, gap := range []time.Duration{4 * time.Second, 30 * time.Second, 10 * time.Minute} {
 		n := steady(t, 18, 16, "dc-a", "dc-b")
@@ -220,6 +241,30 @@
 	}
 }
 
+func TestDoubtsFromBeforeAPauseAreDropped(t *testing.T) {
+	for offset := range 10 {
+		n := steady(t, 25, 8, "dc-a")
+		n.run(time.Duration(offset) * testTick)
+		v, doubted := n.nodes[2], n.nodes[5]
+		v.core.suspect(doubted.core.Self())
+		v.frozen = true
+		n.run(20 * time.Second)
+		// What arrived meanwhile did not fit the socket's buffer.
+		v.late = nil
+		n.wake(v, 20*time.Second)
+		if !v.sees(doubted, Alive) {
+			t.Errorf("offset %d: the woken daemon still doubts %s", offset, doubted.cfg.Instance)
+		}
+		n.run(time.Second / 2)
+		if got := v.counts["member-dead"]; got != 0 {
+			t.Errorf("offset %d: the woken daemon declared %d dead", offset, got)
+		}
+		if got := v.counts["member-suspected"]; got != 0 {
+			t.Errorf("offset %d: the woken daemon suspected %d on account of the gap", offset, got)
+		}
+	}
+}
+
 func TestPauseLapsesTheAnnouncement(t *testing.T) {
 	n := steady(t, 19, 4, "dc-a")
 	v := n.nodes[1]
