Keep an instance's addresses over restarts in the harness

Cause: the race detector found StartDaemon writing addresses that watchers read; they are the same after a restart. Change: they are written at the first start only. Conclusion: a fault of the harness, not of the daemon.

--- a/test/harness/mesh.go
+++ b/test/harness/mesh.go
@@ -126,7 +126,14 @@
 		return err
 	}
 	i.Daemon = process
-	return process.awaitJSON(addressFile, &i.Addresses)
+	var addresses Addresses
+	if err := process.awaitJSON(addressFile, &addresses); err != nil {
+		return err
+	}
+	if i.Caller == "" {
+		i.Addresses = addresses
+	}
+	return nil
 }
 
 // settings is the daemon's settings file. The first start takes free ports;
