Count control traffic by transport and data centre

Cause: control bytes for each daemon and each link between data centres could not be measured. Change: the daemon counts datagrams and the connections it opens to peers by the far end's data centre.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -207,6 +207,7 @@
 	}
 	c.dirty = false
 	records := c.members.Records()
+	c.emit(MembersKnown{Records: records})
 	c.tell(confsync.MembersChanged{Self: c.members.Self(), Members: records})
 	if table := c.sync.Table(); table != nil {
 		c.publish(c.sync.Applied(), table)
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -73,3 +73,12 @@
 
 // EffectName implements step.Effect.
 func (ConfigRefused) EffectName() string { return "config-refused" }
+
+// MembersKnown tells who is known now; the slice is shared and must not be
+// changed.
+type MembersKnown struct {
+	Records []membership.Record
+}
+
+// EffectName implements step.Effect.
+func (MembersKnown) EffectName() string { return "members-known" }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"godwitmount/gen/godwitmount/peer/v1/peerv1connect"
 	"godwitmount/internal/claim"
@@ -80,10 +81,13 @@
 	claims     *claim.Client
 	quarantine *quarantine.Set
 	metrics    *metrics
+	traffic    *traffic
 
 	snapshot        atomic.Pointer[routing.Snapshot]
 	upstreamAddress atomic.Pointer[string]
-	stopping        atomic.Bool
+	// ready is set once all parts are made.
+	ready    atomic.Bool
+	stopping atomic.Bool
 }
 
 // Start opens the listeners and begins to serve. The caller ends the daemon
@@ -116,7 +120,8 @@
 	s := d.cfg.Settings
 	registry := prometheus.NewRegistry()
 	d.metrics = newMetrics(registry)
-	d.peers = newPeerClients(d.cfg.Dial)
+	d.traffic = newTraffic(registry)
+	d.peers = newPeerClients(d.traffic.countDial(d.cfg.Dial))
 	d.store = newStore(s.PlatformURL)
 	d.quarantine = quarantine.NewSet()
 
@@ -180,6 +185,7 @@
 
 // serve starts the goroutines.
 func (d *Daemon) serve() {
+	d.ready.Store(true)
 	go d.loop.run(d.background)
 	for i, listener := range d.listeners.tcp() {
 		go d.serveHTTP(d.servers[i], listener)
@@ -199,7 +205,7 @@
 
 // openGossip listens for datagrams; each becomes an event.
 func (d *Daemon) openGossip(address string) (membership.Transport, error) {
-	udp, err := membership.ListenUDP(address, d.cfg.Settings.Mesh, d.loop.post)
+	udp, err := membership.ListenUDP(address, d.cfg.Settings.Mesh, d.takePacket)
 	if err != nil {
 		return nil, err
 	}
@@ -209,6 +215,14 @@
 	return d.cfg.Gossip(udp), nil
 }
 
+// takePacket counts a datagram and hands it to the control loop.
+func (d *Daemon) takePacket(ev step.Event) {
+	if received, ok := ev.(membership.PacketReceived); ok && d.ready.Load() {
+		d.traffic.countReceived(received.From, proto.Size(received.Packet))
+	}
+	d.loop.post(ev)
+}
+
 // report takes what the data path saw.
 func (d *Daemon) report(ev step.Event) {
 	if _, lost := ev.(proxy.LocalUpstreamLost); lost {
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	peerv1 "godwitmount/gen/godwitmount/peer/v1"
 	"godwitmount/gen/godwitmount/peer/v1/peerv1connect"
@@ -40,6 +41,8 @@
 		d.publishSnapshot(e)
 	case control.PublishClaimView:
 		d.claims.SetView(e.View)
+	case control.MembersKnown:
+		d.traffic.setMembers(e.Records)
 	case control.LocalUpstream:
 		d.setUpstream(e)
 	case control.ConfigInForce:
@@ -85,7 +88,9 @@
 func (d *Daemon) sendPacket(e membership.SendPacket) {
 	if err := d.gossip.Send(e); err != nil {
 		event.PacketDropped.Warn(d.log, zap.String("to", e.Address), zap.Error(err))
+		return
 	}
+	d.traffic.countSent(e.Address, proto.Size(e.Packet))
 }
 
 func (d *Daemon) writeLog(e step.Log) {
