--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -32,9 +32,7 @@
 		p.answerFailure(w, c, f, 0)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
-	defer cancel()
-	a, f, sends := p.attempts(ctx, c)
+	a, f, sends := p.attempts(r.Context(), c)
 	if f != nil {
 		p.answerFailure(w, c, f, sends)
 		return
@@ -74,6 +72,11 @@
 // Exactly one of the answer and the failure is set.
 func (p *Proxy) attempts(ctx context.Context, c *call) (*answer, *failure, int) {
 	history := &history{}
+	throttle := p.throttleOf(c.route.Service)
+	if throttle.Refuses(p.now(), p.deps.Rand()) {
+		p.metrics.throttled(c.route.Service)
+		return nil, fail(code.CallShed), 0
+	}
 	if c.route.Rule != nil {
 		p.budgetOf(c.route.Rule).Earn(c.route.Rule.BudgetPercent)
 	}
@@ -90,6 +93,9 @@
 		p.decisions.routed(c, attempt, decision)
 		a, f := p.attempt(ctx, c, decision, attempt, body)
 		history.add(decision.Chosen.Instance, a, f)
+		if history.sends == 1 && !f.overload() {
+			throttle.Accepted(p.now())
+		}
 		verdict := p.decide(c, history, a, f)
 		if !verdict.again {
 			return history.final(verdict.failure)
@@ -127,7 +133,9 @@
 		chosen.End()
 		return nil, f
 	}
-	bound.lift()
+	if a.body != nil {
+		bound.lift()
+	}
 	p.observeAnswer(chosen, a)
 	finishWith(a, func() {
 		bound.end()
@@ -175,12 +183,13 @@
 // attemptBound ends an attempt that has no answer in time. The body of a long
 // answer is bounded by the caller's deadline only.
 type attemptBound struct {
-	timer  *time.Timer
-	cancel context.CancelCauseFunc
+	timer    *time.Timer
+	cancel   context.CancelCauseFunc
+	deadline time.Time
 }
 
-// lift keeps the bound from ending the attempt any more.
-func (b attemptBound) lift() { b.timer.Stop() }
+// lift leaves only the caller's deadline as the bound.
+func (b attemptBound) lift() { b.timer.Reset(time.Until(b.deadline)) }
 
 // end releases what the bound holds; it ends the attempt too.
 func (b attemptBound) end() {
@@ -197,7 +206,7 @@
 	}
 	bounded, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(allowed, func() { cancel(context.DeadlineExceeded) })
-	return bounded, attemptBound{timer, cancel}
+	return bounded, attemptBound{timer, cancel, c.deadline}
 }
 
 // lastMoment is when an attempt must have an answer, so that there is time for
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -27,6 +27,7 @@
 	fencesAsked *prometheus.CounterVec
 	fencesMade  *prometheus.CounterVec
 	crashes     prometheus.Counter
+	throttles   *prometheus.CounterVec
 }
 
 // callKey names one counter of calls.
@@ -45,6 +46,7 @@
 		refusals:    counters("attempts_refused_total", "Attempts of other daemons that this one refused, by code.", "code"),
 		retries:     counters("retries_total", "Further sends of calls, by ground.", "ground"),
 		ejections:   counters("ejections_total", "Upstreams that this daemon passed over because of their failures.", "service"),
+		throttles:   counters("calls_throttled_total", "Calls refused where they came in because the service sheds most of its load.", "service"),
 		claims:      counters("claims_total", "Claims asked for, by the holder's decision.", "decision"),
 		releases:    counters("claim_releases_total", "Claims given back after a proved not-run, by result.", "result"),
 		fencesAsked: counters("fences_asked_total", "Fences asked of other daemons, by result.", "result"),
@@ -64,7 +66,7 @@
 func (m *metrics) register(registerer prometheus.Registerer, p *Proxy) error {
 	all := []prometheus.Collector{
 		m.calls, m.abortedVec, m.refusals, m.retries, m.ejections, m.claims, m.releases,
-		m.fencesAsked, m.fencesMade, m.added, m.noBudget, m.crashes,
+		m.fencesAsked, m.fencesMade, m.added, m.noBudget, m.crashes, m.throttles,
 		gauge("upstream_requests_running", "Requests that have a slot of the local upstream.", func() float64 { return float64(p.gate.Running()) }),
 		gauge("upstream_requests_queued", "Requests that wait for a slot of the local upstream.", func() float64 { return float64(p.gate.Waiting()) }),
 		gauge("upstream_service_time_seconds", "Recent mean time that a slot is held.", func() float64 { return p.gate.ServiceTime().Seconds() }),
@@ -112,6 +114,8 @@
 
 func (m *metrics) ejected(service string) { m.ejections.WithLabelValues(service).Inc() }
 
+func (m *metrics) throttled(service string) { m.throttles.WithLabelValues(service).Inc() }
+
 func (m *metrics) claimDecided(o claim.Outcome) { m.claims.WithLabelValues(o.String()).Inc() }
 
 func (m *metrics) claimReleased(released bool) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -24,6 +24,7 @@
 	ids       atomic.Uint64
 	balancer  *routing.Balancer
 	budgets   sync.Map // of budgetKey to *routing.Budget
+	throttles sync.Map // of service name to *routing.Throttle
 	peers     *sender
 	loopback  *sender
 	gate      *admission.Gate
@@ -162,6 +163,15 @@
 	return budget.(*routing.Budget)
 }
 
+// throttleOf returns the throttle of a service.
+func (p *Proxy) throttleOf(service string) *routing.Throttle {
+	if throttle, ok := p.throttles.Load(service); ok {
+		return throttle.(*routing.Throttle)
+	}
+	throttle, _ := p.throttles.LoadOrStore(service, &routing.Throttle{})
+	return throttle.(*routing.Throttle)
+}
+
 // budgetBalance is the sum of retries left, for the metrics.
 func (p *Proxy) budgetBalance() float64 {
 	total := 0.0
