--- a/internal/proxy/mesh_test.go
+++ b/internal/proxy/mesh_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"godwitmount/internal/claim"
@@ -104,6 +105,8 @@
 	peerHook func(name string, h http.Handler) http.Handler
 	config   func(*Config)
 	quar     Quarantine
+	log      *zap.Logger
+	registry prometheus.Registerer
 }
 
 func newMesh(t testing.TB) *mesh {
@@ -115,7 +118,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &mesh{t: t, table: table}
+	return &mesh{t: t, table: table, log: zap.NewNop()}
 }
 
 // add starts a node whose upstream listens at the address; an empty address
@@ -134,7 +137,8 @@
 		Quarantine: m.quar,
 		FencePeer:  m.fencePeer,
 		Report:     n.events.add,
-		Log:        zap.NewNop(),
+		Log:        m.log,
+		Registerer: m.registry,
 	})
 	if err != nil {
 		m.t.Fatal(err)
--- a/test/measure/calls/goodput.go
+++ b/test/measure/calls/goodput.go
@@ -52,7 +52,7 @@
 			d.name, d.instances, d.slots, d.service, d.capacity(), callDeadline*d.service)
 		for _, load := range opts.Loads {
 			for _, policy := range policies {
-				if err := goodputAt(d, policy, load, opts.Seconds); err != nil {
+				if err := goodputAt(d, policy, load, opts.Length); err != nil {
 					return err
 				}
 			}
--- a/test/measure/calls/latency.go
+++ b/test/measure/calls/latency.go
@@ -48,7 +48,7 @@
 	}
 	fmt.Println("added latency, 1 KiB answers, calls of the three ways alternate")
 	for _, rate := range opts.Rates {
-		if err := latencyAt(rate, opts.Seconds, ways); err != nil {
+		if err := latencyAt(rate, opts.Length, ways); err != nil {
 			return err
 		}
 	}
--- a/test/measure/calls/main.go
+++ b/test/measure/calls/main.go
@@ -15,10 +15,10 @@
 
 // options is the command line.
 type options struct {
-	Part    string        `long:"part" description:"what to measure" choice:"latency" choice:"transport" choice:"goodput" choice:"all" default:"all"`
-	Seconds time.Duration `long:"time" description:"length of each run" default:"5s"`
-	Rates   []int         `long:"rate" description:"calls per second of the latency and transport runs" default:"150" default:"1500" default:"6000"`
-	Loads   []float64     `long:"load" description:"offered load of the goodput runs, in multiples of capacity" default:"0.5" default:"1" default:"2" default:"4"`
+	Part   string        `long:"part" description:"what to measure" choice:"latency" choice:"transport" choice:"goodput" choice:"all" default:"all"`
+	Length time.Duration `long:"time" description:"length of each run" default:"5s"`
+	Rates  []int         `long:"rate" description:"calls per second of the latency and transport runs" default:"150" default:"1500" default:"6000"`
+	Loads  []float64     `long:"load" description:"offered load of the goodput runs, in multiples of capacity" default:"0.5" default:"1" default:"2" default:"4"`
 }
 
 func main() {
--- a/test/measure/calls/transport.go
+++ b/test/measure/calls/transport.go
@@ -31,7 +31,7 @@
 	fmt.Println("transport between daemons, one hop, 1 KiB answers")
 	for _, rate := range opts.Rates {
 		hists := []*latencies{newLatencies(), newLatencies()}
-		pace(float64(2*rate), opts.Seconds, latencyInFlight, func(n int) {
+		pace(float64(2*rate), opts.Length, latencyInFlight, func(n int) {
 			way := n % 2
 			began := time.Now()
 			if hop(transports[way], s.address) == nil {
