--- a/internal/claim/fault_test.go
+++ b/internal/claim/fault_test.go
@@ -151,7 +151,7 @@
 			t.Run(message, func(t *testing.T) {
 				t.Parallel()
 				for _, fault := range faults {
-					for nth := 1; nth <= 6; nth++ {
+					for nth := 1; nth <= 8; nth++ {
 						playMessageFault(t, message, fault, nth)
 					}
 				}
@@ -160,8 +160,19 @@
 	}
 }
 
+// backgrounds are what happens beside a message's fault: nothing, an outage in
+// the middle of the calls, and a holder that dies after late messages came.
+var backgrounds = []struct {
+	worldEvent
+	at time.Duration
+}{
+	{worldEvent{"nothing", func(*world) {}}, 0},
+	{worldEvent{"platform away 25s", outage(25 * time.Second)}, 1500 * time.Millisecond},
+	{worldEvent{"kill a", kill("a")}, 10 * time.Second},
+}
+
 func playMessageFault(t *testing.T, message string, fault faultKind, nth int) {
-	for _, background := range worldEvents[:3] {
+	for _, background := range backgrounds {
 		w := play(func(w *world) {
 			base := w.sent[message]
 			w.fault = func(sent string, n int) faultKind {
@@ -170,7 +181,7 @@
 				}
 				return noFault
 			}
-			w.after(1500*time.Millisecond, func() { background.run(w) })
+			w.after(background.at, func() { background.run(w) })
 		})
 		checkRuns(t, fmt.Sprintf("%s %d %s, %s", message, nth, fault, background.name), w)
 	}
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -16,16 +16,18 @@
 // world is a few holders, a table and callers that repeat, joined by messages
 // that may be lost, repeated or late.
 type world struct {
-	now    time.Duration
-	queue  agenda
-	order  int
-	nodes  map[string]*node
-	table  *fakeTable
-	sites  map[string]int
-	fault  func(kind string, n int) faultKind
-	sent   map[string]int
-	runs   map[Hash][]string
-	grants int
+	now   time.Duration
+	queue agenda
+	order int
+	nodes map[string]*node
+	// holders are the names of the nodes that hold claims, in order.
+	holders []string
+	table   *fakeTable
+	sites   map[string]int
+	fault   func(kind string, n int) faultKind
+	sent    map[string]int
+	runs    map[Hash][]string
+	grants  int
 	// outcomes counts what callers were told.
 	outcomes map[peerv1.ClaimOutcome]int
 }
@@ -44,7 +46,7 @@
 
 const (
 	worldHorizon   = 60 * time.Second
-	worldTick      = 200 * time.Millisecond
+	worldTick      = 400 * time.Millisecond
 	messageDelay   = time.Millisecond
 	crossDelay     = 300 * time.Millisecond
 	lateDelay      = 7 * time.Second
@@ -103,12 +105,18 @@
 		w.join(name)
 	}
 	for _, name := range []string{"x", "y"} {
-		w.join(name).core = nil
+		w.add(name).core = nil
 	}
 	return w
 }
 
-func (w *world) join(name string) *node {
+// join adds a holder.
+func (w *world) join(name string) {
+	w.holders = append(w.holders, name)
+	w.add(name)
+}
+
+func (w *world) add(name string) *node {
 	n := &node{w: w, name: name, skew: time.Duration(len(w.nodes)%3) * detectionSkew}
 	w.nodes[name] = n
 	n.start()
@@ -169,15 +177,6 @@
 
 func (w *world) reachable(a, b string) bool { return w.sites[a] == w.sites[b] }
 
-func (w *world) names() []string {
-	var names []string
-	for name := range w.nodes {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // tick is the failure detector and the holder's clock.
 func (n *node) tick() {
 	n.w.after(worldTick, n.tick)
@@ -186,11 +185,8 @@
 	}
 	var view []Member
 	var left []string
-	for _, name := range n.w.names() {
+	for _, name := range n.w.holders {
 		other := n.w.nodes[name]
-		if other.core == nil {
-			continue
-		}
 		if other.left {
 			left = append(left, name)
 			continue
