--- a/internal/confsync/config.go
+++ b/internal/confsync/config.go
@@ -53,8 +53,8 @@
 	// NoticeHops is how often a notice may be passed on.
 	NoticeHops uint32
 
-	// FetchTimeout is after how long a fetch without an answer counts as
-	// failed.
+	// FetchTimeout is after how long a first fetch without an answer counts as
+	// failed; each failure adds as much, up to four times.
 	FetchTimeout time.Duration
 	// FetchBackoff is the longest pause after a failed fetch; it starts at a
 	// sixteenth and doubles, with full jitter.
@@ -120,8 +120,8 @@
 		PollTimeout:        3 * time.Second,
 		BackgroundInterval: 2 * time.Second,
 		Fanout:             4,
-		NoticeHops:         8,
-		FetchTimeout:       2 * time.Second,
+		NoticeHops:         16,
+		FetchTimeout:       time.Second,
 		FetchBackoff:       2 * time.Second,
 		FetchFailures:      40,
 		ObjectInterval:     100 * time.Millisecond,
--- a/internal/confsync/faults_test.go
+++ b/internal/confsync/faults_test.go
@@ -203,6 +203,19 @@
 	}
 }
 
+func TestNoticesAloneReachEveryDaemon(t *testing.T) {
+	n := newNetwork(t, names("k", 60)...)
+	if first := n.accept("one"); !n.run(startTime, n.allAt(first)) {
+		t.Fatalf("the mesh did not start: %s", n.applied())
+	}
+	n.quiet = true
+	for i := range 10 {
+		if newest := n.accept(fmt.Sprint("body ", i)); !n.run(flowTime, n.allAt(newest)) {
+			t.Fatalf("version %s did not reach all: %s", newest, n.applied())
+		}
+	}
+}
+
 func TestHerdStartsFromPeersFirst(t *testing.T) {
 	const size = 100
 	n := newNetwork(t, names("k", size)...)
--- a/internal/confsync/fetch.go
+++ b/internal/confsync/fetch.go
@@ -97,8 +97,10 @@
 // anyPeer returns a random peer that may hold the version, or a newer one than
 // is in force.
 func (c *Core) anyPeer() string {
-	own := append([]peer(nil), c.peers.own...)
-	return firstAddress(c.pick(own, 1), c.pick(c.peers.remotePeers(), 1))
+	if own := append([]peer(nil), c.peers.own...); len(own) > 0 {
+		return firstAddress(c.pick(own, 1))
+	}
+	return firstAddress(c.pick(c.peers.remotePeers(), 1))
 }
 
 func firstAddress(lists ...[]peer) string {
@@ -126,10 +128,17 @@
 	t := &c.target
 	t.inFlight = c.nextAttempt()
 	t.from = from
-	t.deadline = c.now + c.cfg.FetchTimeout
+	t.deadline = c.now + c.fetchTimeout()
 	return t.inFlight
 }
 
+// fetchTimeout grows with failures, so that a body that is slow to carry
+// arrives in the end.
+func (c *Core) fetchTimeout() time.Duration {
+	const longest = 4
+	return c.cfg.FetchTimeout * time.Duration(min(1+c.target.failures, longest))
+}
+
 func (c *Core) fetchObject() {
 	attempt := c.begin("")
 	c.emit(FetchObject{Attempt: attempt, ID: c.target.id})
--- a/internal/confsync/network_test.go
+++ b/internal/confsync/network_test.go
@@ -63,7 +63,7 @@
 
 // network runs several cores against a fake platform, in simulated time.
 type network struct {
-	t       *testing.T
+	t       testing.TB
 	now     time.Duration
 	seq     int
 	random  uint64
@@ -76,11 +76,13 @@
 	// intercept sees each message between processes before it is queued and
 	// reports whether it took it over.
 	intercept func(d delivery) bool
+	// quiet stops gossip.
+	quiet bool
 	// counts of what crossed.
-	headReads, objectReads, remoteBodies int
+	headReads, objectReads, remoteBodies, localBodies, notices int
 }
 
-func newNetwork(t *testing.T, names ...string) *network {
+func newNetwork(t testing.TB, names ...string) *network {
 	n := &network{t: t, nodes: map[string]*node{}, bodies: map[manifest.Digest][]byte{}}
 	for _, name := range names {
 		dc := strings.Split(name, "-")[0]
@@ -134,19 +136,43 @@
 	})
 }
 
-// gossipLater makes a node tell one peer after the other what it has applied,
-// as each gossip packet does.
+// gossipLater makes a node exchange with one peer after the other what both
+// have applied, as probes do inside a data centre and the polling daemons do
+// between them.
 func (n *network) gossipLater(name string, after time.Duration) {
 	n.at(n.now+after, func() {
 		node := n.nodes[name]
-		peer := n.order[int(n.moment().Random>>32)%len(n.order)]
-		if peer != name && !node.cut && n.now >= node.frozenUntil {
-			n.send(peer, PeerApplied{Instance: name, Address: name, ID: node.core.Applied()})
+		n.gossip(node, n.names(func(dc string) bool { return dc == node.dc }))
+		if node.core.Polling() {
+			n.gossip(node, n.names(func(dc string) bool { return dc != node.dc }))
 		}
 		n.gossipLater(name, gossipTick)
 	})
 }
 
+func (n *network) gossip(node *node, among []string) {
+	if n.quiet || len(among) == 0 || n.now < node.frozenUntil {
+		return
+	}
+	peer := n.nodes[among[int(n.moment().Random>>32)%len(among)]]
+	if peer == node || n.now < peer.frozenUntil {
+		return
+	}
+	n.sendFrom(node, peer.name, PeerApplied{Instance: node.name, Address: node.name, ID: node.core.Applied()})
+	n.sendFrom(peer, node.name, PeerApplied{Instance: peer.name, Address: peer.name, ID: peer.core.Applied()})
+}
+
+// names returns the nodes of the data centres that match.
+func (n *network) names(match func(dc string) bool) []string {
+	var list []string
+	for _, name := range n.order {
+		if match(n.nodes[name].dc) {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
 // run lets simulated time pass until done, or at most the given time.
 func (n *network) run(atMost time.Duration, done func() bool) bool {
 	end := n.now + atMost
@@ -216,15 +242,14 @@
 		}
 		n.sendFrom(node, node.name, ev)
 	case SendNotice:
+		n.notices += len(e.Addresses)
 		for _, address := range e.Addresses {
 			n.sendFrom(node, address, NoticeReceived{From: node.name, Address: node.name, ID: idFromProto(e.Notice.Id), Remaining: e.Notice.Remaining})
 		}
 	case FetchFromPeer:
 		n.call(node, e.Address, FetchRequested{Request: e.Request}, func(reply step.Reply) step.Event {
 			resp := reply.Message.(*peerv1.FetchConfigResponse)
-			if len(resp.Body) > 0 && n.nodes[e.Address].dc != node.dc {
-				n.remoteBodies++
-			}
+			n.countBody(resp, node.dc, n.nodes[e.Address].dc)
 			return PeerFetched{Attempt: e.Attempt, Address: e.Address, Response: resp}
 		})
 	case AskFloor:
@@ -234,6 +259,16 @@
 	}
 }
 
+func (n *network) countBody(resp *peerv1.FetchConfigResponse, from, to string) {
+	switch {
+	case len(resp.Body) == 0:
+	case from == to:
+		n.localBodies++
+	default:
+		n.remoteBodies++
+	}
+}
+
 func (n *network) sendFrom(from *node, to string, ev step.Event) {
 	if !from.cut {
 		n.send(to, ev)
@@ -284,8 +319,8 @@
 
 func (n *network) allAt(id manifest.ID) func() bool {
 	return func() bool {
-		for _, node := range n.nodes {
-			if node.core.Applied() != id {
+		for _, name := range n.order {
+			if n.nodes[name].core.Applied() != id {
 				return false
 			}
 		}
--- a/internal/confsync/peers.go
+++ b/internal/confsync/peers.go
@@ -1,7 +1,6 @@
 package confsync
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,12 +26,10 @@
 	remote map[string][]peer
 	// rank is this daemon's place among the live daemons of its data centre.
 	rank int
-	// byAddress finds a peer's data centre.
-	byAddress map[string]string
 }
 
 func newPeerView(cfg Config) peerView {
-	return peerView{cfg: cfg}
+	return peerView{cfg: cfg, remote: map[string][]peer{}}
 }
 
 // polls reports whether this daemon is one of the polling daemons.
@@ -41,22 +38,27 @@
 // size returns how many live daemons the own data centre has.
 func (v *peerView) size() int { return len(v.own) + 1 }
 
-// isRemote reports whether the address is of another data centre.
+// isRemote reports whether the address is of a live peer of another data
+// centre.
 func (v *peerView) isRemote(address string) bool {
-	dataCentre, known := v.byAddress[address]
-	return known && dataCentre != v.cfg.DataCentre
+	at := func(p peer) bool { return p.address == address }
+	for _, peers := range v.remote {
+		if slices.ContainsFunc(peers, at) {
+			return true
+		}
+	}
+	return false
 }
 
+// update takes the live peers from the member table; it reuses the lists.
 func (v *peerView) update(members []membership.Record) {
-	v.own = nil
-	v.remote = map[string][]peer{}
-	v.byAddress = make(map[string]string, len(members))
-	for _, record := range members {
-		if record.Instance == v.cfg.Instance {
-			continue
-		}
-		v.byAddress[record.Address] = record.DataCentre
-		if record.Liveness != membership.Alive || record.Leaving {
+	v.own = v.own[:0]
+	for dataCentre, peers := range v.remote {
+		v.remote[dataCentre] = peers[:0]
+	}
+	for i := range members {
+		record := &members[i]
+		if record.Instance == v.cfg.Instance || record.Liveness != membership.Alive || record.Leaving {
 			continue
 		}
 		p := peer{instance: record.Instance, address: record.Address, dataCentre: record.DataCentre}
@@ -81,25 +83,62 @@
 	return rank
 }
 
-// ranked returns up to n peers in order of rendezvous weight for the key.
+// ranking collects the n peers with the highest rendezvous weights for a key.
+type ranking struct {
+	key     string
+	n       int
+	top     []peer
+	weights []uint64
+}
+
+// add takes each peer of a list that ranks among the first n so far.
+func (r *ranking) add(peers []peer) {
+	for _, p := range peers {
+		w := weight(r.key, p.instance)
+		at := len(r.top)
+		for at > 0 && r.before(w, p, at-1) {
+			at--
+		}
+		if at >= r.n {
+			continue
+		}
+		r.top = slices.Insert(r.top, at, p)
+		r.weights = slices.Insert(r.weights, at, w)
+		r.top = r.top[:min(r.n, len(r.top))]
+		r.weights = r.weights[:len(r.top)]
+	}
+}
+
+func (r *ranking) before(w uint64, p peer, i int) bool {
+	if w != r.weights[i] {
+		return w > r.weights[i]
+	}
+	return p.instance < r.top[i].instance
+}
+
+// ranked returns up to n of the peers in order of rendezvous weight.
 func ranked(peers []peer, key string, n int) []peer {
-	sorted := slices.Clone(peers)
-	slices.SortFunc(sorted, func(a, b peer) int {
-		byWeight := cmp.Compare(weight(key, b.instance), weight(key, a.instance))
-		return cmp.Or(byWeight, cmp.Compare(a.instance, b.instance))
-	})
-	return sorted[:min(n, len(sorted))]
+	r := ranking{key: key, n: n}
+	r.add(peers)
+	return r.top
 }
 
 func weight(key, instance string) uint64 {
-	return xxhash.Sum64String(key + "\x00" + instance)
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(instance)
+	return digest.Sum64()
 }
 
 // remoteCentres returns the other data centres with live peers, by name.
 func (v *peerView) remoteCentres() []string {
 	names := make([]string, 0, len(v.remote))
-	for name := range v.remote {
-		names = append(names, name)
+	for name, peers := range v.remote {
+		if len(peers) > 0 {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	return names
@@ -120,7 +159,17 @@
 	if len(v.own) > 0 {
 		return ranked(v.own, v.cfg.Instance, n)
 	}
-	return ranked(v.remotePeers(), v.cfg.Instance, n)
+	return v.rankedRemote(n)
+}
+
+// rankedRemote returns up to n peers of other data centres in order of
+// rendezvous weight for this instance.
+func (v *peerView) rankedRemote(n int) []peer {
+	r := ranking{key: v.cfg.Instance, n: n}
+	for _, peers := range v.remote {
+		r.add(peers)
+	}
+	return r.top
 }
 
 func addresses(peers []peer) []string {
--- a/internal/confsync/start.go
+++ b/internal/confsync/start.go
@@ -42,7 +42,7 @@
 // asked.
 func (c *Core) askStart() {
 	peers := ranked(c.peers.own, c.cfg.Instance, c.cfg.StartPeers)
-	peers = append(peers, ranked(c.peers.remotePeers(), c.cfg.Instance, c.cfg.StartRemotePeers)...)
+	peers = append(peers, c.peers.rankedRemote(c.cfg.StartRemotePeers)...)
 	for _, p := range peers {
 		if c.start.asked[p.address] || len(c.start.asked) >= c.cfg.maxAsked() {
 			continue
