--- a/internal/manifest/unreachable.go
+++ b/internal/manifest/unreachable.go
@@ -2,27 +2,27 @@
 
 import (
 	"slices"
-	"strings"
 
 	"godwitmount/internal/code"
 	"godwitmount/internal/strictjson"
 )
 
-// unreachable reports each route that an earlier one hides completely.
-func (c *checker) unreachable() {
-	routes := slices.Clone(c.manifest.Routes)
-	for i := range routes {
-		routes[i].Match.Host = strings.ToLower(routes[i].Match.Host)
-	}
+// checkReachable reports each route that an earlier one hides completely.
+func checkReachable(m *Manifest, doc *strictjson.Document) {
+	normal := m.clone()
+	normal.normalize()
+	routes := normal.Routes
 	index := indexRoutes(routes)
 	for i := range routes {
-		m := &routes[i].Match
-		earlier := index.first(m.Host, m.probe(), func(j int32) bool {
-			return int(j) < i && routes[j].Match.hides(m)
+		match := &routes[i].Match
+		earlier := index.first(match.Host, match.probe(), func(j int32) bool {
+			return int(j) < i && routes[j].Match.hides(match)
 		})
-		if int(earlier) < i {
-			c.Add(strictjson.Path("routes", i), code.ManifestUnreachable, "route %q is never taken: route %q (line %d) takes all its requests", routes[i].Name, routes[earlier].Name, c.Line(strictjson.Path("routes", int(earlier))))
+		if int(earlier) >= i {
+			continue
 		}
+		line := doc.Line(strictjson.Path("routes", int(earlier)))
+		doc.Add(strictjson.Path("routes", i), code.ManifestUnreachable, "route %q is never taken: route %q (line %d) takes all its requests", routes[i].Name, routes[earlier].Name, line)
 	}
 }
 
@@ -64,13 +64,9 @@
 // hidesHeaders reports whether other asks for every header that m asks for.
 func (m *Match) hidesHeaders(other *Match) bool {
 	for _, want := range m.Headers {
-		if !slices.ContainsFunc(other.Headers, want.same) {
+		if !slices.Contains(other.Headers, want) {
 			return false
 		}
 	}
 	return true
 }
-
-func (h HeaderMatch) same(other HeaderMatch) bool {
-	return strings.EqualFold(h.Name, other.Name) && h.Value == other.Value
-}
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -26,6 +26,9 @@
 	// meetInterval is the least time between two exchanges with unknown
 	// senders.
 	meetInterval = time.Second
+	// firstLocalExchange is the mean wait for the first exchange inside the
+	// data centre after a start or pause; it doubles from there.
+	firstLocalExchange = 2 * time.Second
 	// retentionInterval is the time between two searches for expired records.
 	retentionInterval = 10 * time.Second
 )
@@ -53,7 +56,10 @@
 	// of this one.
 	pushed map[string]uint64
 
-	nextLocal     time.Duration
+	nextLocal time.Duration
+	// localBound is the mean wait for the next exchange inside the data
+	// centre; short after a start or pause, then growing.
+	localBound    time.Duration
 	nextRemote    time.Duration
 	nextMeet      time.Duration
 	nextRetention time.Duration
@@ -76,112 +82,18 @@
 	x.failures = map[string]int{}
 	x.pushed = map[string]uint64{}
 	x.joinBound = cfg.JoinInterval
+	x.localBound = firstLocalExchange
 	x.tokens = 10 * cfg.ServeRate
 }
 
 // afterPause makes the next exchanges due at once.
 func (x *exchanges) afterPause(now time.Duration) {
 	x.pending = map[string]*pending{}
+	x.localBound = firstLocalExchange
 	x.nextLocal = now
 	x.nextRemote = now
 }
 
-func (c *Core) exchangeTick() {
-	for address, p := range c.exchanges.pending {
-		if c.now()-p.started > exchangeTimeout {
-			delete(c.exchanges.pending, address)
-		}
-	}
-	c.joinTick()
-	c.localExchangeTick()
-	c.remoteExchangeTick()
-}
-
-// joinTick seeks first contact, with full jitter and growing waits.
-func (c *Core) joinTick() {
-	x := &c.exchanges
-	if x.contacted || c.now() < x.nextJoin {
-		return
-	}
-	if x.nextJoin == 0 {
-		x.nextJoin = c.now() + c.jitter(x.joinBound)
-		return
-	}
-	x.nextJoin = c.now() + x.joinBound/2 + c.jitter(x.joinBound)
-	x.joinBound = min(2*x.joinBound, c.cfg.JoinMaxInterval)
-	x.joins++
-	c.join(c.cfg.Peers)
-	if len(c.cfg.Peers) == 0 || x.joins > 1 {
-		c.readContacts()
-	}
-}
-
-// joinAttempts is how many addresses are tried at a time.
-const joinAttempts = 2
-
-func (c *Core) join(addresses []string) {
-	candidates := slices.DeleteFunc(slices.Clone(addresses), func(address string) bool {
-		return address == c.cfg.Address
-	})
-	c.random.Shuffle(len(candidates), func(i, j int) {
-		candidates[i], candidates[j] = candidates[j], candidates[i]
-	})
-	for _, address := range candidates[:min(joinAttempts, len(candidates))] {
-		c.startExchange(address, "", nil)
-	}
-}
-
-// meet compares tables with a sender that is not in this daemon's.
-func (c *Core) meet(address string) {
-	if c.now() < c.exchanges.nextMeet {
-		return
-	}
-	c.exchanges.nextMeet = c.now() + meetInterval
-	c.startExchange(address, "", nil)
-}
-
-func (c *Core) localExchangeTick() {
-	if c.now() < c.exchanges.nextLocal {
-		return
-	}
-	c.exchanges.nextLocal = c.now() + c.around(c.cfg.LocalExchangeInterval)
-	if peers := c.peers(); len(peers) > 0 {
-		c.startExchange(c.addressOf(peers[0]), c.cfg.DataCentre, nil)
-	}
-}
-
-// remoteExchangeTick lets a delegate take the other data centres in turn, and
-// its own polling daemon for the newest report.
-func (c *Core) remoteExchangeTick() {
-	x := &c.exchanges
-	if c.now() < x.nextRemote || !c.isDelegate() {
-		return
-	}
-	x.nextRemote = c.now() + c.cfg.ExchangeInterval*3/4 + c.jitter(c.cfg.ExchangeInterval/2)
-	if len(x.round) == 0 {
-		x.round = c.nextRound()
-	}
-	if len(x.round) == 0 {
-		return
-	}
-	target := x.round[0]
-	x.round = x.round[1:]
-	if target == c.cfg.DataCentre {
-		c.exchangeWithPoller(target)
-		return
-	}
-	c.exchangeWith(target)
-}
-
-func (c *Core) nextRound() []string {
-	round := c.otherDataCentres()
-	c.random.Shuffle(len(round), func(i, j int) { round[i], round[j] = round[j], round[i] })
-	if !c.isPoller() {
-		round = append(round, c.cfg.DataCentre)
-	}
-	return round
-}
-
 // exchangeWith compares tables with a delegate of another data centre, or
 // with any instance there after a failure.
 func (c *Core) exchangeWith(dataCentre string) {
@@ -321,6 +233,7 @@
 		return
 	}
 	c.exchanges.contacted = true
+	c.exchanges.nextLocal = c.now() + c.around(firstLocalExchange)
 	c.emit(step.Log{Event: event.FirstContact, Fields: []step.Field{
 		step.F("address", address),
 		step.F("attempts", c.exchanges.joins),
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -10,6 +10,10 @@
 // hears nobody at all.
 const isolationFactor = 4
 
+// silentIntervals is after how many probe intervals without any packet this
+// daemon counts as hearing nobody.
+const silentIntervals = 3
+
 // suspicion is the time an instance has left to refute.
 type suspicion struct {
 	started  time.Duration
@@ -64,21 +68,29 @@
 		}
 		if s.asker && c.now() >= s.nextPing {
 			s.nextPing = c.now() + c.cfg.ProbeInterval
-			c.ping(instance)
+			c.ping(instance, false)
 		}
 		if c.now() >= s.deadline && !c.holdsBack(s) {
-			dead := e.Record
-			dead.Liveness = Dead
-			c.apply(dead)
+			c.apply(lost(e.Record))
 		}
 	}
 }
 
+// lost returns the record of a suspect that did not refute. One that was
+// leaving has left.
+func lost(r Record) Record {
+	r.Liveness = Dead
+	if r.Leaving {
+		r.Liveness = Left
+	}
+	return r
+}
+
 // holdsBack reports whether this daemon, which hears nobody, rather doubts
 // itself for some more time.
 func (c *Core) holdsBack(s *suspicion) bool {
 	silence := c.now() - c.prober.heard
-	if silence < c.scaled(3*c.cfg.ProbeInterval) {
+	if silence < silentIntervals*c.cfg.ProbeInterval {
 		return false
 	}
 	return c.now()-s.started < isolationFactor*(s.deadline-s.started)
@@ -95,6 +107,7 @@
 		r := e.Record
 		r.Liveness = Alive
 		c.table.put(r, c.now())
+		delete(c.gossip.updates, instance)
 	}
 }
 
