Do not count answers of peers that lost their memory as a start's answers

When a whole data centre restarts, its daemons answer each other at once that they know nothing; three such answers ended the start before the other data centres were heard, and a platform restored from old data was believed. Only answers of peers that hold a configuration count now; a start without them waits for all it asked, within its bound, and a daemon that holds nothing goes on asking as peers become known.

The test restarts one of two data centres on a restored table with slow links between them; before the change a daemon went from version 2 back to 1.

A refusal of the platform's head is also taken back in what a daemon reports once the head is current again.

--- a/internal/confsync/effects.go
+++ b/internal/confsync/effects.go
@@ -75,3 +75,9 @@
 
 // EffectName implements step.Effect.
 func (Refused) EffectName() string { return "refused" }
+
+// RefusalCleared tells that what was refused last is no longer offered.
+type RefusalCleared struct{}
+
+// EffectName implements step.Effect.
+func (RefusalCleared) EffectName() string { return "refusal-cleared" }
--- a/internal/confsync/faults_test.go
+++ b/internal/confsync/faults_test.go
@@ -203,6 +203,26 @@
 	}
 }
 
+// TestDataCentreRestartedOnARestoredTable loses a whole data centre's memory
+// while the platform offers an older head: the other data centre's daemons know
+// better.
+func TestDataCentreRestartedOnARestoredTable(t *testing.T) {
+	n := newNetwork(t, append(names("k", 8), names("p", 8)...)...)
+	n.run(startTime, n.allAt(n.accept("one")))
+	newest := n.accept("two")
+	if !n.run(startTime, n.allAt(newest)) {
+		t.Fatalf("the mesh did not start: %s", n.applied())
+	}
+	n.far = 600 * time.Millisecond
+	n.head = idOf(1, "one")
+	for _, name := range names("k", 8) {
+		n.start(name)
+	}
+	if !n.run(healTime, n.allAt(newest)) {
+		t.Fatalf("want all at %s, have %s", newest, n.applied())
+	}
+}
+
 func TestNoticesAloneReachEveryDaemon(t *testing.T) {
 	n := newNetwork(t, names("k", 60)...)
 	if first := n.accept("one"); !n.run(startTime, n.allAt(first)) {
--- a/internal/confsync/ids.go
+++ b/internal/confsync/ids.go
@@ -133,9 +133,11 @@
 	return !c.refused.final[id]
 }
 
-// clearHead forgets that the platform's head went back.
-func (r *refusals) clearHead() {
-	if r.newest.Code == code.ApplyOlderHead || r.newest.Code == code.ApplyBelowFloor {
-		r.newest = Refusal{}
+// clearHead forgets that the platform's head went back, once it is current.
+func (c *Core) clearHead() {
+	reason := c.refused.newest.Code
+	if reason == code.ApplyOlderHead || reason == code.ApplyBelowFloor {
+		c.refused.newest = Refusal{}
+		c.emit(RefusalCleared{})
 	}
 }
--- a/internal/confsync/network_test.go
+++ b/internal/confsync/network_test.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	linkDelay  = time.Millisecond
+	ownDelay   = time.Millisecond
+	farDelay   = 5 * time.Millisecond
 	tickPeriod = 50 * time.Millisecond
 	gossipTick = time.Second
 )
@@ -78,12 +79,14 @@
 	intercept func(d delivery) bool
 	// quiet stops gossip.
 	quiet bool
+	// far is the delay between data centres.
+	far time.Duration
 	// counts of what crossed.
 	headReads, objectReads, remoteBodies, localBodies, notices int
 }
 
 func newNetwork(t testing.TB, names ...string) *network {
-	n := &network{t: t, nodes: map[string]*node{}, bodies: map[manifest.Digest][]byte{}}
+	n := &network{t: t, far: farDelay, nodes: map[string]*node{}, bodies: map[manifest.Digest][]byte{}}
 	for _, name := range names {
 		dc := strings.Split(name, "-")[0]
 		n.order = append(n.order, name)
@@ -119,9 +122,12 @@
 	heap.Push(&n.queue, d)
 }
 
-// send carries one message between processes.
-func (n *network) send(to string, ev step.Event) {
-	d := delivery{at: n.now + linkDelay, to: to, ev: ev}
+// sendFrom carries one message between processes, or from the platform.
+func (n *network) sendFrom(from *node, to string, ev step.Event) {
+	if from.cut {
+		return
+	}
+	d := delivery{at: n.now + n.delay(from, to), to: to, ev: ev}
 	if n.intercept == nil || !n.intercept(d) {
 		n.push(d)
 	}
@@ -269,10 +275,11 @@
 	}
 }
 
-func (n *network) sendFrom(from *node, to string, ev step.Event) {
-	if !from.cut {
-		n.send(to, ev)
+func (n *network) delay(from *node, to string) time.Duration {
+	if from.dc == n.nodes[to].dc {
+		return ownDelay
 	}
+	return n.far
 }
 
 func (n *network) call(from *node, to string, ev step.Event, answer func(step.Reply) step.Event) {
@@ -280,7 +287,7 @@
 	if from.cut {
 		return
 	}
-	d := delivery{at: n.now + linkDelay, to: to, ev: ev}
+	d := delivery{at: n.now + n.delay(from, to), to: to, ev: ev}
 	d.do = func() {
 		if server.cut || n.now < server.frozenUntil {
 			return
--- a/internal/confsync/peers.go
+++ b/internal/confsync/peers.go
@@ -191,7 +191,7 @@
 		}})
 		c.poll.due = min(c.poll.due, c.now+c.jitter(c.pollMean()))
 	}
-	if !c.start.over {
+	if !c.start.over || c.applied == nil {
 		c.askStart()
 	}
 }
--- a/internal/confsync/poll.go
+++ b/internal/confsync/poll.go
@@ -101,7 +101,7 @@
 			Detail: "this instance applied " + c.floor.String() + " before",
 		})
 	default:
-		c.refused.clearHead()
+		c.clearHead()
 		c.offer(head, offerFrom{platform: true, hops: c.cfg.NoticeHops})
 	}
 }
--- a/internal/confsync/start.go
+++ b/internal/confsync/start.go
@@ -18,7 +18,9 @@
 	// answers are missing.
 	asked    map[string]bool
 	awaiting map[uint64]bool
-	answers  int
+	// answers counts the peers that answered and hold a configuration; the
+	// others may have lost their memory together with this one.
+	answers int
 }
 
 func newStartPhase(now time.Duration) startPhase {
@@ -85,10 +87,13 @@
 	if ev.Err != nil {
 		return
 	}
-	c.start.answers++
+	applied := idFromProto(ev.Response.GetApplied())
+	if !applied.IsZero() {
+		c.start.answers++
+	}
 	c.learnFloor(idFromProto(ev.Response.GetFloor()), ev.Address)
 	c.offer(c.floor, offerFrom{hops: c.cfg.NoticeHops})
-	c.offer(idFromProto(ev.Response.GetApplied()), offerFrom{address: ev.Address, hops: c.cfg.NoticeHops})
+	c.offer(applied, offerFrom{address: ev.Address, hops: c.cfg.NoticeHops})
 }
 
 // advanceStart ends the phase when enough peers answered or time is up.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -138,6 +138,8 @@
 			c.applied(e)
 		case confsync.Refused:
 			c.refused(e)
+		case confsync.RefusalCleared:
+			c.tell(membership.RefusedChanged{})
 		default:
 			c.effects = append(c.effects, effect)
 		}
