Store bodies compressed; measure bytes, stale reads and frozen daemons

Stale head reads and a daemon frozen through five versions have tests of their own; the former failed with the checks for older versions taken out.

--- a/internal/confsync/bench_test.go
+++ b/internal/confsync/bench_test.go
@@ -175,3 +175,56 @@
 	}
 	return false
 }
+
+// BenchmarkWireBytes publishes changes of one route in a large manifest and
+// reports the bytes per daemon and version, against the baseline in which each
+// daemon polls the platform and reads the whole manifest there.
+func BenchmarkWireBytes(b *testing.B) {
+	for _, size := range []int{12, 24, 48, 96} {
+		for _, everyonePolls := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d/everyone-polls-%t", size, everyonePolls), func(b *testing.B) {
+				wireBytesOnce(b, size, everyonePolls)
+			})
+		}
+	}
+}
+
+func wireBytesOnce(b *testing.B, size int, everyonePolls bool) {
+	const versions = 4
+	const window = 5 * time.Second
+	var bodies []string
+	for i := range versions + 1 {
+		bodies = append(bodies, string(largeManifest(b, i)))
+	}
+	var all []string
+	for i := range 3 {
+		all = append(all, names(fmt.Sprint("dc", i), size/3)...)
+	}
+	for b.Loop() {
+		n := &network{t: b, far: farDelay, nodes: map[string]*node{}, bodies: map[manifest.Digest][]byte{}, sizes: map[manifest.Digest]int{}}
+		n.tune = func(cfg *Config) {
+			cfg.MakeDelta, cfg.ApplyDelta = manifest.MakeDelta, manifest.ApplyDelta
+			if everyonePolls {
+				cfg.Pollers = size
+			}
+		}
+		n.add(all...)
+		n.run(startTime, n.allAt(n.accept(bodies[0])))
+		n.run(window, nil)
+		before, reads, began := n.bytes, n.headReads+n.objectReads, n.now
+		for _, body := range bodies[1:] {
+			n.accept(body)
+			n.run(window, nil)
+		}
+		if !n.allAt(n.head)() {
+			b.Fatal(n.applied())
+		}
+		share := float64(versions * size)
+		b.ReportMetric(float64(n.bytes.notices-before.notices)/share, "notice-B")
+		b.ReportMetric(float64(n.bytes.floors-before.floors)/share, "floor-B")
+		b.ReportMetric(float64(n.bytes.own-before.own)/share, "peer-body-B")
+		b.ReportMetric(float64(n.bytes.link-before.link)/share, "link-body-B")
+		b.ReportMetric(float64(n.bytes.platform-before.platform)/share, "platform-body-B")
+		b.ReportMetric(float64(n.headReads+n.objectReads-reads)/(n.now-began).Seconds(), "platform-reads/s")
+	}
+}
--- a/internal/confsync/faults_test.go
+++ b/internal/confsync/faults_test.go
@@ -223,6 +223,39 @@
 	}
 }
 
+func TestStaleReadsNeverTurnADaemonBack(t *testing.T) {
+	n := newNetwork(t, append(names("k", 6), names("p", 6)...)...)
+	n.run(startTime, n.allAt(n.accept("one")))
+	n.staleReads = true
+	for i := range 10 {
+		if newest := n.accept(fmt.Sprint("body ", i)); !n.run(healTime, n.allAt(newest)) {
+			t.Fatalf("version %s: %s", newest, n.applied())
+		}
+		n.run(flowTime, nil)
+	}
+}
+
+func TestFrozenThroughSeveralVersionsJumpsToTheNewest(t *testing.T) {
+	n := newNetwork(t, append(names("k", 4), names("p", 4)...)...)
+	n.run(startTime, n.allAt(n.accept("one")))
+	sleeper := n.nodes["k-2"]
+	n.freeze(sleeper.name, 20*time.Second)
+	sleeper.applies = 0
+	for i := range 5 {
+		n.accept(fmt.Sprint("body ", i))
+		n.run(3*time.Second, nil)
+	}
+	if sleeper.core.Applied().Version != 1 {
+		t.Fatalf("a frozen daemon applied %s", sleeper.core.Applied())
+	}
+	if !n.run(healTime, n.allAt(n.head)) {
+		t.Fatalf("want all at %s, have %s", n.head, n.applied())
+	}
+	if sleeper.applies > 1 {
+		t.Errorf("the woken daemon applied %d versions on its way", sleeper.applies)
+	}
+}
+
 func TestNoticesAloneReachEveryDaemon(t *testing.T) {
 	n := newNetwork(t, names("k", 60)...)
 	if first := n.accept("one"); !n.run(startTime, n.allAt(first)) {
--- a/internal/confsync/network_test.go
+++ b/internal/confsync/network_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	peerv1 "godwitmount/gen/godwitmount/peer/v1"
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/membership"
@@ -54,6 +56,7 @@
 	core     *Core
 	// highest is what the instance ever applied.
 	highest     manifest.ID
+	applies     int
 	frozenUntil time.Duration
 	frozen      []delivery
 	// cut drops what goes to and comes from the node; noPlatform fails its
@@ -72,7 +75,9 @@
 	nodes   map[string]*node
 	order   []string
 	head    manifest.ID
+	heads   []manifest.ID
 	bodies  map[manifest.Digest][]byte
+	sizes   map[manifest.Digest]int
 	records []membership.Record
 	// intercept sees each message between processes before it is queued and
 	// reports whether it took it over.
@@ -81,12 +86,24 @@
 	quiet bool
 	// far is the delay between data centres.
 	far time.Duration
+	// staleReads makes every second head read answer an older head.
+	staleReads bool
+	// tune changes the settings of cores that start from now on.
+	tune func(*Config)
 	// counts of what crossed.
 	headReads, objectReads, remoteBodies, localBodies, notices int
+	// bytes counts what messages carry, without the headers of transports.
+	bytes struct{ notices, floors, own, link, platform int }
 }
 
 func newNetwork(t testing.TB, names ...string) *network {
-	n := &network{t: t, far: farDelay, nodes: map[string]*node{}, bodies: map[manifest.Digest][]byte{}}
+	n := &network{t: t, far: farDelay, nodes: map[string]*node{}, bodies: map[manifest.Digest][]byte{}, sizes: map[manifest.Digest]int{}}
+	n.add(names...)
+	return n
+}
+
+// add starts nodes; a name begins with its data centre.
+func (n *network) add(names ...string) {
 	for _, name := range names {
 		dc := strings.Split(name, "-")[0]
 		n.order = append(n.order, name)
@@ -98,12 +115,15 @@
 		n.tickLater(name, tickPeriod)
 		n.gossipLater(name, gossipTick)
 	}
-	return n
 }
 
 func (n *network) start(name string) {
 	node := n.nodes[name]
-	node.core = New(testConfig(name, node.dc), n.moment())
+	cfg := testConfig(name, node.dc)
+	if n.tune != nil {
+		n.tune(&cfg)
+	}
+	node.core = New(cfg, n.moment())
 	n.at(n.now, func() { n.step(node, MembersChanged{Members: n.records}) })
 }
 
@@ -235,7 +255,7 @@
 		n.checkApplied(node, e)
 	case ReadHead:
 		n.headReads++
-		ev := HeadRead{Attempt: e.Attempt, ID: n.head}
+		ev := HeadRead{Attempt: e.Attempt, ID: n.headNow()}
 		if node.noPlatform {
 			ev = HeadRead{Attempt: e.Attempt, Err: errors.New("away")}
 		}
@@ -243,12 +263,14 @@
 	case FetchObject:
 		n.objectReads++
 		ev := ObjectFetched{Attempt: e.Attempt, ID: e.ID, Body: n.bodies[e.ID.Digest]}
+		n.bytes.platform += n.objectSize(ev.Body)
 		if node.noPlatform || ev.Body == nil {
 			ev = ObjectFetched{Attempt: e.Attempt, ID: e.ID, Err: errors.New("away")}
 		}
 		n.sendFrom(node, node.name, ev)
 	case SendNotice:
 		n.notices += len(e.Addresses)
+		n.bytes.notices += len(e.Addresses) * proto.Size(e.Notice)
 		for _, address := range e.Addresses {
 			n.sendFrom(node, address, NoticeReceived{From: node.name, Address: node.name, ID: idFromProto(e.Notice.Id), Remaining: e.Notice.Remaining})
 		}
@@ -260,18 +282,30 @@
 		})
 	case AskFloor:
 		n.call(node, e.Address, FloorRequested{Request: e.Request}, func(reply step.Reply) step.Event {
+			n.bytes.floors += proto.Size(e.Request) + proto.Size(reply.Message)
 			return FloorRemembered{Attempt: e.Attempt, Address: e.Address, Response: reply.Message.(*peerv1.RememberFloorResponse)}
 		})
 	}
 }
 
+// objectSize returns the size of a body as the platform holds it.
+func (n *network) objectSize(body []byte) int {
+	digest := manifest.DigestOf(body)
+	if n.sizes[digest] == 0 && len(body) > 0 {
+		n.sizes[digest] = len(manifest.MakeDelta(nil, body))
+	}
+	return n.sizes[digest]
+}
+
 func (n *network) countBody(resp *peerv1.FetchConfigResponse, from, to string) {
 	switch {
 	case len(resp.Body) == 0:
 	case from == to:
 		n.localBodies++
+		n.bytes.own += proto.Size(resp)
 	default:
 		n.remoteBodies++
+		n.bytes.link += proto.Size(resp)
 	}
 }
 
@@ -315,11 +349,21 @@
 		n.t.Fatalf("%s applied %s in part", node.name, e.ID)
 	}
 	node.highest = e.ID
+	node.applies++
+}
+
+// headNow is what a read of the head answers.
+func (n *network) headNow() manifest.ID {
+	if n.staleReads && len(n.heads) > 2 && n.headReads%2 == 0 {
+		return n.heads[len(n.heads)-3]
+	}
+	return n.head
 }
 
 // accept publishes a body as the next version.
 func (n *network) accept(body string) manifest.ID {
 	n.head = idOf(n.head.Version+1, body)
+	n.heads = append(n.heads, n.head)
 	n.bodies[n.head.Digest] = []byte(body)
 	return n.head
 }
--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -63,8 +63,9 @@
 // its digest. Proposing the same body again changes nothing.
 func (p *Publisher) Propose(ctx context.Context, body []byte) (manifest.Digest, error) {
 	digest := manifest.DigestOf(body)
+	object := manifest.MakeDelta(nil, body)
 	for {
-		err := p.store.PutObject(ctx, ObjectName(digest), body)
+		err := p.store.PutObject(ctx, ObjectName(digest), object)
 		if err == nil {
 			break
 		}
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -190,13 +190,20 @@
 		t.Errorf("no proposal: %v", err)
 	}
 	digest := manifest.DigestOf([]byte("right"))
-	if err := store.PutObject(ctx, ObjectName(digest), []byte("wrong")); err != nil {
+	if err := store.PutObject(ctx, ObjectName(digest), manifest.MakeDelta(nil, []byte("wrong"))); err != nil {
+		t.Fatal(err)
+	}
+	damaged := manifest.DigestOf([]byte("damaged"))
+	if err := store.PutObject(ctx, ObjectName(damaged), []byte("not compressed")); err != nil {
 		t.Fatal(err)
 	}
 	var mismatch *DigestError
 	if _, err := p.Accept(ctx, Acceptance{ID: "b", Digest: digest}); !errors.As(err, &mismatch) {
 		t.Errorf("body under a wrong name: %v", err)
 	}
+	if _, err := ReadBody(ctx, store, damaged); !errors.As(err, &mismatch) || mismatch.Cause == nil {
+		t.Errorf("damaged object: %v", err)
+	}
 	if _, err := p.Propose(ctx, []byte("right")); !errors.As(err, &mismatch) {
 		t.Errorf("propose over a wrong body: %v", err)
 	}
--- a/internal/publish/read.go
+++ b/internal/publish/read.go
@@ -13,8 +13,13 @@
 // DigestError means that an object's body is not the one its name says.
 type DigestError struct {
 	Want, Got manifest.Digest
+	// Cause is set when the object cannot be decompressed at all.
+	Cause error
 }
 
+// Unwrap returns the cause, if any.
+func (e *DigestError) Unwrap() error { return e.Cause }
+
 // Code returns the numbered result code.
 func (e *DigestError) Code() code.Code { return code.ApplyDigestMismatch }
 
@@ -39,10 +44,14 @@
 // ReadBody returns the body with this digest, or a *DigestError when the
 // platform holds another one under its name.
 func ReadBody(ctx context.Context, store platform.Store, digest manifest.Digest) ([]byte, error) {
-	body, err := store.GetObject(ctx, ObjectName(digest))
+	object, err := store.GetObject(ctx, ObjectName(digest))
 	if err != nil {
 		return nil, fmt.Errorf("read manifest %s: %w", digest.Short(), err)
 	}
+	body, err := manifest.ApplyDelta(nil, object)
+	if err != nil {
+		return nil, &DigestError{Want: digest, Got: manifest.DigestOf(object), Cause: err}
+	}
 	if got := manifest.DigestOf(body); got != digest {
 		return nil, &DigestError{Want: digest, Got: got}
 	}
--- a/internal/publish/rows.go
+++ b/internal/publish/rows.go
@@ -2,7 +2,7 @@
 // accepting it as the next version, and reading the head, the history and the
 // bodies back.
 //
-// A body is stored as an object named by its digest. Accepting is one
+// A body is stored compressed, as an object named by the body's digest. Accepting is one
 // transaction that moves the head and adds a row of history, so that there is
 // one order of versions for the whole mesh.
 package publish
