--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -60,7 +60,7 @@
 			v.down = true
 		}
 	}
-	n.until(90*time.Second, "rack known to be dead", func() bool {
+	n.until(time.Minute, "rack known to be dead", func() bool {
 		for _, v := range rack {
 			if n.givenCalls(v) != 0 {
 				return false
