--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -225,3 +225,24 @@
 		}
 	})
 }
+
+// TestDrainNeverForgetsAWaiter drains at every moment around the arrival of a
+// request.
+func TestDrainNeverForgetsAWaiter(t *testing.T) {
+	for range 3000 {
+		g := NewGate(Config{Slots: 1, QueueLimit: 4})
+		slot := mustAdmit(t, g)
+		out := make(chan error, 1)
+		go func() {
+			_, err := g.Admit(context.Background(), time.Now().Add(soon))
+			out <- err
+		}()
+		for g.Waiting() != 1 {
+		}
+		g.Drain()
+		if err := <-out; !errors.Is(err, Draining) {
+			t.Fatalf("got %v, want draining", err)
+		}
+		slot.Release()
+	}
+}
--- a/internal/proxy/carry_test.go
+++ b/internal/proxy/carry_test.go
@@ -27,6 +27,9 @@
 	return len(p), nil
 }
 
+// beyondPerTry is longer than the per-try timeout of the route.
+const beyondPerTry = 500 * time.Millisecond
+
 // TestLongDownloadIsWholeInBoundedMemory streams far more than is ever held.
 func TestLongDownloadIsWholeInBoundedMemory(t *testing.T) {
 	const size = 48 << 20
@@ -36,7 +39,9 @@
 			if framing == "length" {
 				w.Header().Set("Content-Length", fmt.Sprint(size))
 			}
-			_, _ = io.CopyN(w, letters{}, size)
+			_, _ = io.CopyN(w, letters{}, size/2)
+			time.Sleep(beyondPerTry)
+			_, _ = io.CopyN(w, letters{}, size/2)
 		})
 		entry := m.add("a1", "a", "", 0)
 		m.add("a2", "a", up.address(), 4)
--- a/internal/proxy/matrix_test.go
+++ b/internal/proxy/matrix_test.go
@@ -167,8 +167,14 @@
 	{"PUT", "/stock", true},
 }
 
-// TestFaultMatrix runs each fault against each kind of request, with the fault
-// at the first upstream only or at both, and checks that what the caller is
+// place is where the fault is: at the first upstream only, at both, or at the
+// first while the second accepts no connection.
+type place string
+
+var places = []place{"first", "both", "alone"}
+
+// TestFaultMatrix runs each fault against each kind of request and in each
+// place, and checks that what the caller is
 // told is true; the transcript holds what it is told.
 func TestFaultMatrix(t *testing.T) {
 	byName := map[string]fault{}
@@ -183,9 +189,9 @@
 		}
 		seen[d.Cmd] = true
 		var cases sync.WaitGroup
-		lines := make([]string, 2*len(matrixCalls))
+		lines := make([]string, len(places)*len(matrixCalls))
 		for i := range lines {
-			cases.Go(func() { lines[i] = runMatrixCase(t, f, matrixCalls[i/2], i%2 == 1) })
+			cases.Go(func() { lines[i] = runMatrixCase(t, f, matrixCalls[i/len(places)], places[i%len(places)]) })
 		}
 		cases.Wait()
 		return strings.Join(lines, "\n") + "\n"
@@ -197,7 +203,7 @@
 	}
 }
 
-func runMatrixCase(t *testing.T, f fault, call matrixCall, both bool) string {
+func runMatrixCase(t *testing.T, f fault, call matrixCall, where place) string {
 	t.Helper()
 	m := newMesh(t)
 	m.config = func(c *Config) { c.Redirects, c.FenceBound = 1, 200*time.Millisecond }
@@ -221,11 +227,14 @@
 		}
 	}
 	addNode("near", "a", faulty, true)
-	if !both {
+	if where != "both" {
 		m.peerHook = nil
 		faulty = good
 	}
-	addNode("far", "b", faulty, both)
+	addNode("far", "b", faulty, where == "both")
+	if where == "alone" {
+		m.nodes[2].record.Address = nobody
+	}
 	m.publish()
 
 	tag := call.method + call.path
@@ -235,10 +244,6 @@
 	}
 	runs := counter.of(tag)
 	checkTruth(t, call, got, tag, runs)
-	where := "first"
-	if both {
-		where = "both"
-	}
 	return fmt.Sprintf("%-4s %-7s %-5s -> %s runs=%d", call.method, call.path, where, got.summary(tag), runs)
 }
 
