--- a/internal/confsync/target.go
+++ b/internal/confsync/target.go
@@ -58,7 +58,10 @@
 		return
 	}
 	if id.Version < c.target.id.Version {
-		return
+		if !from.platform || !c.isRumour() {
+			return
+		}
+		c.target.drop()
 	}
 	if id != c.target.id {
 		c.retarget(id, from)
@@ -66,6 +69,12 @@
 	c.addSource(from)
 }
 
+// isRumour reports whether the target was only heard of from peers and cannot
+// be had: the platform's own head, though lower, goes before it.
+func (c *Core) isRumour() bool {
+	return !c.target.platform && c.target.failures >= c.cfg.PeerFetches
+}
+
 func (c *Core) retarget(id manifest.ID, from offerFrom) {
 	c.target.id = id
 	c.target.platform = false
