--- a/internal/confsync/apply.go
+++ b/internal/confsync/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"godwitmount/internal/code"
@@ -149,10 +150,7 @@
 	}
 	c.applied = p.v
 	c.floor = p.v.id
-	c.recent = append(c.recent, p.v)
-	if len(c.recent) > c.cfg.History {
-		c.recent = append([]*version(nil), c.recent[len(c.recent)-c.cfg.History:]...)
-	}
+	c.keep(p.v)
 	c.serve.forget()
 	c.refused.overcome(p.v.id)
 	c.emit(Applied{ID: p.v.id, Table: p.v.table, Body: p.v.body})
@@ -164,6 +162,19 @@
 	c.spread(p.v.id, p.hops)
 }
 
+// keep adds a version to the recent ones. Of those before it only the body is
+// kept, as a base for deltas.
+func (c *Core) keep(v *version) {
+	for _, earlier := range c.recent {
+		earlier.table = nil
+		earlier.whole = nil
+	}
+	c.recent = append(c.recent, v)
+	if excess := len(c.recent) - c.cfg.History; excess > 0 {
+		c.recent = slices.Delete(c.recent, 0, excess)
+	}
+}
+
 // held returns a recent version that is still kept, or nil.
 func (c *Core) held(id manifest.ID) *version {
 	for _, v := range c.recent {
--- a/internal/confsync/faults_test.go
+++ b/internal/confsync/faults_test.go
@@ -269,6 +269,24 @@
 	}
 }
 
+func TestOnlyTheVersionInForceKeepsItsTable(t *testing.T) {
+	n := newNetwork(t, "k-1")
+	for i := range 12 {
+		if !n.run(startTime, n.allAt(n.accept(fmt.Sprint("body ", i)))) {
+			t.Fatal(n.applied())
+		}
+	}
+	core := n.nodes["k-1"].core
+	if len(core.recent) != core.cfg.History || core.Table() == nil {
+		t.Fatalf("%d versions kept, table %v", len(core.recent), core.Table())
+	}
+	for _, v := range core.recent[:len(core.recent)-1] {
+		if v.table != nil || v.body == nil {
+			t.Errorf("version %s: table kept %t, body kept %t", v.id, v.table != nil, v.body != nil)
+		}
+	}
+}
+
 func TestHerdStartsFromPeersFirst(t *testing.T) {
 	const size = 100
 	n := newNetwork(t, names("k", size)...)
