Bound the member table and forget what is long gone

Cause: records of made-up instances could fill the memory, a counter at its largest value would wrap, and a report passed on late inside a data centre passed for fresh news of another one, so that its records were kept longer than they should. Change: at most 16,384 records, bounded counters; how long a data centre has been silent is reckoned from when its report was written.

--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -20,6 +20,10 @@
 	MaxNameBytes = 64
 	// MaxSlots bounds the slots an upstream may announce.
 	MaxSlots = 1 << 16
+	// MaxRecords bounds the member table; further instances are not taken in.
+	MaxRecords = 16384
+	// maxCounter bounds incarnations and sequences, so that they never wrap.
+	maxCounter = 1 << 62
 	// maxHashBytes bounds the hash of a fingerprint.
 	maxHashBytes = 32
 	// maxCrashIDs bounds the crashes one fingerprint names.
@@ -175,6 +179,9 @@
 	if len(member.GetService()) > MaxNameBytes {
 		return fmt.Errorf("%w: service of %d bytes", ErrBounds, len(member.GetService()))
 	}
+	if member.GetIncarnation() > maxCounter || member.GetSequence() > maxCounter {
+		return fmt.Errorf("%w: incarnation %d, sequence %d", ErrBounds, member.GetIncarnation(), member.GetSequence())
+	}
 	if member.GetSlots() > MaxSlots {
 		return fmt.Errorf("%w: %d slots", ErrBounds, member.GetSlots())
 	}
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -243,8 +243,13 @@
 
 // hear notes that a data centre is there.
 func (c *Core) hear(dataCentre string) {
+	c.hearAt(dataCentre, c.now())
+}
+
+// hearAt notes that a data centre was there at a time.
+func (c *Core) hearAt(dataCentre string, at time.Duration) {
 	if dataCentre != "" {
-		c.exchanges.heard[dataCentre] = c.now()
+		c.exchanges.heard[dataCentre] = max(c.exchanges.heard[dataCentre], at)
 	}
 }
 
--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -393,3 +393,40 @@
 	}
 	return true
 }
+
+func TestWhatIsLongGoneIsForgotten(t *testing.T) {
+	n := newNetwork(t, 27)
+	for i := range 6 {
+		for _, name := range []string{"dc-a", "dc-b"} {
+			n.add(name, i, func(cfg *Config) {
+				cfg.Peers = []string{"10.97.0.1:7000"}
+				cfg.Retention = 3 * time.Minute
+			})
+		}
+	}
+	n.until(settle, "all know all", n.whole)
+	n.run(10 * time.Minute)
+	if !n.whole() {
+		t.Error("records of living instances were forgotten")
+	}
+	dead := n.nodes[2]
+	dead.down = true
+	n.until(settle, "death known", func() bool { return n.allSee(dead, Dead) })
+	n.run(5 * time.Minute)
+	n.cut = func(a, b *node) bool { return a.cfg.DataCentre != b.cfg.DataCentre }
+	n.run(2 * time.Minute)
+	for _, v := range n.up() {
+		if got := len(v.core.Records()); got != 11 {
+			t.Errorf("%s has %d records after the tombstone's time and a short cut, want 11", v.cfg.Instance, got)
+		}
+	}
+	n.run(5 * time.Minute)
+	for _, v := range n.up() {
+		want := len(v.core.table.alive(v.cfg.DataCentre))
+		if got := len(v.core.Records()); got != want {
+			t.Errorf("%s has %d records after a long cut, want the %d of its data centre", v.cfg.Instance, got, want)
+		}
+	}
+	n.cut = nil
+	n.until(settle, "met again", n.whole)
+}
--- a/internal/membership/hostile_test.go
+++ b/internal/membership/hostile_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"slices"
@@ -56,6 +58,8 @@
 		{"no data centre", ErrBounds, func(p *peerv1.Packet) { p.Updates[0].DataCentre = "" }},
 		{"address without port", ErrBounds, func(p *peerv1.Packet) { p.Updates[0].Address = "10.0.0.2" }},
 		{"long service", ErrBounds, func(p *peerv1.Packet) { p.Updates[0].Service = long }},
+		{"endless incarnation", ErrBounds, func(p *peerv1.Packet) { p.Updates[0].Incarnation = math.MaxUint64 }},
+		{"endless sequence", ErrBounds, func(p *peerv1.Packet) { p.Updates[0].Sequence = math.MaxUint64 }},
 		{"many slots", ErrBounds, func(p *peerv1.Packet) { p.Updates[0].Slots = MaxSlots + 1 }},
 		{"unknown upstream state", ErrBounds, func(p *peerv1.Packet) { p.Updates[0].UpstreamState = 9 }},
 		{"unknown liveness", ErrBounds, func(p *peerv1.Packet) { p.Updates[0].Liveness = 9 }},
@@ -190,6 +194,23 @@
 	}
 }
 
+func TestTableIsBounded(t *testing.T) {
+	core := fuzzCore()
+	for i := range MaxRecords + 10 {
+		r := Record{
+			Instance: fmt.Sprint("made-up-", i), Incarnation: 1, DataCentre: "dc-z", Liveness: Alive,
+			Address: fmt.Sprintf("10.%d.%d.1:7000", i/250, i%250),
+		}
+		core.merge(MemberOf(r), viaGossip)
+	}
+	if got := len(core.table.entries); got != MaxRecords {
+		t.Errorf("%d records, want %d", got, MaxRecords)
+	}
+	if core.Drops()[DropBounds] == 0 {
+		t.Error("the refused records were not counted")
+	}
+}
+
 func TestOwnPacketsSentBackAreDropped(t *testing.T) {
 	n := steady(t, 53, 3, "dc-a")
 	core := n.nodes[0].core
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"slices"
 
 	peerv1 "godwitmount/gen/godwitmount/peer/v1"
@@ -55,6 +56,10 @@
 	if gone && via == viaExchange {
 		return
 	}
+	if len(c.table.entries) >= MaxRecords {
+		c.drop(r.Address, fmt.Errorf("%w: member table is full", ErrBounds))
+		return
+	}
 	if !gone && r.Address == c.cfg.Address {
 		r.Liveness = Dead
 	}
@@ -181,12 +186,20 @@
 	}
 	slices.Sort(expired)
 	for _, instance := range expired {
-		c.table.drop(instance)
-		c.table.version++
-		c.forgetApplied(instance)
+		c.forget(instance)
 	}
 }
 
+// forget drops all that is known of an instance.
+func (c *Core) forget(instance string) {
+	address := c.addressOf(instance)
+	c.table.drop(instance)
+	c.table.version++
+	delete(c.suspects, instance)
+	delete(c.gossip.updates, instance)
+	c.forgetApplied(instance, address)
+}
+
 func (c *Core) expired(e *entry) bool {
 	if e.Instance == c.cfg.Instance {
 		return false
--- a/internal/membership/report.go
+++ b/internal/membership/report.go
@@ -123,8 +123,11 @@
 }
 
 // forgetApplied drops what was remembered of a forgotten instance.
-func (c *Core) forgetApplied(instance string) {
+func (c *Core) forgetApplied(instance, address string) {
 	delete(c.reports.heard, instance)
+	if c.table.at(address) == nil {
+		delete(c.reports.floors, address)
+	}
 }
 
 func (c *Core) appliedChanged(id manifest.ID) {
@@ -250,7 +253,8 @@
 			continue
 		}
 		c.reports.others[name] = report
-		c.hear(name)
+		age := max(0, c.moment.Wall.Sub(time.UnixMilli(report.GetWritten())))
+		c.hearAt(name, c.now()-age)
 	}
 }
 
