--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -138,6 +138,8 @@
 			c.applied(e)
 		case confsync.Refused:
 			c.refused(e)
+		case confsync.RefusalCleared:
+			c.tell(membership.RefusedChanged{})
 		default:
 			c.effects = append(c.effects, effect)
 		}
@@ -207,6 +209,7 @@
 	}
 	c.dirty = false
 	records := c.members.Records()
+	c.emit(MembersKnown{Records: records})
 	c.tell(confsync.MembersChanged{Self: c.members.Self(), Members: records})
 	if table := c.sync.Table(); table != nil {
 		c.publish(c.sync.Applied(), table)
