Measure a herd's start; compare again soon when far behind

Cause: after a start of 700 daemons at once the last ones learnt of their own data centre only with the next rare comparison of tables. Change: a response that brings at least 32 unknown instances makes the next comparison due soon. A benchmark of a herd's start.

--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -262,3 +262,63 @@
 	}
 	return sum
 }
+
+// BenchmarkHerd measures, in virtual time, how long daemons that all start at
+// once take to know their own data centre and 99 in 100 of all records, and
+// the bytes until then.
+func BenchmarkHerd(b *testing.B) {
+	for _, f := range []fleet{{96, 3}, {700, 14}} {
+		b.Run(fmt.Sprint("daemons=", f), func(b *testing.B) {
+			var near, all, gossip, exchanged, most float64
+			rounds := 0
+			for b.Loop() {
+				n := newNetwork(b, uint64(90+rounds))
+				var names []string
+				for i := range f.dataCentres {
+					names = append(names, fmt.Sprintf("dc-%c", 'a'+i))
+				}
+				n.dataCentres(f.daemons/f.dataCentres, names...)
+				n.until(5*time.Minute, "own data centre known", func() bool { return n.knownNear() })
+				near += n.now.Seconds()
+				n.until(5*time.Minute, "99 in 100 known", func() bool { return n.knownShare() >= 0.99 })
+				all += n.now.Seconds()
+				for _, v := range n.nodes {
+					gossip += float64(v.sentBytes+v.sentPackets*datagramOverhead) / float64(f.daemons)
+					exchanged += float64(v.exchangeBytes) / float64(f.daemons)
+					most = max(most, float64(v.exchangeBytes))
+				}
+				rounds++
+			}
+			per := float64(rounds)
+			b.ReportMetric(near/per, "near-s")
+			b.ReportMetric(all/per, "all-s")
+			b.ReportMetric(gossip/per, "gossip-B")
+			b.ReportMetric(exchanged/per, "exchange-B")
+			b.ReportMetric(most, "busiest-exchange-B")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// knownNear reports whether all know their whole data centre.
+func (n *network) knownNear() bool {
+	sizes := map[string]int{}
+	for _, v := range n.nodes {
+		sizes[v.cfg.DataCentre]++
+	}
+	for _, v := range n.nodes {
+		if len(v.core.table.alive(v.cfg.DataCentre)) != sizes[v.cfg.DataCentre] {
+			return false
+		}
+	}
+	return true
+}
+
+// knownShare returns the share of records that the mean daemon holds.
+func (n *network) knownShare() float64 {
+	sum := 0
+	for _, v := range n.nodes {
+		sum += len(v.core.table.entries)
+	}
+	return float64(sum) / float64(len(n.nodes)*len(n.nodes))
+}
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -23,6 +23,9 @@
 	// fullScopeEvery is how often a delegate compares whole tables, so that
 	// records pass around a cut link.
 	fullScopeEvery = 8
+	// manyNew is how many unknown instances in one response tell that this
+	// daemon is far behind and should soon compare again.
+	manyNew = 32
 	// meetInterval is the least time between two exchanges with unknown
 	// senders.
 	meetInterval = time.Second
@@ -215,9 +218,14 @@
 func (c *Core) takeResponse(address string, p *pending, response *peerv1.ExchangeMembersResponse) {
 	c.exchanges.failures[p.dataCentre] = 0
 	c.hear(p.dataCentre)
+	known := len(c.table.entries)
 	for _, member := range response.GetMembers() {
 		c.merge(member, viaExchange)
 	}
+	if len(c.table.entries)-known >= manyNew {
+		c.exchanges.localBound = firstLocalExchange
+		c.exchanges.nextLocal = min(c.exchanges.nextLocal, c.now()+c.around(firstLocalExchange))
+	}
 	c.mergeReports(response.GetReports())
 	if len(response.GetQuarantined()) > 0 {
 		c.emit(FingerprintsArrived{Fingerprints: response.GetQuarantined()})
