Count only observed time against others

Cause: a daemon whose own tick came late judged pings by answers that waited in its queue; and an answer of the platform that never came back would have stopped the contact rows for good. Change: the part of a gap between ticks that exceeds 250 ms is added to the deadlines of the probe in flight and of suspects; reads and writes of contact rows are given up after 30 s.

--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -23,6 +23,8 @@
 	contactDelay = 10 * time.Second
 	// contactRetry is the bound of the wait after a failed read or write.
 	contactRetry = 30 * time.Second
+	// contactTimeout is after how long an unanswered read or write is given up.
+	contactTimeout = 30 * time.Second
 	// contactLifetimes is for how many refreshes a row lasts.
 	contactLifetimes = 3
 	// maxContactBytes bounds the value of a contact row.
@@ -40,9 +42,10 @@
 
 // contacts schedules the reads and writes of contact rows.
 type contacts struct {
-	next    time.Duration
-	reading bool
-	writing bool
+	next time.Duration
+	// reading and writing are until when one under way is waited for.
+	reading time.Duration
+	writing time.Duration
 	// maintain is set when the read in flight is for keeping the own row.
 	maintain bool
 	used     int
@@ -57,10 +60,10 @@
 
 // readContacts asks for the rows unless a read is under way.
 func (c *Core) readContacts() {
-	if c.contacts.reading {
+	if c.now() < c.contacts.reading {
 		return
 	}
-	c.contacts.reading = true
+	c.contacts.reading = c.now() + contactTimeout
 	c.emit(ReadContacts{Prefix: c.contactRoot(), Limit: contactReadLimit})
 }
 
@@ -71,7 +74,7 @@
 // contactTick keeps this instance's row, if it has one, in good time.
 func (c *Core) contactTick() {
 	k := &c.contacts
-	if c.now() < k.next || k.reading || k.writing {
+	if c.now() < max(k.next, k.reading, k.writing) {
 		return
 	}
 	k.next = c.now() + c.around(c.cfg.ContactRefresh)
@@ -91,7 +94,7 @@
 
 func (c *Core) contactsRead(e ContactsRead) {
 	k := &c.contacts
-	k.reading = false
+	k.reading = 0
 	maintain := k.maintain
 	k.maintain = false
 	if e.Err != nil {
@@ -164,7 +167,7 @@
 	if err != nil {
 		return
 	}
-	c.contacts.writing = true
+	c.contacts.writing = c.now() + contactTimeout
 	c.emit(WriteContact{
 		Precondition: precondition,
 		Write: platform.Write{
@@ -176,7 +179,7 @@
 }
 
 func (c *Core) contactWritten(e ContactWritten) {
-	c.contacts.writing = false
+	c.contacts.writing = 0
 	if e.Err != nil {
 		c.contacts.next = min(c.contacts.next, c.now()+c.around(contactRetry))
 		return
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -9,9 +9,14 @@
 	"godwitmount/internal/step"
 )
 
-// pauseGap is the time between two ticks from which the process counts as
-// having stood still.
-const pauseGap = 3 * time.Second
+const (
+	// pauseGap is the time between two ticks from which the process counts as
+	// having stood still.
+	pauseGap = 3 * time.Second
+	// tickGap is the longest time between two ticks that counts in full
+	// against others; what is more is this daemon's own lateness.
+	tickGap = 250 * time.Millisecond
+)
 
 // Core is the reducer of the member table. It is not safe for concurrent use.
 type Core struct {
@@ -134,6 +139,8 @@
 	c.lastTick = c.now()
 	if gap > pauseGap {
 		c.paused()
+	} else if gap > tickGap {
+		c.excuse(gap - tickGap)
 	}
 	if c.left {
 		return
@@ -148,6 +155,18 @@
 	c.retentionTick()
 }
 
+// excuse gives others the time that this daemon was late itself: answers may
+// wait in its own queue.
+func (c *Core) excuse(late time.Duration) {
+	c.prober.next += late
+	if c.prober.probe != nil {
+		c.prober.probe.started += late
+	}
+	for _, s := range c.suspects {
+		s.deadline += late
+	}
+}
+
 // paused drops every belief that rests on time having been observed.
 func (c *Core) paused() {
 	c.lastTick = c.now()
--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"godwitmount/internal/manifest"
+	"godwitmount/internal/step"
 )
 
 // deaths sums how often anyone declared anyone dead.
@@ -307,6 +308,43 @@
 	}
 }
 
+func TestLateDaemonDoesNotSuspectOthers(t *testing.T) {
+	n := steady(t, 28, 16, "dc-a")
+	late := n.nodes[3]
+	for range 120 {
+		late.frozen = true
+		n.run(time.Second)
+		late.frozen = false
+		// The tick comes before the answers that waited.
+		n.step(late, step.Tick{})
+		waited := late.late
+		late.late = nil
+		for _, event := range waited {
+			n.step(late, event)
+		}
+	}
+	own := 0
+	for _, v := range n.nodes {
+		own += v.counts["member-refuted"]
+	}
+	if got := own - late.counts["member-refuted"]; got != 0 {
+		t.Errorf("%d others had to refute a suspicion by the late daemon", got)
+	}
+	if n.deaths() != 0 {
+		t.Errorf("%d instances were declared dead", n.deaths())
+	}
+}
+
+func TestLostAnswersOfThePlatformDoNotStopTheContacts(t *testing.T) {
+	n := newNetwork(t, 29)
+	n.silence = true
+	n.add("dc-a", 0, nil)
+	n.add("dc-a", 1, nil)
+	n.run(5 * time.Minute)
+	n.silence = false
+	n.until(5*time.Minute, "met once the platform answers", n.whole)
+}
+
 func TestDeafDaemonHoldsBack(t *testing.T) {
 	n := steady(t, 21, 16, "dc-a")
 	deaf := n.nodes[3]
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -89,8 +89,10 @@
 	rows  map[string]platform.Row
 	// outage makes reads of the platform fail.
 	outage bool
-	reads  int
-	writes int
+	// silence makes the platform never answer.
+	silence bool
+	reads   int
+	writes  int
 	// stepTime sums the processor time of events, for benchmarks.
 	stepTime time.Duration
 }
@@ -183,6 +185,9 @@
 		n.carryExchange(v, e)
 	case ReadContacts:
 		n.reads++
+		if n.silence {
+			return
+		}
 		var rows []platform.Row
 		for _, key := range slices.Sorted(maps.Keys(n.rows)) {
 			rows = append(rows, n.rows[key])
