Keep a cut inside a data centre from removing its larger side elsewhere

Cause: when a data centre is cut in two and both sides still reach a third one, the third believed what either side called dead. Change: table comparisons tell how many living instances the sender sees in its own data centre; deaths told by a side that lately saw clearly less than another are not believed for a while; whether a neighbour lives is decided by asking it and not by what other data centres tell; deaths are no longer pushed to other data centres.

--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -51,6 +51,8 @@
 // exchanges schedules the comparisons of member tables.
 type exchanges struct {
 	pending map[string]*pending
+	// views holds the recent views of each other data centre, by who told.
+	views map[string]map[string]view
 	// heard is when a data centre was last heard of.
 	heard map[string]time.Duration
 	// failures counts failed exchanges with a data centre in a row.
@@ -81,6 +83,7 @@
 
 func (x *exchanges) init(cfg Config) {
 	x.pending = map[string]*pending{}
+	x.views = map[string]map[string]view{}
 	x.heard = map[string]time.Duration{}
 	x.failures = map[string]int{}
 	x.pushed = map[string]uint64{}
@@ -141,6 +144,7 @@
 		DataCentre: c.cfg.DataCentre,
 		Applied:    ConfigIDOf(c.reports.applied),
 		Scope:      p.scope,
+		Living:     c.ownView(),
 	}
 }
 
@@ -219,8 +223,9 @@
 	c.exchanges.failures[p.dataCentre] = 0
 	c.hear(p.dataCentre)
 	known := len(c.table.entries)
+	via := c.originOf(p.dataCentre, address, response.GetLiving())
 	for _, member := range response.GetMembers() {
-		c.merge(member, viaExchange)
+		c.merge(member, via)
 	}
 	if len(c.table.entries)-known >= manyNew {
 		c.exchanges.localBound = firstLocalExchange
--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -468,3 +468,47 @@
 	n.cut = nil
 	n.until(settle, "met again", n.whole)
 }
+
+func TestCutInsideADataCentreRemovesNobodyElsewhere(t *testing.T) {
+	// How many seconds, summed over the larger side's instances, an outsider
+	// may hold them for dead in 300 s. A side of nearly half gets one death
+	// believed before it is seen to be cut off; of equal halves none is larger.
+	allowed := map[int]int{1: 0, 3: 0, 5: 15, 6: 90}
+	for _, smaller := range []int{1, 3, 5, 6} {
+		n := steady(t, uint64(32+smaller), 12, "dc-a", "dc-b", "dc-c")
+		side := map[string]bool{}
+		var larger, outside []*node
+		for _, v := range n.nodes {
+			switch {
+			case v.cfg.DataCentre != "dc-a":
+				outside = append(outside, v)
+			case len(side) < smaller:
+				side[v.cfg.Instance] = true
+			default:
+				larger = append(larger, v)
+			}
+		}
+		n.cut = func(a, b *node) bool {
+			return a.cfg.DataCentre == b.cfg.DataCentre && side[a.cfg.Instance] != side[b.cfg.Instance]
+		}
+		removed := map[string]int{}
+		for range 300 {
+			n.run(time.Second)
+			for _, v := range outside {
+				for _, living := range larger {
+					if !v.sees(living, Alive) {
+						removed[v.cfg.Instance]++
+					}
+				}
+			}
+		}
+		t.Logf("%d of 12 cut off: seconds that outsiders held a living instance for dead: %v", smaller, removed)
+		for instance, seconds := range removed {
+			if seconds > allowed[smaller] {
+				t.Errorf("%d of 12 cut off: %s held instances of the larger side for dead for %d s", smaller, instance, seconds)
+			}
+		}
+		n.cut = nil
+		n.until(2*time.Minute, "healed", n.whole)
+	}
+}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -15,8 +15,13 @@
 const (
 	// viaGossip is a piggybacked update: recent news.
 	viaGossip origin = iota
-	// viaExchange is a table comparison: it may be old.
+	// viaExchange is a table of this data centre: it may be old.
 	viaExchange
+	// viaDistant is a table or packet of another data centre.
+	viaDistant
+	// viaMinority is a table of an instance that sees fewer of its own data
+	// centre than others there do.
+	viaMinority
 )
 
 // merge takes a checked member into the table if it is newer.
@@ -35,17 +40,31 @@
 	if !r.Newer(old.Record) {
 		return
 	}
-	if via == viaExchange && r.Liveness == Dead && old.living() && c.isLocal(r) {
-		c.prober.verify(r.Instance)
+	if c.doubts(old, r, via) {
 		return
 	}
 	c.apply(r)
 }
 
+// doubts reports whether a newer record is not to be taken over. Whether a
+// neighbour lives is decided inside the data centre: it is asked instead.
+func (c *Core) doubts(old *entry, r Record, via origin) bool {
+	dies := r.Liveness == Dead && old.living()
+	if !c.isLocal(r) {
+		return dies && via == viaMinority
+	}
+	revives := old.Liveness == Dead && r.Liveness == Alive && r.Incarnation == old.Incarnation
+	if dies && via != viaGossip || revives && via >= viaDistant {
+		c.prober.verify(r.Instance)
+		return true
+	}
+	return false
+}
+
 // believed reduces a claim to what its origin may claim: suspicion is local
 // and recent, or nothing.
 func (c *Core) believed(r Record, via origin) Record {
-	if r.Liveness == Suspect && (via == viaExchange || !c.isLocal(r)) {
+	if r.Liveness == Suspect && (via != viaGossip || !c.isLocal(r)) {
 		r.Liveness = Alive
 	}
 	return r
@@ -53,7 +72,7 @@
 
 func (c *Core) mergeNew(r Record, via origin) {
 	gone := r.Liveness == Dead || r.Liveness == Left
-	if gone && via == viaExchange {
+	if gone && via != viaGossip {
 		return
 	}
 	if len(c.table.entries) >= MaxRecords {
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -282,8 +282,7 @@
 	for range min(verifyPerTick, len(c.prober.verifies)) {
 		target := c.prober.verifies[0]
 		c.prober.verifies = c.prober.verifies[1:]
-		e := c.table.entries[target]
-		if e != nil && e.living() {
+		if e := c.table.entries[target]; e != nil {
 			c.pingAsDead(e.Record)
 		}
 	}
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -87,8 +87,9 @@
 		return
 	}
 	c.prober.heard = c.now()
+	via := c.packetOrigin(packet)
 	for _, member := range packet.GetUpdates() {
-		c.merge(member, viaGossip)
+		c.merge(member, via)
 	}
 	c.firstContact(e.From)
 	c.heardApplied(packet.GetFrom(), packet.GetIncarnation(), packet.GetApplied(), packet.GetRefused())
@@ -99,6 +100,16 @@
 	c.receiveBody(e.From, packet)
 }
 
+// packetOrigin tells how far to trust the updates on a packet: as news, unless
+// it comes from another data centre.
+func (c *Core) packetOrigin(packet *peerv1.Packet) origin {
+	sender := c.table.entries[packet.GetFrom()]
+	if sender != nil && !c.isLocal(sender.Record) {
+		return viaDistant
+	}
+	return viaGossip
+}
+
 // checkSender drops what this instance sent itself, and what an earlier
 // incarnation of the sender sent.
 func (c *Core) checkSender(packet *peerv1.Packet) error {
--- a/internal/membership/serve.go
+++ b/internal/membership/serve.go
@@ -19,8 +19,9 @@
 
 func (c *Core) takeRequest(request *peerv1.ExchangeMembersRequest) {
 	c.hear(request.GetDataCentre())
+	via := c.originOf(request.GetDataCentre(), request.GetFrom(), request.GetLiving())
 	for _, member := range request.GetMembers() {
-		c.merge(member, viaExchange)
+		c.merge(member, via)
 	}
 	c.mergeReports(request.GetReports())
 	if len(request.GetQuarantined()) > 0 {
@@ -34,7 +35,10 @@
 }
 
 func (c *Core) exchangeResponse(request *peerv1.ExchangeMembersRequest) *peerv1.ExchangeMembersResponse {
-	response := &peerv1.ExchangeMembersResponse{Applied: ConfigIDOf(c.reports.applied)}
+	response := &peerv1.ExchangeMembersResponse{
+		Applied: ConfigIDOf(c.reports.applied),
+		Living:  c.ownView(),
+	}
 	if request.GetTableHash() != 0 {
 		response.Members = c.changesFor(request.GetDataCentre())
 		response.Reports = c.reportsFor(request.GetScope())
--- a/internal/membership/transcript_test.go
+++ b/internal/membership/transcript_test.go
@@ -114,6 +114,7 @@
 	case "exchange":
 		return ExchangeRequested{Call: 1, Request: &peerv1.ExchangeMembersRequest{
 			Mesh: testMesh, From: text(t, d, "from"), DataCentre: text(t, d, "dc"), TableHash: 1, Members: updates(t, d),
+			Living: 1,
 		}}
 	case "answered":
 		if d.HasArg("err") {
--- a/internal/membership/urgent.go
+++ b/internal/membership/urgent.go
@@ -58,9 +58,11 @@
 	switch {
 	case after.Instance == c.cfg.Instance:
 		c.urgent.add(after.Instance, ownUrgentRepeats, c.now())
+	case after.Liveness == Dead:
+		// Deaths are told by gossip and by comparing tables.
 	case c.isDelegate() && c.isLocal(after):
 		c.urgent.add(after.Instance, delegateUrgentRepeats, c.now())
-	case after.Liveness != Dead:
+	default:
 		c.urgent.add(after.Instance, 1, c.now())
 	}
 }
