--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -23,6 +23,9 @@
 	// fullScopeEvery is how often a delegate compares whole tables, so that
 	// records pass around a cut link.
 	fullScopeEvery = 8
+	// manyNew is how many unknown instances in one response tell that this
+	// daemon is far behind and should soon compare again.
+	manyNew = 32
 	// meetInterval is the least time between two exchanges with unknown
 	// senders.
 	meetInterval = time.Second
@@ -48,6 +51,8 @@
 // exchanges schedules the comparisons of member tables.
 type exchanges struct {
 	pending map[string]*pending
+	// views holds the recent views of each other data centre, by who told.
+	views map[string]map[string]view
 	// heard is when a data centre was last heard of.
 	heard map[string]time.Duration
 	// failures counts failed exchanges with a data centre in a row.
@@ -78,6 +83,7 @@
 
 func (x *exchanges) init(cfg Config) {
 	x.pending = map[string]*pending{}
+	x.views = map[string]map[string]view{}
 	x.heard = map[string]time.Duration{}
 	x.failures = map[string]int{}
 	x.pushed = map[string]uint64{}
@@ -138,6 +144,7 @@
 		DataCentre: c.cfg.DataCentre,
 		Applied:    ConfigIDOf(c.reports.applied),
 		Scope:      p.scope,
+		Living:     c.ownView(),
 	}
 }
 
@@ -215,8 +222,14 @@
 func (c *Core) takeResponse(address string, p *pending, response *peerv1.ExchangeMembersResponse) {
 	c.exchanges.failures[p.dataCentre] = 0
 	c.hear(p.dataCentre)
+	known := len(c.table.entries)
+	via := c.originOf(p.dataCentre, address, response.GetLiving())
 	for _, member := range response.GetMembers() {
-		c.merge(member, viaExchange)
+		c.merge(member, via)
+	}
+	if len(c.table.entries)-known >= manyNew {
+		c.exchanges.localBound = firstLocalExchange
+		c.exchanges.nextLocal = min(c.exchanges.nextLocal, c.now()+c.around(firstLocalExchange))
 	}
 	c.mergeReports(response.GetReports())
 	if len(response.GetQuarantined()) > 0 {
@@ -243,8 +256,13 @@
 
 // hear notes that a data centre is there.
 func (c *Core) hear(dataCentre string) {
+	c.hearAt(dataCentre, c.now())
+}
+
+// hearAt notes that a data centre was there at a time.
+func (c *Core) hearAt(dataCentre string, at time.Duration) {
 	if dataCentre != "" {
-		c.exchanges.heard[dataCentre] = c.now()
+		c.exchanges.heard[dataCentre] = max(c.exchanges.heard[dataCentre], at)
 	}
 }
 
