Tell daemons that missed the news of crashing requests; forget released claims

Cause: the fault matrix of the composed reducer found two faults. News of a fingerprint was gossiped once and never again: a daemon that was cut off or restarted meanwhile took the request that the others refused. And a claim that was released while its backup was out of reach came back with the backup's hand-over, so that repeats were told for a horizon that it may be running. Change: an answered exchange of member tables carries up to 16 messages about suspects, in turn, and a released attempt is not taken over again. Conclusion: both stay covered by the matrix that follows.

--- a/internal/claim/handover.go
+++ b/internal/claim/handover.go
@@ -304,6 +304,9 @@
 		c.mergeHeld(e, held)
 		return e.attempt == held.GetAttempt() && e.state != releasing
 	}
+	if _, released := c.released[held.GetAttempt()]; released {
+		return false
+	}
 	if e == nil && len(c.entries) >= c.cfg.MaxClaims {
 		return false
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -122,6 +122,8 @@
 func (c *Core) collect(effects []step.Effect) {
 	for _, effect := range effects {
 		switch e := effect.(type) {
+		case step.Reply:
+			c.reply(e)
 		case membership.TableChanged:
 			c.tableChanged()
 		case membership.PeerAhead:
@@ -146,6 +148,19 @@
 	}
 }
 
+// maxKnownFingerprints is how many messages about suspect requests an answered
+// exchange carries.
+const maxKnownFingerprints = 16
+
+// reply adds the suspect requests to an answered exchange, so that a daemon
+// that was cut off or has just started learns of those it missed.
+func (c *Core) reply(e step.Reply) {
+	if response, ok := e.Message.(*peerv1.ExchangeMembersResponse); ok {
+		response.Quarantined = c.quarantine.Known(maxKnownFingerprints)
+	}
+	c.emit(e)
+}
+
 func (c *Core) tell(ev step.Event) { c.events = append(c.events, ev) }
 
 func (c *Core) emit(effect step.Effect) { c.effects = append(c.effects, effect) }
--- /dev/null
+++ b/internal/control/flows_test.go
@@ -0,0 +1,175 @@
+package control
+
+import (
+	"time"
+
+	"godwitmount/internal/claim"
+	"godwitmount/internal/membership"
+	"godwitmount/internal/platformstandin"
+	"godwitmount/internal/quarantine"
+)
+
+const (
+	// claimHorizon is for how long keys are remembered; longer than a flow.
+	claimHorizon = 40 * time.Second
+	// detectionMargin is added to it where an instance is lost.
+	detectionMargin = 3 * time.Second
+	// startTime is enough for a mesh to start and to put version 1 in force.
+	startTime = 8 * time.Second
+	// flowTime is the part of a flow whose messages meet faults.
+	flowTime = time.Second
+	// healTime is allowed once all faults are over.
+	healTime = 15 * time.Second
+	// outTime is how long an instance that drains or leaves may get new work
+	// once all faults are over.
+	outTime = 5 * time.Second
+	// restartTime is how long an instance stays away in a restart.
+	restartTime = 50 * time.Millisecond
+)
+
+// flow is one thing that happens to a mesh.
+type flow struct {
+	name string
+	// tenured lets the claim holders hold their keys for long first.
+	tenured bool
+	// begin starts it; what follows later is scheduled there.
+	begin func(n *network)
+	// limit is by when done must hold, after the flow and its fault are over.
+	limit time.Duration
+	done  func(n *network) bool
+	// after must still hold a while later.
+	after func(n *network) bool
+}
+
+// crasher is the fingerprint of the request that crashes upstreams.
+var crasher = claim.FingerprintOf("POST", "/crash", "", nil)
+
+var flows = []flow{
+	{
+		name: "publish",
+		begin: func(n *network) {
+			n.accept(2)
+			n.after(400*time.Millisecond, func() { n.accept(3) })
+		},
+		limit: healTime,
+		done:  func(n *network) bool { return n.newest.Version == 3 && n.all((*process).current) },
+	},
+	{
+		name:  "announce",
+		begin: func(n *network) { n.processes["k-3"].announce("desk") },
+		limit: healTime,
+		done:  func(n *network) bool { return n.all(func(p *process) bool { return p.offers("k-3") }) },
+	},
+	{
+		name:  "drain",
+		begin: func(n *network) { n.processes["k-1"].drain() },
+		limit: outTime,
+		done:  nobodyOffers("k-1"),
+		after: nobodyOffers("k-1"),
+	},
+	{
+		name: "leave",
+		begin: func(n *network) {
+			p := n.processes["p-1"]
+			p.step(LeaveRequested{})
+			n.after(500*time.Millisecond, p.leave)
+		},
+		limit: outTime,
+		done:  nobodyOffers("p-1"),
+		after: nobodyOffers("p-1"),
+	},
+	{
+		name:    "claim",
+		tenured: true,
+		begin: func(n *network) {
+			for i, executor := range []string{"k-1", "k-2", "p-1", "k-1", "p-2", "k-2"} {
+				n.after(time.Duration(i)*130*time.Millisecond, func() { n.claims.attempt(executor) })
+			}
+		},
+		limit: healTime,
+		done: func(n *network) bool {
+			n.claims.attempt("k-3")
+			return n.claims.settled()
+		},
+	},
+	{
+		name: "crash",
+		begin: func(n *network) {
+			n.processes["k-1"].step(quarantine.Crashed{Fingerprint: crasher, Crash: 1})
+			n.after(200*time.Millisecond, func() {
+				n.processes["p-1"].whenAwake(func() {
+					n.processes["p-1"].step(quarantine.Crashed{Fingerprint: crasher, Crash: 1})
+				})
+			})
+		},
+		limit: healTime,
+		done:  everyoneRefuses,
+		after: everyoneRefuses,
+	},
+	{
+		name: "restart",
+		begin: func(n *network) {
+			n.accept(2)
+			n.after(200*time.Millisecond, n.processes["k-2"].restart)
+			n.after(300*time.Millisecond, n.processes["p-3"].restart)
+		},
+		limit: healTime,
+		done: func(n *network) bool {
+			return n.all((*process).current) && n.all(func(p *process) bool { return p.offers("k-2") })
+		},
+	},
+	{
+		name:  "restart alone ahead",
+		begin: applyAloneAndRestart,
+		limit: healTime,
+		done:  func(n *network) bool { return n.all((*process).current) },
+	},
+}
+
+// applyAloneAndRestart lets one process take version 2 while all that the
+// others hear of it is its floor, and restarts it while the platform answers
+// from old data.
+func applyAloneAndRestart(n *network) {
+	var first *process
+	for _, name := range n.names {
+		if p := n.processes[name]; first == nil && p.core.sync.Polling() {
+			first = p
+		}
+	}
+	n.blocked = func(m message) bool {
+		if m.from == platformName || m.to == platformName {
+			return m.from != first.name && m.to != first.name
+		}
+		return m.kind != "floor" && m.kind != "floor answer" && m.kind != "exchange" && m.kind != "exchange answer"
+	}
+	n.accept(2)
+	n.after(850*time.Millisecond, func() {
+		n.platformFault(platformstandin.Faults{StaleRevisions: 1})
+		first.restart()
+		n.blocked = nil
+	})
+}
+
+func nobodyOffers(instance string) func(*network) bool {
+	return func(n *network) bool {
+		return n.all(func(p *process) bool { return p.snapshot != nil && !p.offers(instance) })
+	}
+}
+
+func everyoneRefuses(n *network) bool {
+	return n.all(func(p *process) bool { return p.refuses(crasher) })
+}
+
+// leave ends a planned stop.
+func (p *process) leave() {
+	p.whenAwake(func() {
+		p.step(membership.LeaveFinished{})
+		p.down = true
+	})
+}
+
+// restart kills the process and starts it again soon.
+func (p *process) restart() {
+	p.down = true
+	p.n.after(restartTime, p.start)
+}
--- a/internal/quarantine/core.go
+++ b/internal/quarantine/core.go
@@ -108,9 +108,11 @@
 	// process tells this process's crash numbers from those of an earlier one.
 	process  uint64
 	suspects map[claim.Hash]*suspect
-	changed  bool
-	out      []step.Effect
-	spread   []*peerv1.Fingerprint
+	// nextKnown is where the next call of Known begins.
+	nextKnown int
+	changed   bool
+	out       []step.Effect
+	spread    []*peerv1.Fingerprint
 }
 
 // New returns a quarantine without suspects.
@@ -273,13 +275,7 @@
 
 // pass spreads what is known of a fingerprint.
 func (c *Core) pass(hash claim.Hash) {
-	s := c.suspects[hash]
-	c.spread = append(c.spread, &peerv1.Fingerprint{
-		Hash:     hash[:],
-		Crashes:  uint32(len(s.crashes)),
-		Expires:  s.expires,
-		CrashIds: slices.Clone(s.crashes),
-	})
+	c.spread = append(c.spread, c.suspects[hash].message(hash))
 }
 
 func (c *Core) entries() map[claim.Hash]Entry {
