--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"strings"
 	"time"
 
 	"godwitmount/internal/platformstandin"
@@ -22,6 +23,9 @@
 	lasts time.Duration
 	// do carries the message, or not.
 	do func(n *network, m message)
+	// forgets is set when all memory of the mesh is lost, so that flows which
+	// rest on it need not reach their end.
+	forgets bool
 	// applies tells which messages it fits; nil means all.
 	applies func(m message) bool
 }
@@ -84,6 +88,14 @@
 		n.carry(m, linkDelay)
 		n.after(linkDelay, n.processes[m.to].start)
 	}},
+	{name: "then all restart", lasts: faultTime, forgets: true, do: func(n *network, m message) {
+		n.carry(m, linkDelay)
+		n.after(0, func() { n.restartAll("") })
+	}},
+	{name: "then a data centre restarts", lasts: faultTime, forgets: true, do: func(n *network, m message) {
+		n.carry(m, linkDelay)
+		n.after(0, func() { n.restartAll("k") })
+	}},
 	{name: "data centres cut", lasts: faultTime, do: func(n *network, m message) {
 		n.carry(m, linkDelay)
 		n.cut = true
@@ -96,3 +108,13 @@
 	n.setFaults(f)
 	n.after(faultTime, func() { n.setFaults(platformstandin.Faults{}) })
 }
+
+// restartAll kills all processes whose names have a prefix, and starts them
+// again.
+func (n *network) restartAll(prefix string) {
+	for _, name := range n.names {
+		if p := n.processes[name]; strings.HasPrefix(name, prefix) && !p.down {
+			p.restart()
+		}
+	}
+}
