--- a/internal/control/flows_test.go
+++ b/internal/control/flows_test.go
@@ -112,12 +112,8 @@
 		name:      "crash",
 		remembers: true,
 		begin: func(n *network) {
-			n.processes["k-1"].step(quarantine.Crashed{Fingerprint: crasher, Crash: 1})
-			n.after(200*time.Millisecond, func() {
-				n.processes["p-1"].whenAwake(func() {
-					n.processes["p-1"].step(quarantine.Crashed{Fingerprint: crasher, Crash: 1})
-				})
-			})
+			n.processes["k-1"].crash()
+			n.after(200*time.Millisecond, n.processes["p-1"].crash)
 		},
 		limit: healTime,
 		done:  everyoneRefuses,
@@ -190,6 +186,15 @@
 	return n.all(func(p *process) bool { return p.refuses(crasher) })
 }
 
+// crash lets the local upstream crash with the crashing request in flight; its
+// next announcement brings it back.
+func (p *process) crash() {
+	p.whenAwake(func() {
+		p.step(UpstreamLost{})
+		p.step(quarantine.Crashed{Fingerprint: crasher, Crash: 1})
+	})
+}
+
 // leave ends a planned stop.
 func (p *process) leave() {
 	p.whenAwake(func() {
