Bound slow uploads and slow claims

Cause: a caller that sent its body slowly was waited for beyond its deadline, and the server read on before it answered; requests that waited for claims could hold every slot of an upstream while the platform was slow. Change: reading is bounded by the deadline, and at most half of the slots wait for claims. The test of cancellation no longer cancels two calls at once, whose order was open; it now cancels the waiting one first and is as strict.

--- a/internal/proxy/carry_test.go
+++ b/internal/proxy/carry_test.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"bufio"
 	"bytes"
 	"crypto/sha256"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -156,6 +158,44 @@
 	}
 }
 
+// TestSlowUploadIsNotWaitedFor: the caller declares more than it sends.
+func TestSlowUploadIsNotWaitedFor(t *testing.T) {
+	for name, upload := range map[string]string{
+		"short body": "Content-Length: 100\r\n" + HeaderDeadline + ": 50\r\n\r\npart",
+		"long body":  "Content-Length: 200000\r\n" + HeaderDeadline + ": 500\r\n\r\n" + strings.Repeat("x", 100_000),
+	} {
+		t.Run(name, func(t *testing.T) { slowUpload(t, upload) })
+	}
+}
+
+func slowUpload(t *testing.T, upload string) {
+	m := newMesh(t)
+	var whole atomic.Int64
+	up := newUpstream(t, func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			whole.Add(1)
+		}
+	})
+	n := m.add("a1", "a", up.address(), 4)
+	conn, err := net.Dial("tcp", n.caller.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "POST /orders HTTP/1.1\r\nHost: x\r\n"+upload)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if got := resp.Header.Get(HeaderCode); got != fmt.Sprint(int(code.CallDeadlineNotRun)) && got != fmt.Sprint(int(code.CallDeadlineUnknown)) {
+		t.Errorf("got code %s", got)
+	}
+	if outcome := resp.Header.Get(HeaderOutcome); outcome == string(code.NotRun) && whole.Load() != 0 {
+		t.Errorf("told %s but %d runs", outcome, whole.Load())
+	}
+}
+
 // TestUndeclaredBodyBeyondTheLimit is found out only while it is streamed: the
 // upstream never gets the whole.
 func TestUndeclaredBodyBeyondTheLimit(t *testing.T) {
--- a/internal/proxy/claimed.go
+++ b/internal/proxy/claimed.go
@@ -16,7 +16,12 @@
 		slot.Release()
 		return nil, fail(code.ClaimHomeUnreachable)
 	}
+	if !p.beginClaim(u) {
+		slot.Release()
+		return nil, fail(code.ClaimOverloaded)
+	}
 	decision := p.acquire(ctx, x, 0)
+	p.claiming.Add(-1)
 	if decision.Outcome == claim.Granted {
 		return p.runGranted(ctx, x, u, slot)
 	}
@@ -36,6 +41,20 @@
 	return p.runGranted(ctx, x, u, slot)
 }
 
+// claimShare is the inverse share of the slots that may wait for claims at
+// once: while the platform is slow, requests without a key keep the rest.
+const claimShare = 2
+
+// beginClaim counts a slot that waits for a claim, or reports false when too
+// many do.
+func (p *Proxy) beginClaim(u *Upstream) bool {
+	if p.claiming.Add(1) <= int64(max(u.Slots/claimShare, 1)) {
+		return true
+	}
+	p.claiming.Add(-1)
+	return false
+}
+
 // waitForFirst is how long a repeat waits within its own deadline.
 func (p *Proxy) waitForFirst(x *execution) time.Duration {
 	const share = 2
--- a/internal/proxy/claims_test.go
+++ b/internal/proxy/claims_test.go
@@ -307,3 +307,49 @@
 		t.Errorf("%d runs", up.runs.Load())
 	}
 }
+
+// slowHolder grants only when it is let go.
+type slowHolder struct {
+	*holder
+	asked chan struct{}
+	letGo chan struct{}
+}
+
+func (h *slowHolder) Acquire(ctx context.Context, req claim.Request) claim.Decision {
+	h.asked <- struct{}{}
+	<-h.letGo
+	return h.holder.Acquire(ctx, req)
+}
+
+// TestSlowClaimsLeaveSlotsToOthers: requests that wait for a claim hold half of
+// the slots at most.
+func TestSlowClaimsLeaveSlotsToOthers(t *testing.T) {
+	h := &slowHolder{holder: newHolder(), asked: make(chan struct{}, 10), letGo: make(chan struct{})}
+	m := newMesh(t)
+	m.claims = h
+	up := newUpstream(t, say("ok"))
+	entry := m.add("a1", "a", "", 0)
+	m.add("a2", "a", up.address(), 4)
+	answers := make(chan told, 2)
+	for i := range 2 {
+		go func() {
+			answers <- do(t, entry, "POST", "/orders", "", HeaderIdempotencyKey, fmt.Sprint("k", i), HeaderDeadline, "60000")
+		}()
+		<-h.asked
+	}
+	got := do(t, entry, "POST", "/orders", "", HeaderIdempotencyKey, "k9")
+	if got.code != fmt.Sprint(int(code.ClaimOverloaded)) || got.outcome != code.NotRun {
+		t.Errorf("third keyed call: %+v, want claim-overloaded", got)
+	}
+	for range 3 {
+		if got := do(t, entry, "POST", "/orders", ""); got.body != "ok" {
+			t.Errorf("call without key: %+v", got)
+		}
+	}
+	close(h.letGo)
+	for range 2 {
+		if got := <-answers; got.body != "ok" {
+			t.Errorf("keyed call: %+v", got)
+		}
+	}
+}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -21,7 +21,7 @@
 	p.entering.Add(1)
 	defer p.entering.Add(-1)
 	started := time.Now()
-	c, f := p.newCall(r, started)
+	c, f := p.newCall(w, r, started)
 	if p.closed.Load() {
 		f = fail(code.CallDraining)
 	}
@@ -44,6 +44,10 @@
 func (p *Proxy) answerFailure(w http.ResponseWriter, c *call, f *failure, sends int) {
 	p.metrics.answered(c.routeName(), f.outcome(), f.code)
 	p.decisions.answered(c, sends, f.code, 0)
+	if c.body != nil && !c.body.whole() {
+		// The server would wait for the rest of the body before it answers.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	}
 	f.write(w, c.id, p.deps.Rand())
 }
 
--- a/internal/proxy/lifecycle_test.go
+++ b/internal/proxy/lifecycle_test.go
@@ -112,17 +112,20 @@
 	up := newGated(t)
 	entry := m.add("a1", "a", "", 0)
 	exec := m.add("a2", "a", up.address(), 1)
-	ctx, cancel := context.WithCancel(context.Background())
-	cancelled := func() {
+	var group sync.WaitGroup
+	start := func() context.CancelFunc {
+		ctx, cancel := context.WithCancel(context.Background())
 		req, _ := http.NewRequestWithContext(ctx, "POST", entry.caller.URL+"/orders", nil)
-		send(req)
+		group.Go(func() { send(req) })
+		return cancel
 	}
-	var group sync.WaitGroup
-	group.Go(cancelled)
+	cancelFirst := start()
 	<-up.started
-	group.Go(cancelled)
+	cancelSecond := start()
 	eventually(t, "a request waits for a slot", func() bool { return exec.proxy.gate.Waiting() == 1 })
-	cancel()
+	cancelSecond()
+	eventually(t, "the waiting request has left", func() bool { return exec.proxy.gate.Waiting() == 0 })
+	cancelFirst()
 	group.Wait()
 	eventually(t, "the upstream's request is cancelled", func() bool { return up.left.Load() == 1 })
 	eventually(t, "slot and queue are free", func() bool {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -37,7 +37,9 @@
 	draining  atomic.Bool
 	closed    atomic.Bool
 	executing atomic.Int64
-	entering  atomic.Int64
+	// claiming counts the slots that wait for a claim.
+	claiming atomic.Int64
+	entering atomic.Int64
 }
 
 // budgetKey names a retry budget; a rule with another share starts anew.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"time"
 
@@ -36,7 +37,7 @@
 const maxKeyBytes = 255
 
 // newCall reads a caller's request; a failure is the answer to it.
-func (p *Proxy) newCall(r *http.Request, started time.Time) (*call, *failure) {
+func (p *Proxy) newCall(w http.ResponseWriter, r *http.Request, started time.Time) (*call, *failure) {
 	c := &call{id: p.nextID(), request: r, started: started}
 	if f := p.checkRequest(r); f != nil {
 		return c, f
@@ -59,7 +60,7 @@
 	if f := c.readKey(r.Header); f != nil {
 		return c, f
 	}
-	return c, p.readCallBody(c)
+	return c, p.readCallBody(w, c)
 }
 
 // checkRequest refuses what the data path does not carry.
@@ -138,7 +139,7 @@
 }
 
 // readCallBody holds the body's start and computes the fingerprint.
-func (p *Proxy) readCallBody(c *call) *failure {
+func (p *Proxy) readCallBody(w http.ResponseWriter, c *call) *failure {
 	limit := p.cfg.BufferedBody
 	maxBytes := p.cfg.MaxBody
 	if c.route.Target.MaxBody > 0 {
@@ -148,7 +149,7 @@
 		limit = p.cfg.KeyedBody
 		maxBytes = min(maxBytes, int64(limit))
 	}
-	body, err := readBody(c.request, int(min(int64(limit), maxBytes)), maxBytes)
+	body, err := readBodyInTime(w, c, int(min(int64(limit), maxBytes)), maxBytes)
 	if err != nil {
 		return failureOfBody(err)
 	}
@@ -160,10 +161,29 @@
 	return nil
 }
 
+// readBodyInTime does not wait beyond the deadline for a caller that sends its
+// body slowly. After a failure the connection's deadline stays in the past, or
+// the server would wait for the rest of the body before it answers.
+func readBodyInTime(w http.ResponseWriter, c *call, limit int, maxBytes int64) (*requestBody, error) {
+	if c.request.ContentLength == 0 {
+		return readBody(c.request, limit, maxBytes)
+	}
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(c.deadline)
+	body, err := readBody(c.request, limit, maxBytes)
+	if err == nil && body.whole() {
+		_ = connection.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
 func failureOfBody(err error) *failure {
 	if errors.Is(err, errBodyTooLarge) {
 		return fail(code.CallBodyTooLarge)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return fail(code.CallDeadlineNotRun)
+	}
 	return fail(code.CallBadRequest)
 }
 
