--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -16,16 +16,18 @@
 // world is a few holders, a table and callers that repeat, joined by messages
 // that may be lost, repeated or late.
 type world struct {
-	now    time.Duration
-	queue  agenda
-	order  int
-	nodes  map[string]*node
-	table  *fakeTable
-	sites  map[string]int
-	fault  func(kind string, n int) faultKind
-	sent   map[string]int
-	runs   map[Hash][]string
-	grants int
+	now   time.Duration
+	queue agenda
+	order int
+	nodes map[string]*node
+	// holders are the names of the nodes that hold claims, in order.
+	holders []string
+	table   *fakeTable
+	sites   map[string]int
+	fault   func(kind string, n int) faultKind
+	sent    map[string]int
+	runs    map[Hash][]string
+	grants  int
 	// outcomes counts what callers were told.
 	outcomes map[peerv1.ClaimOutcome]int
 }
@@ -44,7 +46,7 @@
 
 const (
 	worldHorizon   = 60 * time.Second
-	worldTick      = 200 * time.Millisecond
+	worldTick      = 400 * time.Millisecond
 	messageDelay   = time.Millisecond
 	crossDelay     = 300 * time.Millisecond
 	lateDelay      = 7 * time.Second
@@ -103,12 +105,18 @@
 		w.join(name)
 	}
 	for _, name := range []string{"x", "y"} {
-		w.join(name).core = nil
+		w.add(name).core = nil
 	}
 	return w
 }
 
-func (w *world) join(name string) *node {
+// join adds a holder.
+func (w *world) join(name string) {
+	w.holders = append(w.holders, name)
+	w.add(name)
+}
+
+func (w *world) add(name string) *node {
 	n := &node{w: w, name: name, skew: time.Duration(len(w.nodes)%3) * detectionSkew}
 	w.nodes[name] = n
 	n.start()
@@ -169,15 +177,6 @@
 
 func (w *world) reachable(a, b string) bool { return w.sites[a] == w.sites[b] }
 
-func (w *world) names() []string {
-	var names []string
-	for name := range w.nodes {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // tick is the failure detector and the holder's clock.
 func (n *node) tick() {
 	n.w.after(worldTick, n.tick)
@@ -186,11 +185,8 @@
 	}
 	var view []Member
 	var left []string
-	for _, name := range n.w.names() {
+	for _, name := range n.w.holders {
 		other := n.w.nodes[name]
-		if other.core == nil {
-			continue
-		}
 		if other.left {
 			left = append(left, name)
 			continue
@@ -371,48 +367,3 @@
 		func(call step.CallID) step.Event { return FinishRequested{Call: call, Request: req} },
 		func(proto.Message) {})
 }
-
-// fakeTable is the platform's table.
-type fakeTable struct {
-	rows     map[string]platform.Row
-	revision uint64
-	down     bool
-	away     map[string]bool
-}
-
-func (f *fakeTable) read(from, key string) (platform.Row, error) {
-	if f.down || f.away[from] {
-		return platform.Row{}, platform.ErrUnavailable
-	}
-	row, ok := f.rows[key]
-	if !ok {
-		return row, platform.ErrNotFound
-	}
-	return row, nil
-}
-
-func (f *fakeTable) transact(from string, tx platform.Transaction) (platform.Result, error) {
-	if f.down || f.away[from] {
-		return platform.Result{}, platform.ErrUnavailable
-	}
-	for _, p := range tx.Preconditions {
-		row, found := f.rows[p.Key]
-		if p.Absent && found || !p.Absent && row.Revision != p.Revision {
-			return platform.Result{}, &platform.ConflictError{Key: p.Key, Current: row}
-		}
-	}
-	f.revision++
-	result := platform.Result{Revision: f.revision}
-	for _, write := range tx.Writes {
-		row, found := f.rows[write.Key]
-		switch {
-		case write.Delete:
-			delete(f.rows, write.Key)
-		case write.IfAbsent && found:
-			result.Existing = append(result.Existing, row)
-		default:
-			f.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Revision: f.revision}
-		}
-	}
-	return result, nil
-}
--- a/internal/confsync/faults_test.go
+++ b/internal/confsync/faults_test.go
@@ -203,6 +203,90 @@
 	}
 }
 
+// TestDataCentreRestartedOnARestoredTable loses a whole data centre's memory
+// while the platform offers an older head: the other data centre's daemons know
+// better.
+func TestDataCentreRestartedOnARestoredTable(t *testing.T) {
+	n := newNetwork(t, append(names("k", 8), names("p", 8)...)...)
+	n.run(startTime, n.allAt(n.accept("one")))
+	newest := n.accept("two")
+	if !n.run(startTime, n.allAt(newest)) {
+		t.Fatalf("the mesh did not start: %s", n.applied())
+	}
+	n.far = 600 * time.Millisecond
+	n.head = idOf(1, "one")
+	for _, name := range names("k", 8) {
+		n.start(name)
+	}
+	if !n.run(healTime, n.allAt(newest)) {
+		t.Fatalf("want all at %s, have %s", newest, n.applied())
+	}
+}
+
+func TestStaleReadsNeverTurnADaemonBack(t *testing.T) {
+	n := newNetwork(t, append(names("k", 6), names("p", 6)...)...)
+	n.run(startTime, n.allAt(n.accept("one")))
+	n.staleReads = true
+	for i := range 10 {
+		if newest := n.accept(fmt.Sprint("body ", i)); !n.run(healTime, n.allAt(newest)) {
+			t.Fatalf("version %s: %s", newest, n.applied())
+		}
+		n.run(flowTime, nil)
+	}
+}
+
+func TestFrozenThroughSeveralVersionsJumpsToTheNewest(t *testing.T) {
+	n := newNetwork(t, append(names("k", 4), names("p", 4)...)...)
+	n.run(startTime, n.allAt(n.accept("one")))
+	sleeper := n.nodes["k-2"]
+	n.freeze(sleeper.name, 20*time.Second)
+	sleeper.applies = 0
+	for i := range 5 {
+		n.accept(fmt.Sprint("body ", i))
+		n.run(3*time.Second, nil)
+	}
+	if sleeper.core.Applied().Version != 1 {
+		t.Fatalf("a frozen daemon applied %s", sleeper.core.Applied())
+	}
+	if !n.run(healTime, n.allAt(n.head)) {
+		t.Fatalf("want all at %s, have %s", n.head, n.applied())
+	}
+	if sleeper.applies > 1 {
+		t.Errorf("the woken daemon applied %d versions on its way", sleeper.applies)
+	}
+}
+
+func TestNoticesAloneReachEveryDaemon(t *testing.T) {
+	n := newNetwork(t, names("k", 60)...)
+	if first := n.accept("one"); !n.run(startTime, n.allAt(first)) {
+		t.Fatalf("the mesh did not start: %s", n.applied())
+	}
+	n.quiet = true
+	for i := range 10 {
+		if newest := n.accept(fmt.Sprint("body ", i)); !n.run(flowTime, n.allAt(newest)) {
+			t.Fatalf("version %s did not reach all: %s", newest, n.applied())
+		}
+	}
+}
+
+func TestOnlyTheVersionInForceKeepsItsTable(t *testing.T) {
+	n := newNetwork(t, "k-1")
+	for i := range 12 {
+		if !n.run(startTime, n.allAt(n.accept(fmt.Sprint("body ", i)))) {
+			t.Fatal(n.applied())
+		}
+	}
+	core := n.nodes["k-1"].core
+	if len(core.recent) != core.cfg.History || core.Table() == nil {
+		t.Fatalf("%d versions kept, table %v", len(core.recent), core.Table())
+	}
+	for _, v := range core.recent[:len(core.recent)-1] {
+		if v.table != nil || v.body == nil {
+			t.Errorf("version %s: table kept %t, body kept %t", v.id, v.table != nil, v.body != nil)
+		}
+	}
+}
+
 func TestHerdStartsFromPeersFirst(t *testing.T) {
 	const size = 100
 	n := newNetwork(t, names("k", size)...)
--- a/internal/confsync/network_test.go
+++ b/internal/confsync/network_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	peerv1 "godwitmount/gen/godwitmount/peer/v1"
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/membership"
@@ -15,7 +17,8 @@
 )
 
 const (
-	linkDelay  = time.Millisecond
+	ownDelay   = time.Millisecond
+	farDelay   = 5 * time.Millisecond
 	tickPeriod = 50 * time.Millisecond
 	gossipTick = time.Second
 )
@@ -52,7 +55,10 @@
 	name, dc string
 	core     *Core
 	// highest is what the instance ever applied.
-	highest     manifest.ID
+	highest manifest.ID
+	applies int
+	// restarted is set until the first version is applied after a restart.
+	restarted   bool
 	frozenUntil time.Duration
 	frozen      []delivery
 	// cut drops what goes to and comes from the node; noPlatform fails its
@@ -63,7 +69,7 @@
 
 // network runs several cores against a fake platform, in simulated time.
 type network struct {
-	t       *testing.T
+	t       testing.TB
 	now     time.Duration
 	seq     int
 	random  uint64
@@ -71,17 +77,35 @@
 	nodes   map[string]*node
 	order   []string
 	head    manifest.ID
+	heads   []manifest.ID
 	bodies  map[manifest.Digest][]byte
+	sizes   map[manifest.Digest]int
 	records []membership.Record
 	// intercept sees each message between processes before it is queued and
 	// reports whether it took it over.
 	intercept func(d delivery) bool
+	// quiet stops gossip.
+	quiet bool
+	// far is the delay between data centres.
+	far time.Duration
+	// staleReads makes every second head read answer an older head.
+	staleReads bool
+	// tune changes the settings of cores that start from now on.
+	tune func(*Config)
 	// counts of what crossed.
-	headReads, objectReads, remoteBodies int
+	headReads, objectReads, remoteBodies, localBodies, notices int
+	// bytes counts what messages carry, without the headers of transports.
+	bytes struct{ notices, floors, own, link, platform int }
 }
 
-func newNetwork(t *testing.T, names ...string) *network {
-	n := &network{t: t, nodes: map[string]*node{}, bodies: map[manifest.Digest][]byte{}}
+func newNetwork(t testing.TB, names ...string) *network {
+	n := &network{t: t, far: farDelay, nodes: map[string]*node{}, bodies: map[manifest.Digest][]byte{}, sizes: map[manifest.Digest]int{}}
+	n.add(names...)
+	return n
+}
+
+// add starts nodes; a name begins with its data centre.
+func (n *network) add(names ...string) {
 	for _, name := range names {
 		dc := strings.Split(name, "-")[0]
 		n.order = append(n.order, name)
@@ -93,12 +117,16 @@
 		n.tickLater(name, tickPeriod)
 		n.gossipLater(name, gossipTick)
 	}
-	return n
 }
 
 func (n *network) start(name string) {
 	node := n.nodes[name]
-	node.core = New(testConfig(name, node.dc), n.moment())
+	cfg := testConfig(name, node.dc)
+	if n.tune != nil {
+		n.tune(&cfg)
+	}
+	node.core = New(cfg, n.moment())
+	node.restarted = true
 	n.at(n.now, func() { n.step(node, MembersChanged{Members: n.records}) })
 }
 
@@ -117,9 +145,12 @@
 	heap.Push(&n.queue, d)
 }
 
-// send carries one message between processes.
-func (n *network) send(to string, ev step.Event) {
-	d := delivery{at: n.now + linkDelay, to: to, ev: ev}
+// sendFrom carries one message between processes, or from the platform.
+func (n *network) sendFrom(from *node, to string, ev step.Event) {
+	if from.cut {
+		return
+	}
+	d := delivery{at: n.now + n.delay(from, to), to: to, ev: ev}
 	if n.intercept == nil || !n.intercept(d) {
 		n.push(d)
 	}
@@ -134,19 +165,43 @@
 	})
 }
 
-// gossipLater makes a node tell one peer after the other what it has applied,
-// as each gossip packet does.
+// gossipLater makes a node exchange with one peer after the other what both
+// have applied, as probes do inside a data centre and the polling daemons do
+// between them.
 func (n *network) gossipLater(name string, after time.Duration) {
 	n.at(n.now+after, func() {
 		node := n.nodes[name]
-		peer := n.order[int(n.moment().Random>>32)%len(n.order)]
-		if peer != name && !node.cut && n.now >= node.frozenUntil {
-			n.send(peer, PeerApplied{Instance: name, Address: name, ID: node.core.Applied()})
+		n.gossip(node, n.names(func(dc string) bool { return dc == node.dc }))
+		if node.core.Polling() {
+			n.gossip(node, n.names(func(dc string) bool { return dc != node.dc }))
 		}
 		n.gossipLater(name, gossipTick)
 	})
 }
 
+func (n *network) gossip(node *node, among []string) {
+	if n.quiet || len(among) == 0 || n.now < node.frozenUntil {
+		return
+	}
+	peer := n.nodes[among[int(n.moment().Random>>32)%len(among)]]
+	if peer == node || n.now < peer.frozenUntil {
+		return
+	}
+	n.sendFrom(node, peer.name, PeerApplied{Instance: node.name, Address: node.name, ID: node.core.Applied()})
+	n.sendFrom(peer, node.name, PeerApplied{Instance: peer.name, Address: peer.name, ID: peer.core.Applied()})
+}
+
+// names returns the nodes of the data centres that match.
+func (n *network) names(match func(dc string) bool) []string {
+	var list []string
+	for _, name := range n.order {
+		if match(n.nodes[name].dc) {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
 // run lets simulated time pass until done, or at most the given time.
 func (n *network) run(atMost time.Duration, done func() bool) bool {
 	end := n.now + atMost
@@ -203,7 +258,7 @@
 		n.checkApplied(node, e)
 	case ReadHead:
 		n.headReads++
-		ev := HeadRead{Attempt: e.Attempt, ID: n.head}
+		ev := HeadRead{Attempt: e.Attempt, ID: n.headNow()}
 		if node.noPlatform {
 			ev = HeadRead{Attempt: e.Attempt, Err: errors.New("away")}
 		}
@@ -211,33 +266,57 @@
 	case FetchObject:
 		n.objectReads++
 		ev := ObjectFetched{Attempt: e.Attempt, ID: e.ID, Body: n.bodies[e.ID.Digest]}
+		n.bytes.platform += n.objectSize(ev.Body)
 		if node.noPlatform || ev.Body == nil {
 			ev = ObjectFetched{Attempt: e.Attempt, ID: e.ID, Err: errors.New("away")}
 		}
 		n.sendFrom(node, node.name, ev)
 	case SendNotice:
+		n.notices += len(e.Addresses)
+		n.bytes.notices += len(e.Addresses) * proto.Size(e.Notice)
 		for _, address := range e.Addresses {
 			n.sendFrom(node, address, NoticeReceived{From: node.name, Address: node.name, ID: idFromProto(e.Notice.Id), Remaining: e.Notice.Remaining})
 		}
 	case FetchFromPeer:
 		n.call(node, e.Address, FetchRequested{Request: e.Request}, func(reply step.Reply) step.Event {
 			resp := reply.Message.(*peerv1.FetchConfigResponse)
-			if len(resp.Body) > 0 && n.nodes[e.Address].dc != node.dc {
-				n.remoteBodies++
-			}
+			n.countBody(resp, node.dc, n.nodes[e.Address].dc)
 			return PeerFetched{Attempt: e.Attempt, Address: e.Address, Response: resp}
 		})
 	case AskFloor:
 		n.call(node, e.Address, FloorRequested{Request: e.Request}, func(reply step.Reply) step.Event {
+			n.bytes.floors += proto.Size(e.Request) + proto.Size(reply.Message)
 			return FloorRemembered{Attempt: e.Attempt, Address: e.Address, Response: reply.Message.(*peerv1.RememberFloorResponse)}
 		})
 	}
 }
 
-func (n *network) sendFrom(from *node, to string, ev step.Event) {
-	if !from.cut {
-		n.send(to, ev)
+// objectSize returns the size of a body as the platform holds it.
+func (n *network) objectSize(body []byte) int {
+	digest := manifest.DigestOf(body)
+	if n.sizes[digest] == 0 && len(body) > 0 {
+		n.sizes[digest] = len(manifest.MakeDelta(nil, body))
+	}
+	return n.sizes[digest]
+}
+
+func (n *network) countBody(resp *peerv1.FetchConfigResponse, from, to string) {
+	switch {
+	case len(resp.Body) == 0:
+	case from == to:
+		n.localBodies++
+		n.bytes.own += proto.Size(resp)
+	default:
+		n.remoteBodies++
+		n.bytes.link += proto.Size(resp)
+	}
+}
+
+func (n *network) delay(from *node, to string) time.Duration {
+	if from.dc == n.nodes[to].dc {
+		return ownDelay
 	}
+	return n.far
 }
 
 func (n *network) call(from *node, to string, ev step.Event, answer func(step.Reply) step.Event) {
@@ -245,7 +324,7 @@
 	if from.cut {
 		return
 	}
-	d := delivery{at: n.now + linkDelay, to: to, ev: ev}
+	d := delivery{at: n.now + n.delay(from, to), to: to, ev: ev}
 	d.do = func() {
 		if server.cut || n.now < server.frozenUntil {
 			return
@@ -266,26 +345,38 @@
 // checkApplied holds what must always be true of a version put in force.
 func (n *network) checkApplied(node *node, e Applied) {
 	n.t.Helper()
-	if e.ID.Version < node.highest.Version || e.ID.Version == node.highest.Version && e.ID != node.highest {
+	again := e.ID == node.highest && node.restarted
+	if e.ID.Version <= node.highest.Version && !again {
 		n.t.Fatalf("%s at %v applied %s after %s", node.name, n.now, e.ID, node.highest)
 	}
 	if e.Table == nil || manifest.DigestOf(e.Body) != e.ID.Digest {
 		n.t.Fatalf("%s applied %s in part", node.name, e.ID)
 	}
 	node.highest = e.ID
+	node.restarted = false
+	node.applies++
+}
+
+// headNow is what a read of the head answers.
+func (n *network) headNow() manifest.ID {
+	if n.staleReads && len(n.heads) > 2 && n.headReads%2 == 0 {
+		return n.heads[len(n.heads)-3]
+	}
+	return n.head
 }
 
 // accept publishes a body as the next version.
 func (n *network) accept(body string) manifest.ID {
 	n.head = idOf(n.head.Version+1, body)
+	n.heads = append(n.heads, n.head)
 	n.bodies[n.head.Digest] = []byte(body)
 	return n.head
 }
 
 func (n *network) allAt(id manifest.ID) func() bool {
 	return func() bool {
-		for _, node := range n.nodes {
-			if node.core.Applied() != id {
+		for _, name := range n.order {
+			if n.nodes[name].core.Applied() != id {
 				return false
 			}
 		}
