Refuse hand-overs that do not fit

Cause: a backup whose memory was full answered a replica as if it knew the claim, and the holder would have granted it; a hand-over with many kept answers could exceed what a peer reads. Change: a receiver that cannot remember all claims of a message refuses it, and messages are bounded in bytes as well as in claims. With the refusal taken out, the new transcript fails. Conclusion: what a backup confirms, it knows.

--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -38,6 +38,8 @@
 	HandOverTimeout time.Duration
 	// MaxHandOver is how many claims one hand-over message carries.
 	MaxHandOver int
+	// MaxHandOverBytes is about how large one such message may be.
+	MaxHandOverBytes int
 	// MaxHandOversInFlight bounds the unanswered hand-overs to joiners.
 	MaxHandOversInFlight int
 	// MaxViews is how many past views are remembered to judge tenure.
@@ -51,20 +53,21 @@
 // DefaultConfig returns the defaults for a mesh and data centre.
 func DefaultConfig(mesh, dataCentre string) Config {
 	return Config{
-		Mesh:            mesh,
-		DataCentre:      dataCentre,
-		Horizon:         10 * time.Minute,
-		DetectionMargin: 30 * time.Second,
-		MaxBatch:        platform.MaxWrites,
-		MaxQueue:        4096,
-		MaxClaims:       1 << 16,
-		MaxAnswers:      1024,
-		MaxAnswerBytes:  4 << 20,
-		MaxAnswerSize:   64 << 10,
-		WriteTimeout:    2 * time.Second,
-		ProbeInterval:   time.Second,
-		HandOverTimeout: time.Second,
-		MaxHandOver:     500,
+		Mesh:             mesh,
+		DataCentre:       dataCentre,
+		Horizon:          10 * time.Minute,
+		DetectionMargin:  30 * time.Second,
+		MaxBatch:         platform.MaxWrites,
+		MaxQueue:         4096,
+		MaxClaims:        1 << 16,
+		MaxAnswers:       1024,
+		MaxAnswerBytes:   4 << 20,
+		MaxAnswerSize:    64 << 10,
+		WriteTimeout:     2 * time.Second,
+		ProbeInterval:    time.Second,
+		HandOverTimeout:  time.Second,
+		MaxHandOver:      500,
+		MaxHandOverBytes: 256 << 10,
 
 		MaxHandOversInFlight: 8,
 		MaxViews:             256,
--- a/internal/claim/handover.go
+++ b/internal/claim/handover.go
@@ -85,9 +85,9 @@
 func (c *Core) handAllTo(to Member) {
 	entries := c.concerning(to.Instance)
 	var messages []*peerv1.HandOverClaimsRequest
-	for len(entries) > c.cfg.MaxHandOver {
-		messages = append(messages, c.message(entries[:c.cfg.MaxHandOver], false))
-		entries = entries[c.cfg.MaxHandOver:]
+	for n := c.part(entries); n < len(entries); n = c.part(entries) {
+		messages = append(messages, c.message(entries[:n], false))
+		entries = entries[n:]
 	}
 	last := c.message(entries, false)
 	last.Complete = c.whole()
@@ -96,6 +96,25 @@
 	c.sendHandOver(&handOver{to: to, rest: messages[1:]}, messages[0])
 }
 
+// part is how many of the entries fit into one message.
+func (c *Core) part(entries []*entry) int {
+	bytes := 0
+	for n, e := range entries {
+		bytes += claimSize
+		if e.answer != nil {
+			bytes += answerSize(e.answer)
+		}
+		if n > 0 && (n >= c.cfg.MaxHandOver || bytes > c.cfg.MaxHandOverBytes) {
+			return n
+		}
+	}
+	return len(entries)
+}
+
+// claimSize is about what a claim without an answer takes in a message, in
+// bytes.
+const claimSize = 256
+
 // concerning returns the claims that a member must know: those whose holder it
 // is now, and those not in the table whose backup it is.
 func (c *Core) concerning(instance string) []*entry {
@@ -185,6 +204,11 @@
 			accepted++
 		}
 	}
+	if int(accepted) < len(req.GetClaims()) {
+		// What is not remembered here must not count as known.
+		c.reply(call, &peerv1.HandOverClaimsResponse{Accepted: accepted, Refused: true})
+		return
+	}
 	if req.GetComplete() {
 		tenure := time.Duration(req.GetTenureMs()) * time.Millisecond
 		c.views.vouches[req.GetFrom()] = vouch{
@@ -230,14 +254,14 @@
 	return keyOK && fingerprintOK && validID(held.GetAttempt())
 }
 
-// takeOver remembers one claim of another holder, and reports whether it is
-// known now. What this daemon decided itself stands.
+// takeOver remembers one claim of another holder, and reports whether its key is
+// remembered now. What this daemon decided itself stands.
 func (c *Core) takeOver(held *peerv1.HeldClaim) bool {
 	key, _ := HashFrom(held.GetKey())
 	e := c.entries[key]
 	if e != nil && !e.replica {
 		c.mergeHeld(e, held)
-		return e.attempt == held.GetAttempt() && e.state != releasing
+		return true
 	}
 	if e == nil && len(c.entries) >= c.cfg.MaxClaims {
 		return false
--- a/internal/claim/harness_test.go
+++ b/internal/claim/harness_test.go
@@ -70,6 +70,12 @@
 		if d.HasArg("queue") {
 			cfg.MaxQueue = intArg(t, d, "queue")
 		}
+		if d.HasArg("claims") {
+			cfg.MaxClaims = intArg(t, d, "claims")
+		}
+		if d.HasArg("part") {
+			cfg.MaxHandOver = intArg(t, d, "part")
+		}
 		if d.HasArg("answers") {
 			cfg.MaxAnswers = intArg(t, d, "answers")
 		}
--- a/internal/claim/replica.go
+++ b/internal/claim/replica.go
@@ -26,7 +26,7 @@
 		delete(c.replicas, instance)
 		to, _ := c.views.current().member(instance)
 		for len(entries) > 0 {
-			n := min(len(entries), c.cfg.MaxHandOver)
+			n := c.part(entries)
 			c.sendHandOver(&handOver{to: to, replica: true, entries: entries[:n]}, c.message(entries[:n], true))
 			entries = entries[n:]
 		}
