--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"godwitmount/internal/manifest"
+	"godwitmount/internal/step"
 )
 
 // deaths sums how often anyone declared anyone dead.
@@ -307,6 +308,43 @@
 	}
 }
 
+func TestLateDaemonDoesNotSuspectOthers(t *testing.T) {
+	n := steady(t, 28, 16, "dc-a")
+	late := n.nodes[3]
+	for range 120 {
+		late.frozen = true
+		n.run(time.Second)
+		late.frozen = false
+		// The tick comes before the answers that waited.
+		n.step(late, step.Tick{})
+		waited := late.late
+		late.late = nil
+		for _, event := range waited {
+			n.step(late, event)
+		}
+	}
+	own := 0
+	for _, v := range n.nodes {
+		own += v.counts["member-refuted"]
+	}
+	if got := own - late.counts["member-refuted"]; got != 0 {
+		t.Errorf("%d others had to refute a suspicion by the late daemon", got)
+	}
+	if n.deaths() != 0 {
+		t.Errorf("%d instances were declared dead", n.deaths())
+	}
+}
+
+func TestLostAnswersOfThePlatformDoNotStopTheContacts(t *testing.T) {
+	n := newNetwork(t, 29)
+	n.silence = true
+	n.add("dc-a", 0, nil)
+	n.add("dc-a", 1, nil)
+	n.run(5 * time.Minute)
+	n.silence = false
+	n.until(5*time.Minute, "met once the platform answers", n.whole)
+}
+
 func TestDeafDaemonHoldsBack(t *testing.T) {
 	n := steady(t, 21, 16, "dc-a")
 	deaf := n.nodes[3]
@@ -393,3 +431,84 @@
 	}
 	return true
 }
+
+func TestWhatIsLongGoneIsForgotten(t *testing.T) {
+	n := newNetwork(t, 27)
+	for i := range 6 {
+		for _, name := range []string{"dc-a", "dc-b"} {
+			n.add(name, i, func(cfg *Config) {
+				cfg.Peers = []string{"10.97.0.1:7000"}
+				cfg.Retention = 3 * time.Minute
+			})
+		}
+	}
+	n.until(settle, "all know all", n.whole)
+	n.run(10 * time.Minute)
+	if !n.whole() {
+		t.Error("records of living instances were forgotten")
+	}
+	dead := n.nodes[2]
+	dead.down = true
+	n.until(settle, "death known", func() bool { return n.allSee(dead, Dead) })
+	n.run(5 * time.Minute)
+	n.cut = func(a, b *node) bool { return a.cfg.DataCentre != b.cfg.DataCentre }
+	n.run(2 * time.Minute)
+	for _, v := range n.up() {
+		if got := len(v.core.Records()); got != 11 {
+			t.Errorf("%s has %d records after the tombstone's time and a short cut, want 11", v.cfg.Instance, got)
+		}
+	}
+	n.run(5 * time.Minute)
+	for _, v := range n.up() {
+		want := len(v.core.table.alive(v.cfg.DataCentre))
+		if got := len(v.core.Records()); got != want {
+			t.Errorf("%s has %d records after a long cut, want the %d of its data centre", v.cfg.Instance, got, want)
+		}
+	}
+	n.cut = nil
+	n.until(settle, "met again", n.whole)
+}
+
+func TestCutInsideADataCentreRemovesNobodyElsewhere(t *testing.T) {
+	// How many seconds, summed over the larger side's instances, an outsider
+	// may hold them for dead in 300 s. A side of nearly half gets one death
+	// believed before it is seen to be cut off; of equal halves none is larger.
+	allowed := map[int]int{1: 0, 3: 0, 5: 15, 6: 90}
+	for _, smaller := range []int{1, 3, 5, 6} {
+		n := steady(t, uint64(32+smaller), 12, "dc-a", "dc-b", "dc-c")
+		side := map[string]bool{}
+		var larger, outside []*node
+		for _, v := range n.nodes {
+			switch {
+			case v.cfg.DataCentre != "dc-a":
+				outside = append(outside, v)
+			case len(side) < smaller:
+				side[v.cfg.Instance] = true
+			default:
+				larger = append(larger, v)
+			}
+		}
+		n.cut = func(a, b *node) bool {
+			return a.cfg.DataCentre == b.cfg.DataCentre && side[a.cfg.Instance] != side[b.cfg.Instance]
+		}
+		removed := map[string]int{}
+		for range 300 {
+			n.run(time.Second)
+			for _, v := range outside {
+				for _, living := range larger {
+					if !v.sees(living, Alive) {
+						removed[v.cfg.Instance]++
+					}
+				}
+			}
+		}
+		t.Logf("%d of 12 cut off: seconds that outsiders held a living instance for dead: %v", smaller, removed)
+		for instance, seconds := range removed {
+			if seconds > allowed[smaller] {
+				t.Errorf("%d of 12 cut off: %s held instances of the larger side for dead for %d s", smaller, instance, seconds)
+			}
+		}
+		n.cut = nil
+		n.until(2*time.Minute, "healed", n.whole)
+	}
+}
