--- a/internal/membership/transcript_test.go
+++ b/internal/membership/transcript_test.go
@@ -29,7 +29,7 @@
 //	packet from=I body=B [seq=N] [target=I] [incarnation=N] [applied=V] [address=A]
 //	                         with one update a line: instance inc/seq liveness [state]
 //	announce state=S ttl=D, leave, left, paused, applied version=N, reports-wanted
-//	exchange from=I dc=D     a peer's call; updates as above
+//	exchange from=I dc=D [living=N]  a peer's call; updates as above
 //	answered address=A [err] the end of an own call; updates as above
 //	contacts [err]           rows: dc instance address
 //	records, reports
@@ -112,9 +112,13 @@
 	case "reports-wanted":
 		return ReportsWanted{}
 	case "exchange":
+		living := uint64(1)
+		if d.HasArg("living") {
+			living = number(t, d, "living")
+		}
 		return ExchangeRequested{Call: 1, Request: &peerv1.ExchangeMembersRequest{
 			Mesh: testMesh, From: text(t, d, "from"), DataCentre: text(t, d, "dc"), TableHash: 1, Members: updates(t, d),
-			Living: 1,
+			Living: uint32(living),
 		}}
 	case "answered":
 		if d.HasArg("err") {
