--- a/test/e2e/calls_test.go
+++ b/test/e2e/calls_test.go
@@ -24,12 +24,13 @@
 // TestPlannedStopsCutOffNothing stops each process of the mesh but one data
 // centre while callers send slow requests.
 func TestPlannedStopsCutOffNothing(t *testing.T) {
-	mesh := startMesh(t, 2, "--service-time", "150ms")
+	// Longer than a stopping daemon goes on after its work is done.
+	mesh := startMesh(t, 2, "--service-time", "900ms")
 	publishManifest(t, mesh, manifestSource(0))
 	awaitVersion(t, mesh.Instances, 1)
 	awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
 	load := startLoad(mesh.Instances, 12, false, nil)
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(time.Second)
 	for _, instance := range mesh.Instances[1:] {
 		if instance.DataCentre == "lancaster-c" {
 			continue
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -131,8 +131,12 @@
 	must(t, frozen.Daemon.Freeze())
 	publishManifest(t, mesh, manifestSource(1))
 	publishManifest(t, mesh, manifestSource(2))
-	must(t, mesh.Platform.Faults(`{"stale_revisions": 3}`))
-	time.Sleep(time.Second)
+	awaitVersion(t, mesh.Instances[2:], 3)
+	// Other rows are written too, so that several distances are tried.
+	for _, distance := range []int{1, 2, 4, 8, 16, 32} {
+		must(t, mesh.Platform.Faults(fmt.Sprintf(`{"stale_revisions": %d}`, distance)))
+		time.Sleep(700 * time.Millisecond)
+	}
 	must(t, mesh.Platform.Faults(`{}`))
 	must(t, frozen.Daemon.Wake())
 	for _, instance := range mesh.Instances[2:] {
@@ -211,7 +215,8 @@
 	for i := range digests {
 		digests[i] = propose(t, mesh, manifestSource(i+1))
 	}
-	must(t, mesh.Platform.Faults(`{"lose_percent": 40}`))
+	// Slow answers let all of them read the head before one of them writes it.
+	must(t, mesh.Platform.Faults(`{"lose_percent": 40, "slow_ms": 300}`))
 	codes := make([]int, operators)
 	var group sync.WaitGroup
 	for i, digest := range digests {
