Name the herd death that takes an instance back as known red

Cause: with herds among the faults, the flow in which one instance is alone ahead and restarts while reads are stale fails: all that remember its floor are lost with it. Conclusion: to be mended in confsync.

--- a/internal/control/flows_test.go
+++ b/internal/control/flows_test.go
@@ -40,6 +40,8 @@
 	// remembers is set when its end rests on memory that no process keeps and
 	// the platform does not hold.
 	remembers bool
+	// stale is set when the platform's reads are stale while it runs.
+	stale bool
 	// begin starts it; what follows later is scheduled there.
 	begin func(n *network)
 	// limit is by when done must hold, after the flow and its fault are over.
@@ -133,6 +135,7 @@
 	},
 	{
 		name:  "restart alone ahead",
+		stale: true,
 		begin: applyAloneAndRestart,
 		limit: healTime,
 		done:  func(n *network) bool { return n.all((*process).current) },
--- a/internal/control/matrix_test.go
+++ b/internal/control/matrix_test.go
@@ -32,6 +32,9 @@
 				messages := undisturbed(t, f)
 				possible.Add(int64(len(messages) * len(faults)))
 				for _, fault := range faults {
+					if fault.forgets && f.stale {
+						continue // TestHerdDeathWhileReadsAreStale
+					}
 					t.Run(fault.name, func(t *testing.T) {
 						t.Parallel()
 						for _, which := range chosen(messages, f.name, fault) {
@@ -47,6 +50,23 @@
 		cases.Load(), len(flows), len(faults), possible.Load(), matrixSeed)
 }
 
+// TestHerdDeathWhileReadsAreStale loses an instance and all that remember its
+// floor at once, while the platform answers from old data.
+func TestHerdDeathWhileReadsAreStale(t *testing.T) {
+	for _, f := range flows {
+		if !f.stale {
+			continue
+		}
+		messages := undisturbed(t, f)
+		for _, fault := range faults {
+			if fault.forgets {
+				last := len(messages) - 1
+				disturbed(t, f, fault, last, messages[last])
+			}
+		}
+	}
+}
+
 // chosen returns the numbers of the messages to put a fault on.
 func chosen(messages []message, flow string, f fault) []int {
 	kinds := map[string][]int{}
