Let a keyed request run on when its caller goes away

Cause: a caller that lost its connection and came back with its key was told 605, run or may have run, answer not kept: cancellation was carried through to the upstream, and the claim was kept without an answer. Ruled out: the holder, which kept what it was given. Change: a granted attempt runs within its deadline whatever becomes of its caller. The data path opens connections to peers through the same dialler as control, so that tests can cut its links too. Conclusion: cancellation stays for requests without a key.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -93,9 +93,6 @@
 // Start opens the listeners and begins to serve. The caller ends the daemon
 // with Stop.
 func Start(cfg Config) (*Daemon, error) {
-	if cfg.Dial == nil {
-		cfg.Dial = defaultDial()
-	}
 	d := &Daemon{cfg: cfg, log: cfg.Log}
 	d.loop = newLoop(time.Now(), cfg.Log)
 	opened, err := listen(cfg.Settings, d.openGossip)
@@ -121,7 +118,7 @@
 	registry := prometheus.NewRegistry()
 	d.metrics = newMetrics(registry)
 	d.traffic = newTraffic(registry)
-	d.peers = newPeerClients(d.traffic.countDial(d.cfg.Dial))
+	d.peers = newPeerClients(d.traffic.countDial(d.controlDial()))
 	d.store = newStore(s.PlatformURL)
 	d.quarantine = quarantine.NewSet()
 
@@ -140,6 +137,7 @@
 		Fences:     claim.NewFences(claim.DefaultFenceConfig(), time.Now),
 		Quarantine: d.tracker(),
 		FencePeer:  d.fencePeer,
+		DialPeer:   proxy.DialFunc(d.cfg.Dial),
 		Report:     d.report,
 		Log:        d.log,
 		Registerer: registry,
--- a/internal/daemon/dial.go
+++ b/internal/daemon/dial.go
@@ -52,8 +52,11 @@
 	p.http.CloseIdleConnections()
 }
 
-// defaultDial opens connections directly.
-func defaultDial() DialFunc {
+// controlDial opens control connections.
+func (d *Daemon) controlDial() DialFunc {
+	if d.cfg.Dial != nil {
+		return d.cfg.Dial
+	}
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	return dialer.DialContext
 }
--- a/internal/proxy/claimed.go
+++ b/internal/proxy/claimed.go
@@ -97,15 +97,20 @@
 
 // runGranted runs the attempt and reports to the claim holder: released when
 // it is proved not to have run, else finished, with the answer if it is short.
+// The attempt runs on within its deadline when its caller goes away, so that
+// the caller gets the answer when it comes back with the key.
 func (p *Proxy) runGranted(ctx context.Context, x *execution, u *Upstream, slot admission.Slot) (*answer, *failure) {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.deadline)
 	a, f := p.startAndRun(ctx, x, u, slot)
 	if f != nil {
+		cancel()
 		p.endClaim(ctx, x, f)
 		return nil, f
 	}
 	before := a.ended
 	a.ended = func(a *answer, err error) {
 		before(a, err)
+		cancel()
 		p.deps.Claims.Finish(*x.claim, x.holder, keptIfWhole(a, err))
 	}
 	return a, nil
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -144,6 +144,8 @@
 	// FencePeer asks the daemon at the address to fence the attempt; nil means
 	// that fates stay unknown.
 	FencePeer func(ctx context.Context, address, attempt string) (notRun bool, err error)
+	// DialPeer opens connections to other daemons; nil dials directly.
+	DialPeer DialFunc
 	// Report receives what the control core should know; it must not block.
 	// It may be nil.
 	Report func(step.Event)
@@ -161,7 +163,10 @@
 	return nil
 }
 
-func (d Deps) withDefaults() Deps {
+func (d Deps) withDefaults(cfg Config) Deps {
+	if d.DialPeer == nil {
+		d.DialPeer = directDial(cfg.DialTimeout)
+	}
 	if d.Rand == nil {
 		d.Rand = rand.Uint64
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -61,15 +61,15 @@
 		return nil, err
 	}
 	cfg = cfg.withDefaults()
-	deps = deps.withDefaults()
+	deps = deps.withDefaults(cfg)
 	p := &Proxy{
 		cfg:      cfg,
 		deps:     deps,
 		epoch:    time.Now(),
 		idPrefix: fmt.Sprintf("%s-%s-", cfg.Instance, strconv.FormatUint(cfg.Incarnation, 36)),
 		balancer: routing.NewBalancer(cfg.Ejection),
-		peers:    newSender(cfg),
-		loopback: newSender(cfg),
+		peers:    newSender(cfg, deps.DialPeer),
+		loopback: newSender(cfg, directDial(cfg.DialTimeout)),
 		gate:     admission.NewGate(admission.Config{Slots: 1}),
 	}
 	p.upstream.Store(&Upstream{State: membership.UpstreamNone})
--- a/internal/proxy/sender.go
+++ b/internal/proxy/sender.go
@@ -30,9 +30,9 @@
 	transport *http.Transport
 }
 
-func newSender(cfg Config) *sender {
+func newSender(cfg Config, dial DialFunc) *sender {
 	return &sender{transport: &http.Transport{
-		DialContext:         newDialer(cfg.DialTimeout).dialWire,
+		DialContext:         dial.dialWire,
 		MaxIdleConnsPerHost: cfg.IdleConnections,
 		IdleConnTimeout:     cfg.IdleTimeout,
 		DisableCompression:  true,
--- a/internal/proxy/wire.go
+++ b/internal/proxy/wire.go
@@ -40,17 +40,18 @@
 	return w.writes.Swap(sealed)
 }
 
-// dialer opens wires.
-type dialer struct {
-	net.Dialer
-}
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-func newDialer(timeout time.Duration) *dialer {
-	return &dialer{net.Dialer{Timeout: timeout, KeepAlive: timeout * 40}}
+// directDial opens connections within a time.
+func directDial(timeout time.Duration) DialFunc {
+	dialer := &net.Dialer{Timeout: timeout, KeepAlive: timeout * 40}
+	return dialer.DialContext
 }
 
-func (d *dialer) dialWire(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := d.DialContext(ctx, network, address)
+// dialWire opens a wire.
+func (dial DialFunc) dialWire(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/test/e2e/cut_test.go
+++ b/test/e2e/cut_test.go
@@ -21,6 +21,7 @@
 	"godwitmount/internal/publish"
 	"godwitmount/internal/settings"
 	"godwitmount/internal/upstreamstandin"
+	"godwitmount/test/harness"
 )
 
 // cutNet joins daemons that run inside the test by real sockets and can cut
@@ -93,6 +94,14 @@
 
 // add starts a daemon and an upstream of orders-desk in a data centre.
 func (n *cutNet) add(dataCentre string) *cutDaemon {
+	n.t.Helper()
+	d := n.addDaemon(dataCentre)
+	n.startUpstream(d)
+	return d
+}
+
+// addDaemon starts a daemon without an upstream.
+func (n *cutNet) addDaemon(dataCentre string) *cutDaemon {
 	n.t.Helper()
 	d := &cutDaemon{net: n, dataCentre: dataCentre, platform: n.door()}
 	s := &settings.Daemon{}
@@ -117,7 +126,6 @@
 	n.sideOf[started.Addresses().Peer] = dataCentre
 	n.mu.Unlock()
 	n.daemons = append(n.daemons, d)
-	n.startUpstream(d)
 	return d
 }
 
@@ -339,3 +347,39 @@
 		t.Errorf("call at the daemon that joined: status %d", status)
 	}
 }
+
+// TestCutLinkWithCallsInFlight cuts a data centre that has no upstreams of its
+// own while its callers' requests run in the others.
+func TestCutLinkWithCallsInFlight(t *testing.T) {
+	n := newCutNet(t)
+	entry := n.addDaemon("lancaster-c")
+	n.add("kendal-a")
+	n.add("penrith-b")
+	n.awaitConfig(n.accept(0), n.daemons...)
+	n.awaitUpstreams(2, n.daemons...)
+	caller := startLoad(nil, 0, false, nil)
+	at := &harness.Instance{Addresses: harness.Addresses{Caller: entry.Addresses().Caller}}
+	var group sync.WaitGroup
+	for i := range 40 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			time.Sleep(time.Duration(5*i) * time.Millisecond)
+			caller.send(at, fmt.Sprintf("call-%d", i), "", map[string]string{"X-Service-Time": "60ms"})
+		}()
+	}
+	time.Sleep(110 * time.Millisecond)
+	n.setCut("lancaster-c", true)
+	group.Wait()
+	report(t, caller.sent)
+	ran := map[string]int{}
+	for _, d := range n.daemons[1:] {
+		for tag, runs := range d.upstream.Stats().RunsByTag {
+			ran[tag] += runs
+		}
+	}
+	checkTold(t, caller.sent, ran)
+	if count(caller.sent, answered) == 0 || count(caller.sent, answered) == len(caller.sent) {
+		t.Error("the cut did not fall between the calls")
+	}
+}
--- a/test/e2e/load_test.go
+++ b/test/e2e/load_test.go
@@ -230,6 +230,17 @@
 	t.Helper()
 	report(t, all)
 	byKey, byTag := runs(t, mesh)
+	checkTold(t, all, byTag)
+	for key, n := range byKey {
+		if n > 1 {
+			t.Errorf("key %s ran %d times", key, n)
+		}
+	}
+}
+
+// checkTold asserts that what callers were told agrees with what ran.
+func checkTold(t *testing.T, all []sent, byTag map[string]int) {
+	t.Helper()
 	for _, s := range all {
 		if s.fate == 0 {
 			t.Errorf("%s: wrong answer: %s", s.tag, s.detail)
@@ -241,9 +252,4 @@
 			t.Errorf("%s ran %d times", s.tag, byTag[s.tag])
 		}
 	}
-	for key, n := range byKey {
-		if n > 1 {
-			t.Errorf("key %s ran %d times", key, n)
-		}
-	}
 }
