--- a/internal/control/matrix_test.go
+++ b/internal/control/matrix_test.go
@@ -162,6 +162,9 @@
 	if !n.until(healTime, func() bool { return n.all((*process).current) }) {
 		n.failf("not at the newest version: %s", n.describe())
 	}
+	for _, name := range n.names {
+		n.processes[name].checkTold()
+	}
 	if f.after != nil {
 		n.run(3 * time.Second)
 		if !f.after(n) {
--- a/internal/control/promises_test.go
+++ b/internal/control/promises_test.go
@@ -54,6 +54,14 @@
 	}
 }
 
+// checkTold: each packet tells peers what is in force.
+func (p *process) checkTold() {
+	told := p.core.members.Packet().GetApplied().GetVersion()
+	if !p.down && told != p.highest.Version {
+		p.n.failf("%s tells that version %d is in force, not %d", p.name, told, p.highest.Version)
+	}
+}
+
 // offers reports whether the process would give new work to an instance.
 func (p *process) offers(instance string) bool {
 	if p.snapshot == nil {
