--- a/test/e2e/cut_test.go
+++ b/test/e2e/cut_test.go
@@ -383,3 +383,32 @@
 		t.Error("the cut did not fall between the calls")
 	}
 }
+
+// TestPlannedStopInACutDataCentre stops a daemon whose data centre is cut off
+// while its upstream runs requests.
+func TestPlannedStopInACutDataCentre(t *testing.T) {
+	n := startCutMesh(t)
+	n.setCut("kendal-a", true)
+	stopping := n.daemons[0]
+	caller := startLoad(nil, 0, false, nil)
+	at := &harness.Instance{Addresses: harness.Addresses{Caller: stopping.Addresses().Caller}}
+	var group sync.WaitGroup
+	for i := range 6 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			caller.send(at, fmt.Sprintf("call-%d", i), "", map[string]string{"X-Service-Time": "900ms"})
+		}()
+	}
+	await(t, "requests in flight", func() bool { return stopping.upstream.Stats().Runs >= 2 })
+	ctx, cancel := context.WithTimeout(context.Background(), settle)
+	defer cancel()
+	must(t, stopping.Stop(ctx))
+	n.daemons = n.daemons[1:]
+	stopping.platform.server.Close()
+	group.Wait()
+	report(t, caller.sent)
+	if got := count(caller.sent, answered); got != len(caller.sent) {
+		t.Errorf("%d of %d requests answered: %+v", got, len(caller.sent), caller.sent)
+	}
+}
