--- a/internal/proxy/carry_test.go
+++ b/internal/proxy/carry_test.go
@@ -196,6 +196,27 @@
 	}
 }
 
+// TestRefusalDoesNotWaitForTheBody: the refusal is known while the caller has
+// not sent its body, and never will.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	m := newMesh(t)
+	n := m.add("a1", "a", "", 0)
+	conn, err := net.Dial("tcp", n.caller.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n"+HeaderDeadline+": 3600000\r\n\r\n"+strings.Repeat("x", 100_000))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if got := resp.Header.Get(HeaderCode); got != fmt.Sprint(int(code.CallNoUpstream)) {
+		t.Errorf("got code %s", got)
+	}
+}
+
 // TestUndeclaredBodyBeyondTheLimit is found out only while it is streamed: the
 // upstream never gets the whole.
 func TestUndeclaredBodyBeyondTheLimit(t *testing.T) {
