Drop the compiled tables of replaced versions

Cause: the last eight versions are kept for making deltas, each with its compiled table, but a delta needs only the body. Change: a version that is replaced loses its table.

--- a/internal/confsync/apply.go
+++ b/internal/confsync/apply.go
@@ -147,6 +147,10 @@
 	if p.v.id.Version <= c.Applied().Version || p.v.id.Version < c.floor.Version {
 		return
 	}
+	if c.applied != nil {
+		// Deltas need no more than the body of a version that was replaced.
+		c.applied.table = nil
+	}
 	c.applied = p.v
 	c.floor = p.v.id
 	c.recent = append(c.recent, p.v)
