Cut the reading side of a link, too

Cause: with lost peers told as not run, TestCutLinkWithCallsInFlight passed: answers still came back over a cut link. Change: a cut connection gives nothing to its reader. Figures: with that fault injected, calls 10 to 13 and more were told not-run and had run once; without it the test passes: 40 sent, 9 answered, 17 not run, 14 unknown. Conclusion: the test now fails when its fault is there.

--- a/test/e2e/cut_test.go
+++ b/test/e2e/cut_test.go
@@ -183,6 +183,15 @@
 	address string
 }
 
+func (c *cutConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !c.daemon.net.reaches(c.daemon.dataCentre, c.address) {
+		_ = c.Conn.Close()
+		return 0, errCut
+	}
+	return n, err
+}
+
 func (c *cutConn) Write(p []byte) (int, error) {
 	if !c.daemon.net.reaches(c.daemon.dataCentre, c.address) {
 		_ = c.Conn.Close()
