Refuse a hand-over only for want of room

Cause: a hand-over that names a released attempt was refused like one that does not fit, and so sent again for as long as its sender remembered the claim. Change: what this daemon has settled otherwise counts as known; only a claim that it cannot remember has the message refused.

--- a/internal/claim/handover.go
+++ b/internal/claim/handover.go
@@ -199,13 +199,15 @@
 		return
 	}
 	accepted := uint32(0)
+	settled := true
 	for _, held := range req.GetClaims() {
-		if c.takeOver(held) {
+		taken, known := c.takeOver(held)
+		if taken {
 			accepted++
 		}
+		settled = settled && known
 	}
-	if int(accepted) < len(req.GetClaims()) {
-		// What is not remembered here must not count as known.
+	if !settled {
 		c.reply(call, &peerv1.HandOverClaimsResponse{Accepted: accepted, Refused: true})
 		return
 	}
@@ -254,20 +256,21 @@
 	return keyOK && fingerprintOK && validID(held.GetAttempt())
 }
 
-// takeOver remembers one claim of another holder, and reports whether its key is
-// remembered now. What this daemon decided itself stands.
-func (c *Core) takeOver(held *peerv1.HeldClaim) bool {
+// takeOver remembers one claim of another holder. What this daemon decided
+// itself stands. taken tells whether the claim is remembered now; known is false
+// only when there was no room, so that this daemon could not bar its key.
+func (c *Core) takeOver(held *peerv1.HeldClaim) (taken, known bool) {
 	key, _ := HashFrom(held.GetKey())
 	e := c.entries[key]
 	if e != nil && !e.replica {
 		c.mergeHeld(e, held)
-		return true
+		return e.attempt == held.GetAttempt() && e.state != releasing, true
 	}
 	if _, released := c.released[held.GetAttempt()]; released {
-		return false
+		return false, true
 	}
 	if e == nil && len(c.entries) >= c.cfg.MaxClaims {
-		return false
+		return false, false
 	}
 	if e == nil {
 		e = &entry{key: key}
@@ -290,7 +293,7 @@
 	if !e.replica && !e.written {
 		c.listInsert(e)
 	}
-	return true
+	return true, true
 }
 
 // mergeHeld adds what another holder knows about the same attempt.
