--- a/internal/claim/replica.go
+++ b/internal/claim/replica.go
@@ -21,6 +21,9 @@
 
 // flushReplicas sends the claims that backups are to know.
 func (c *Core) flushReplicas() {
+	if len(c.replicas) == 0 {
+		return
+	}
 	for _, instance := range c.views.current().instances {
 		entries := c.replicas[instance]
 		delete(c.replicas, instance)
