Name the process that did not end well

Cause: the demonstration reported only "signal: killed" when a daemon had been killed meanwhile. Change: a stop's error names its process.

--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -94,13 +94,21 @@
 	}
 	select {
 	case <-p.exited:
-		return p.err
+		return p.result()
 	case <-time.After(stopTimeout):
 		p.Kill()
 		return fmt.Errorf("stop %s: did not end within %s", p.Name, stopTimeout)
 	}
 }
 
+// result is how an ended process ended.
+func (p *Process) result() error {
+	if p.err == nil {
+		return nil
+	}
+	return fmt.Errorf("%s: %w", p.Name, p.err)
+}
+
 // Kill ends the process at once and waits until it is gone.
 func (p *Process) Kill() {
 	_ = p.cmd.Process.Kill()
