--- a/internal/claim/handover.go
+++ b/internal/claim/handover.go
@@ -255,7 +255,8 @@
 }
 
 // takeOver remembers one claim of another holder, and reports whether its key is
-// remembered now. What this daemon decided itself stands.
+// remembered now. What this daemon decided itself stands, and a claim of an
+// attempt that was released needs no memory.
 func (c *Core) takeOver(held *peerv1.HeldClaim) bool {
 	key, _ := HashFrom(held.GetKey())
 	e := c.entries[key]
@@ -264,7 +265,7 @@
 		return true
 	}
 	if _, released := c.released[held.GetAttempt()]; released {
-		return false
+		return true
 	}
 	if e == nil && len(c.entries) >= c.cfg.MaxClaims {
 		return false
