--- a/test/e2e/cut_test.go
+++ b/test/e2e/cut_test.go
@@ -183,6 +183,15 @@
 	address string
 }
 
+func (c *cutConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !c.daemon.net.reaches(c.daemon.dataCentre, c.address) {
+		_ = c.Conn.Close()
+		return 0, errCut
+	}
+	return n, err
+}
+
 func (c *cutConn) Write(p []byte) (int, error) {
 	if !c.daemon.net.reaches(c.daemon.dataCentre, c.address) {
 		_ = c.Conn.Close()
@@ -383,3 +392,32 @@
 		t.Error("the cut did not fall between the calls")
 	}
 }
+
+// TestPlannedStopInACutDataCentre stops a daemon whose data centre is cut off
+// while its upstream runs requests.
+func TestPlannedStopInACutDataCentre(t *testing.T) {
+	n := startCutMesh(t)
+	n.setCut("kendal-a", true)
+	stopping := n.daemons[0]
+	caller := startLoad(nil, 0, false, nil)
+	at := &harness.Instance{Addresses: harness.Addresses{Caller: stopping.Addresses().Caller}}
+	var group sync.WaitGroup
+	for i := range 6 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			caller.send(at, fmt.Sprintf("call-%d", i), "", map[string]string{"X-Service-Time": "900ms"})
+		}()
+	}
+	await(t, "requests in flight", func() bool { return stopping.upstream.Stats().Runs >= 2 })
+	ctx, cancel := context.WithTimeout(context.Background(), settle)
+	defer cancel()
+	must(t, stopping.Stop(ctx))
+	n.daemons = n.daemons[1:]
+	stopping.platform.server.Close()
+	group.Wait()
+	report(t, caller.sent)
+	if got := count(caller.sent, answered); got != len(caller.sent) {
+		t.Errorf("%d of %d requests answered: %+v", got, len(caller.sent), caller.sent)
+	}
+}
