Share the repeated set-up and checks of the data path's tests

Cause: the tests of the proxy, the admission gate and the platform client spelled out the same steps in many places: a handler that counts its runs, an upload written byte for byte, a pair of nodes, the comparison of runs, of what the claim holder was asked and of an error.

A failure now always names what was wanted.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -20,6 +20,13 @@
 	return slot
 }
 
+func wantErr(t testing.TB, what string, err, want error) {
+	t.Helper()
+	if !errors.Is(err, want) {
+		t.Errorf("%s: got %v, want %v", what, err, want)
+	}
+}
+
 // queued starts a request that waits, and returns once it is in the queue.
 func queued(t testing.TB, g *Gate, ctx context.Context, deadline time.Time) <-chan error {
 	t.Helper()
@@ -67,9 +74,8 @@
 			time.Sleep(time.Millisecond)
 		}
 	}
-	if _, err := g.Admit(context.Background(), time.Now().Add(soon)); !errors.Is(err, Full) {
-		t.Errorf("third waiter: %v, want full", err)
-	}
+	_, err := g.Admit(context.Background(), time.Now().Add(soon))
+	wantErr(t, "third waiter", err, Full)
 	slot.Release()
 	group.Wait()
 	if len(order) != 2 || order[0] != 0 || order[1] != 1 {
@@ -93,12 +99,9 @@
 	if g.Waiting() != 0 {
 		t.Fatal("it waits all the same")
 	}
-	if err := <-late; !errors.Is(err, TooLate) {
-		t.Errorf("got %v, want too-late", err)
-	}
-	if _, err := g.Admit(context.Background(), time.Now().Add(-time.Second)); !errors.Is(err, TooLate) {
-		t.Errorf("past deadline: got %v, want too-late", err)
-	}
+	wantErr(t, "waiter", <-late, TooLate)
+	_, err := g.Admit(context.Background(), time.Now().Add(-time.Second))
+	wantErr(t, "past deadline", err, TooLate)
 	slot.Release()
 	// A free slot is given without judging, or nobody would ever be measured
 	// again.
@@ -111,9 +114,7 @@
 	g := NewGate(Config{Slots: 1, QueueLimit: 10})
 	slot := mustAdmit(t, g)
 	late := queued(t, g, context.Background(), time.Now().Add(20*time.Millisecond))
-	if err := <-late; !errors.Is(err, TooLate) {
-		t.Errorf("got %v, want too-late", err)
-	}
+	wantErr(t, "waiter", <-late, TooLate)
 	if g.Waiting() != 0 {
 		t.Error("the dropped waiter is still counted")
 	}
@@ -127,9 +128,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	waiter := queued(t, g, ctx, time.Now().Add(soon))
 	cancel()
-	if err := <-waiter; !errors.Is(err, Cancelled) {
-		t.Errorf("got %v, want cancelled", err)
-	}
+	wantErr(t, "waiter", <-waiter, Cancelled)
 	slot.Release()
 	mustAdmit(t, g).Release()
 	if g.Running() != 0 {
@@ -142,12 +141,9 @@
 	slot := mustAdmit(t, g)
 	waiter := queued(t, g, context.Background(), time.Now().Add(soon))
 	g.Drain()
-	if err := <-waiter; !errors.Is(err, Draining) {
-		t.Errorf("waiter: got %v, want draining", err)
-	}
-	if _, err := g.Admit(context.Background(), time.Now().Add(soon)); !errors.Is(err, Draining) {
-		t.Errorf("new request: got %v, want draining", err)
-	}
+	wantErr(t, "waiter", <-waiter, Draining)
+	_, err := g.Admit(context.Background(), time.Now().Add(soon))
+	wantErr(t, "new request", err, Draining)
 	if g.Running() != 1 {
 		t.Error("the running request lost its slot")
 	}
@@ -165,9 +161,8 @@
 		t.Error(err)
 	}
 	g.Resize(Config{Slots: 1, QueueLimit: 0})
-	if _, err := g.Admit(context.Background(), time.Now().Add(soon)); !errors.Is(err, Full) {
-		t.Errorf("got %v, want full", err)
-	}
+	_, err := g.Admit(context.Background(), time.Now().Add(soon))
+	wantErr(t, "new request", err, Full)
 	slot.Release()
 }
 
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -24,6 +24,13 @@
 	return store, client
 }
 
+func setFaults(t *testing.T, store *platformstandin.Store, f platformstandin.Faults) {
+	t.Helper()
+	if err := store.SetFaults(f); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func put(key, value string) platform.Transaction {
 	return platform.Transaction{Writes: []platform.Write{{Key: key, Value: []byte(value)}}}
 }
@@ -84,15 +91,11 @@
 		{"every answer lost", platformstandin.Faults{LosePercent: 100}, platform.ErrUnknown, true},
 	}
 	for _, c := range cases {
-		if err := store.SetFaults(c.faults); err != nil {
-			t.Fatal(err)
-		}
+		setFaults(t, store, c.faults)
 		if _, err := client.Transact(ctx, put(c.name, "v")); !errors.Is(err, c.want) {
 			t.Errorf("%s: transact: got %v, want %v", c.name, err, c.want)
 		}
-		if err := store.SetFaults(platformstandin.Faults{}); err != nil {
-			t.Fatal(err)
-		}
+		setFaults(t, store, platformstandin.Faults{})
 		if _, err := client.Read(ctx, c.name); (err == nil) != c.applied {
 			t.Errorf("%s: read gives %v, applied should be %v", c.name, err, c.applied)
 		}
@@ -101,9 +104,7 @@
 
 func TestClientTimeoutOfAWriteIsUnknown(t *testing.T) {
 	store, client := newPair(t)
-	if err := store.SetFaults(platformstandin.Faults{Outage: platformstandin.OutageHang}); err != nil {
-		t.Fatal(err)
-	}
+	setFaults(t, store, platformstandin.Faults{Outage: platformstandin.OutageHang})
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	if _, err := client.Transact(ctx, put("a", "1")); !errors.Is(err, platform.ErrUnknown) {
@@ -112,9 +113,7 @@
 	if _, err := client.Read(ctx, "a"); !errors.Is(err, platform.ErrUnavailable) {
 		t.Errorf("read: %v", err)
 	}
-	if err := store.SetFaults(platformstandin.Faults{}); err != nil {
-		t.Fatal(err)
-	}
+	setFaults(t, store, platformstandin.Faults{})
 }
 
 func TestClientConnectionRefusedIsUnavailable(t *testing.T) {
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -12,8 +12,7 @@
 func BenchmarkCall(b *testing.B) {
 	m := newMesh(b)
 	up := newUpstream(b, say(strings.Repeat("x", 1024)))
-	entry := m.add("a1", "a", "", 0)
-	exec := m.add("a2", "a", up.address(), 100)
+	entry, exec := m.addPair(up.address(), 100)
 	for _, way := range []struct{ name, url string }{
 		{"direct", up.URL}, {"own-upstream", exec.caller.URL}, {"two-daemons", entry.caller.URL},
 	} {
--- a/internal/proxy/carry_test.go
+++ b/internal/proxy/carry_test.go
@@ -45,8 +45,7 @@
 			time.Sleep(beyondPerTry)
 			_, _ = io.CopyN(w, letters{}, size/2)
 		})
-		entry := m.add("a1", "a", "", 0)
-		m.add("a2", "a", up.address(), 4)
+		entry, _ := m.addPair(up.address(), 4)
 		req, _ := http.NewRequest("GET", entry.caller.URL+"/stock", nil)
 		req.Header.Set(HeaderDeadline, "600000")
 		resp, err := http.DefaultTransport.RoundTrip(req)
@@ -78,8 +77,7 @@
 			_, _ = io.CopyN(w, letters{}, 1<<20)
 			panic(http.ErrAbortHandler)
 		})
-		entry := m.add("a1", "a", "", 0)
-		own := m.add("a2", "a", up.address(), 4)
+		entry, own := m.addPair(up.address(), 4)
 		for _, n := range []*node{entry, own} {
 			if got := do(t, n, "POST", "/orders", ""); !got.broken {
 				t.Errorf("%s at %s: status %d with %d bytes passed as whole", framing, n.name, got.status, len(got.body))
@@ -103,8 +101,7 @@
 		_, _ = io.Copy(h, r.Body)
 		sum.Store(fmt.Sprintf("%x", h.Sum(nil)))
 	})
-	entry := m.add("a1", "a", "", 0)
-	m.add("a2", "a", up.address(), 4)
+	entry, _ := m.addPair(up.address(), 4)
 	body := bytes.Repeat([]byte("pickle"), 300_000)
 	for _, declared := range []bool{true, false} {
 		var reader io.Reader = bytes.NewReader(body)
@@ -149,45 +146,56 @@
 			t.Errorf("%s: got %+v, want %s", test.name, got, test.want)
 		}
 	}
-	if up.runs.Load() != 0 {
-		t.Errorf("%d runs", up.runs.Load())
-	}
+	up.wantRuns(t, 0)
 	m.snapshot.Store(nil)
 	if got := do(t, n, "GET", "/stock", ""); got.code != fmt.Sprint(int(code.CallNotReady)) {
 		t.Errorf("without configuration: %+v", got)
 	}
 }
 
+// newReader runs an upstream that reads bodies and counts the whole ones.
+func newReader(t testing.TB) (*upstream, *atomic.Int64) {
+	whole := &atomic.Int64{}
+	return newUpstream(t, func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			whole.Add(1)
+		}
+	}), whole
+}
+
 // TestSlowUploadIsNotWaitedFor: the caller declares more than it sends.
 func TestSlowUploadIsNotWaitedFor(t *testing.T) {
-	for name, upload := range map[string]string{
+	for name, rest := range map[string]string{
 		"short body": "Content-Length: 100\r\n" + HeaderDeadline + ": 50\r\n\r\npart",
 		"long body":  "Content-Length: 200000\r\n" + HeaderDeadline + ": 500\r\n\r\n" + strings.Repeat("x", 100_000),
 	} {
-		t.Run(name, func(t *testing.T) { slowUpload(t, upload) })
+		t.Run(name, func(t *testing.T) { slowUpload(t, rest) })
 	}
 }
 
-func slowUpload(t *testing.T, upload string) {
-	m := newMesh(t)
-	var whole atomic.Int64
-	up := newUpstream(t, func(_ http.ResponseWriter, r *http.Request) {
-		if _, err := io.Copy(io.Discard, r.Body); err == nil {
-			whole.Add(1)
-		}
-	})
-	n := m.add("a1", "a", up.address(), 4)
+// upload sends a request of which the rest is given byte for byte, and returns
+// the head of the answer.
+func upload(t *testing.T, n *node, rest string) *http.Response {
+	t.Helper()
 	conn, err := net.Dial("tcp", n.caller.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
-	_, _ = io.WriteString(conn, "POST /orders HTTP/1.1\r\nHost: x\r\n"+upload)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, _ = io.WriteString(conn, "POST /orders HTTP/1.1\r\nHost: x\r\n"+rest)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer resp.Body.Close()
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+func slowUpload(t *testing.T, rest string) {
+	m := newMesh(t)
+	up, whole := newReader(t)
+	n := m.add("a1", "a", up.address(), 4)
+	resp := upload(t, n, rest)
 	if got := resp.Header.Get(HeaderCode); got != fmt.Sprint(int(code.CallDeadlineNotRun)) && got != fmt.Sprint(int(code.CallDeadlineUnknown)) {
 		t.Errorf("got code %s", got)
 	}
@@ -201,17 +209,7 @@
 func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
 	m := newMesh(t)
 	n := m.add("a1", "a", "", 0)
-	conn, err := net.Dial("tcp", n.caller.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	_, _ = io.WriteString(conn, "POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n"+HeaderDeadline+": 3600000\r\n\r\n"+strings.Repeat("x", 100_000))
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
+	resp := upload(t, n, "Content-Length: 200000\r\n"+HeaderDeadline+": 3600000\r\n\r\n"+strings.Repeat("x", 100_000))
 	if got := resp.Header.Get(HeaderCode); got != fmt.Sprint(int(code.CallNoUpstream)) {
 		t.Errorf("got code %s", got)
 	}
@@ -221,14 +219,8 @@
 // upstream never gets the whole.
 func TestUndeclaredBodyBeyondTheLimit(t *testing.T) {
 	m := newMesh(t)
-	var whole atomic.Int64
-	up := newUpstream(t, func(_ http.ResponseWriter, r *http.Request) {
-		if _, err := io.Copy(io.Discard, r.Body); err == nil {
-			whole.Add(1)
-		}
-	})
-	entry := m.add("a1", "a", "", 0)
-	m.add("a2", "a", up.address(), 4)
+	up, whole := newReader(t)
+	entry, _ := m.addPair(up.address(), 4)
 	req, _ := http.NewRequest("POST", entry.caller.URL+"/orders", io.LimitReader(letters{}, 5<<20))
 	if got := send(req); got.status == 200 {
 		t.Errorf("got %+v", got)
@@ -252,8 +244,7 @@
 		w.Header().Set(HeaderLoad, "99")
 		w.Header().Set(HeaderOutcome, "not-run")
 	})
-	entry := m.add("a1", "a", "", 0)
-	m.add("a2", "a", up.address(), 4)
+	entry, _ := m.addPair(up.address(), 4)
 	got := do(t, entry, "GET", "/stock", "", "Connection", "X-Private, close", "X-Private", "1", "Te", "trailers",
 		"Proxy-Authorization", "secret", "X-Public", "1", HeaderTarget, "a9", HeaderRoute, "other", HeaderDeadline, "5000",
 		"Godwitmount-Anything", "x")
--- a/internal/proxy/claims_test.go
+++ b/internal/proxy/claims_test.go
@@ -42,6 +42,13 @@
 	return strings.Join(h.log, " ")
 }
 
+func (h *holder) wantSaid(t testing.TB, want string) {
+	t.Helper()
+	if said := h.said(); said != want {
+		t.Errorf("holder said %q, want %q", said, want)
+	}
+}
+
 func (h *holder) Acquire(ctx context.Context, req claim.Request) claim.Decision {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -112,8 +119,7 @@
 	m := newMesh(t)
 	m.claims = h
 	up := newUpstream(t, handle)
-	entry := m.add("a1", "a", "", 0)
-	m.add("a2", "a", up.address(), 1)
+	entry, _ := m.addPair(up.address(), 1)
 	return entry, up
 }
 
@@ -133,12 +139,8 @@
 	if got := keyed(t, entry, "three pallets"); got.code != fmt.Sprint(int(code.ClaimKeyReused)) {
 		t.Errorf("other request under the key: %+v", got)
 	}
-	if up.runs.Load() != 1 {
-		t.Errorf("%d runs", up.runs.Load())
-	}
-	if said := h.said(); said != "granted finish-kept done done mismatch" {
-		t.Errorf("holder: %s", said)
-	}
+	up.wantRuns(t, 1)
+	h.wantSaid(t, "granted finish-kept done done mismatch")
 }
 
 func TestLongAnswerIsNotKept(t *testing.T) {
@@ -151,9 +153,7 @@
 	if got := keyed(t, entry, ""); got.code != fmt.Sprint(int(code.ClaimRunAnswerNotKept)) || got.outcome != code.Unknown {
 		t.Errorf("repeat: %+v", got)
 	}
-	if up.runs.Load() != 1 {
-		t.Errorf("%d runs", up.runs.Load())
-	}
+	up.wantRuns(t, 1)
 }
 
 // TestRepeatWaitsWithoutASlot: the repeat of a running request must not keep
@@ -171,8 +171,7 @@
 		}
 		_, _ = w.Write([]byte("first"))
 	})
-	entry := m.add("a1", "a", "", 0)
-	exec := m.add("a2", "a", up.address(), 2)
+	entry, exec := m.addPair(up.address(), 2)
 	answers := make(chan told, 2)
 	go func() { answers <- keyed(t, entry, "") }()
 	<-started
@@ -188,9 +187,7 @@
 			t.Errorf("got %+v", got)
 		}
 	}
-	if said := h.said(); said != "granted running finish-kept done" {
-		t.Errorf("holder: %s", said)
-	}
+	h.wantSaid(t, "granted running finish-kept done")
 }
 
 // TestReleasedBeforeTheCallerIsTold: once told not-run, coming back works.
@@ -209,15 +206,11 @@
 	if got := keyed(t, entry, ""); got.outcome != code.NotRun {
 		t.Errorf("got %+v, want not-run", got)
 	}
-	if said := h.said(); said != "granted release" {
-		t.Errorf("holder: %s", said)
-	}
+	h.wantSaid(t, "granted release")
 	if got := keyed(t, entry, ""); got.body != "ordered" {
 		t.Errorf("came back: %+v", got)
 	}
-	if up.runs.Load() != 2 {
-		t.Errorf("%d sends", up.runs.Load())
-	}
+	up.wantRuns(t, 2)
 }
 
 func TestLostUpstreamKeepsTheKeyTaken(t *testing.T) {
@@ -228,12 +221,8 @@
 			t.Errorf("got %+v, want unknown", got)
 		}
 	}
-	if up.runs.Load() != 1 {
-		t.Errorf("%d runs", up.runs.Load())
-	}
-	if said := h.said(); said != "granted finish-not-kept done" {
-		t.Errorf("holder: %s", said)
-	}
+	up.wantRuns(t, 1)
+	h.wantSaid(t, "granted finish-not-kept done")
 }
 
 func TestRefusedClaimIsNotRun(t *testing.T) {
@@ -246,9 +235,7 @@
 			t.Errorf("%s: got %+v", c, got)
 		}
 	}
-	if up.runs.Load() != 0 {
-		t.Errorf("%d runs", up.runs.Load())
-	}
+	up.wantRuns(t, 0)
 }
 
 // TestShedCallsCostNoClaim: admission comes first.
@@ -258,8 +245,7 @@
 	m.claims = h
 	m.config = func(c *Config) { c.QueuePerSlot = 1 }
 	up := newGated(t)
-	entry := m.add("a1", "a", "", 0)
-	exec := m.add("a2", "a", up.address(), 1)
+	entry, exec := m.addPair(up.address(), 1)
 	one := background(t, entry, "POST", "/orders", "1")
 	<-up.started
 	two := background(t, entry, "POST", "/orders", "2")
@@ -267,9 +253,7 @@
 	if got := keyed(t, entry, ""); got.code != fmt.Sprint(int(code.CallShed)) {
 		t.Errorf("got %+v, want shed", got)
 	}
-	if said := h.said(); said != "" {
-		t.Errorf("holder was asked: %s", said)
-	}
+	h.wantSaid(t, "")
 	close(up.letGo)
 	<-one
 	<-two
@@ -303,9 +287,7 @@
 			t.Errorf("%q: got %+v", headers, got)
 		}
 	}
-	if up.runs.Load() != 0 {
-		t.Errorf("%d runs", up.runs.Load())
-	}
+	up.wantRuns(t, 0)
 }
 
 // slowHolder grants only when it is let go.
@@ -328,8 +310,7 @@
 	m := newMesh(t)
 	m.claims = h
 	up := newUpstream(t, say("ok"))
-	entry := m.add("a1", "a", "", 0)
-	m.add("a2", "a", up.address(), 4)
+	entry, _ := m.addPair(up.address(), 4)
 	answers := make(chan told, 2)
 	for i := range 2 {
 		go func() {
--- a/internal/proxy/lifecycle_test.go
+++ b/internal/proxy/lifecycle_test.go
@@ -48,8 +48,7 @@
 func TestDrainCutsOffNothing(t *testing.T) {
 	m := newMesh(t)
 	up := newGated(t)
-	entry := m.add("a1", "a", "", 0)
-	exec := m.add("a2", "a", up.address(), 2)
+	entry, exec := m.addPair(up.address(), 2)
 	var running []<-chan told
 	for i := range 2 {
 		running = append(running, background(t, entry, "POST", "/orders", fmt.Sprint("r", i)))
@@ -82,9 +81,7 @@
 	if got := do(t, exec, "GET", "/stock", ""); got.code != fmt.Sprint(int(code.CallDraining)) {
 		t.Errorf("caller of a stopped daemon: %+v", got)
 	}
-	if runs := up.runs.Load(); runs != 2 {
-		t.Errorf("%d runs, want 2", runs)
-	}
+	up.wantRuns(t, 2)
 }
 
 // TestDrainingDaemonServesCallsOfItsUpstream: what runs at the upstream may
@@ -110,8 +107,7 @@
 func TestCancellationIsCarriedThrough(t *testing.T) {
 	m := newMesh(t)
 	up := newGated(t)
-	entry := m.add("a1", "a", "", 0)
-	exec := m.add("a2", "a", up.address(), 1)
+	entry, exec := m.addPair(up.address(), 1)
 	var group sync.WaitGroup
 	start := func() context.CancelFunc {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -132,17 +128,14 @@
 		_, executing := exec.proxy.InFlight()
 		return executing == 0 && exec.proxy.gate.Running() == 0 && exec.proxy.gate.Waiting() == 0
 	})
-	if runs := up.runs.Load(); runs != 1 {
-		t.Errorf("%d runs; the cancelled request in the queue was started", runs)
-	}
+	up.wantRuns(t, 1)
 }
 
 func TestOverflowIsRefusedAtOnce(t *testing.T) {
 	m := newMesh(t)
 	up := newGated(t)
 	m.config = func(c *Config) { c.QueuePerSlot = 1 }
-	entry := m.add("a1", "a", "", 0)
-	exec := m.add("a2", "a", up.address(), 1)
+	entry, exec := m.addPair(up.address(), 1)
 	first := background(t, entry, "POST", "/orders", "1")
 	<-up.started
 	second := background(t, entry, "POST", "/orders", "2")
@@ -155,9 +148,7 @@
 	if a, b := (<-first).body, (<-second).body; a != "1" || b != "2" {
 		t.Errorf("got answers %q and %q", a, b)
 	}
-	if runs := up.runs.Load(); runs != 2 {
-		t.Errorf("%d runs, want 2", runs)
-	}
+	up.wantRuns(t, 2)
 }
 
 // TestAnswersMatchRequests runs many calls with answers out of order.
@@ -194,9 +185,7 @@
 		})
 	}
 	group.Wait()
-	if runs := up.runs.Load(); runs != 20*50 {
-		t.Errorf("%d runs, want %d", runs, 20*50)
-	}
+	up.wantRuns(t, 20*50)
 }
 
 // TestKeptConnectionsAreNeverReplayed: an upstream that reads a request on a
--- a/internal/proxy/matrix_test.go
+++ b/internal/proxy/matrix_test.go
@@ -56,6 +56,16 @@
 	}
 }
 
+// counted counts the runs of a handler.
+func counted(handle http.HandlerFunc) func(*runCounter) http.HandlerFunc {
+	return func(c *runCounter) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			c.add(r.Header.Get("X-Request-Tag"))
+			handle(w, r)
+		}
+	}
+}
+
 // cut closes the connection under a handler.
 func cut(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
@@ -76,51 +86,33 @@
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
 		}},
-		{name: "upstream-lies-not-run", upstream: func(c *runCounter) http.HandlerFunc {
-			return func(w http.ResponseWriter, r *http.Request) {
-				c.add(r.Header.Get("X-Request-Tag"))
-				w.Header().Set(HeaderOutcome, string(code.NotRun))
-				w.Header().Set(HeaderCode, "504")
-				w.WriteHeader(http.StatusServiceUnavailable)
-			}
-		}},
-		{name: "upstream-answers-503", upstream: func(c *runCounter) http.HandlerFunc {
-			return func(w http.ResponseWriter, r *http.Request) {
-				c.add(r.Header.Get("X-Request-Tag"))
-				w.WriteHeader(http.StatusServiceUnavailable)
-			}
-		}},
-		{name: "upstream-lost-before-answer", upstream: func(c *runCounter) http.HandlerFunc {
-			return func(w http.ResponseWriter, r *http.Request) {
-				c.add(r.Header.Get("X-Request-Tag"))
-				cut(w)
-			}
-		}},
-		{name: "upstream-lost-amid-answer", upstream: func(c *runCounter) http.HandlerFunc {
-			return func(w http.ResponseWriter, r *http.Request) {
-				c.add(r.Header.Get("X-Request-Tag"))
-				w.Header().Set("Content-Length", "1000")
-				_, _ = w.Write(make([]byte, 500))
-				_ = http.NewResponseController(w).Flush()
-				cut(w)
-			}
-		}},
-		{name: "upstream-answer-unframed", upstream: func(c *runCounter) http.HandlerFunc {
-			return func(w http.ResponseWriter, r *http.Request) {
-				c.add(r.Header.Get("X-Request-Tag"))
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if err == nil {
-					_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf"))
-					_ = conn.Close()
-				}
+		{name: "upstream-lies-not-run", upstream: counted(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(HeaderOutcome, string(code.NotRun))
+			w.Header().Set(HeaderCode, "504")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})},
+		{name: "upstream-answers-503", upstream: counted(func(w http.ResponseWriter, r *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})},
+		{name: "upstream-lost-before-answer", upstream: counted(func(w http.ResponseWriter, r *http.Request) {
+			cut(w)
+		})},
+		{name: "upstream-lost-amid-answer", upstream: counted(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "1000")
+			_, _ = w.Write(make([]byte, 500))
+			_ = http.NewResponseController(w).Flush()
+			cut(w)
+		})},
+		{name: "upstream-answer-unframed", upstream: counted(func(w http.ResponseWriter, r *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf"))
+				_ = conn.Close()
 			}
-		}},
-		{name: "upstream-hangs", upstream: func(c *runCounter) http.HandlerFunc {
-			return func(_ http.ResponseWriter, r *http.Request) {
-				c.add(r.Header.Get("X-Request-Tag"))
-				<-r.Context().Done()
-			}
-		}},
+		})},
+		{name: "upstream-hangs", upstream: counted(func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+		})},
 		{name: "peer-lost-before-start", peer: func(http.Handler) http.Handler {
 			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { cut(w) })
 		}},
--- a/internal/proxy/mesh_test.go
+++ b/internal/proxy/mesh_test.go
@@ -169,6 +169,13 @@
 	return n
 }
 
+// addPair starts a node without upstream and one for the upstream, in one data
+// centre.
+func (m *mesh) addPair(upstream string, slots int) (entry, executing *node) {
+	m.t.Helper()
+	return m.add("a1", "a", "", 0), m.add("a2", "a", upstream, slots)
+}
+
 func (m *mesh) publish() {
 	var records []membership.Record
 	for _, n := range m.nodes {
@@ -218,6 +225,13 @@
 	return u
 }
 
+func (u *upstream) wantRuns(t testing.TB, want int64) {
+	t.Helper()
+	if runs := u.runs.Load(); runs != want {
+		t.Errorf("%d runs, want %d", runs, want)
+	}
+}
+
 func (u *upstream) address() string { return u.Listener.Addr().String() }
 
 // nobody is an address where nobody listens: a port below those that listeners
--- a/internal/proxy/path_test.go
+++ b/internal/proxy/path_test.go
@@ -48,8 +48,7 @@
 		w.Header().Set("X-Seen", r.Method+" "+r.URL.RequestURI()+" "+r.Host)
 		_, _ = w.Write(body)
 	})
-	entry := m.add("a1", "a", "", 0)
-	m.add("a2", "a", up.address(), 10)
+	entry, _ := m.addPair(up.address(), 10)
 	for _, method := range []string{"GET", "POST", "PUT", "DELETE"} {
 		got := do(t, entry, method, "/plain/x%2Fy?q=1", "piccalilli", "Host", "shop")
 		if got.status != 200 || got.body != "piccalilli" || got.outcome != "" {
@@ -60,9 +59,7 @@
 			t.Errorf("%s: upstream saw %q, want %q", method, seen, want)
 		}
 	}
-	if runs := up.runs.Load(); runs != 4 {
-		t.Errorf("upstream ran %d requests, want 4", runs)
-	}
+	up.wantRuns(t, 4)
 }
 
 func TestOwnUpstreamSkipsThePeerHop(t *testing.T) {
