--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -101,9 +101,9 @@
 		b.Run(s.name, func(b *testing.B) {
 			for range b.N {
 				w := newWorld("a", "b", "c")
-				w.runUntil(s.warm)
+				w.RunTo(s.warm)
 				s.run(w)
-				w.runUntil(s.warm + time.Second)
+				w.RunTo(s.warm + time.Second)
 				outage(30 * time.Second)(w)
 				b.ReportMetric(100*refusedShare(w, 25*time.Second), "refused-%")
 			}
@@ -116,8 +116,8 @@
 	before := w.grants
 	for i := range calls {
 		key := KeyOf("outage", fmt.Sprint(i))
-		w.after(during*time.Duration(i)/calls, func() { w.attempt("x", key, fmt.Sprint("o", i)) })
+		w.After(during*time.Duration(i)/calls, func() { w.attempt("x", key, fmt.Sprint("o", i)) })
 	}
-	w.runUntil(w.now + during + executorWait)
+	w.RunTo(w.Now + during + executorWait)
 	return 1 - float64(w.grants-before)/calls
 }
--- a/internal/claim/fault_test.go
+++ b/internal/claim/fault_test.go
@@ -21,7 +21,7 @@
 func outage(d time.Duration) func(w *world) {
 	return func(w *world) {
 		w.table.down = true
-		w.after(d, func() { w.table.down = false })
+		w.After(d, func() { w.table.down = false })
 	}
 }
 
@@ -30,25 +30,25 @@
 		for _, name := range names {
 			w.sites[name] = 1
 		}
-		w.after(d, func() { w.sites = map[string]int{} })
+		w.After(d, func() { w.sites = map[string]int{} })
 	}
 }
 
 func restart(name string) func(w *world) {
 	return func(w *world) {
 		n := w.nodes[name]
-		n.down = true
-		w.after(500*time.Millisecond, n.start)
+		n.Down = true
+		w.After(500*time.Millisecond, n.start)
 	}
 }
 
 func kill(name string) func(w *world) {
-	return func(w *world) { w.nodes[name].down = true }
+	return func(w *world) { w.nodes[name].Down = true }
 }
 
 func freeze(name string, d time.Duration) func(w *world) {
 	return func(w *world) {
-		if n := w.nodes[name]; !n.down {
+		if n := w.nodes[name]; !n.Down {
 			n.freeze(d)
 		}
 	}
@@ -67,9 +67,9 @@
 		n := w.nodes[name]
 		incarnation := n.incarnation
 		n.step(LeaveRequested{})
-		w.after(2*time.Second, func() {
-			if !n.down && n.incarnation == incarnation {
-				n.left, n.down = true, true
+		w.After(2*time.Second, func() {
+			if !n.Down && n.incarnation == incarnation {
+				n.left, n.Down = true, true
 			}
 		})
 	}
@@ -83,7 +83,7 @@
 	{"platform away 3s", outage(3 * time.Second)},
 	{"platform away from a", func(w *world) {
 		w.table.away["a"] = true
-		w.after(40*time.Second, func() { w.table.away["a"] = false })
+		w.After(40*time.Second, func() { w.table.away["a"] = false })
 	}},
 	{"cut a y from the rest", cut(20*time.Second, "a", "y")},
 	{"cut a b y from the rest", cut(30*time.Second, "a", "b", "y")},
@@ -119,7 +119,7 @@
 // world after it.
 func play(scenario func(w *world)) *world {
 	w := newWorld("a", "b", "c")
-	w.runUntil(warmUp)
+	w.RunTo(warmUp)
 	scenario(w)
 	for i, key := range callKeys() {
 		start := time.Duration(i) * 370 * time.Millisecond
@@ -130,10 +130,10 @@
 			if at > worldHorizon-10*time.Second {
 				continue
 			}
-			w.after(at, func() { w.attempt(executor, key, id) })
+			w.After(at, func() { w.attempt(executor, key, id) })
 		}
 	}
-	w.runUntil(warmUp + worldHorizon)
+	w.RunTo(warmUp + worldHorizon)
 	return w
 }
 
@@ -197,7 +197,7 @@
 				}
 				return noFault
 			}
-			w.after(background.at, func() { background.run(w) })
+			w.After(background.at, func() { background.run(w) })
 		})
 		checkRuns(t, fmt.Sprintf("%s %d %s, %s", message, nth, fault, background.name), w)
 	}
@@ -219,8 +219,8 @@
 	for _, moment := range []time.Duration{400 * time.Millisecond, 2222 * time.Millisecond} {
 		for _, gap := range []time.Duration{0, 1300 * time.Millisecond, 6 * time.Second} {
 			w := play(func(w *world) {
-				w.after(moment, func() { first.run(w) })
-				w.after(moment+gap, func() { second.run(w) })
+				w.After(moment, func() { first.run(w) })
+				w.After(moment+gap, func() { second.run(w) })
 			})
 			checkRuns(t, fmt.Sprintf("%s at %s, %s after %s", first.name, moment, second.name, gap), w)
 		}
@@ -259,7 +259,7 @@
 		for range 2 + random.IntN(4) {
 			ev := worldEvents[random.IntN(len(worldEvents))]
 			at := time.Duration(random.IntN(20000)) * time.Millisecond
-			w.after(at, func() { ev.run(w) })
+			w.After(at, func() { ev.run(w) })
 		}
 	})
 }
--- a/internal/claim/harness_test.go
+++ b/internal/claim/harness_test.go
@@ -12,6 +12,7 @@
 	"godwitmount/internal/code"
 	"godwitmount/internal/platform"
 	"godwitmount/internal/step"
+	"godwitmount/internal/steptest"
 )
 
 const testMesh = "test"
@@ -62,23 +63,15 @@
 }
 
 func (tr *transcript) event(t *testing.T, d *datadriven.TestData) step.Event {
-	call := step.CallID(intArg(t, d, "call"))
+	call := step.CallID(steptest.Number[int](t, d, "call"))
 	switch d.Cmd {
 	case "new":
 		*tr = transcript{now: step.Moment{Wall: time.UnixMilli(1_000_000)}, names: map[Hash]string{}}
 		cfg := testConfig()
-		if d.HasArg("queue") {
-			cfg.MaxQueue = intArg(t, d, "queue")
-		}
-		if d.HasArg("claims") {
-			cfg.MaxClaims = intArg(t, d, "claims")
-		}
-		if d.HasArg("part") {
-			cfg.MaxHandOver = intArg(t, d, "part")
-		}
-		if d.HasArg("answers") {
-			cfg.MaxAnswers = intArg(t, d, "answers")
-		}
+		d.MaybeScanArgs(t, "queue", &cfg.MaxQueue)
+		d.MaybeScanArgs(t, "claims", &cfg.MaxClaims)
+		d.MaybeScanArgs(t, "part", &cfg.MaxHandOver)
+		d.MaybeScanArgs(t, "answers", &cfg.MaxAnswers)
 		tr.core = New(cfg, tr.now)
 		return nil
 	case "view":
@@ -86,9 +79,9 @@
 	case "acquire":
 		return AcquireRequested{Call: call, Request: tr.acquire(t, d)}
 	case "finish":
-		req := &peerv1.FinishClaimRequest{Mesh: testMesh, Key: tr.key(t, d), Attempt: stringArg(t, d, "attempt"), Released: d.HasArg("released")}
+		req := &peerv1.FinishClaimRequest{Mesh: testMesh, Key: tr.key(t, d), Attempt: steptest.Text(t, d, "attempt"), Released: d.HasArg("released")}
 		if d.HasArg("answer") {
-			req.Answer = &peerv1.StoredAnswer{Status: 201, Body: []byte(stringArg(t, d, "answer"))}
+			req.Answer = &peerv1.StoredAnswer{Status: 201, Body: []byte(steptest.Text(t, d, "answer"))}
 		}
 		return FinishRequested{Call: call, Request: req}
 	case "written":
@@ -96,17 +89,17 @@
 	case "read":
 		return tr.read(t, d)
 	case "advance":
-		tr.advance(durationArg(t, d, "by"))
+		tr.advance(steptest.Duration(t, d, "by"))
 		return step.Tick{}
 	case "pause":
-		gap := durationArg(t, d, "gap")
+		gap := steptest.Duration(t, d, "gap")
 		tr.advance(gap)
 		return step.Paused{Gap: gap}
 	case "handover":
 		return HandOverRequested{Call: call, Request: tr.handOver(t, d)}
 	case "handed-over":
 		response := &peerv1.HandOverClaimsResponse{Refused: d.HasArg("refused")}
-		return HandedOver{ID: uint64(intArg(t, d, "id")), Response: response, Err: errArg(t, d)}
+		return HandedOver{ID: steptest.Number[uint64](t, d, "id"), Response: response, Err: errArg(t, d)}
 	case "leave":
 		return LeaveRequested{}
 	}
@@ -120,7 +113,7 @@
 }
 
 func (tr *transcript) key(t *testing.T, d *datadriven.TestData) []byte {
-	name := stringArg(t, d, "key")
+	name := steptest.Text(t, d, "key")
 	key := keyFor(name)
 	tr.names[key] = name
 	return key[:]
@@ -129,25 +122,25 @@
 func (tr *transcript) acquire(t *testing.T, d *datadriven.TestData) *peerv1.AcquireClaimRequest {
 	fingerprint := fingerprintFor("same")
 	if d.HasArg("print") {
-		fingerprint = fingerprintFor(stringArg(t, d, "print"))
+		fingerprint = fingerprintFor(steptest.Text(t, d, "print"))
 	}
 	return &peerv1.AcquireClaimRequest{
 		Mesh: testMesh, Key: tr.key(t, d), Fingerprint: fingerprint[:],
-		Attempt: stringArg(t, d, "attempt"), Executor: "x",
-		WaitMs: uint32(durationArg(t, d, "wait").Milliseconds()),
+		Attempt: steptest.Text(t, d, "attempt"), Executor: "x",
+		WaitMs: uint32(steptest.Duration(t, d, "wait").Milliseconds()),
 	}
 }
 
 func (tr *transcript) handOver(t *testing.T, d *datadriven.TestData) *peerv1.HandOverClaimsRequest {
 	req := &peerv1.HandOverClaimsRequest{
-		Mesh: testMesh, From: stringArg(t, d, "from"), Incarnation: 1, ToIncarnation: 1,
+		Mesh: testMesh, From: steptest.Text(t, d, "from"), Incarnation: 1, ToIncarnation: 1,
 		Replica: d.HasArg("replica"), Complete: d.HasArg("complete"),
-		TenureMs: uint64(durationArg(t, d, "tenure").Milliseconds()),
+		TenureMs: uint64(steptest.Duration(t, d, "tenure").Milliseconds()),
 	}
 	if d.HasArg("key") {
 		fingerprint := fingerprintFor("same")
 		req.Claims = append(req.Claims, &peerv1.HeldClaim{
-			Key: tr.key(t, d), Fingerprint: fingerprint[:], Attempt: stringArg(t, d, "attempt"), Executor: "x",
+			Key: tr.key(t, d), Fingerprint: fingerprint[:], Attempt: steptest.Text(t, d, "attempt"), Executor: "x",
 			ClaimedAt: tr.now.Wall.UnixMilli(), Done: d.HasArg("done"), Written: d.HasArg("in-table"),
 		})
 	}
@@ -158,19 +151,19 @@
 // named.
 func (tr *transcript) written(t *testing.T, d *datadriven.TestData) step.Event {
 	ev := TableWritten{Batch: tr.batch.Batch, Err: errArg(t, d)}
-	ev.Result.Revision = uint64(intArg(t, d, "revision"))
+	ev.Result.Revision = steptest.Number[uint64](t, d, "revision")
 	if d.HasArg("batch") {
-		ev.Batch = uint64(intArg(t, d, "batch"))
+		ev.Batch = steptest.Number[uint64](t, d, "batch")
 	}
 	if d.HasArg("found") {
 		tr.key(t, d)
-		ev.Result.Existing = []platform.Row{tr.row(t, d, stringArg(t, d, "found"))}
+		ev.Result.Existing = []platform.Row{tr.row(t, d, steptest.Text(t, d, "found"))}
 	}
 	if d.HasArg("marker") {
 		ev.Err = &platform.ConflictError{Key: tr.core.markerKey(), Current: platform.Row{Revision: 1}}
 	}
 	if d.HasArg("conflict") {
-		ev.Err = &platform.ConflictError{Key: rowKey(keyFor(stringArg(t, d, "conflict")))}
+		ev.Err = &platform.ConflictError{Key: rowKey(keyFor(steptest.Text(t, d, "conflict")))}
 	}
 	return ev
 }
@@ -178,7 +171,7 @@
 func (tr *transcript) read(t *testing.T, d *datadriven.TestData) step.Event {
 	key, _ := HashFrom(tr.key(t, d))
 	if d.HasArg("found") {
-		return TableRead{Key: rowKey(key), Row: tr.row(t, d, stringArg(t, d, "found"))}
+		return TableRead{Key: rowKey(key), Row: tr.row(t, d, steptest.Text(t, d, "found"))}
 	}
 	if err := errArg(t, d); err != nil {
 		return TableRead{Key: rowKey(key), Err: err}
@@ -189,7 +182,7 @@
 func (tr *transcript) row(t *testing.T, d *datadriven.TestData, attempt string) platform.Row {
 	fingerprint := fingerprintFor("same")
 	if d.HasArg("print") {
-		fingerprint = fingerprintFor(stringArg(t, d, "print"))
+		fingerprint = fingerprintFor(steptest.Text(t, d, "print"))
 	}
 	key, _ := HashFrom(tr.key(t, d))
 	e := entry{key: key, fingerprint: fingerprint, attempt: attempt, executor: "y", claimedAt: tr.now.Wall.UnixMilli()}
@@ -318,36 +311,8 @@
 	return text
 }
 
-func stringArg(t *testing.T, d *datadriven.TestData, name string) string {
-	var value string
-	if d.HasArg(name) {
-		d.ScanArgs(t, name, &value)
-	}
-	return value
-}
-
-func intArg(t *testing.T, d *datadriven.TestData, name string) int {
-	var value int
-	if d.HasArg(name) {
-		d.ScanArgs(t, name, &value)
-	}
-	return value
-}
-
-func durationArg(t *testing.T, d *datadriven.TestData, name string) time.Duration {
-	value := stringArg(t, d, name)
-	if value == "" {
-		return 0
-	}
-	duration, err := time.ParseDuration(value)
-	if err != nil {
-		t.Fatalf("%s: %v", d.Pos, err)
-	}
-	return duration
-}
-
 func errArg(t *testing.T, d *datadriven.TestData) error {
-	switch stringArg(t, d, "err") {
+	switch steptest.Text(t, d, "err") {
 	case "":
 		return nil
 	case "unavailable":
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -1,7 +1,6 @@
 package claim
 
 import (
-	"container/heap"
 	"fmt"
 	"slices"
 	"time"
@@ -11,14 +10,13 @@
 	peerv1 "godwitmount/gen/godwitmount/peer/v1"
 	"godwitmount/internal/platform"
 	"godwitmount/internal/step"
+	"godwitmount/internal/steptest"
 )
 
 // world is a few holders, a table and callers that repeat, joined by messages
 // that may be lost, repeated or late.
 type world struct {
-	now   time.Duration
-	queue agenda
-	order int
+	steptest.Clock
 	nodes map[string]*node
 	// holders are the names of the nodes that hold claims, in order.
 	holders []string
@@ -57,41 +55,17 @@
 	pauseThreshold = time.Second
 )
 
-type task struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type agenda []task
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(task)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // node is a daemon: a holder, or an executor, which only watches.
 type node struct {
+	steptest.Process
 	w           *world
 	name        string
 	core        *Core
 	incarnation uint64
 	skew        time.Duration
-	down        bool
 	left        bool
-	frozen      time.Duration
-	held        []func()
 	heard       map[string]time.Duration
 	view        []Member
-	calls       map[step.CallID]func(proto.Message)
-	nextCall    step.CallID
 }
 
 func newWorld(names ...string) *world {
@@ -120,16 +94,15 @@
 	n := &node{w: w, name: name, skew: time.Duration(len(w.nodes)%3) * detectionSkew}
 	w.nodes[name] = n
 	n.start()
-	w.after(worldTick, n.tick)
+	w.After(worldTick, n.tick)
 	return n
 }
 
 func (n *node) start() {
 	n.incarnation++
-	n.down, n.left = false, false
-	n.view, n.held = nil, nil
+	n.Restart(&n.w.Clock)
+	n.view, n.left = nil, false
 	n.heard = map[string]time.Duration{}
-	n.calls = map[step.CallID]func(proto.Message){}
 	cfg := DefaultConfig(testMesh, "near")
 	cfg.Horizon = worldHorizon
 	cfg.DetectionMargin = 5 * time.Second
@@ -138,21 +111,7 @@
 }
 
 func (w *world) moment() step.Moment {
-	return step.Moment{Now: w.now, Wall: time.UnixMilli(1_000_000).Add(w.now)}
-}
-
-func (w *world) after(d time.Duration, run func()) {
-	w.order++
-	heap.Push(&w.queue, task{at: w.now + d, order: w.order, run: run})
-}
-
-func (w *world) runUntil(end time.Duration) {
-	for len(w.queue) > 0 && w.queue[0].at <= end {
-		next := heap.Pop(&w.queue).(task)
-		w.now = next.at
-		next.run()
-	}
-	w.now = end
+	return step.Moment{Now: w.Now, Wall: time.UnixMilli(1_000_000).Add(w.Now)}
 }
 
 // send carries one message, with the fault that the scenario has for it.
@@ -162,25 +121,25 @@
 	case lost:
 		return
 	case repeated:
-		w.after(messageDelay, deliver)
+		w.After(messageDelay, deliver)
 	case crossed:
-		w.after(crossDelay, deliver)
+		w.After(crossDelay, deliver)
 		return
 	case late:
-		w.after(lateDelay, deliver)
+		w.After(lateDelay, deliver)
 		return
 	case repeatLate:
-		w.after(lateDelay, deliver)
+		w.After(lateDelay, deliver)
 	}
-	w.after(messageDelay, deliver)
+	w.After(messageDelay, deliver)
 }
 
 func (w *world) reachable(a, b string) bool { return w.sites[a] == w.sites[b] }
 
 // tick is the failure detector and the holder's clock.
 func (n *node) tick() {
-	n.w.after(worldTick, n.tick)
-	if n.down || n.frozen > n.w.now {
+	n.w.After(worldTick, n.tick)
+	if n.Down || n.Frozen() {
 		return
 	}
 	var view []Member
@@ -191,12 +150,12 @@
 			left = append(left, name)
 			continue
 		}
-		running := !other.down && other.frozen <= n.w.now
+		running := !other.Down && !other.Frozen()
 		if running && n.w.reachable(n.name, name) {
-			n.heard[name] = n.w.now
+			n.heard[name] = n.w.Now
 		}
 		heard, known := n.heard[name]
-		silent := n.w.now - heard
+		silent := n.w.Now - heard
 		if known && silent < deadAfter+n.skew {
 			view = append(view, Member{Instance: name, Incarnation: other.incarnation, Suspect: silent >= suspectAfter})
 		}
@@ -208,36 +167,20 @@
 	n.step(step.Tick{})
 }
 
-// deliver runs a message's arrival at the node, once it is awake.
-func (n *node) deliver(run func()) {
-	switch {
-	case n.down:
-	case n.frozen > n.w.now:
-		n.held = append(n.held, run)
-	default:
-		run()
-	}
-}
-
 func (n *node) freeze(d time.Duration) {
-	n.frozen = n.w.now + d
-	n.w.after(d, func() {
+	n.Freeze(d, func() bool {
 		if d >= pauseThreshold {
 			n.step(step.Paused{Gap: d})
 		}
 		for name := range n.heard {
-			n.heard[name] = n.w.now
-		}
-		held := n.held
-		n.held = nil
-		for _, run := range held {
-			run()
+			n.heard[name] = n.w.Now
 		}
+		return true
 	})
 }
 
 func (n *node) step(ev step.Event) {
-	if n.core == nil || n.down {
+	if n.core == nil || n.Down {
 		return
 	}
 	for _, effect := range n.core.Step(n.w.moment(), ev) {
@@ -249,7 +192,7 @@
 	w, incarnation := n.w, n.incarnation
 	back := func(kind string, ev step.Event) {
 		w.send(kind, func() {
-			n.deliver(func() {
+			n.WhenAwake(func() {
 				if n.incarnation == incarnation {
 					n.step(ev)
 				}
@@ -258,12 +201,9 @@
 	}
 	switch e := effect.(type) {
 	case step.Reply:
-		answer := n.calls[e.Call]
-		delete(n.calls, e.Call)
-		if answer == nil {
+		if !n.Answer(e) {
 			panic(fmt.Sprintf("%s: call %d answered twice", n.name, e.Call))
 		}
-		answer(e.Message)
 	case WriteClaims:
 		w.send("write", func() {
 			result, err := w.table.transact(n.name, e.Transaction)
@@ -278,7 +218,7 @@
 		w.call("hand-over", n.name, e.To.Instance,
 			func(call step.CallID) step.Event { return HandOverRequested{Call: call, Request: e.Request} },
 			func(m proto.Message) {
-				n.deliver(func() {
+				n.WhenAwake(func() {
 					if n.incarnation == incarnation {
 						n.step(HandedOver{ID: e.ID, Response: m.(*peerv1.HandOverClaimsResponse)})
 					}
@@ -294,16 +234,14 @@
 		if !w.reachable(from, to) {
 			return
 		}
-		n.deliver(func() {
-			n.nextCall++
-			n.calls[n.nextCall] = func(m proto.Message) {
+		n.WhenAwake(func() {
+			n.step(request(n.Call(func(m proto.Message) {
 				w.send(kind+" answer", func() {
 					if w.reachable(from, to) {
 						answer(m)
 					}
 				})
-			}
-			n.step(request(n.nextCall))
+			})))
 		})
 	})
 }
@@ -323,7 +261,7 @@
 	fingerprint := fingerprintFor("same")
 	req := &peerv1.AcquireClaimRequest{Mesh: testMesh, Key: key[:], Fingerprint: fingerprint[:], Attempt: id, Executor: executor, WaitMs: 500}
 	over := false
-	w.after(executorWait, func() {
+	w.After(executorWait, func() {
 		if !over {
 			over = true
 			w.finish(executor, holder, key, id, true)
@@ -357,7 +295,7 @@
 		w.runs[key] = append(w.runs[key], id)
 	default:
 		w.runs[key] = append(w.runs[key], id)
-		w.after(100*time.Millisecond, func() { w.finish(executor, holder, key, id, false) })
+		w.After(100*time.Millisecond, func() { w.finish(executor, holder, key, id, false) })
 	}
 }
 
--- a/internal/confsync/bench_test.go
+++ b/internal/confsync/bench_test.go
@@ -151,12 +151,12 @@
 		var total, worst time.Duration
 		for i := range versions {
 			n.run(3*time.Second+time.Duration(i)*110*time.Millisecond, nil)
-			began := n.now
+			began := n.Now
 			if !n.run(healTime, n.allAt(n.accept(fmt.Sprint("version ", i)))) {
 				b.Fatal(n.applied())
 			}
-			total += n.now - began
-			worst = max(worst, n.now-began)
+			total += n.Now - began
+			worst = max(worst, n.Now-began)
 		}
 		b.ReportMetric(float64(total.Milliseconds())/versions, "sim-ms/version")
 		b.ReportMetric(float64(worst.Milliseconds()), "sim-ms-worst")
@@ -211,7 +211,7 @@
 		n.add(all...)
 		n.run(startTime, n.allAt(n.accept(bodies[0])))
 		n.run(window, nil)
-		before, reads, began := n.bytes, n.headReads+n.objectReads, n.now
+		before, reads, began := n.bytes, n.headReads+n.objectReads, n.Now
 		for _, body := range bodies[1:] {
 			n.accept(body)
 			n.run(window, nil)
@@ -225,6 +225,6 @@
 		b.ReportMetric(float64(n.bytes.own-before.own)/share, "peer-body-B")
 		b.ReportMetric(float64(n.bytes.link-before.link)/share, "link-body-B")
 		b.ReportMetric(float64(n.bytes.platform-before.platform)/share, "platform-body-B")
-		b.ReportMetric(float64(n.headReads+n.objectReads-reads)/(n.now-began).Seconds(), "platform-reads/s")
+		b.ReportMetric(float64(n.headReads+n.objectReads-reads)/(n.Now-began).Seconds(), "platform-reads/s")
 	}
 }
--- a/internal/confsync/core_test.go
+++ b/internal/confsync/core_test.go
@@ -15,6 +15,7 @@
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/membership"
 	"godwitmount/internal/step"
+	"godwitmount/internal/steptest"
 )
 
 // The fakes of this test: a body compiles unless it starts with "bad" or
@@ -85,7 +86,7 @@
 		tr.random++
 	}
 	if d.HasArg("after") {
-		pause, err := time.ParseDuration(arg(t, d, "after"))
+		pause, err := time.ParseDuration(steptest.Text(t, d, "after"))
 		if err != nil {
 			d.Fatalf(t, "%v", err)
 		}
@@ -93,7 +94,7 @@
 	}
 	m := step.Moment{Now: tr.now, Random: tr.random}
 	if d.Cmd == "new" {
-		cfg := testConfig(arg(t, d, "instance"), arg(t, d, "dc"))
+		cfg := testConfig(steptest.Text(t, d, "instance"), steptest.Text(t, d, "dc"))
 		tr.core = New(cfg, m)
 		return "ok"
 	}
@@ -126,22 +127,22 @@
 	case "confirm":
 		return HeadRead{Attempt: startRead, ID: tr.id(t, d, "id"), Err: failure(t, d)}
 	case "notice":
-		remaining, _ := strconv.Atoi(arg(t, d, "remaining"))
-		return NoticeReceived{From: arg(t, d, "from"), Address: arg(t, d, "from"), ID: tr.id(t, d, "id"), Remaining: uint32(remaining)}
+		remaining := steptest.Number[int](t, d, "remaining")
+		return NoticeReceived{From: steptest.Text(t, d, "from"), Address: steptest.Text(t, d, "from"), ID: tr.id(t, d, "id"), Remaining: uint32(remaining)}
 	case "peer":
-		return PeerApplied{Instance: arg(t, d, "from"), Address: arg(t, d, "from"), ID: tr.id(t, d, "id")}
+		return PeerApplied{Instance: steptest.Text(t, d, "from"), Address: steptest.Text(t, d, "from"), ID: tr.id(t, d, "id")}
 	case "object":
-		return ObjectFetched{Attempt: tr.core.target.inFlight, ID: tr.id(t, d, "id"), Body: []byte(arg(t, d, "body")), Err: failure(t, d)}
+		return ObjectFetched{Attempt: tr.core.target.inFlight, ID: tr.id(t, d, "id"), Body: []byte(steptest.Text(t, d, "body")), Err: failure(t, d)}
 	case "fetched":
 		return tr.fetched(t, d)
 	case "floor":
 		resp := &peerv1.RememberFloorResponse{Floor: idToProto(tr.id(t, d, "floor")), Applied: idToProto(tr.id(t, d, "applied"))}
-		return FloorRemembered{Attempt: tr.number(t, d, "attempt"), Address: arg(t, d, "from"), Response: resp, Err: failure(t, d)}
+		return FloorRemembered{Attempt: steptest.Number[uint64](t, d, "attempt"), Address: steptest.Text(t, d, "from"), Response: resp, Err: failure(t, d)}
 	case "serve":
-		req := &peerv1.FetchConfigRequest{Mesh: orElse(arg(t, d, "mesh"), "test"), From: arg(t, d, "from"), Have: idToProto(tr.id(t, d, "have"))}
+		req := &peerv1.FetchConfigRequest{Mesh: orElse(steptest.Text(t, d, "mesh"), "test"), From: steptest.Text(t, d, "from"), Have: idToProto(tr.id(t, d, "have"))}
 		return FetchRequested{Call: 7, Request: req}
 	case "remember":
-		req := &peerv1.RememberFloorRequest{Mesh: "test", Instance: arg(t, d, "from"), Applying: idToProto(tr.id(t, d, "id"))}
+		req := &peerv1.RememberFloorRequest{Mesh: "test", Instance: steptest.Text(t, d, "from"), Applying: idToProto(tr.id(t, d, "id"))}
 		return FloorRequested{Call: 7, Request: req}
 	}
 	d.Fatalf(t, "unknown command %q", d.Cmd)
@@ -152,19 +153,13 @@
 	resp := &peerv1.FetchConfigResponse{
 		Id:           idToProto(tr.id(t, d, "id")),
 		Base:         idToProto(tr.id(t, d, "base")),
-		Body:         []byte(arg(t, d, "body")),
+		Body:         []byte(steptest.Text(t, d, "body")),
 		Floor:        idToProto(tr.id(t, d, "floor")),
-		RetryAfterMs: uint32(tr.number(t, d, "retry-ms")),
+		RetryAfterMs: uint32(steptest.Number[uint64](t, d, "retry-ms")),
 	}
 	return PeerFetched{Attempt: tr.attempt(t, d, tr.core.target.inFlight), Address: tr.core.target.from, Response: resp, Err: failure(t, d)}
 }
 
-func arg(t *testing.T, d *datadriven.TestData, key string) string {
-	var value string
-	d.MaybeScanArgs(t, key, &value)
-	return value
-}
-
 func orElse(value, other string) string {
 	if value == "" {
 		return other
@@ -172,24 +167,16 @@
 	return value
 }
 
-func (tr *transcript) number(t *testing.T, d *datadriven.TestData, key string) uint64 {
-	n, err := strconv.ParseUint(orElse(arg(t, d, key), "0"), 10, 64)
-	if err != nil {
-		d.Fatalf(t, "%s: %v", key, err)
-	}
-	return n
-}
-
 // attempt returns the attempt argument, or the one in flight.
 func (tr *transcript) attempt(t *testing.T, d *datadriven.TestData, inFlight uint64) uint64 {
 	if d.HasArg("attempt") {
-		return tr.number(t, d, "attempt")
+		return steptest.Number[uint64](t, d, "attempt")
 	}
 	return inFlight
 }
 
 func failure(t *testing.T, d *datadriven.TestData) error {
-	if text := arg(t, d, "err"); text != "" {
+	if text := steptest.Text(t, d, "err"); text != "" {
 		return errors.New(text)
 	}
 	return nil
@@ -197,7 +184,7 @@
 
 // id reads an ID written as version:body.
 func (tr *transcript) id(t *testing.T, d *datadriven.TestData, key string) manifest.ID {
-	text := arg(t, d, key)
+	text := steptest.Text(t, d, key)
 	if text == "" || text == "none" {
 		return manifest.ID{}
 	}
--- a/internal/confsync/faults_test.go
+++ b/internal/confsync/faults_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"godwitmount/internal/manifest"
 )
 
 const (
@@ -15,6 +17,22 @@
 	healTime = 30 * time.Second
 )
 
+// startedNetwork returns a network with the version "one" in force everywhere.
+func startedNetwork(t testing.TB, names ...string) *network {
+	t.Helper()
+	n := newNetwork(t, names...)
+	n.reach(startTime, n.accept("one"))
+	return n
+}
+
+// reach lets time pass until all have a version in force.
+func (n *network) reach(limit time.Duration, id manifest.ID) {
+	n.t.Helper()
+	if !n.run(limit, n.allAt(id)) {
+		n.t.Fatalf("at %v: want all at %s, have %s", n.Now, id, n.applied())
+	}
+}
+
 // disturbance is done to one message of a publish flow. It reports whether it
 // took the message over.
 type disturbance struct {
@@ -22,70 +40,66 @@
 	do   func(n *network, d delivery) bool
 }
 
-var disturbances = []disturbance{
-	{"lost", func(*network, delivery) bool { return true }},
-	{"repeated", func(n *network, d delivery) bool {
-		n.push(d)
-		d.at += 3 * time.Millisecond
-		n.push(d)
-		return true
-	}},
-	{"delayed past every timeout", func(n *network, d delivery) bool {
-		d.at += 4 * time.Second
-		n.push(d)
-		return true
-	}},
-	{"crossed", func(n *network, d delivery) bool {
-		d.at += 20 * time.Millisecond
-		n.push(d)
+// faultTime is how long a state of fault lasts.
+const faultTime = 5 * time.Second
+
+// carried delivers the message once with each further delay.
+func carried(delays ...time.Duration) func(*network, delivery) bool {
+	return func(n *network, d delivery) bool {
+		sent := d.at
+		for _, delay := range delays {
+			d.at = sent + delay
+			n.push(d)
+		}
 		return true
-	}},
-	{"followed by a restart", func(n *network, d delivery) bool {
+	}
+}
+
+// followed delivers the message and then does more; undo, if any, ends it.
+func followed(more, undo func(n *network, to *node)) func(*network, delivery) bool {
+	return func(n *network, d delivery) bool {
 		n.push(d)
-		n.at(d.at, func() { n.start(d.to) })
+		n.At(d.at, func() { more(n, n.nodes[d.to]) })
+		if undo != nil {
+			n.At(d.at+faultTime, func() { undo(n, n.nodes[d.to]) })
+		}
 		return true
-	}},
+	}
+}
+
+// restored answers the first version as the head until the fault is over.
+func restored(more func(n *network, to *node)) func(*network, delivery) bool {
+	return func(n *network, d delivery) bool {
+		newest := n.head
+		return followed(func(n *network, to *node) {
+			n.head = idOf(1, "one")
+			more(n, to)
+		}, func(n *network, _ *node) { n.head = newest })(n, d)
+	}
+}
+
+func restart(n *network, to *node) { n.start(to.name) }
+
+var disturbances = []disturbance{
+	{"lost", carried()},
+	{"repeated", carried(0, 3*time.Millisecond)},
+	{"delayed past every timeout", carried(4 * time.Second)},
+	{"crossed", carried(20 * time.Millisecond)},
+	{"followed by a restart", followed(restart, nil)},
 	{"followed by a restart without the platform", func(n *network, d delivery) bool {
-		n.push(d)
 		n.nodes[d.to].noPlatform = true
-		n.at(d.at, func() { n.start(d.to) })
-		n.at(d.at+5*time.Second, func() { n.nodes[d.to].noPlatform = false })
-		return true
-	}},
-	{"followed by a pause", func(n *network, d delivery) bool {
-		n.push(d)
-		n.at(d.at, func() { n.freeze(d.to, 6*time.Second) })
-		return true
-	}},
-	{"followed by a cut", func(n *network, d delivery) bool {
-		n.push(d)
-		n.at(d.at, func() { n.nodes[d.to].cut = true })
-		n.at(d.at+5*time.Second, func() { n.nodes[d.to].cut = false })
-		return true
+		return followed(restart, func(_ *network, to *node) { to.noPlatform = false })(n, d)
 	}},
+	{"followed by a pause", followed(func(n *network, to *node) { n.freeze(to.name, 6*time.Second) }, nil)},
+	{"followed by a cut", followed(
+		func(_ *network, to *node) { to.cut = true },
+		func(_ *network, to *node) { to.cut = false })},
 	{"followed by a platform outage", func(n *network, d delivery) bool {
-		n.push(d)
 		n.platformAway(true)
-		n.at(d.at+5*time.Second, func() { n.platformAway(false) })
-		return true
-	}},
-	{"followed by a restored table", func(n *network, d delivery) bool {
-		n.push(d)
-		newest := n.head
-		n.at(d.at, func() { n.head = idOf(1, "one") })
-		n.at(d.at+5*time.Second, func() { n.head = newest })
-		return true
-	}},
-	{"followed by a restart on a restored table", func(n *network, d delivery) bool {
-		n.push(d)
-		newest := n.head
-		n.at(d.at, func() {
-			n.head = idOf(1, "one")
-			n.start(d.to)
-		})
-		n.at(d.at+5*time.Second, func() { n.head = newest })
-		return true
+		return followed(func(*network, *node) {}, func(n *network, _ *node) { n.platformAway(false) })(n, d)
 	}},
+	{"followed by a restored table", restored(func(*network, *node) {})},
+	{"followed by a restart on a restored table", restored(restart)},
 }
 
 func (n *network) platformAway(away bool) {
@@ -119,11 +133,7 @@
 // publishDisturbed runs one flow and returns how many messages it had.
 func publishDisturbed(t *testing.T, which int, d disturbance) int {
 	t.Helper()
-	n := newNetwork(t, "k-1", "k-2", "k-3", "k-4", "p-1", "p-2", "p-3")
-	first := n.accept("one")
-	if !n.run(startTime, n.allAt(first)) {
-		t.Fatalf("the mesh did not start: %s", n.applied())
-	}
+	n := startedNetwork(t, "k-1", "k-2", "k-3", "k-4", "p-1", "p-2", "p-3")
 	count := 0
 	n.intercept = func(m delivery) bool {
 		count++
@@ -157,10 +167,7 @@
 	const window = 60 * time.Second
 	reads := map[int]int{}
 	for _, size := range []int{12, 48, 96} {
-		n := newNetwork(t, names("k", size)...)
-		if first := n.accept("one"); !n.run(startTime, n.allAt(first)) {
-			t.Fatalf("%d daemons did not start", size)
-		}
+		n := startedNetwork(t, names("k", size)...)
 		n.headReads, n.objectReads = 0, 0
 		n.run(window, nil)
 		reads[size] = n.headReads + n.objectReads
@@ -180,10 +187,7 @@
 }
 
 func TestDataCentreCutOffFromThePlatformGetsVersionsOnce(t *testing.T) {
-	n := newNetwork(t, append(names("k", 8), names("p", 8)...)...)
-	if first := n.accept("one"); !n.run(startTime, n.allAt(first)) {
-		t.Fatalf("the mesh did not start: %s", n.applied())
-	}
+	n := startedNetwork(t, append(names("k", 8), names("p", 8)...)...)
 	for _, node := range n.nodes {
 		node.noPlatform = node.dc == "p"
 	}
@@ -191,10 +195,7 @@
 	const versions = 10
 	n.remoteBodies = 0
 	for i := range versions {
-		newest := n.accept(fmt.Sprint("body ", i))
-		if !n.run(healTime, n.allAt(newest)) {
-			t.Fatalf("version %s: %s", newest, n.applied())
-		}
+		n.reach(healTime, n.accept(fmt.Sprint("body ", i)))
 		n.run(5*time.Second, nil)
 	}
 	t.Logf("%d bodies crossed the link for %d versions", n.remoteBodies, versions)
@@ -207,37 +208,28 @@
 // while the platform offers an older head: the other data centre's daemons know
 // better.
 func TestDataCentreRestartedOnARestoredTable(t *testing.T) {
-	n := newNetwork(t, append(names("k", 8), names("p", 8)...)...)
-	n.run(startTime, n.allAt(n.accept("one")))
+	n := startedNetwork(t, append(names("k", 8), names("p", 8)...)...)
 	newest := n.accept("two")
-	if !n.run(startTime, n.allAt(newest)) {
-		t.Fatalf("the mesh did not start: %s", n.applied())
-	}
+	n.reach(startTime, newest)
 	n.far = 600 * time.Millisecond
 	n.head = idOf(1, "one")
 	for _, name := range names("k", 8) {
 		n.start(name)
 	}
-	if !n.run(healTime, n.allAt(newest)) {
-		t.Fatalf("want all at %s, have %s", newest, n.applied())
-	}
+	n.reach(healTime, newest)
 }
 
 func TestStaleReadsNeverTurnADaemonBack(t *testing.T) {
-	n := newNetwork(t, append(names("k", 6), names("p", 6)...)...)
-	n.run(startTime, n.allAt(n.accept("one")))
+	n := startedNetwork(t, append(names("k", 6), names("p", 6)...)...)
 	n.staleReads = true
 	for i := range 10 {
-		if newest := n.accept(fmt.Sprint("body ", i)); !n.run(healTime, n.allAt(newest)) {
-			t.Fatalf("version %s: %s", newest, n.applied())
-		}
+		n.reach(healTime, n.accept(fmt.Sprint("body ", i)))
 		n.run(flowTime, nil)
 	}
 }
 
 func TestFrozenThroughSeveralVersionsJumpsToTheNewest(t *testing.T) {
-	n := newNetwork(t, append(names("k", 4), names("p", 4)...)...)
-	n.run(startTime, n.allAt(n.accept("one")))
+	n := startedNetwork(t, append(names("k", 4), names("p", 4)...)...)
 	sleeper := n.nodes["k-2"]
 	n.freeze(sleeper.name, 20*time.Second)
 	sleeper.applies = 0
@@ -248,33 +240,24 @@
 	if sleeper.core.Applied().Version != 1 {
 		t.Fatalf("a frozen daemon applied %s", sleeper.core.Applied())
 	}
-	if !n.run(healTime, n.allAt(n.head)) {
-		t.Fatalf("want all at %s, have %s", n.head, n.applied())
-	}
+	n.reach(healTime, n.head)
 	if sleeper.applies > 1 {
 		t.Errorf("the woken daemon applied %d versions on its way", sleeper.applies)
 	}
 }
 
 func TestNoticesAloneReachEveryDaemon(t *testing.T) {
-	n := newNetwork(t, names("k", 60)...)
-	if first := n.accept("one"); !n.run(startTime, n.allAt(first)) {
-		t.Fatalf("the mesh did not start: %s", n.applied())
-	}
+	n := startedNetwork(t, names("k", 60)...)
 	n.quiet = true
 	for i := range 10 {
-		if newest := n.accept(fmt.Sprint("body ", i)); !n.run(flowTime, n.allAt(newest)) {
-			t.Fatalf("version %s did not reach all: %s", newest, n.applied())
-		}
+		n.reach(flowTime, n.accept(fmt.Sprint("body ", i)))
 	}
 }
 
 func TestOnlyTheVersionInForceKeepsItsTable(t *testing.T) {
 	n := newNetwork(t, "k-1")
 	for i := range 12 {
-		if !n.run(startTime, n.allAt(n.accept(fmt.Sprint("body ", i)))) {
-			t.Fatal(n.applied())
-		}
+		n.reach(startTime, n.accept(fmt.Sprint("body ", i)))
 	}
 	core := n.nodes["k-1"].core
 	if len(core.recent) != core.cfg.History || core.Table() == nil {
@@ -289,11 +272,8 @@
 
 func TestHerdStartsFromPeersFirst(t *testing.T) {
 	const size = 100
-	n := newNetwork(t, names("k", size)...)
-	first := n.accept("one")
-	if !n.run(startTime, n.allAt(first)) {
-		t.Fatalf("the herd did not start: %s", n.applied())
-	}
+	n := startedNetwork(t, names("k", size)...)
+	first := n.head
 	t.Logf("%d daemons from nothing: %d head reads, %d bodies from the platform", size, n.headReads, n.objectReads)
 	if n.objectReads > size/10 {
 		t.Errorf("%d of %d daemons read the body from the platform", n.objectReads, size)
@@ -302,9 +282,7 @@
 	for _, name := range n.order[:size/2] {
 		n.start(name)
 	}
-	if !n.run(startTime, n.allAt(first)) {
-		t.Fatalf("the restarted half did not come back: %s", n.applied())
-	}
+	n.reach(startTime, first)
 	t.Logf("half of them restarted: %d head reads, %d bodies from the platform", n.headReads, n.objectReads)
 	if n.objectReads > 0 {
 		t.Errorf("%d bodies read from the platform though peers had them", n.objectReads)
@@ -313,9 +291,8 @@
 
 func TestCompilePanicIsARefusal(t *testing.T) {
 	for _, body := range []string{"bad manifest", "panic manifest"} {
-		n := newNetwork(t, names("k", 4)...)
-		first := n.accept("one")
-		n.run(startTime, n.allAt(first))
+		n := startedNetwork(t, names("k", 4)...)
+		first := n.head
 		n.accept(body)
 		n.run(flowTime, nil)
 		if !n.allAt(first)() {
@@ -326,8 +303,6 @@
 		if n.objectReads > 0 {
 			t.Errorf("%s: fetched again %d times", body, n.objectReads)
 		}
-		if good := n.accept("good"); !n.run(healTime, n.allAt(good)) {
-			t.Fatalf("%s: the next version did not come through: %s", body, n.applied())
-		}
+		n.reach(healTime, n.accept("good"))
 	}
 }
--- a/internal/confsync/network_test.go
+++ b/internal/confsync/network_test.go
@@ -1,7 +1,6 @@
 package confsync
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"strings"
@@ -14,6 +13,7 @@
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/membership"
 	"godwitmount/internal/step"
+	"godwitmount/internal/steptest"
 )
 
 const (
@@ -25,29 +25,10 @@
 
 // delivery is one event on its way to a node, or work of the test itself.
 type delivery struct {
-	at  time.Duration
-	seq int
-	to  string
-	ev  step.Event
-	do  func()
-}
-
-type deliveries []delivery
-
-func (d deliveries) Len() int      { return len(d) }
-func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
-func (d deliveries) Less(i, j int) bool {
-	if d[i].at != d[j].at {
-		return d[i].at < d[j].at
-	}
-	return d[i].seq < d[j].seq
-}
-func (d *deliveries) Push(x any) { *d = append(*d, x.(delivery)) }
-func (d *deliveries) Pop() any {
-	old := *d
-	last := old[len(old)-1]
-	*d = old[:len(old)-1]
-	return last
+	at time.Duration
+	to string
+	ev step.Event
+	do func()
 }
 
 // node is one instance across its restarts.
@@ -69,11 +50,9 @@
 
 // network runs several cores against a fake platform, in simulated time.
 type network struct {
+	steptest.Clock
 	t       testing.TB
-	now     time.Duration
-	seq     int
 	random  uint64
-	queue   deliveries
 	nodes   map[string]*node
 	order   []string
 	head    manifest.ID
@@ -127,38 +106,30 @@
 	}
 	node.core = New(cfg, n.moment())
 	node.restarted = true
-	n.at(n.now, func() { n.step(node, MembersChanged{Members: n.records}) })
+	n.At(n.Now, func() { n.step(node, MembersChanged{Members: n.records}) })
 }
 
 func (n *network) moment() step.Moment {
 	n.random += 0x9e3779b97f4a7c15
-	return step.Moment{Now: n.now, Random: n.random}
-}
-
-func (n *network) at(at time.Duration, do func()) {
-	n.push(delivery{at: at, do: do})
+	return step.Moment{Now: n.Now, Random: n.random}
 }
 
-func (n *network) push(d delivery) {
-	n.seq++
-	d.seq = n.seq
-	heap.Push(&n.queue, d)
-}
+func (n *network) push(d delivery) { n.At(d.at, func() { n.deliver(d) }) }
 
 // sendFrom carries one message between processes, or from the platform.
 func (n *network) sendFrom(from *node, to string, ev step.Event) {
 	if from.cut {
 		return
 	}
-	d := delivery{at: n.now + n.delay(from, to), to: to, ev: ev}
+	d := delivery{at: n.Now + n.delay(from, to), to: to, ev: ev}
 	if n.intercept == nil || !n.intercept(d) {
 		n.push(d)
 	}
 }
 
 func (n *network) tickLater(name string, after time.Duration) {
-	n.at(n.now+after, func() {
-		if node := n.nodes[name]; n.now >= node.frozenUntil {
+	n.At(n.Now+after, func() {
+		if node := n.nodes[name]; n.Now >= node.frozenUntil {
 			n.step(node, step.Tick{})
 		}
 		n.tickLater(name, tickPeriod)
@@ -169,7 +140,7 @@
 // have applied, as probes do inside a data centre and the polling daemons do
 // between them.
 func (n *network) gossipLater(name string, after time.Duration) {
-	n.at(n.now+after, func() {
+	n.At(n.Now+after, func() {
 		node := n.nodes[name]
 		n.gossip(node, n.names(func(dc string) bool { return dc == node.dc }))
 		if node.core.Polling() {
@@ -180,11 +151,11 @@
 }
 
 func (n *network) gossip(node *node, among []string) {
-	if n.quiet || len(among) == 0 || n.now < node.frozenUntil {
+	if n.quiet || len(among) == 0 || n.Now < node.frozenUntil {
 		return
 	}
 	peer := n.nodes[among[int(n.moment().Random>>32)%len(among)]]
-	if peer == node || n.now < peer.frozenUntil {
+	if peer == node || n.Now < peer.frozenUntil {
 		return
 	}
 	n.sendFrom(node, peer.name, PeerApplied{Instance: node.name, Address: node.name, ID: node.core.Applied()})
@@ -204,16 +175,13 @@
 
 // run lets simulated time pass until done, or at most the given time.
 func (n *network) run(atMost time.Duration, done func() bool) bool {
-	end := n.now + atMost
-	for len(n.queue) > 0 && n.queue[0].at <= end {
-		d := heap.Pop(&n.queue).(delivery)
-		n.now = max(n.now, d.at)
-		n.deliver(d)
+	end := n.Now + atMost
+	for n.RunNext(end) {
 		if done != nil && done() {
 			return true
 		}
 	}
-	n.now = end
+	n.Now = end
 	return done != nil && done()
 }
 
@@ -226,7 +194,7 @@
 	if node.cut {
 		return
 	}
-	if n.now < node.frozenUntil {
+	if n.Now < node.frozenUntil {
 		node.frozen = append(node.frozen, d)
 		return
 	}
@@ -235,8 +203,8 @@
 
 func (n *network) freeze(name string, gap time.Duration) {
 	node := n.nodes[name]
-	node.frozenUntil = n.now + gap
-	n.at(node.frozenUntil, func() {
+	node.frozenUntil = n.Now + gap
+	n.At(node.frozenUntil, func() {
 		n.step(node, step.Paused{Gap: gap})
 		waiting := node.frozen
 		node.frozen = nil
@@ -324,9 +292,9 @@
 	if from.cut {
 		return
 	}
-	d := delivery{at: n.now + n.delay(from, to), to: to, ev: ev}
+	d := delivery{at: n.Now + n.delay(from, to), to: to, ev: ev}
 	d.do = func() {
-		if server.cut || n.now < server.frozenUntil {
+		if server.cut || n.Now < server.frozenUntil {
 			return
 		}
 		for _, effect := range server.core.Step(n.moment(), ev) {
@@ -347,7 +315,7 @@
 	n.t.Helper()
 	again := e.ID == node.highest && node.restarted
 	if e.ID.Version <= node.highest.Version && !again {
-		n.t.Fatalf("%s at %v applied %s after %s", node.name, n.now, e.ID, node.highest)
+		n.t.Fatalf("%s at %v applied %s after %s", node.name, n.Now, e.ID, node.highest)
 	}
 	if e.Table == nil || manifest.DigestOf(e.Body) != e.ID.Digest {
 		n.t.Fatalf("%s applied %s in part", node.name, e.ID)
--- a/internal/control/claimants_test.go
+++ b/internal/control/claimants_test.go
@@ -58,7 +58,7 @@
 // time. An attempt that is not is released, since its caller is told not-run.
 func (c *claimants) attempt(executor string) {
 	p := c.n.processes[executor]
-	if p.down || c.n.now < p.frozen || p.view == nil {
+	if p.Down || p.Frozen() || p.view == nil {
 		return
 	}
 	endpoints := c.endpoints(p.view)
@@ -80,16 +80,16 @@
 		c.outcomes = append(c.outcomes, outcome)
 		c.decided(p, endpoints[0], id, outcome)
 	}
-	deadline := c.n.now + attemptTime
-	c.n.after(attemptTime, func() {
-		p.whenAwake(func() { end(peerv1.ClaimOutcome_CLAIM_OUTCOME_UNSPECIFIED) })
+	deadline := c.n.Now + attemptTime
+	c.n.After(attemptTime, func() {
+		p.WhenAwake(func() { end(peerv1.ClaimOutcome_CLAIM_OUTCOME_UNSPECIFIED) })
 	})
 	c.n.call(p, endpoints[0].Address, "acquire", func(call step.CallID) step.Event {
 		return claim.AcquireRequested{Call: call, Request: c.request(executor, id)}
 	}, func(reply proto.Message) {
-		p.whenAwake(func() {
+		p.WhenAwake(func() {
 			response, err := answerOf[*peerv1.AcquireClaimResponse](reply)
-			if err == nil && c.n.now < deadline {
+			if err == nil && c.n.Now < deadline {
 				end(response.GetOutcome())
 			}
 		})
@@ -111,7 +111,7 @@
 		if len(c.runs) > 1 {
 			c.n.failf("the key ran %v", c.runs)
 		}
-		c.n.after(serviceTime, func() { c.finish(p, p.life, holder, attempt, false, 0) })
+		c.n.After(serviceTime, func() { c.finish(p, p.life, holder, attempt, false, 0) })
 	case peerv1.ClaimOutcome_CLAIM_OUTCOME_UNSPECIFIED:
 		c.finish(p, p.life, holder, attempt, true, 0)
 	}
@@ -136,7 +136,7 @@
 	c.n.call(p, to.Address, "finish", func(call step.CallID) step.Event {
 		return claim.FinishRequested{Call: call, Request: proto.Clone(request).(*peerv1.FinishClaimRequest)}
 	}, func(reply proto.Message) {
-		p.whenAwake(func() {
+		p.WhenAwake(func() {
 			response, err := answerOf[*peerv1.FinishClaimResponse](reply)
 			if !told && (err != nil || !response.GetAccepted()) {
 				c.finish(p, life, asked, attempt, released, try+1)
--- a/internal/control/flows_test.go
+++ b/internal/control/flows_test.go
@@ -59,7 +59,7 @@
 		name: "publish",
 		begin: func(n *network) {
 			n.accept(2)
-			n.after(400*time.Millisecond, func() { n.accept(3) })
+			n.After(400*time.Millisecond, func() { n.accept(3) })
 		},
 		limit: healTime,
 		done:  func(n *network) bool { return n.newest.Version == 3 && n.all((*process).current) },
@@ -82,9 +82,9 @@
 		begin: func(n *network) {
 			p := n.processes["p-1"]
 			for at := time.Duration(0); at < leaveTime; at += time.Second {
-				n.after(at, func() { p.whenAwake(func() { p.step(LeaveRequested{}) }) })
+				n.After(at, func() { p.WhenAwake(func() { p.step(LeaveRequested{}) }) })
 			}
-			n.after(leaveTime, p.leave)
+			n.After(leaveTime, p.leave)
 		},
 		limit: outTime,
 		done:  nobodyOffers("p-1"),
@@ -104,7 +104,7 @@
 		remembers: true,
 		begin: func(n *network) {
 			n.setFaults(platformstandin.Faults{Outage: platformstandin.OutageRefuse})
-			n.after(outageTime, func() { n.setFaults(platformstandin.Faults{}) })
+			n.After(outageTime, func() { n.setFaults(platformstandin.Faults{}) })
 			sendAndRepeat(n)
 		},
 		limit: outageTime + healTime,
@@ -115,7 +115,7 @@
 		remembers: true,
 		begin: func(n *network) {
 			n.processes["k-1"].crash()
-			n.after(200*time.Millisecond, n.processes["p-1"].crash)
+			n.After(200*time.Millisecond, n.processes["p-1"].crash)
 		},
 		limit: healTime,
 		done:  everyoneRefuses,
@@ -125,8 +125,8 @@
 		name: "restart",
 		begin: func(n *network) {
 			n.accept(2)
-			n.after(200*time.Millisecond, n.processes["k-2"].restart)
-			n.after(300*time.Millisecond, n.processes["p-3"].restart)
+			n.After(200*time.Millisecond, n.processes["k-2"].restart)
+			n.After(300*time.Millisecond, n.processes["p-3"].restart)
 		},
 		limit: healTime,
 		done: func(n *network) bool {
@@ -145,7 +145,7 @@
 // sendAndRepeat lets a caller send a request under one key again and again.
 func sendAndRepeat(n *network) {
 	for i, executor := range []string{"k-1", "k-2", "p-1", "k-1", "p-2", "k-2"} {
-		n.after(time.Duration(i)*130*time.Millisecond, func() { n.claims.attempt(executor) })
+		n.After(time.Duration(i)*130*time.Millisecond, func() { n.claims.attempt(executor) })
 	}
 }
 
@@ -172,7 +172,7 @@
 		return m.kind != "floor" && m.kind != "floor answer" && m.kind != "exchange" && m.kind != "exchange answer"
 	}
 	n.accept(2)
-	n.after(850*time.Millisecond, func() {
+	n.After(850*time.Millisecond, func() {
 		n.platformFault(platformstandin.Faults{StaleRevisions: 1})
 		first.restart()
 		n.blocked = nil
@@ -192,7 +192,7 @@
 // crash lets the local upstream crash with the crashing request in flight; its
 // next announcement brings it back.
 func (p *process) crash() {
-	p.whenAwake(func() {
+	p.WhenAwake(func() {
 		p.step(UpstreamLost{})
 		p.step(quarantine.Crashed{Fingerprint: crasher, Crash: 1})
 	})
@@ -200,14 +200,14 @@
 
 // leave ends a planned stop.
 func (p *process) leave() {
-	p.whenAwake(func() {
+	p.WhenAwake(func() {
 		p.step(membership.LeaveFinished{})
-		p.down = true
+		p.Down = true
 	})
 }
 
 // restart kills the process and starts it again soon.
 func (p *process) restart() {
-	p.down = true
-	p.n.after(restartTime, p.start)
+	p.Down = true
+	p.n.After(restartTime, p.start)
 }
--- a/internal/control/matrix_test.go
+++ b/internal/control/matrix_test.go
@@ -99,7 +99,7 @@
 		return false
 	}
 	f.begin(n)
-	n.run(flowTime)
+	n.RunFor(flowTime)
 	n.intercept = nil
 	n.conclude(t, f, "no fault")
 	return messages
@@ -121,12 +121,12 @@
 		return true
 	}
 	f.begin(n)
-	n.run(flowTime)
+	n.RunFor(flowTime)
 	n.intercept = nil
 	if count <= which {
 		t.Fatalf("the fault on message %d did not happen", which)
 	}
-	n.run(fault.lasts)
+	n.RunFor(fault.lasts)
 	if fault.forgets && f.remembers {
 		f.done, f.after = nil, nil
 	}
@@ -145,7 +145,7 @@
 		t.Fatalf("the mesh did not start: %s", n.describe())
 	}
 	if f.tenured {
-		n.run(claimHorizon + 2*detectionMargin)
+		n.RunFor(claimHorizon + 2*detectionMargin)
 	}
 	return n
 }
@@ -163,7 +163,7 @@
 		n.processes[name].checkTold()
 	}
 	if f.after != nil {
-		n.run(3 * time.Second)
+		n.RunFor(3 * time.Second)
 		if !f.after(n) {
 			n.failf("undone again: %s", n.describe())
 		}
--- a/internal/control/network_test.go
+++ b/internal/control/network_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"testing"
@@ -13,6 +12,7 @@
 	"godwitmount/internal/platformstandin"
 	"godwitmount/internal/publish"
 	"godwitmount/internal/step"
+	"godwitmount/internal/steptest"
 )
 
 const (
@@ -39,33 +39,10 @@
 	deliver  func()
 }
 
-// task is work that falls due.
-type task struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type agenda []task
-
-func (a agenda) Len() int      { return len(a) }
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
-}
-func (a *agenda) Push(x any) { *a = append(*a, x.(task)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // network runs a few cores and a platform on a virtual clock.
 type network struct {
+	steptest.Clock
 	t         testing.TB
-	now       time.Duration
-	queue     agenda
-	order     int
 	random    uint64
 	processes map[string]*process
 	names     []string
@@ -99,7 +76,7 @@
 	for _, name := range n.names {
 		p := n.processes[name]
 		p.start()
-		n.after(testTick, p.tick)
+		n.After(testTick, p.tick)
 	}
 	for _, name := range []string{"k-1", "k-2", "p-1", "p-2"} {
 		n.processes[name].announce("desk")
@@ -107,7 +84,7 @@
 	return n
 }
 
-func (n *network) wall() time.Time { return time.Unix(epoch, 0).Add(n.now) }
+func (n *network) wall() time.Time { return time.Unix(epoch, 0).Add(n.Now) }
 
 // draw returns the next number of a fixed sequence.
 func (n *network) draw() uint64 {
@@ -118,25 +95,9 @@
 	return z ^ z>>31
 }
 
-func (n *network) after(d time.Duration, run func()) {
-	n.order++
-	heap.Push(&n.queue, task{at: n.now + d, order: n.order, run: run})
-}
-
-// run moves the clock on.
-func (n *network) run(d time.Duration) {
-	end := n.now + d
-	for len(n.queue) > 0 && n.queue[0].at <= end {
-		next := heap.Pop(&n.queue).(task)
-		n.now = next.at
-		next.run()
-	}
-	n.now = end
-}
-
 // until moves the clock on until holds, and reports whether it came to hold.
 func (n *network) until(limit time.Duration, holds func() bool) bool {
-	for end := n.now + limit; n.now < end; n.run(testTick) {
+	for end := n.Now + limit; n.Now < end; n.RunFor(testTick) {
 		if holds() {
 			return true
 		}
@@ -146,7 +107,7 @@
 
 // failf notes a broken promise.
 func (n *network) failf(format string, args ...any) {
-	n.failures = append(n.failures, fmt.Sprintf("at %v: ", n.now)+fmt.Sprintf(format, args...))
+	n.failures = append(n.failures, fmt.Sprintf("at %v: ", n.Now)+fmt.Sprintf(format, args...))
 }
 
 // send carries one message.
@@ -161,7 +122,7 @@
 
 // carry delivers a message after a delay, unless a cut is in its way by then.
 func (n *network) carry(m message, delay time.Duration) {
-	n.after(delay, func() {
+	n.After(delay, func() {
 		if !n.apart(m.from, m.to) {
 			m.deliver()
 		}
@@ -192,14 +153,16 @@
 	}
 	answered := false
 	n.send(message{kind: kind, from: from.name, to: to.name, deliver: func() {
-		to.serve(build, func(reply proto.Message) {
-			n.send(message{kind: kind + " answer", from: to.name, to: from.name, deliver: func() {
-				answered = true
-				answer(reply)
-			}})
+		to.WhenAwake(func() {
+			to.step(build(to.Call(func(reply proto.Message) {
+				n.send(message{kind: kind + " answer", from: to.name, to: from.name, deliver: func() {
+					answered = true
+					answer(reply)
+				}})
+			})))
 		})
 	}})
-	n.after(callTimeout, func() {
+	n.After(callTimeout, func() {
 		if !answered {
 			answer(nil)
 		}
@@ -218,7 +181,7 @@
 			tell(answer)
 		}})
 	}})
-	n.after(platformTimeout, func() {
+	n.After(platformTimeout, func() {
 		if !answered {
 			tell(lost)
 		}
@@ -270,7 +233,7 @@
 // all reports whether something holds of each running process.
 func (n *network) all(holds func(*process) bool) bool {
 	for _, name := range n.names {
-		if p := n.processes[name]; !p.down && !holds(p) {
+		if p := n.processes[name]; !p.Down && !holds(p) {
 			return false
 		}
 	}
--- a/internal/control/process_test.go
+++ b/internal/control/process_test.go
@@ -17,6 +17,7 @@
 	"godwitmount/internal/quarantine"
 	"godwitmount/internal/routing"
 	"godwitmount/internal/step"
+	"godwitmount/internal/steptest"
 )
 
 var errTimeout = errors.New("timeout")
@@ -26,16 +27,11 @@
 	n                         *network
 	name, dataCentre, address string
 
+	steptest.Process
 	core *Core
 	// life counts the starts.
 	life    int
 	started time.Duration
-	down    bool
-	// frozen is until when the process stands still; held waits for its end.
-	frozen   time.Duration
-	held     []func()
-	calls    map[step.CallID]func(proto.Message)
-	nextCall step.CallID
 
 	snapshot *routing.Snapshot
 	view     *claim.View
@@ -49,9 +45,9 @@
 // start begins a new life, of which nothing is kept.
 func (p *process) start() {
 	p.life++
-	p.started = p.n.now
-	p.down, p.frozen, p.held = false, 0, nil
-	p.calls = map[step.CallID]func(proto.Message){}
+	p.started = p.n.Now
+	p.Restart(&p.n.Clock)
+	p.FrozenUntil = 0
 	p.snapshot, p.view, p.entries = nil, nil, nil
 	p.core = New(p.config(), p.moment())
 }
@@ -83,12 +79,12 @@
 }
 
 func (p *process) moment() step.Moment {
-	return step.Moment{Now: p.n.now - p.started, Wall: p.n.wall(), Random: p.n.draw()}
+	return step.Moment{Now: p.n.Now - p.started, Wall: p.n.wall(), Random: p.n.draw()}
 }
 
 func (p *process) tick() {
-	p.n.after(testTick, p.tick)
-	if !p.down && p.n.now >= p.frozen {
+	p.n.After(testTick, p.tick)
+	if !p.Down && !p.Frozen() {
 		p.step(step.Tick{})
 	}
 }
@@ -103,41 +99,25 @@
 }
 
 func (p *process) repeatAnnouncement() {
-	p.whenAwake(func() { p.step(*p.upstream) })
-	p.n.after(announceInterval, p.repeatAnnouncement)
+	p.WhenAwake(func() { p.step(*p.upstream) })
+	p.n.After(announceInterval, p.repeatAnnouncement)
 }
 
 // drain makes the local upstream announce that it drains.
 func (p *process) drain() {
 	p.upstream.State = membership.UpstreamDraining
-	p.whenAwake(func() { p.step(*p.upstream) })
-}
-
-// whenAwake runs work now, or when the process no longer stands still.
-func (p *process) whenAwake(run func()) {
-	switch {
-	case p.down:
-	case p.n.now < p.frozen:
-		p.held = append(p.held, run)
-	default:
-		run()
-	}
+	p.WhenAwake(func() { p.step(*p.upstream) })
 }
 
 // freeze lets the process stand still.
 func (p *process) freeze(gap time.Duration) {
-	p.frozen = p.n.now + gap
 	life := p.life
-	p.n.after(gap, func() {
-		if p.life != life || p.down {
-			return
-		}
-		p.step(step.Paused{Gap: gap})
-		held := p.held
-		p.held = nil
-		for _, run := range held {
-			run()
+	p.Freeze(gap, func() bool {
+		runs := p.life == life && !p.Down
+		if runs {
+			p.step(step.Paused{Gap: gap})
 		}
+		return runs
 	})
 }
 
@@ -146,7 +126,7 @@
 func (p *process) thisLife() func(step.Event) {
 	life := p.life
 	return func(ev step.Event) {
-		p.whenAwake(func() {
+		p.WhenAwake(func() {
 			if p.life == life {
 				p.step(ev)
 			}
@@ -154,17 +134,8 @@
 	}
 }
 
-// serve hands a call to the process; reply is called with its answer.
-func (p *process) serve(build func(step.CallID) step.Event, reply func(proto.Message)) {
-	p.whenAwake(func() {
-		p.nextCall++
-		p.calls[p.nextCall] = reply
-		p.step(build(p.nextCall))
-	})
-}
-
 func (p *process) step(ev step.Event) {
-	if p.down {
+	if p.Down {
 		return
 	}
 	for _, effect := range p.core.Step(p.moment(), ev) {
@@ -175,7 +146,9 @@
 func (p *process) perform(effect step.Effect) {
 	switch e := effect.(type) {
 	case step.Reply:
-		p.reply(e)
+		if !p.Answer(e) {
+			p.n.failf("%s answered call %d twice", p.name, e.Call)
+		}
 	case PublishSnapshot:
 		p.publish(e.Snapshot)
 	case PublishClaimView:
@@ -197,17 +170,6 @@
 	}
 }
 
-// reply answers a call, which must be waiting for it.
-func (p *process) reply(e step.Reply) {
-	answer := p.calls[e.Call]
-	delete(p.calls, e.Call)
-	if answer == nil {
-		p.n.failf("%s answered call %d twice", p.name, e.Call)
-		return
-	}
-	answer(e.Message)
-}
-
 func (p *process) sendPacket(e membership.SendPacket) {
 	to := p.n.byAddress(e.Address)
 	if to == nil {
@@ -225,7 +187,7 @@
 			p.n.failf("%s sent a packet that does not decode: %v", p.name, err)
 			return
 		}
-		to.whenAwake(func() { to.step(membership.PacketReceived{From: from, Packet: packet}) })
+		to.WhenAwake(func() { to.step(membership.PacketReceived{From: from, Packet: packet}) })
 	}})
 }
 
@@ -239,43 +201,42 @@
 	return "packet"
 }
 
-func (p *process) exchange(e membership.StartExchange) {
+// callPeer calls another process; the event that ended makes of the answer goes
+// to this one, if it was not restarted.
+func callPeer[T proto.Message](p *process, address, kind string, request func(step.CallID) step.Event, ended func(T, error) step.Event) {
 	tell := p.thisLife()
-	p.n.call(p, e.Address, "exchange", func(id step.CallID) step.Event {
+	p.n.call(p, address, kind, request, func(reply proto.Message) { tell(ended(answerOf[T](reply))) })
+}
+
+func (p *process) exchange(e membership.StartExchange) {
+	callPeer(p, e.Address, "exchange", func(id step.CallID) step.Event {
 		return membership.ExchangeRequested{Call: id, Request: proto.Clone(e.Request).(*peerv1.ExchangeMembersRequest)}
-	}, func(reply proto.Message) {
-		response, err := answerOf[*peerv1.ExchangeMembersResponse](reply)
-		tell(membership.ExchangeAnswered{Address: e.Address, Response: response, Err: err})
+	}, func(response *peerv1.ExchangeMembersResponse, err error) step.Event {
+		return membership.ExchangeAnswered{Address: e.Address, Response: response, Err: err}
 	})
 }
 
 func (p *process) fetch(e confsync.FetchFromPeer) {
-	tell := p.thisLife()
-	p.n.call(p, e.Address, "fetch", func(id step.CallID) step.Event {
+	callPeer(p, e.Address, "fetch", func(id step.CallID) step.Event {
 		return confsync.FetchRequested{Call: id, Request: e.Request}
-	}, func(reply proto.Message) {
-		response, err := answerOf[*peerv1.FetchConfigResponse](reply)
-		tell(confsync.PeerFetched{Attempt: e.Attempt, Address: e.Address, Response: response, Err: err})
+	}, func(response *peerv1.FetchConfigResponse, err error) step.Event {
+		return confsync.PeerFetched{Attempt: e.Attempt, Address: e.Address, Response: response, Err: err}
 	})
 }
 
 func (p *process) askFloor(e confsync.AskFloor) {
-	tell := p.thisLife()
-	p.n.call(p, e.Address, "floor", func(id step.CallID) step.Event {
+	callPeer(p, e.Address, "floor", func(id step.CallID) step.Event {
 		return confsync.FloorRequested{Call: id, Request: e.Request}
-	}, func(reply proto.Message) {
-		response, err := answerOf[*peerv1.RememberFloorResponse](reply)
-		tell(confsync.FloorRemembered{Attempt: e.Attempt, Address: e.Address, Response: response, Err: err})
+	}, func(response *peerv1.RememberFloorResponse, err error) step.Event {
+		return confsync.FloorRemembered{Attempt: e.Attempt, Address: e.Address, Response: response, Err: err}
 	})
 }
 
 func (p *process) handOver(e claim.HandOver) {
-	tell := p.thisLife()
-	p.n.call(p, e.To.Address, "hand-over", func(id step.CallID) step.Event {
+	callPeer(p, e.To.Address, "hand-over", func(id step.CallID) step.Event {
 		return claim.HandOverRequested{Call: id, Request: proto.Clone(e.Request).(*peerv1.HandOverClaimsRequest)}
-	}, func(reply proto.Message) {
-		response, err := answerOf[*peerv1.HandOverClaimsResponse](reply)
-		tell(claim.HandedOver{ID: e.ID, Response: response, Err: err})
+	}, func(response *peerv1.HandOverClaimsResponse, err error) step.Event {
+		return claim.HandedOver{ID: e.ID, Response: response, Err: err}
 	})
 }
 
--- a/internal/control/promises_test.go
+++ b/internal/control/promises_test.go
@@ -57,7 +57,7 @@
 // checkTold: each packet tells peers what is in force.
 func (p *process) checkTold() {
 	told := p.core.members.Packet().GetApplied().GetVersion()
-	if !p.down && told != p.highest.Version {
+	if !p.Down && told != p.highest.Version {
 		p.n.failf("%s tells that version %d is in force, not %d", p.name, told, p.highest.Version)
 	}
 }
--- a/internal/control/transcript_test.go
+++ b/internal/control/transcript_test.go
@@ -16,6 +16,7 @@
 	"godwitmount/internal/membership"
 	"godwitmount/internal/quarantine"
 	"godwitmount/internal/step"
+	"godwitmount/internal/steptest"
 )
 
 // TestTranscripts feeds events to one reducer and prints the effects of each.
@@ -47,7 +48,7 @@
 		}
 		var out []string
 		for range count {
-			s.n.now += testTick
+			s.n.Now += testTick
 			out = append(out, s.step(step.Tick{})...)
 		}
 		return join(out)
@@ -79,12 +80,7 @@
 
 // readEvent makes the event that a command names.
 func (s *script) readEvent(t *testing.T, d *datadriven.TestData) step.Event {
-	arg := func(name string) (value int) {
-		if d.HasArg(name) {
-			d.ScanArgs(t, name, &value)
-		}
-		return value
-	}
+	arg := func(name string) int { return steptest.Number[int](t, d, name) }
 	switch d.Cmd {
 	case "head":
 		return confsync.HeadRead{Attempt: s.readHead, ID: s.id(arg("version"), arg("body"))}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -21,6 +21,7 @@
 	peerv1 "godwitmount/gen/godwitmount/peer/v1"
 	"godwitmount/gen/godwitmount/peer/v1/peerv1connect"
 	"godwitmount/internal/platformstandin"
+	"godwitmount/internal/steptest"
 )
 
 // TestTranscripts runs the tool as a user would, against a platform stand-in
@@ -84,11 +85,10 @@
 		}
 		return ""
 	case "faults":
-		faults := platformstandin.Faults{}
-		d.MaybeScanArgs(t, "lose", &faults.LosePercent)
-		outage := ""
-		d.MaybeScanArgs(t, "outage", &outage)
-		faults.Outage = platformstandin.Outage(outage)
+		faults := platformstandin.Faults{
+			LosePercent: steptest.Number[int](t, d, "lose"),
+			Outage:      platformstandin.Outage(steptest.Text(t, d, "outage")),
+		}
 		if err := s.store.SetFaults(faults); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -95,10 +95,7 @@
 			n := f.build(b)
 			n.run(30 * time.Second)
 			nodes := f.measured(n)
-			for _, v := range nodes {
-				v.sentBytes, v.sentPackets, v.exchangeBytes = 0, 0, 0
-			}
-			n.stepTime = 0
+			n.forgetTraffic()
 			seconds := 0
 			b.ResetTimer()
 			for b.Loop() {
@@ -110,6 +107,14 @@
 	}
 }
 
+// forgetTraffic sets the counters of traffic and of time to nothing.
+func (n *network) forgetTraffic() {
+	for _, v := range n.nodes {
+		v.sentBytes, v.sentPackets, v.exchangeBytes = 0, 0, 0
+	}
+	n.stepTime = 0
+}
+
 func (f fleet) reportTraffic(b *testing.B, n *network, nodes []*node, seconds float64) {
 	var datagrams, packets, exchanged, most int
 	for _, v := range nodes {
@@ -151,10 +156,7 @@
 			n.run(30 * time.Second)
 			nodes := f.measured(n)
 			seconds := 0
-			for _, v := range nodes {
-				v.sentBytes, v.sentPackets, v.exchangeBytes = 0, 0, 0
-			}
-			n.stepTime = 0
+			n.forgetTraffic()
 			for b.Loop() {
 				v := nodes[seconds%len(nodes)]
 				if (seconds+1)*len(nodes)/360 > seconds*len(nodes)/360 {
@@ -239,9 +241,9 @@
 				drained, dead := n.nodes[4], n.nodes[7]
 				n.announce(drained, UpstreamDraining)
 				drain += n.until(settle, "drain", func() bool { return n.givenCalls(drained) == 0 }).Seconds()
-				before := n.suspicions()
+				before := n.logged("member-suspected")
 				n.run(5 * time.Minute)
-				suspicions += n.suspicions() - before
+				suspicions += n.logged("member-suspected") - before
 				hours += float64(size) / 12
 				dead.down = true
 				death += n.until(2*settle, "death", func() bool { return n.givenCalls(dead) == 0 }).Seconds()
@@ -255,14 +257,6 @@
 	}
 }
 
-func (n *network) suspicions() int {
-	sum := 0
-	for _, v := range n.nodes {
-		sum += v.counts["member-suspected"]
-	}
-	return sum
-}
-
 // BenchmarkHerd measures, in virtual time, how long daemons that all start at
 // once take to know their own data centre and 99 in 100 of all records, and
 // the bytes until then.
@@ -279,9 +273,9 @@
 				}
 				n.dataCentres(f.daemons/f.dataCentres, names...)
 				n.until(5*time.Minute, "own data centre known", func() bool { return n.knownNear() })
-				near += n.now.Seconds()
+				near += n.Now.Seconds()
 				n.until(5*time.Minute, "99 in 100 known", func() bool { return n.knownShare() >= 0.99 })
-				all += n.now.Seconds()
+				all += n.Now.Seconds()
 				for _, v := range n.nodes {
 					gossip += float64(v.sentBytes+v.sentPackets*datagramOverhead) / float64(f.daemons)
 					exchanged += float64(v.exchangeBytes) / float64(f.daemons)
--- a/internal/membership/cut_test.go
+++ b/internal/membership/cut_test.go
@@ -11,13 +11,7 @@
 		return a.cfg.DataCentre != b.cfg.DataCentre && (a.cfg.DataCentre == "dc-a" || b.cfg.DataCentre == "dc-a")
 	}
 	n.run(5 * time.Minute)
-	for _, a := range n.nodes {
-		for _, b := range n.nodes {
-			if !a.sees(b, Alive) {
-				t.Errorf("%s does not hold %s for alive during the cut", a.cfg.Instance, b.cfg.Instance)
-			}
-		}
-	}
+	n.wantSeen(n.nodes, n.nodes, Alive)
 	moved := n.nodes[0]
 	n.announce(moved, UpstreamDraining)
 	n.run(10 * time.Second)
--- a/internal/membership/fault_test.go
+++ b/internal/membership/fault_test.go
@@ -8,24 +8,36 @@
 	"godwitmount/internal/manifest"
 )
 
-// deaths sums how often anyone declared anyone dead.
-func (n *network) deaths() int {
+// logged sums how often all logged an event.
+func (n *network) logged(name string) int {
 	sum := 0
 	for _, v := range n.nodes {
-		sum += v.counts["member-dead"]
+		sum += v.counts[name]
 	}
 	return sum
 }
 
+// deaths sums how often anyone declared anyone dead.
+func (n *network) deaths() int { return n.logged("member-dead") }
+
+// wantSeen checks that each of some nodes holds each of the others for one of
+// the states.
+func (n *network) wantSeen(by, seen []*node, want ...Liveness) {
+	n.t.Helper()
+	for _, a := range by {
+		for _, b := range seen {
+			if !a.sees(b, want...) {
+				n.t.Errorf("at %v: %s does not hold %s for %v", n.Now, a.cfg.Instance, b.cfg.Instance, want)
+			}
+		}
+	}
+}
+
 func TestLossAloneKillsNobody(t *testing.T) {
 	n := steady(t, 10, 32, "dc-a", "dc-b")
 	n.loss = 0.05
 	n.run(10 * time.Minute)
-	suspected := 0
-	for _, v := range n.nodes {
-		suspected += v.counts["member-suspected"]
-	}
-	t.Logf("64 daemons, 10 minutes, 5%% loss: %d suspicions seen, %d deaths", suspected, n.deaths())
+	t.Logf("64 daemons, 10 minutes, 5%% loss: %d suspicions seen, %d deaths", n.logged("member-suspected"), n.deaths())
 	if n.deaths() != 0 {
 		t.Errorf("%d living instances were declared dead", n.deaths())
 	}
@@ -42,13 +54,7 @@
 			t.Errorf("%s does not hold %s for dead", other.cfg.Instance, v.cfg.Instance)
 		}
 	}
-	for _, other := range n.up() {
-		for _, living := range n.up() {
-			if !other.sees(living, Alive, Suspect) {
-				t.Errorf("%s removed %s, which lives", other.cfg.Instance, living.cfg.Instance)
-			}
-		}
-	}
+	n.wantSeen(n.up(), n.up(), Alive, Suspect)
 }
 
 func TestRackLossRemovesOnlyTheRack(t *testing.T) {
@@ -69,13 +75,7 @@
 		return true
 	})
 	n.run(time.Minute)
-	for _, a := range n.up() {
-		for _, b := range n.up() {
-			if !a.sees(b, Alive) {
-				t.Errorf("%s does not hold %s for alive, which never went", a.cfg.Instance, b.cfg.Instance)
-			}
-		}
-	}
+	n.wantSeen(n.up(), n.up(), Alive)
 	if got, want := n.deaths(), len(n.up())*len(rack); got != want {
 		t.Errorf("%d deaths were logged, want %d: each once at each survivor", got, want)
 	}
--- a/internal/membership/flow_test.go
+++ b/internal/membership/flow_test.go
@@ -185,7 +185,7 @@
 		n := newNetwork(t, 41)
 		n.loss = 0.1
 		n.trace = func(from *node, effect step.Effect) {
-			trace = append(trace, fmt.Sprintf("%v %s %T %+v", n.now, from.cfg.Instance, effect, describe(effect)))
+			trace = append(trace, fmt.Sprintf("%v %s %T %+v", n.Now, from.cfg.Instance, effect, describe(effect)))
 		}
 		n.dataCentres(24, "dc-a")
 		n.run(10 * time.Second)
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"maps"
@@ -15,6 +14,7 @@
 	peerv1 "godwitmount/gen/godwitmount/peer/v1"
 	"godwitmount/internal/platform"
 	"godwitmount/internal/step"
+	"godwitmount/internal/steptest"
 )
 
 const (
@@ -42,38 +42,17 @@
 
 // delivery is an event on its way to an address.
 type delivery struct {
-	at    time.Duration
-	order int
 	to    string
 	from  string
 	event step.Event
 	call  func(*node)
 }
 
-type deliveries []delivery
-
-func (d deliveries) Len() int { return len(d) }
-func (d deliveries) Less(i, j int) bool {
-	if d[i].at != d[j].at {
-		return d[i].at < d[j].at
-	}
-	return d[i].order < d[j].order
-}
-func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
-func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
-func (d *deliveries) Pop() any {
-	last := (*d)[len(*d)-1]
-	*d = (*d)[:len(*d)-1]
-	return last
-}
-
 // network steps cores on a virtual clock and carries what they send.
 type network struct {
+	steptest.Clock
 	t      testing.TB
-	now    time.Duration
 	random *rand.Rand
-	queue  deliveries
-	order  int
 	nodes  []*node
 	byAddr map[string]*node
 	// loss is the share of datagrams lost.
@@ -107,7 +86,7 @@
 }
 
 func (n *network) moment() step.Moment {
-	return step.Moment{Now: n.now, Wall: time.Unix(1_700_000_000, 0).Add(n.now), Random: n.random.Uint64()}
+	return step.Moment{Now: n.Now, Wall: time.Unix(1_700_000_000, 0).Add(n.Now), Random: n.random.Uint64()}
 }
 
 // add starts a core; index names its instance and address.
@@ -115,7 +94,7 @@
 	cfg := Config{
 		Mesh:        testMesh,
 		Instance:    fmt.Sprintf("%s-%03d", dataCentre, index),
-		Incarnation: uint64(1_700_000_000_000 + n.now.Milliseconds()),
+		Incarnation: uint64(1_700_000_000_000 + n.Now.Milliseconds()),
 		DataCentre:  dataCentre,
 		Address:     fmt.Sprintf("10.%d.%d.%d:7000", dataCentre[len(dataCentre)-1], index/200, index%200+1),
 	}
@@ -131,10 +110,10 @@
 
 // boot starts a node's process anew.
 func (n *network) boot(v *node) {
-	v.cfg.Incarnation = uint64(1_700_000_000_000 + n.now.Milliseconds())
+	v.cfg.Incarnation = uint64(1_700_000_000_000 + n.Now.Milliseconds())
 	v.core = New(v.cfg, n.moment())
 	v.down, v.frozen, v.late = false, false, nil
-	v.nextTick = n.now + time.Duration(n.random.Int64N(int64(testTick)))
+	v.nextTick = n.Now + time.Duration(n.random.Int64N(int64(testTick)))
 }
 
 // dataCentres starts data centres of a size; the first instance of each is
@@ -169,9 +148,7 @@
 }
 
 func (n *network) push(after time.Duration, d delivery) {
-	n.order++
-	d.at, d.order = n.now+after, n.order
-	heap.Push(&n.queue, d)
+	n.After(after, func() { n.deliver(d) })
 }
 
 func (n *network) carry(v *node, effect step.Effect) {
@@ -292,22 +269,15 @@
 
 // run moves the clock on.
 func (n *network) run(d time.Duration) {
-	end := n.now + d
-	for n.now < end {
+	for end := n.Now + d; n.Now < end; {
 		next := end
 		for _, v := range n.nodes {
 			next = min(next, v.nextTick)
 		}
-		if len(n.queue) > 0 {
-			next = min(next, n.queue[0].at)
-		}
-		n.now = next
-		for len(n.queue) > 0 && n.queue[0].at <= n.now {
-			n.deliver(heap.Pop(&n.queue).(delivery))
-		}
+		n.RunTo(next)
 		for _, v := range n.nodes {
-			if v.nextTick <= n.now {
-				v.nextTick = n.now + testTick
+			if v.nextTick <= n.Now {
+				v.nextTick = n.Now + testTick
 				if !v.frozen {
 					n.step(v, step.Tick{})
 				}
@@ -342,14 +312,14 @@
 // until runs until a condition holds and returns how long that took.
 func (n *network) until(limit time.Duration, what string, holds func() bool) time.Duration {
 	n.t.Helper()
-	start := n.now
+	start := n.Now
 	for !holds() {
-		if n.now-start >= limit {
+		if n.Now-start >= limit {
 			n.t.Fatalf("%s: not within %v", what, limit)
 		}
 		n.run(testTick)
 	}
-	return n.now - start
+	return n.Now - start
 }
 
 // up returns the nodes that run.
--- a/internal/membership/pause_test.go
+++ b/internal/membership/pause_test.go
@@ -17,11 +17,7 @@
 		late := len(v.late)
 		n.wake(v, gap)
 		n.run(200 * time.Millisecond)
-		for _, other := range n.up() {
-			if !v.sees(other, Alive) {
-				t.Errorf("gap %v: the woken daemon doubts %s on account of the gap", gap, other.cfg.Instance)
-			}
-		}
+		n.wantSeen([]*node{v}, n.up(), Alive)
 		n.until(settle, "woken daemon known as alive", n.whole)
 		if v.counts["member-dead"] != 0 {
 			t.Errorf("gap %v: the woken daemon declared %d dead (%d events waited)", gap, v.counts["member-dead"], late)
--- a/internal/platformstandin/store_test.go
+++ b/internal/platformstandin/store_test.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"godwitmount/internal/platform"
+	"godwitmount/internal/steptest"
 )
 
 // TestStore runs transcripts against a store whose clock stands still but for
@@ -45,7 +46,7 @@
 		row, err := store.Read(ctx, d.CmdArgs[0].Key)
 		return render(rows([]platform.Row{row}), err)
 	case "scan":
-		found, err := store.Scan(ctx, strings.TrimPrefix(d.CmdArgs[0].Key, "all"), argument(t, d, "after"), number(t, d, "limit"))
+		found, err := store.Scan(ctx, strings.TrimPrefix(d.CmdArgs[0].Key, "all"), steptest.Text(t, d, "after"), steptest.Number[int](t, d, "limit"))
 		return render(rows(found), err)
 	case "put":
 		return render("stored", store.PutObject(ctx, d.CmdArgs[0].Key, []byte(d.Input)))
@@ -54,14 +55,14 @@
 		return render(string(body), err)
 	case "faults":
 		f := Faults{
-			Outage:         Outage(argument(t, d, "outage")),
-			LoseAnswers:    number(t, d, "lose"),
-			LosePercent:    number(t, d, "lose-percent"),
-			StaleRevisions: number(t, d, "stale"),
+			Outage:         Outage(steptest.Text(t, d, "outage")),
+			LoseAnswers:    steptest.Number[int](t, d, "lose"),
+			LosePercent:    steptest.Number[int](t, d, "lose-percent"),
+			StaleRevisions: steptest.Number[int](t, d, "stale"),
 		}
 		return render("set", store.SetFaults(f))
 	case "restore":
-		store.Restore(number(t, d, "transactions"))
+		store.Restore(steptest.Number[int](t, d, "transactions"))
 		return fmt.Sprintf("revision %d", store.Stats().Revision)
 	case "stats":
 		return fmt.Sprintf("%+v", store.Stats())
@@ -95,18 +96,6 @@
 	return tx
 }
 
-func argument(t *testing.T, d *datadriven.TestData, key string) string {
-	var value string
-	d.MaybeScanArgs(t, key, &value)
-	return value
-}
-
-func number(t *testing.T, d *datadriven.TestData, key string) int {
-	var value int
-	d.MaybeScanArgs(t, key, &value)
-	return value
-}
-
 func rows(list []platform.Row) string {
 	parts := make([]string, len(list))
 	for i, row := range list {
--- a/internal/quarantine/core_test.go
+++ b/internal/quarantine/core_test.go
@@ -12,6 +12,7 @@
 	peerv1 "godwitmount/gen/godwitmount/peer/v1"
 	"godwitmount/internal/claim"
 	"godwitmount/internal/step"
+	"godwitmount/internal/steptest"
 )
 
 func hashOf(name string) claim.Hash { return claim.FingerprintOf("POST", name, "", nil) }
@@ -38,31 +39,18 @@
 // run steps the quarantine named by at. "arrive" brings it what was spread
 // last.
 func (m *mesh) run(t *testing.T, d *datadriven.TestData) string {
-	var at, name, by string
-	var crash, bound uint64
-	for _, arg := range []struct {
-		name string
-		to   any
-	}{{"at", &at}, {"print", &name}, {"by", &by}, {"crash", &crash}, {"bound", &bound}} {
-		if d.HasArg(arg.name) {
-			d.ScanArgs(t, arg.name, arg.to)
-		}
-	}
+	name := steptest.Text(t, d, "print")
 	m.names[hashOf(name)] = name
-	core := m.core(at, int(bound))
+	core := m.core(steptest.Text(t, d, "at"), steptest.Number[int](t, d, "bound"))
 	switch d.Cmd {
 	case "crash":
-		return m.step(core, Crashed{Fingerprint: hashOf(name), Crash: crash})
+		return m.step(core, Crashed{Fingerprint: hashOf(name), Crash: steptest.Number[uint64](t, d, "crash")})
 	case "clear":
 		return m.step(core, Cleared{Fingerprint: hashOf(name)})
 	case "arrive":
 		return m.step(core, FingerprintsArrived{Fingerprints: m.spread})
 	case "advance":
-		duration, err := time.ParseDuration(by)
-		if err != nil {
-			t.Fatal(err)
-		}
-		m.now.Wall = m.now.Wall.Add(duration)
+		m.now.Wall = m.now.Wall.Add(steptest.Duration(t, d, "by"))
 		return m.step(core, step.Tick{})
 	}
 	t.Fatalf("unknown command %q", d.Cmd)
