Share the start of a ready mesh and the waiting for a process

Cause: nine end-to-end tests began with the same four lines, three functions of the harness polled a starting process in the same way, and pages were read in two ways.

Change: startReadyMesh, Process.await and getText; goroutines of the callers start by WaitGroup.Go.

A daemon that exits at its start, put in on a scratch copy, fails TestWholePath with "ended while starting".

--- a/test/e2e/calls_test.go
+++ b/test/e2e/calls_test.go
@@ -8,10 +8,7 @@
 )
 
 func TestWholePath(t *testing.T) {
-	mesh := startMesh(t, 2)
-	publishManifest(t, mesh, manifestSource(0))
-	awaitVersion(t, mesh.Instances, 1)
-	awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
+	mesh := startReadyMesh(t, 2)
 	load := startLoad(mesh.Instances, 6, false, nil)
 	time.Sleep(time.Second)
 	all := load.end()
@@ -25,10 +22,7 @@
 // centre while callers send slow requests.
 func TestPlannedStopsCutOffNothing(t *testing.T) {
 	// Longer than a stopping daemon goes on after its work is done.
-	mesh := startMesh(t, 2, "--service-time", "900ms")
-	publishManifest(t, mesh, manifestSource(0))
-	awaitVersion(t, mesh.Instances, 1)
-	awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
+	mesh := startReadyMesh(t, 2, "--service-time", "900ms")
 	load := startLoad(mesh.Instances, 12, false, nil)
 	time.Sleep(time.Second)
 	for _, instance := range mesh.Instances[1:] {
@@ -54,10 +48,7 @@
 // TestDrainingUpstreamGetsNoNewWork checks that an upstream in a planned stop
 // begins nothing once its draining is known, long before it ends.
 func TestDrainingUpstreamGetsNoNewWork(t *testing.T) {
-	mesh := startMesh(t, 1, "--service-time", "2ms", "--linger", "4s")
-	publishManifest(t, mesh, manifestSource(0))
-	awaitVersion(t, mesh.Instances, 1)
-	awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
+	mesh := startReadyMesh(t, 1, "--service-time", "2ms", "--linger", "4s")
 	load := startLoad(mesh.Instances, 6, false, nil)
 	time.Sleep(300 * time.Millisecond)
 	drained := mesh.Instances[0]
--- a/test/e2e/cut_test.go
+++ b/test/e2e/cut_test.go
@@ -234,22 +234,7 @@
 	return id
 }
 
-func (d *cutDaemon) local(path string) string {
-	resp, err := http.Get("http://" + d.Addresses().Local + path)
-	if err != nil {
-		return err.Error()
-	}
-	defer resp.Body.Close()
-	var text strings.Builder
-	buf := make([]byte, 1<<20)
-	for {
-		read, err := resp.Body.Read(buf)
-		text.Write(buf[:read])
-		if err != nil {
-			return text.String()
-		}
-	}
-}
+func (d *cutDaemon) local(path string) string { return getText(d.Addresses().Local + path) }
 
 func (n *cutNet) awaitConfig(id manifest.ID, daemons ...*cutDaemon) {
 	n.t.Helper()
@@ -370,12 +355,10 @@
 	at := &harness.Instance{Addresses: harness.Addresses{Caller: entry.Addresses().Caller}}
 	var group sync.WaitGroup
 	for i := range 40 {
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			time.Sleep(time.Duration(5*i) * time.Millisecond)
 			caller.send(at, fmt.Sprintf("call-%d", i), "", map[string]string{"X-Service-Time": "60ms"})
-		}()
+		})
 	}
 	time.Sleep(110 * time.Millisecond)
 	n.setCut("lancaster-c", true)
@@ -403,11 +386,9 @@
 	at := &harness.Instance{Addresses: harness.Addresses{Caller: stopping.Addresses().Caller}}
 	var group sync.WaitGroup
 	for i := range 6 {
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			caller.send(at, fmt.Sprintf("call-%d", i), "", map[string]string{"X-Service-Time": "900ms"})
-		}()
+		})
 	}
 	await(t, "requests in flight", func() bool { return stopping.upstream.Stats().Runs >= 2 })
 	ctx, cancel := context.WithTimeout(context.Background(), settle)
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -13,10 +13,7 @@
 // TestAtMostOnceUnderKills repeats keyed requests while daemons and upstreams
 // are killed, frozen and started anew and the platform loses answers.
 func TestAtMostOnceUnderKills(t *testing.T) {
-	mesh := startMesh(t, 2, "--service-time", "10ms")
-	publishManifest(t, mesh, manifestSource(0))
-	awaitVersion(t, mesh.Instances, 1)
-	awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
+	mesh := startReadyMesh(t, 2, "--service-time", "10ms")
 	must(t, mesh.Platform.Faults(`{"lose_percent": 30}`))
 	keyed := startLoad(mesh.Instances, 8, true, nil)
 	plain := startLoad(mesh.Instances, 4, false, nil)
@@ -58,10 +55,7 @@
 func TestPlatformOutageKeepsCallsHonest(t *testing.T) {
 	for _, outage := range []string{`{"outage": "refuse"}`, `{"outage": "hang"}`, `{"slow_ms": 400}`} {
 		t.Run(outage, func(t *testing.T) {
-			mesh := startMesh(t, 1)
-			publishManifest(t, mesh, manifestSource(0))
-			awaitVersion(t, mesh.Instances, 1)
-			awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
+			mesh := startReadyMesh(t, 1)
 			keyed := startLoad(mesh.Instances, 4, true, nil)
 			plain := startLoad(mesh.Instances, 4, false, nil)
 			time.Sleep(500 * time.Millisecond)
@@ -82,10 +76,7 @@
 // TestCrashingRequestIsRefused sends a request that crashes each upstream that
 // runs it, again and again and through all daemons.
 func TestCrashingRequestIsRefused(t *testing.T) {
-	mesh := startMesh(t, 2, "--service-time", "1ms")
-	publishManifest(t, mesh, manifestSource(0))
-	awaitVersion(t, mesh.Instances, 1)
-	awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
+	mesh := startReadyMesh(t, 2, "--service-time", "1ms")
 	load := startLoad(nil, 0, false, nil)
 	crashing := map[string]string{"X-Crash": "1"}
 	quarantined := 0
@@ -166,14 +157,12 @@
 func watchVersions(instances []*harness.Instance) *versionWatch {
 	w := &versionWatch{stop: make(chan struct{})}
 	for _, instance := range instances {
-		w.group.Add(1)
-		go w.watch(instance)
+		w.group.Go(func() { w.watch(instance) })
 	}
 	return w
 }
 
 func (w *versionWatch) watch(instance *harness.Instance) {
-	defer w.group.Done()
 	last := 0
 	for {
 		select {
@@ -220,11 +209,9 @@
 	codes := make([]int, operators)
 	var group sync.WaitGroup
 	for i, digest := range digests {
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			_, codes[i] = tool(t, mesh, "accept", digest, "--expect", "1", "--platform", mesh.Platform.URL)
-		}()
+		})
 	}
 	group.Wait()
 	must(t, mesh.Platform.Faults(`{}`))
--- a/test/e2e/load_test.go
+++ b/test/e2e/load_test.go
@@ -61,14 +61,12 @@
 		stop:   make(chan struct{}),
 	}
 	for n := range callers {
-		l.group.Add(1)
-		go l.run(n, entries, keyed, headers)
+		l.group.Go(func() { l.run(n, entries, keyed, headers) })
 	}
 	return l
 }
 
 func (l *load) run(caller int, entries []*harness.Instance, keyed bool, headers map[string]string) {
-	defer l.group.Done()
 	for i := 0; ; i++ {
 		name := fmt.Sprintf("%s%d-%d", kindOf(keyed), caller, i)
 		for try := 0; ; try++ {
--- a/test/e2e/main_test.go
+++ b/test/e2e/main_test.go
@@ -64,6 +64,17 @@
 	return mesh
 }
 
+// startReadyMesh starts a mesh and waits until each instance has version 1 in
+// force and knows all upstreams.
+func startReadyMesh(t *testing.T, perDC int, upstreamArgs ...string) *harness.Mesh {
+	t.Helper()
+	mesh := startMesh(t, perDC, upstreamArgs...)
+	publishManifest(t, mesh, manifestSource(0))
+	awaitVersion(t, mesh.Instances, 1)
+	awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
+	return mesh
+}
+
 // finish ends the mesh, after a failure with the last log lines of each
 // process.
 func finish(t *testing.T, mesh *harness.Mesh) {
@@ -168,8 +179,11 @@
 	}
 }
 
-func metricsOf(instance *harness.Instance) string {
-	resp, err := http.Get("http://" + instance.Local + "/metrics")
+func metricsOf(instance *harness.Instance) string { return getText(instance.Local + "/metrics") }
+
+// getText returns what a page answers, or "" when it cannot be reached.
+func getText(page string) string {
+	resp, err := http.Get("http://" + page)
 	if err != nil {
 		return ""
 	}
--- a/test/e2e/stops_test.go
+++ b/test/e2e/stops_test.go
@@ -51,10 +51,7 @@
 func TestPlannedStopUnderFaults(t *testing.T) {
 	for _, fault := range troubles {
 		t.Run(fault.name, func(t *testing.T) {
-			mesh := startMesh(t, 2, "--service-time", "900ms")
-			publishManifest(t, mesh, manifestSource(0))
-			awaitVersion(t, mesh.Instances, 1)
-			awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
+			mesh := startReadyMesh(t, 2, "--service-time", "900ms")
 			fault.begin(t, mesh)
 			stopping := mesh.Instances[0]
 			load := startLoad(mesh.Instances[:1], 6, false, map[string]string{"Godwitmount-Deadline-Ms": "8000"})
@@ -89,10 +86,7 @@
 // TestHerdDeathKeepsCallsHonest kills all daemons but one at once, twice, while
 // callers send through all of them.
 func TestHerdDeathKeepsCallsHonest(t *testing.T) {
-	mesh := startMesh(t, 2, "--service-time", "10ms")
-	publishManifest(t, mesh, manifestSource(0))
-	awaitVersion(t, mesh.Instances, 1)
-	awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
+	mesh := startReadyMesh(t, 2, "--service-time", "10ms")
 	keyed := startLoad(mesh.Instances, 4, true, nil)
 	plain := startLoad(mesh.Instances, 4, false, nil)
 	for range 2 {
@@ -116,10 +110,7 @@
 // TestCallerCutOffAndBack cuts the callers of keyed requests off while these
 // run, and lets them send again under the same key.
 func TestCallerCutOffAndBack(t *testing.T) {
-	mesh := startMesh(t, 1, "--service-time", "300ms")
-	publishManifest(t, mesh, manifestSource(0))
-	awaitVersion(t, mesh.Instances, 1)
-	awaitUpstreams(t, mesh.Instances, len(mesh.Instances))
+	mesh := startReadyMesh(t, 1, "--service-time", "300ms")
 	load := startLoad(nil, 0, false, nil)
 	const keys = 12
 	for n := range keys {
--- a/test/harness/mesh.go
+++ b/test/harness/mesh.go
@@ -198,22 +198,17 @@
 
 // awaitAddresses reads the addresses from the stand-in's first log line.
 func (u *Upstream) awaitAddresses() error {
-	deadline := time.Now().Add(startTimeout)
-	for time.Now().Before(deadline) {
+	return u.await("addresses", func() bool {
 		scanner := bufio.NewScanner(strings.NewReader(u.Log()))
 		for scanner.Scan() {
 			var line struct{ Listen, Control string }
 			if json.Unmarshal(scanner.Bytes(), &line) == nil && line.Listen != "" {
 				u.Listen, u.Control = line.Listen, line.Control
-				return nil
+				return true
 			}
 		}
-		if !u.Running() {
-			return fmt.Errorf("%s ended while starting\n%s", u.Name, u.Log())
-		}
-		time.Sleep(pollInterval)
-	}
-	return fmt.Errorf("%s told no addresses within %s", u.Name, startTimeout)
+		return false
+	})
 }
 
 // Ready reports whether the daemon holds a configuration.
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -130,34 +130,35 @@
 	return string(text)
 }
 
-// awaitJSON waits until file holds one JSON document and decodes it.
-func (p *Process) awaitJSON(file string, into any) error {
-	deadline := time.Now().Add(startTimeout)
-	for time.Now().Before(deadline) {
-		text, err := os.ReadFile(file)
-		if err == nil && json.Unmarshal(text, into) == nil {
+// await polls until done reports true, as long as the process runs and the
+// start may take.
+func (p *Process) await(what string, done func() bool) error {
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
+		if done() {
 			return nil
 		}
 		if !p.Running() {
 			return fmt.Errorf("%s ended while starting: %v\n%s", p.Name, p.err, p.Log())
 		}
-		time.Sleep(pollInterval)
 	}
-	return fmt.Errorf("%s wrote no addresses within %s\n%s", p.Name, startTimeout, p.Log())
+	return fmt.Errorf("%s told no %s within %s\n%s", p.Name, what, startTimeout, p.Log())
+}
+
+// awaitJSON waits until file holds one JSON document and decodes it.
+func (p *Process) awaitJSON(file string, into any) error {
+	return p.await("addresses", func() bool {
+		text, err := os.ReadFile(file)
+		return err == nil && json.Unmarshal(text, into) == nil
+	})
 }
 
 // awaitText waits until file holds a line and returns it.
 func (p *Process) awaitText(file string) (string, error) {
-	deadline := time.Now().Add(startTimeout)
-	for time.Now().Before(deadline) {
+	var line string
+	err := p.await("address", func() bool {
 		text, err := os.ReadFile(file)
-		if err == nil && strings.HasSuffix(string(text), "\n") {
-			return strings.TrimSpace(string(text)), nil
-		}
-		if !p.Running() {
-			return "", fmt.Errorf("%s ended while starting: %v\n%s", p.Name, p.err, p.Log())
-		}
-		time.Sleep(pollInterval)
-	}
-	return "", fmt.Errorf("%s wrote no address within %s\n%s", p.Name, startTimeout, p.Log())
+		line = strings.TrimSpace(string(text))
+		return err == nil && strings.HasSuffix(string(text), "\n")
+	})
+	return line, err
 }
