Do not take a version in force elsewhere for a rumour

Cause: TestDataCentreRestartedOnARestoredTable failed since a starting daemon reads the head: the shifted draws let a restarted daemon fail four fetches from peers that had lost their memory before the far data centre's answer came, so version 2, which that data centre had in force, gave way to the restored head. Ruled out: the read at the start itself, whose offer of the lower head was not taken; a try that left it out failed the same way and another test besides. Change: a version gives way to a lower head only when no peer said within ten seconds that it has it in force. Conclusion: hearsay gives way to the head, evidence does not.

--- a/internal/confsync/apply.go
+++ b/internal/confsync/apply.go
@@ -120,7 +120,7 @@
 		return
 	}
 	c.swap(1)
-	c.offer(idFromProto(ev.Response.GetApplied()), offerFrom{address: ev.Address, hops: c.cfg.NoticeHops})
+	c.offer(idFromProto(ev.Response.GetApplied()), offerFrom{address: ev.Address, inForce: true, hops: c.cfg.NoticeHops})
 }
 
 // abandon gives up a version that a peer's memory of this instance rules out,
--- a/internal/confsync/config.go
+++ b/internal/confsync/config.go
@@ -59,6 +59,9 @@
 	// FetchBackoff is the longest pause after a failed fetch; it starts at a
 	// sixteenth and doubles, with full jitter.
 	FetchBackoff time.Duration
+	// RumourAfter is how long after a peer last said that it has a version in
+	// force one that cannot be had gives way to the platform's head.
+	RumourAfter time.Duration
 	// FetchFailures is after how many failed fetches a version is forgotten
 	// until it is heard of again.
 	FetchFailures int
@@ -125,6 +128,7 @@
 		NoticeHops:         16,
 		FetchTimeout:       time.Second,
 		FetchBackoff:       2 * time.Second,
+		RumourAfter:        10 * time.Second,
 		FetchFailures:      40,
 		ObjectInterval:     100 * time.Millisecond,
 		PeerFetches:        3,
--- a/internal/confsync/start.go
+++ b/internal/confsync/start.go
@@ -99,7 +99,7 @@
 	}
 	c.learnFloor(idFromProto(ev.Response.GetFloor()), ev.Address)
 	c.offer(c.floor, offerFrom{hops: c.cfg.NoticeHops})
-	c.offer(applied, offerFrom{address: ev.Address, hops: c.cfg.NoticeHops})
+	c.offer(applied, offerFrom{address: ev.Address, inForce: true, hops: c.cfg.NoticeHops})
 }
 
 // advanceStart ends the phase when enough peers answered or time is up.
--- a/internal/confsync/target.go
+++ b/internal/confsync/target.go
@@ -27,6 +27,8 @@
 	// platform is set when the platform's own head named the version.
 	platform bool
 	sources  []source
+	// inForce is when a peer last said that it has the version in force.
+	inForce time.Duration
 	// hops is how often the news may still be passed on.
 	hops     uint32
 	due      time.Duration
@@ -45,7 +47,9 @@
 	address string
 	// platform is set when it is the platform's head.
 	platform bool
-	hops     uint32
+	// inForce is set when that peer has the version in force.
+	inForce bool
+	hops    uint32
 }
 
 // offer makes a version the target when it is greater than all known ones, and
@@ -69,15 +73,18 @@
 	c.addSource(from)
 }
 
-// isRumour reports whether the target was only heard of from peers and cannot
-// be had: the platform's own head, though lower, goes before it.
+// isRumour reports whether the target was only heard of from peers, cannot be
+// had, and is in force nowhere as far as is known: the platform's own head,
+// though lower, goes before it.
 func (c *Core) isRumour() bool {
-	return !c.target.platform && c.target.failures >= c.cfg.PeerFetches
+	unheard := c.now - c.target.inForce
+	return !c.target.platform && c.target.failures >= c.cfg.PeerFetches && unheard >= c.cfg.RumourAfter
 }
 
 func (c *Core) retarget(id manifest.ID, from offerFrom) {
 	c.target.id = id
 	c.target.platform = false
+	c.target.inForce = -c.cfg.RumourAfter
 	c.target.sources = nil
 	c.target.hops = 0
 	c.target.failures = 0
@@ -103,6 +110,9 @@
 	t := &c.target
 	t.hops = max(t.hops, from.hops)
 	t.platform = t.platform || from.platform
+	if from.inForce {
+		t.inForce = c.now
+	}
 	remote := c.peers.isRemote(from.address)
 	if t.failures == 0 && !remote {
 		t.due = min(t.due, c.now)
@@ -148,5 +158,5 @@
 	if ev.ID == c.Applied() {
 		return
 	}
-	c.offer(ev.ID, offerFrom{address: ev.Address, hops: c.cfg.NoticeHops})
+	c.offer(ev.ID, offerFrom{address: ev.Address, inForce: true, hops: c.cfg.NoticeHops})
 }
--- a/internal/control/matrix_test.go
+++ b/internal/control/matrix_test.go
@@ -15,13 +15,13 @@
 	// matrixSeed draws the messages that stand for the others of their kind.
 	matrixSeed = 1
 	// shareOfKinds is of how many kinds of message one is taken.
-	shareOfKinds = 12
+	shareOfKinds = 4
 )
 
 var everyMessage = flag.Bool("every-message", false, "run the fault matrix for every message of every flow, not for a sample")
 
 // TestFaultMatrix puts every fault on messages of every flow, and checks the
-// promises. Without -every-message it takes, for each flow and fault, a twelfth of
+// promises. Without -every-message it takes, for each flow and fault, a quarter of
 // the kinds of message and one message of each, drawn with a fixed seed.
 func TestFaultMatrix(t *testing.T) {
 	var cases, possible atomic.Int64
