Sort the member table only when an instance comes or goes

Cause: every change of one record sorted all records anew. Change: the order of ids, the records and the living of each data centre are derived apart from each other; a new sequence of a known record needs no sort.

--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,8 +39,10 @@
 	// version counts changes.
 	version uint64
 
-	// The rest is derived and rebuilt after a change.
-	stale  bool
+	// The rest is derived and made anew when it is nil: order, all instance
+	// ids, after one came or went; sorted after any change; living after one
+	// came, went, moved, or changed between living and not.
+	order  []string
 	sorted []Record
 	living map[string][]string
 }
@@ -50,13 +52,13 @@
 		entries:   map[string]*entry{},
 		addresses: map[string]string{},
 		hashes:    map[string]*buckets{},
-		stale:     true,
 	}
 }
 
 // put inserts or replaces a record.
 func (t *table) put(r Record, now time.Duration) {
-	t.drop(r.Instance)
+	old := t.entries[r.Instance]
+	t.unlink(old)
 	t.version++
 	e := &entry{Record: r, changed: now, version: t.version}
 	t.entries[r.Instance] = e
@@ -64,25 +66,39 @@
 	if e.living() {
 		t.addresses[r.Address] = r.Instance
 	}
+	t.sorted = nil
+	if old == nil {
+		t.order = nil
+	}
+	if old == nil || old.living() != e.living() || old.DataCentre != e.DataCentre {
+		t.living = nil
+	}
 }
 
 // drop removes a record without a trace.
 func (t *table) drop(instance string) {
 	e := t.entries[instance]
+	if e == nil {
+		return
+	}
+	t.unlink(e)
+	delete(t.entries, instance)
+	t.order, t.sorted, t.living = nil, nil, nil
+}
+
+// unlink takes an entry out of the hashes and the addresses.
+func (t *table) unlink(e *entry) {
 	if e == nil {
 		return
 	}
 	t.toggle(e)
-	if t.addresses[e.Address] == instance {
+	if t.addresses[e.Address] == e.Instance {
 		delete(t.addresses, e.Address)
 	}
-	delete(t.entries, instance)
-	t.stale = true
 }
 
 // toggle adds a living record to the hashes or takes it out again.
 func (t *table) toggle(e *entry) {
-	t.stale = true
 	if !e.living() {
 		return
 	}
@@ -99,45 +115,48 @@
 	return t.entries[t.addresses[address]]
 }
 
+// ids returns all instance ids in order.
+func (t *table) ids() []string {
+	if t.order == nil {
+		t.order = slices.Sorted(maps.Keys(t.entries))
+	}
+	return t.order
+}
+
 // records returns all records in order of instance id.
 func (t *table) records() []Record {
-	t.refresh()
+	if t.sorted != nil {
+		return t.sorted
+	}
+	t.sorted = make([]Record, 0, len(t.entries))
+	for _, instance := range t.ids() {
+		t.sorted = append(t.sorted, t.entries[instance].Record)
+	}
 	return t.sorted
 }
 
+// byDataCentre returns the living instances of each data centre in order.
+func (t *table) byDataCentre() map[string][]string {
+	if t.living != nil {
+		return t.living
+	}
+	t.living = map[string][]string{}
+	for _, instance := range t.ids() {
+		if e := t.entries[instance]; e.living() {
+			t.living[e.DataCentre] = append(t.living[e.DataCentre], instance)
+		}
+	}
+	return t.living
+}
+
 // alive returns the living instances of a data centre in order.
 func (t *table) alive(dataCentre string) []string {
-	t.refresh()
-	return t.living[dataCentre]
+	return t.byDataCentre()[dataCentre]
 }
 
 // dataCentres returns the data centres with living instances, in order.
 func (t *table) dataCentres() []string {
-	t.refresh()
-	names := make([]string, 0, len(t.living))
-	for name := range t.living {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
-func (t *table) refresh() {
-	if !t.stale {
-		return
-	}
-	t.stale = false
-	t.sorted = make([]Record, 0, len(t.entries))
-	for _, e := range t.entries {
-		t.sorted = append(t.sorted, e.Record)
-	}
-	slices.SortFunc(t.sorted, func(a, b Record) int { return strings.Compare(a.Instance, b.Instance) })
-	t.living = map[string][]string{}
-	for _, r := range t.sorted {
-		if r.Liveness == Alive || r.Liveness == Suspect {
-			t.living[r.DataCentre] = append(t.living[r.DataCentre], r.Instance)
-		}
-	}
+	return slices.Sorted(maps.Keys(t.byDataCentre()))
 }
 
 // scopeHashes returns the buckets of the named data centres together, or of
