Let larger fleets settle longer before they are measured

Cause: 96 daemons were still passing on the news of their start when the bytes at rest were counted: 1,288 B/s a daemon, against 286 at 24. Change: the wait grows by 350 ms for each daemon.

--- a/test/measure/control/config.go
+++ b/test/measure/control/config.go
@@ -63,7 +63,7 @@
 }
 
 func (c *configCommand) measure(f *fleet, r *configReports) error {
-	time.Sleep(settleTime)
+	f.settle()
 	rest, err := f.observe(func() error { time.Sleep(c.Idle); return nil })
 	if err != nil {
 		return err
--- a/test/measure/control/fleet.go
+++ b/test/measure/control/fleet.go
@@ -22,8 +22,10 @@
 const (
 	// stepTimeout bounds each wait for something that must come about.
 	stepTimeout = 60 * time.Second
-	// settleTime lets the traffic of starting die down.
+	// settleTime, and settleEach for each daemon, let the news of the start die
+	// down.
 	settleTime = 12 * time.Second
+	settleEach = 350 * time.Millisecond
 	// upstreamSlots is what each announced upstream has.
 	upstreamSlots = 10
 )
@@ -64,6 +66,9 @@
 	return f.awaitUpstreams(f.count, f.mesh.Instances)
 }
 
+// settle waits until the news of the start has been passed on.
+func (f *fleet) settle() { time.Sleep(settleTime + time.Duration(f.count)*settleEach) }
+
 // each runs work for all instances at once and returns the first error.
 func each(instances []*harness.Instance, work func(n int, instance *harness.Instance) error) error {
 	var group errgroup.Group
--- a/test/measure/control/members.go
+++ b/test/measure/control/members.go
@@ -21,7 +21,7 @@
 	rest := report{title: "One daemon at rest", size: "daemons", columns: []string{"% of a core", "resident MB", "heap MB", "B/s, each byte once"}}
 	changes := report{title: "Seconds until a change is known to every daemon", size: "daemons", columns: []string{"drain median", "drain greatest", "death median", "death greatest"}}
 	err := withFleets(c.Daemons, func(f *fleet) error {
-		time.Sleep(settleTime)
+		f.settle()
 		if err := c.atRest(f, &rest); err != nil {
 			return err
 		}
--- a/test/measure/control/tables.go
+++ b/test/measure/control/tables.go
@@ -69,7 +69,7 @@
 	if err := f.awaitUpstreams(records, f.mesh.Instances); err != nil {
 		return err
 	}
-	time.Sleep(settleTime)
+	f.settle()
 	rest, err := f.observe(func() error { time.Sleep(c.Idle); return nil })
 	if err != nil {
 		return err
