Wait longer for the peers that a starting daemon asked

Cause: restarted while the platform was away, a daemon ended its start after 1.5 s with the answer of a peer that was behind, because the one peer that had the newest version answered after 2 s: it went from version 2 to 1. Ruled out: floors, which the peer that was behind did not remember. Change: the start waits up to 3 s for answers; peers that refuse, and those that hold nothing, still end it early. Figures: TestStartWaitsForASlowPeer fails with 1.5 s and passes with 3 s; transcripts keep the old bound in their own settings. Conclusion: a peer that is silent for longer can still be missed while the platform is away.

--- a/internal/confsync/config.go
+++ b/internal/confsync/config.go
@@ -141,7 +141,7 @@
 		StartRemotePeers:   2,
 		StartSettle:        500 * time.Millisecond,
 		StartAnswers:       3,
-		StartWait:          1500 * time.Millisecond,
+		StartWait:          3 * time.Second,
 		StartConfirm:       time.Second,
 		StartJitter:        time.Second,
 		History:            8,
--- a/internal/confsync/core_test.go
+++ b/internal/confsync/core_test.go
@@ -57,6 +57,7 @@
 		Compile:    fakeCompile,
 		MakeDelta:  fakeMakeDelta,
 		ApplyDelta: fakeApplyDelta,
+		StartWait:  1500 * time.Millisecond,
 	}
 }
 
--- a/internal/confsync/faults_test.go
+++ b/internal/confsync/faults_test.go
@@ -306,3 +306,19 @@
 		n.reach(healTime, n.accept("good"))
 	}
 }
+
+// TestStartWaitsForASlowPeer restarts a daemon while the platform is away, the
+// one peer that has the newest version answers late, and another is behind.
+func TestStartWaitsForASlowPeer(t *testing.T) {
+	n := startedNetwork(t, "k-1", "p-1", "p-2")
+	n.tune = func(cfg *Config) { cfg.StartWait = DefaultConfig().StartWait }
+	n.freeze("p-1", 20*time.Second)
+	newest := n.accept("two")
+	n.run(3*time.Second, nil)
+	n.nodes["k-1"].noPlatform = true
+	n.nodes["p-1"].noPlatform = true
+	n.freeze("p-2", 2*time.Second)
+	n.nodes["p-1"].frozenUntil = n.Now
+	n.start("k-1")
+	n.reach(healTime, newest)
+}
