--- a/internal/confsync/config.go
+++ b/internal/confsync/config.go
@@ -96,6 +96,8 @@
 	StartAnswers int
 	// StartWait bounds how long a starting daemon waits for their answers.
 	StartWait time.Duration
+	// StartAlone is how long a starting daemon waits that knows nobody to ask.
+	StartAlone time.Duration
 	// StartConfirm bounds how long it then waits for the platform's head.
 	StartConfirm time.Duration
 	// StartJitter spreads the first poll of starting daemons.
@@ -142,6 +144,7 @@
 		StartSettle:        500 * time.Millisecond,
 		StartAnswers:       3,
 		StartWait:          3 * time.Second,
+		StartAlone:         1500 * time.Millisecond,
 		StartConfirm:       time.Second,
 		StartJitter:        time.Second,
 		History:            8,
--- a/internal/confsync/start.go
+++ b/internal/confsync/start.go
@@ -154,7 +154,10 @@
 	if c.start.answers >= c.cfg.StartAnswers || elapsed >= c.cfg.StartWait {
 		return true
 	}
-	return elapsed >= c.cfg.StartSettle && len(c.start.asked) > 0 && len(c.start.awaiting) == 0
+	if len(c.start.asked) == 0 {
+		return elapsed >= c.cfg.StartAlone
+	}
+	return elapsed >= c.cfg.StartSettle && len(c.start.awaiting) == 0
 }
 
 // firstPoll returns the window of the first poll. A daemon that knows no peer
