Release what a daemon holds in one place

Change: both ends call release; the field is gone; publish asks for the own record and the table once. Conclusion: less to keep alike.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -40,11 +40,10 @@
 	// dirty is set when members changed since the last snapshot.
 	dirty bool
 	// local is the own record that the data path was last told of.
-	local    membership.Record
-	events   []step.Event
-	effects  []step.Effect
-	moment   step.Moment
-	snapshot *routing.Snapshot
+	local   membership.Record
+	events  []step.Event
+	effects []step.Effect
+	moment  step.Moment
 }
 
 // New returns the Core of a process that just started.
@@ -233,12 +232,10 @@
 
 // publish makes the snapshot and the claim views for a configuration.
 func (c *Core) publish(id manifest.ID, table *manifest.Table) {
-	records := c.members.Records()
-	c.snapshot = routing.Build(id, table, c.members.Self(), records, c.moment.Now)
-	c.emit(PublishSnapshot{Snapshot: c.snapshot})
-	view := claimView(id, table, c.members.Self(), records)
-	c.emit(PublishClaimView{View: view})
-	c.tell(holderView(id, table, c.members.Self(), records))
+	self, records := c.members.Self(), c.members.Records()
+	c.emit(PublishSnapshot{Snapshot: routing.Build(id, table, self, records, c.moment.Now)})
+	c.emit(PublishClaimView{View: claimView(id, table, self, records)})
+	c.tell(holderView(id, table, self, records))
 }
 
 // leave begins a planned stop.
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -57,10 +57,7 @@
 func (d *Daemon) close() {
 	time.Sleep(2 * tickInterval)
 	d.cancel()
-	<-d.loop.done
-	_ = d.gossip.Close()
-	d.peers.close()
-	d.proxy.Close()
+	d.release()
 }
 
 // Kill ends the daemon at once, as a crash would; for tests.
@@ -69,6 +66,11 @@
 	for _, server := range d.servers {
 		_ = server.Close()
 	}
+	d.release()
+}
+
+// release waits for the loop, whose context has ended, and closes what it used.
+func (d *Daemon) release() {
 	<-d.loop.done
 	_ = d.gossip.Close()
 	d.peers.close()
