--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -16,7 +16,7 @@
 anything but routes make no difference.`
 
 type diffCommand struct {
-	ExitCode bool   `long:"exit-code" description:"Exit with 1 when the manifests differ."`
+	ExitCode bool `long:"exit-code" description:"Exit with 1 when the manifests differ."`
 	Args     struct {
 		Old flags.Filename `positional-arg-name:"OLD" description:"manifest file"`
 		New flags.Filename `positional-arg-name:"NEW" description:"manifest file"`
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -13,24 +13,13 @@
 	// ExitOK means that the command did what it was asked for.
 	ExitOK ExitCode = 0
 	// ExitInvalid means that a file has problems, that no route takes the
-	// request, that the platform holds no such manifest, or that manifests
-	// differ.
+	// request, or that manifests differ.
 	ExitInvalid ExitCode = 1
 	// ExitUsage means that the command line is wrong.
 	ExitUsage ExitCode = 2
-	// ExitUnavailable means that a file, the platform or every given daemon
-	// could not be read. Nothing has been changed.
+	// ExitUnavailable means that a file or every given daemon could not be
+	// read.
 	ExitUnavailable ExitCode = 3
-	// ExitConflict means that another manifest was accepted first.
-	ExitConflict ExitCode = 4
-	// ExitUnknown means that the platform did not say whether the acceptance
-	// took effect. Repeating it with the same acceptance id is safe.
-	ExitUnknown ExitCode = 5
-	// ExitRefused means that a daemon refused the accepted configuration.
-	ExitRefused ExitCode = 6
-	// ExitNotInForce means that the configuration was accepted but was not in
-	// force everywhere within the time allowed.
-	ExitNotInForce ExitCode = 7
 )
 
 // exitCodes are the codes with their meaning, for the help text.
@@ -39,13 +28,9 @@
 	text string
 }{
 	{ExitOK, "done"},
-	{ExitInvalid, "a file has problems, no route takes the request, there is no such manifest, or diff --exit-code found differences"},
+	{ExitInvalid, "a file has problems, no route takes the request, or diff --exit-code found differences"},
 	{ExitUsage, "wrong command line"},
-	{ExitUnavailable, "a file, the platform or every given daemon could not be read; nothing changed"},
-	{ExitConflict, "another manifest was accepted first; nothing changed"},
-	{ExitUnknown, "unknown whether the acceptance took effect; repeat it with the same --id"},
-	{ExitRefused, "accepted, but a daemon refused the configuration"},
-	{ExitNotInForce, "accepted, but not in force everywhere within the time allowed"},
+	{ExitUnavailable, "a file or every given daemon could not be read"},
 }
 
 func exitCodeHelp() string {
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -18,10 +18,11 @@
 	// quietTime is how long no caller may have sent anything before the
 	// daemon ends.
 	quietTime = 400 * time.Millisecond
-	// leaveShare is the part of the grace after which peers are told to send
-	// nothing more, and endShare the part after which the process ends.
-	leaveShare = 0.7
-	endShare   = 0.93
+	// leaveShare is the part of the grace after which callers and peers are
+	// refused, and endShare the part after which the process ends. What was
+	// taken before has the time between them to be answered.
+	leaveShare = 0.65
+	endShare   = 0.95
 	// leaveTime is how long peers have to learn that the daemon leaves.
 	leaveTime = 100 * time.Millisecond
 	stopStep  = 20 * time.Millisecond
@@ -40,6 +41,7 @@
 	leaveAt := began.Add(time.Duration(leaveShare * float64(grace)))
 	endAt := began.Add(time.Duration(endShare * float64(grace)))
 	waitUntil(ctx, leaveAt, func() bool { return time.Since(began) >= unreadyTime && d.quiet() })
+	d.proxy.CloseEntry()
 	d.peers.Leave()
 	d.server.Tell(d.proxy.State())
 	sleep(ctx, leaveTime)
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -49,6 +49,9 @@
 	if c.id == "" {
 		c.id = uuid.NewString()
 	}
+	if p.closed.Load() {
+		return c, fail(code.CallDraining)
+	}
 	table := p.table.Load()
 	if table == nil {
 		return c, fail(code.CallNotReady)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -74,6 +74,7 @@
 	table    atomic.Pointer[Table]
 	upstream atomic.Pointer[control.Upstream]
 	stopping atomic.Bool
+	closed   atomic.Bool
 	entering atomic.Int64
 	running  atomic.Int64
 
@@ -139,6 +140,10 @@
 // BeginStop makes callers close their connections from now on.
 func (p *Proxy) BeginStop() { p.stopping.Store(true) }
 
+// CloseEntry refuses callers' requests from now on. Those that were taken
+// before go on.
+func (p *Proxy) CloseEntry() { p.closed.Store(true) }
+
 // InFlight returns the requests of callers and those at the upstream that are
 // not over.
 func (p *Proxy) InFlight() (entering, running int64) {
