--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,11 +69,13 @@
 	background context.Context
 	cancel     context.CancelFunc
 
-	loop     *loop
-	peers    *proxy.Peers
-	proxy    *proxy.Proxy
-	server   *hop.Server
-	callers  *http.Server
+	loop    *loop
+	peers   *proxy.Peers
+	proxy   *proxy.Proxy
+	server  *hop.Server
+	callers *http.Server
+	// closers end what listens.
+	closers  []func() error
 	registry *prometheus.Registry
 	ready    atomic.Bool
 	stopping atomic.Bool
@@ -149,6 +151,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
+	d.closers = append(d.closers, peers.Close)
 	go func() { d.served("peers", d.server.Serve(peers)) }()
 	d.callers = newServer(d.callerHandler())
 	d.callers.IdleTimeout = callerIdleTimeout
@@ -170,6 +173,7 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
+		d.closers = append(d.closers, each.server.Close)
 		go func() { d.served(each.address, each.server.Serve(listener)) }()
 	}
 	return nil
@@ -233,6 +237,9 @@
 	return e
 }
 
+// Usable returns how many other daemons have an upstream that takes requests.
+func (d *Daemon) Usable() int { return d.peers.Usable() }
+
 // hopHandler serves peers.
 type hopHandler struct{ d *Daemon }
 
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -76,7 +76,24 @@
 	if err := d.callers.Shutdown(bounded); err != nil {
 		d.log.Warn(event.DaemonStopped, zap.String("while", "closing connections of callers"), zap.Error(err))
 	}
+	d.end()
+}
+
+// Abort ends the daemon at once, whatever is in flight.
+func (d *Daemon) Abort() {
+	d.stopping.Store(true)
+	d.end()
+}
+
+// end closes everything that listens and every connection to peers.
+func (d *Daemon) end() {
+	for _, closer := range d.closers {
+		if err := closer(); err != nil {
+			d.log.Warn(event.DaemonStopped, zap.String("while", "closing a listener"), zap.Error(err))
+		}
+	}
 	d.server.Close()
+	d.peers.Set(nil)
 	d.cancel()
 }
 
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -90,6 +90,19 @@
 	return len(ps.all)
 }
 
+// Usable returns how many peers can be reached and take requests.
+func (ps *Peers) Usable() int {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	usable := 0
+	for _, p := range ps.all {
+		if state := p.state.Load(); state != nil && p.up.Load() && state.GetTakesWork() {
+			usable++
+		}
+	}
+	return usable
+}
+
 // Set connects to the members that are new and leaves those that are gone.
 func (ps *Peers) Set(members []control.Member) {
 	ps.mu.Lock()
