Keep large answers in their data centre and hear of every near upstream

Change: requests from 32 kB on stay while a near upstream takes requests; the frames of a hop count as bytes; 4% of requests go to any near free upstream.

--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -40,6 +40,16 @@
 	// farPerKilobyte is the wait that is preferred to sending a kilobyte to
 	// another data centre.
 	farPerKilobyte = 20 * time.Millisecond
+	// hopBytes is what the frames and headers of a request and its answer take
+	// besides their bodies.
+	hopBytes = 700
+	// farLimit is the size in bytes from which a request leaves the data
+	// centre only when no upstream there can be reached.
+	farLimit = 32 << 10
+	// explore is the share of requests that go to any near upstream with a
+	// free slot, so that news of all of them stay fresh and a new one is
+	// found to be fast.
+	explore = 0.04
 	// spread is the largest random addition to a candidate's cost, as a share
 	// of its hold time, so that daemons with the same news choose differently.
 	spread = 0.3
@@ -50,10 +60,16 @@
 // Choose returns the index of the candidate with the least cost, or -1 when
 // there is none left that takes requests.
 func Choose(candidates []Candidate, ask Ask) int {
+	nearOnly := ask.Bytes >= farLimit && hasNear(candidates)
+	if ask.Draw() < explore {
+		if i := ask.anyFree(candidates); i >= 0 {
+			return i
+		}
+	}
 	best, bestCost := -1, time.Duration(0)
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.Takes || ask.tried(c.Instance) {
+		if !c.Takes || nearOnly && !c.Near || ask.tried(c.Instance) {
 			continue
 		}
 		cost := c.cost(ask.Bytes) + time.Duration(ask.Draw()*spread*float64(c.Hold))
@@ -64,11 +80,38 @@
 	return best
 }
 
+// hasNear tells whether an upstream of the own data centre takes requests.
+func hasNear(candidates []Candidate) bool {
+	for i := range candidates {
+		if candidates[i].Near && candidates[i].Takes {
+			return true
+		}
+	}
+	return false
+}
+
+// anyFree returns the index of a near candidate with a free slot, drawn at
+// random, or -1.
+func (a *Ask) anyFree(candidates []Candidate) int {
+	chosen, seen := -1, 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		if !c.Near || !c.Takes || c.Wait() > 0 || a.tried(c.Instance) {
+			continue
+		}
+		seen++
+		if a.Draw() < 1/seen {
+			chosen = i
+		}
+	}
+	return chosen
+}
+
 // cost is the time until the answer, and what the way costs put as time.
 func (c *Candidate) cost(bytes int) time.Duration {
 	cost := c.Wait() + c.Hold
 	if !c.Near {
-		cost += farDelay + farPerKilobyte*time.Duration(bytes)/kilobyte
+		cost += farDelay + farPerKilobyte*time.Duration(bytes+hopBytes)/kilobyte
 	}
 	return cost
 }
