Let requests that can meet their goal go before those that cannot

Change: a refused request is remembered by its target for 4 s; one that comes back keeps its first arrival. Past its goal it waits behind others of its priority, 60 ms at most. Refused callers come back within their goal while that can be met, later as late as they can wait.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -64,7 +64,7 @@
 
 // await blocks until the ticket has a slot or is refused.
 func (g *Gate) await(ctx context.Context, t *Ticket) (*Slot, *Refusal) {
-	timer := time.NewTimer(t.limit() - g.now())
+	timer := time.NewTimer(t.giveUp() - g.now())
 	defer timer.Stop()
 	var why Reason
 	select {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -47,7 +47,8 @@
 	// has any.
 	Goal     time.Duration
 	Deadline time.Duration
-	// Patient requests wait until their deadline, behind all others.
+	// Patient requests have missed their goal. They wait behind others of
+	// their priority, and only for a short while.
 	Patient bool
 }
 
@@ -55,6 +56,8 @@
 	// defaultHold is the time that a request is taken to hold a slot before
 	// any has been seen.
 	defaultHold = 100 * time.Millisecond
+	// patientWait is how long a request that has missed its goal waits.
+	patientWait = 60 * time.Millisecond
 	// holdWeight is the weight of a new figure in a mean over recent ones.
 	holdWeight = 0.05
 )
@@ -63,6 +66,8 @@
 type Ticket struct {
 	Ask
 	order uint64
+	// since is when it began to wait.
+	since time.Duration
 	ready chan Reason
 }
 
@@ -96,10 +101,13 @@
 		q.running++
 		return nil, 0, 0
 	}
-	ticket := &Ticket{Ask: ask, order: q.order}
+	ticket := &Ticket{Ask: ask, order: q.order, since: now}
 	position := q.position(ticket)
 	start := now + q.wait(position)
 	limit := ask.limit()
+	if ask.Patient {
+		limit = min(limit, now+patientWait+typical)
+	}
 	if start+typical > limit {
 		return nil, Full, start + typical - limit
 	}
@@ -116,17 +124,25 @@
 	return min(a.Goal, a.Deadline)
 }
 
+// giveUp is until when a ticket waits for a slot.
+func (t *Ticket) giveUp() time.Duration {
+	if t.Patient {
+		return min(t.since+patientWait, t.Deadline)
+	}
+	return t.limit()
+}
+
 // before tells whether t is served before other.
 func (t *Ticket) before(other *Ticket) bool {
-	if t.Patient != other.Patient {
-		return other.Patient
-	}
 	if t.Nested != other.Nested {
 		return t.Nested
 	}
 	if t.Priority != other.Priority {
 		return t.Priority < other.Priority
 	}
+	if t.Patient != other.Patient {
+		return other.Patient
+	}
 	return t.order < other.order
 }
 
@@ -173,7 +189,7 @@
 	for len(q.waiting) > 0 && q.running < q.slots {
 		t := q.waiting[0]
 		q.waiting = q.waiting[1:]
-		if now >= t.Deadline || !t.Patient && now >= t.limit() {
+		if now >= t.giveUp() {
 			late = append(late, t)
 			continue
 		}
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -202,7 +202,7 @@
 			continue
 		}
 		if silence-asked >= limit-ping {
-			l.close()
+			l.reset()
 			return
 		}
 	}
--- a/internal/hop/link.go
+++ b/internal/hop/link.go
@@ -55,14 +55,14 @@
 	case l.out <- buffer:
 		return nil
 	default:
-		l.close()
+		l.reset()
 		return errLinkClosed
 	}
 }
 
 // write writes queued frames, as many as there are at once.
 func (l *link) write() {
-	defer l.close()
+	defer l.reset()
 	writer := bufio.NewWriterSize(l.conn, writeBuffer)
 	for {
 		select {
@@ -118,3 +118,16 @@
 		_ = l.conn.Close()
 	})
 }
+
+// reset ends the connection and drops what the peer has not received yet.
+// Otherwise requests that were held up by a cut would run after it.
+func (l *link) reset() {
+	l.once.Do(func() {
+		close(l.done)
+		if tcp, ok := l.conn.(*net.TCPConn); ok {
+			// Without it the end is only less sudden.
+			_ = tcp.SetLinger(0)
+		}
+		_ = l.conn.Close()
+	})
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -33,10 +33,15 @@
 	// the answer has its full value.
 	deadline time.Time
 	goal     time.Time
-	route    *manifest.CompiledRoute
-	version  uint64
-	service  string
-	method   string
+	// key recognises the request when its caller sends it again; first is when
+	// it came first, and age how long ago that was.
+	key     uint64
+	first   time.Duration
+	age     time.Duration
+	route   *manifest.CompiledRoute
+	version uint64
+	service string
+	method  string
 	// idempotent requests may run more than once.
 	idempotent bool
 	nested     bool
@@ -94,12 +99,15 @@
 	if ms, err := strconv.ParseFloat(r.Header.Get(p.cfg.Headers.Deadline), 64); err == nil && ms >= 0 {
 		bound = min(bound, time.Duration(ms*float64(time.Millisecond)))
 	}
+	c.key = refusedKey(r)
+	c.first = p.refused.first(c.key, p.now())
+	c.age = p.now() - c.first
 	goal := c.route.Goal.Std()
 	if goal <= 0 {
 		goal = time.Duration(float64(bound) * defaultGoalShare)
 	}
 	c.deadline = c.started.Add(bound)
-	c.goal = c.started.Add(min(goal, bound))
+	c.goal = c.started.Add(min(goal-c.age, bound))
 }
 
 // fromUpstream tells whether the upstream beside the daemon sent the request:
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -158,6 +158,7 @@
 		zap.Int("candidates", len(candidates)))
 	c.request.RemainingMs = wireTime(time.Until(c.deadline))
 	c.request.GoalMs = wireTime(time.Until(c.goal))
+	c.request.Patient = c.request.GoalMs == 0
 	if candidate.Self {
 		return f.observe(p.Execute(ctx, c.request))
 	}
@@ -232,7 +233,10 @@
 	if c.deadline.IsZero() {
 		left = time.Second
 	}
-	pause := retryAfter(failed.retryAfter, left, rand.Float64())
+	pause := retryAfter(failed.retryAfter, time.Until(c.goal), left, rand.Float64())
+	if failed.notRun && failed.code.Info().Retry {
+		p.refused.note(c.key, c.first, p.now())
+	}
 	p.metrics.answered(c, failed.code.String())
 	fields := []zap.Field{zap.String("id", c.id), zap.String("result", failed.code.String()),
 		zap.Bool("not_run", failed.notRun), zap.Duration("took", time.Since(c.started)),
@@ -247,7 +251,7 @@
 	if f == nil {
 		return nil
 	}
-	return []zap.Field{zap.String("route", f.call.route.Name), zap.String("at", f.where),
+	return []zap.Field{zap.String("route", f.call.route.Name), zap.Duration("age", f.call.age), zap.String("at", f.where),
 		zap.Int("arrivals", f.arrivals), zap.Int("offers", f.offers), zap.Strings("tried", f.tried)}
 }
 
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -39,17 +39,27 @@
 
 const (
 	// minRetry is the shortest pause asked of a caller.
-	minRetry = 50 * time.Millisecond
+	minRetry = 30 * time.Millisecond
 	// retryShare is the part of the time left that a caller waits at most.
 	retryShare = 1.0 / 3
-	// retrySpread is how much longer than needed callers are asked to wait at
-	// random, so that they do not come back together.
-	retrySpread = 150 * time.Millisecond
+	// goalShare is the part of the time to its goal that a caller waits, so
+	// that it can still be answered within it.
+	goalShare = 0.4
+	// lateSpread is the least part of the longest pause asked of a caller
+	// whose goal has passed.
+	lateSpread = 0.5
 )
 
-// retryAfter is when a refused caller is asked to come back: when a slot is
-// expected to be free, spread at random, within what the caller can wait.
-func retryAfter(expected, left time.Duration, draw float64) time.Duration {
-	pause := max(expected, minRetry) + time.Duration(draw*float64(retrySpread))
-	return max(min(pause, time.Duration(float64(left)*retryShare)), time.Millisecond)
+// retryAfter is when a refused caller is asked to come back. While it can be
+// answered within its goal, that is soon after a slot is expected to be free;
+// later it is as late as the caller can wait, when others have been served.
+// Callers are spread at random, so that they do not come back together.
+func retryAfter(expected, goal, left time.Duration, draw float64) time.Duration {
+	longest := time.Duration(float64(left) * retryShare)
+	if soon := time.Duration(float64(goal) * goalShare); soon > minRetry {
+		least := min(max(expected, minRetry), soon)
+		return max(min(least+time.Duration(draw*float64(soon-least)), longest), time.Millisecond)
+	}
+	pause := float64(longest) * (lateSpread + draw*(1-lateSpread))
+	return max(time.Duration(pause), time.Millisecond)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -78,6 +78,8 @@
 	entering atomic.Int64
 	running  atomic.Int64
 
+	refused *refusals
+
 	mu      sync.Mutex
 	budgets map[string]*routing.Budget
 	sizes   map[string]float64
@@ -99,6 +101,7 @@
 		deps:    deps,
 		epoch:   epoch,
 		gate:    admission.NewGate(epoch),
+		refused: newRefusals(),
 		budgets: map[string]*routing.Budget{},
 		sizes:   map[string]float64{},
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -78,13 +78,13 @@
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	address := c.pool.current()
-	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	stop := context.AfterFunc(ctx, connection.abort)
 	answer, reusable, err := c.exchange(connection, call)
 	if !stop() && ctx.Err() != nil && err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrBroken, ctx.Err())
 	}
 	if err != nil || !reusable {
-		_ = connection.Close()
+		connection.abort()
 	} else {
 		c.pool.put(connection, address)
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -35,6 +35,16 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), writer: bufio.NewWriterSize(c, writeBuffer)}
 }
 
+// abort ends the connection and drops what the upstream has not received yet,
+// so that a request that was given up does not reach it later.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// Without it the end is only less sudden.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // quiet reports whether nothing has arrived on an idle connection and its
 // other end has not closed it.
 func (c *conn) quiet() bool {
