--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -6,6 +6,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -58,6 +59,9 @@
 	defaultHold = 100 * time.Millisecond
 	// patientWait is how long a request that has missed its goal waits.
 	patientWait = 60 * time.Millisecond
+	// ampleDeviations is how many mean deviations above its mean a duration is
+	// reckoned with: about one in ten is longer.
+	ampleDeviations = 1.6
 	// holdWeight is the weight of a new figure in a mean over recent ones.
 	holdWeight = 0.05
 )
@@ -93,7 +97,7 @@
 	if !q.open {
 		return nil, Closed, 0
 	}
-	typical := q.typical(ask.Kind)
+	needs := q.needs(ask.Kind)
 	if now >= ask.Deadline {
 		return nil, TooLate, 0
 	}
@@ -106,10 +110,10 @@
 	start := now + q.wait(position)
 	limit := ask.limit()
 	if ask.Patient {
-		limit = min(limit, now+patientWait+typical)
+		limit = min(limit, now+patientWait+needs)
 	}
-	if start+typical > limit {
-		return nil, Full, start + typical - limit
+	if start+needs > limit {
+		return nil, Full, start + needs - limit
 	}
 	q.order++
 	q.waiting = slices.Insert(q.waiting, position, ticket)
@@ -164,11 +168,12 @@
 // Hold is the recent mean time for which a request holds a slot.
 func (q *Queue) Hold() time.Duration { return q.hold.get() }
 
-func (q *Queue) typical(kind string) time.Duration {
+// needs is the time with a slot that a request of a kind is reckoned to need.
+func (q *Queue) needs(kind string) time.Duration {
 	if known := q.kinds[kind]; known != nil {
-		return known.get()
+		return known.ample()
 	}
-	return q.Hold()
+	return q.hold.ample()
 }
 
 // Release gives back a slot that a request of a kind held. It returns the
@@ -223,19 +228,23 @@
 	return waiting
 }
 
-// mean is a mean over recent durations.
+// mean is a mean over recent durations, with their mean deviation from it.
 type mean struct {
-	value float64
-	known bool
+	value     float64
+	deviation float64
+	known     bool
 }
 
 func (m *mean) add(d time.Duration) {
 	if !m.known {
 		m.value = float64(d)
+		m.deviation = m.value / 2
 		m.known = true
 		return
 	}
-	m.value += holdWeight * (float64(d) - m.value)
+	off := float64(d) - m.value
+	m.value += holdWeight * off
+	m.deviation += holdWeight * (math.Abs(off) - m.deviation)
 }
 
 func (m *mean) get() time.Duration {
@@ -244,3 +253,11 @@
 	}
 	return time.Duration(m.value)
 }
+
+// ample is a duration that few exceed.
+func (m *mean) ample() time.Duration {
+	if !m.known {
+		return defaultHold
+	}
+	return time.Duration(m.value + ampleDeviations*m.deviation)
+}
