--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -51,6 +51,10 @@
 	// Patient requests have missed their goal. They wait behind others of
 	// their priority, and only for a short while.
 	Patient bool
+	// Visiting requests come from another data centre that has upstreams of
+	// its own. They take a free slot or none: where all are busy, moving a
+	// request serves nobody better and costs its way.
+	Visiting bool
 }
 
 const (
@@ -105,6 +109,9 @@
 		q.running++
 		return nil, 0, 0
 	}
+	if ask.Visiting {
+		return nil, Full, 0
+	}
 	ticket := &Ticket{Ask: ask, order: q.order, since: now}
 	position := q.position(ticket)
 	start := now + q.wait(position)
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -159,6 +159,7 @@
 	c.request.RemainingMs = wireTime(time.Until(c.deadline))
 	c.request.GoalMs = wireTime(time.Until(c.goal))
 	c.request.Patient = c.request.GoalMs == 0
+	c.request.Visiting = !candidate.Near && routing.HasNear(candidates)
 	if candidate.Self {
 		return f.observe(p.Execute(ctx, c.request))
 	}
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -33,6 +33,7 @@
 		Goal:     arrived + milliseconds(request.GoalMs),
 		Deadline: deadline,
 		Patient:  request.Patient,
+		Visiting: request.Visiting,
 	})
 	if refusal != nil {
 		return p.refuse(request, refusalCode(refusal.Reason, p.now() >= deadline), refusal.RetryAfter)
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -46,6 +46,9 @@
 	// farLimit is the size in bytes from which a request leaves the data
 	// centre only when no upstream there can be reached.
 	farLimit = 32 << 10
+	// roomyShare is the share of its slots up to which an upstream of another
+	// data centre is asked while the own one has upstreams.
+	roomyShare = 0.8
 	// explore is the share of requests that go to any near upstream with a
 	// free slot, so that news of all of them stay fresh and a new one is
 	// found to be fast.
@@ -60,7 +63,8 @@
 // Choose returns the index of the candidate with the least cost, or -1 when
 // there is none left that takes requests.
 func Choose(candidates []Candidate, ask Ask) int {
-	nearOnly := ask.Bytes >= farLimit && hasNear(candidates)
+	near := HasNear(candidates)
+	nearOnly := ask.Bytes >= farLimit && near
 	if ask.Draw() < explore {
 		if i := ask.anyFree(candidates); i >= 0 {
 			return i
@@ -69,7 +73,10 @@
 	best, bestCost := -1, time.Duration(0)
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.Takes || nearOnly && !c.Near || ask.tried(c.Instance) {
+		if !c.Takes || ask.tried(c.Instance) {
+			continue
+		}
+		if !c.Near && (nearOnly || near && !c.roomy()) {
 			continue
 		}
 		cost := c.cost(ask.Bytes) + time.Duration(ask.Draw()*spread*float64(c.Hold))
@@ -80,8 +87,8 @@
 	return best
 }
 
-// hasNear tells whether an upstream of the own data centre takes requests.
-func hasNear(candidates []Candidate) bool {
+// HasNear tells whether an upstream of the own data centre takes requests.
+func HasNear(candidates []Candidate) bool {
 	for i := range candidates {
 		if candidates[i].Near && candidates[i].Takes {
 			return true
@@ -107,6 +114,11 @@
 	return chosen
 }
 
+// roomy tells whether a candidate most likely has a free slot.
+func (c *Candidate) roomy() bool {
+	return c.Load < roomyShare*float64(c.Slots)
+}
+
 // cost is the time until the answer, and what the way costs put as time.
 func (c *Candidate) cost(bytes int) time.Duration {
 	cost := c.Wait() + c.Hold
