Close refused connections; take free slots only in other data centres

(2) With every upstream full, requests went round the data centres for nothing. (3) An upstream whose runs are long against the goal refused every request that would have had to wait at all. Change: 503 closes the connection; a request from another data centre that has upstreams of its own takes a free slot or none, and is sent only where one is likely; a request is reckoned to need three quarters of the time to its goal at most.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -66,6 +66,9 @@
 	// ampleDeviations is how many mean deviations above its mean a duration is
 	// reckoned with: about one in ten is longer.
 	ampleDeviations = 1.6
+	// needsShare is the largest part of the time to its goal that a request is
+	// reckoned to need: at a slow upstream it may still wait a little.
+	needsShare = 0.75
 	// holdWeight is the weight of a new figure in a mean over recent ones.
 	holdWeight = 0.05
 )
@@ -118,6 +121,8 @@
 	limit := ask.limit()
 	if ask.Patient {
 		limit = min(limit, now+patientWait+needs)
+	} else {
+		needs = min(needs, time.Duration(needsShare*float64(limit-now)))
 	}
 	if start+needs > limit {
 		return nil, Full, start + needs - limit
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,7 +33,7 @@
 	headerTimeout = 10 * time.Second
 	// callerIdleTimeout is longer than callers may keep a connection idle, so
 	// that none is closed just as it is used again.
-	callerIdleTimeout = 10 * time.Minute
+	callerIdleTimeout = time.Minute
 	// maxHeaderBytes bounds a request's headers.
 	maxHeaderBytes = 64 << 10
 	// reportTimeout bounds taking an upstream's report.
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -28,6 +28,8 @@
 	header := w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if info.Retry {
+		// Callers come back on a new connection; the old ones would pile up.
+		header.Set("Connection", "close")
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	text := info.Name + "\n"
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -64,7 +64,6 @@
 // there is none left that takes requests.
 func Choose(candidates []Candidate, ask Ask) int {
 	near := HasNear(candidates)
-	nearOnly := ask.Bytes >= farLimit && near
 	if ask.Draw() < explore {
 		if i := ask.anyFree(candidates); i >= 0 {
 			return i
@@ -76,7 +75,7 @@
 		if !c.Takes || ask.tried(c.Instance) {
 			continue
 		}
-		if !c.Near && (nearOnly || near && !c.roomy()) {
+		if !c.Near && near && !c.worthTheWay(ask.Bytes) {
 			continue
 		}
 		cost := c.cost(ask.Bytes) + time.Duration(ask.Draw()*spread*float64(c.Hold))
@@ -114,9 +113,11 @@
 	return chosen
 }
 
-// roomy tells whether a candidate most likely has a free slot.
-func (c *Candidate) roomy() bool {
-	return c.Load < roomyShare*float64(c.Slots)
+// worthTheWay tells whether a request of a size is sent to another data centre
+// while the own one has upstreams: only when a free slot is most likely there,
+// and never a large one.
+func (c *Candidate) worthTheWay(bytes int) bool {
+	return bytes < farLimit && c.Load < roomyShare*float64(c.Slots)
 }
 
 // cost is the time until the answer, and what the way costs put as time.
