--- /dev/null
+++ b/internal/upstream/client_test.go
@@ -0,0 +1,225 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+)
+
+var testHeaders = Headers{RequestID: "Request-Id", Signature: "Signature", NotRun: "Not-Run"}
+
+// rawUpstream answers each request with what write writes; the connection is
+// closed when write returns false.
+type rawUpstream struct {
+	listener net.Listener
+	write    func(conn net.Conn, request *http.Request, number int) bool
+	accepted atomic.Int64
+	requests atomic.Int64
+}
+
+func startRaw(t *testing.T, write func(net.Conn, *http.Request, int) bool) (*rawUpstream, *Client) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	u := &rawUpstream{listener: listener, write: write}
+	go u.serve()
+	client := NewClient(testHeaders)
+	client.SetAddress(listener.Addr().String())
+	return u, client
+}
+
+func (u *rawUpstream) serve() {
+	for {
+		conn, err := u.listener.Accept()
+		if err != nil {
+			return
+		}
+		u.accepted.Add(1)
+		go func() {
+			defer func() { _ = conn.Close() }()
+			reader := bufio.NewReader(conn)
+			for {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, request.Body); err != nil {
+					return
+				}
+				if !u.write(conn, request, int(u.requests.Add(1))) {
+					return
+				}
+			}
+		}()
+	}
+}
+
+func answerText(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func do(client *Client, id string, repeatable bool) (*hopv1.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return client.Do(ctx, Call{
+		Request: &hopv1.Request{Id: id, Method: http.MethodGet, Target: "/a%2Fb?x=1", Host: "h", Idempotent: repeatable},
+		Extra:   []*hopv1.Header{{Name: "Request-Id", Value: id}},
+	})
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	u, client := startRaw(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		_, err := io.WriteString(conn, answerText(r.Header.Get("Request-Id"), r.RequestURI))
+		return err == nil
+	})
+	for i := range 5 {
+		answer, err := do(client, fmt.Sprint("id", i), false)
+		if err != nil || string(answer.Body) != "/a%2Fb?x=1" {
+			t.Fatalf("%v %v", answer, err)
+		}
+	}
+	if n := u.accepted.Load(); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// TestWhatIsNoWholeAnswerIsRefused covers upstreams that spoil answers.
+func TestWhatIsNoWholeAnswerIsRefused(t *testing.T) {
+	for name, text := range map[string]string{
+		"cut in the body":        "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nSignature: s\r\nContent-Length: 10\r\n\r\nabc",
+		"cut in a chunk":         "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"cut in the headers":     "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nSigna",
+		"no answer at all":       "",
+		"bytes that are nothing": "\x00\x01garbage\r\n\r\n",
+		"no signature":           "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 1\r\n\r\na",
+		"no id":                  "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 1\r\n\r\na",
+		"encoded":                "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nSignature: s\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\na",
+		"another request's":      answerText("other", "x"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, client := startRaw(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				// The client sees what arrived.
+				_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", "id"))
+				return false
+			})
+			answer, err := do(client, "id", true)
+			if !errors.Is(err, ErrBroken) {
+				t.Errorf("%v %v", answer, err)
+			}
+		})
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: id\r\nSignature: s\r\n\r\nhalf"
+	for name, reset := range map[string]bool{"closed": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			_, client := startRaw(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				_, err := io.WriteString(conn, head)
+				time.Sleep(20 * time.Millisecond)
+				if reset && err == nil {
+					err = conn.(*net.TCPConn).SetLinger(0)
+				}
+				return err != nil
+			})
+			answer, err := do(client, "id", true)
+			if reset && !errors.Is(err, ErrBroken) || !reset && (err != nil || string(answer.Body) != "half") {
+				t.Errorf("%v %v", answer, err)
+			}
+		})
+	}
+}
+
+// TestExtraAnswersReachNobody covers a second answer behind the first, at once
+// or just before the next one is due.
+func TestExtraAnswersReachNobody(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"at once": 0, "late": 30 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			_, client := startRaw(t, func(conn net.Conn, r *http.Request, _ int) bool {
+				id := r.Header.Get("Request-Id")
+				_, err := io.WriteString(conn, answerText(id, "first "+id))
+				time.Sleep(delay)
+				_, _ = io.WriteString(conn, answerText(id, "second "+id))
+				return err == nil
+			})
+			for i := range 20 {
+				id := fmt.Sprint("id", i)
+				answer, err := do(client, id, true)
+				if err != nil || string(answer.Body) != "first "+id {
+					t.Fatalf("%s: %v %v", id, answer, err)
+				}
+			}
+		})
+	}
+}
+
+func TestRefusalOfTheUpstreamIsNotRun(t *testing.T) {
+	_, client := startRaw(t, func(conn net.Conn, r *http.Request, number int) bool {
+		status, extra := "503 Full", "Not-Run: 1\r\n"
+		if number > 1 {
+			status, extra = "421 Other", ""
+		}
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\nRequest-Id: %s\r\n%sContent-Length: 0\r\n\r\n", status, r.Header.Get("Request-Id"), extra)
+		return err == nil
+	})
+	for range 2 {
+		answer, err := do(client, "id", false)
+		if err != nil || !answer.NotRun {
+			t.Errorf("%v %v", answer, err)
+		}
+	}
+}
+
+func TestUnreachableUpstreamHasNotRun(t *testing.T) {
+	u, client := startRaw(t, nil)
+	if err := u.listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := do(client, "id", false); !errors.Is(err, ErrUnreachable) {
+		t.Errorf("%v", err)
+	}
+}
+
+// TestRequestThatMustNotRunTwiceTakesAFreshConnection covers upstreams that
+// drop idle connections: a reset could not be told from a lost answer.
+func TestRequestThatMustNotRunTwiceTakesAFreshConnection(t *testing.T) {
+	u, client := startRaw(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		_, err := io.WriteString(conn, answerText(r.Header.Get("Request-Id"), "x"))
+		return err == nil
+	})
+	if _, err := do(client, "id", false); err != nil {
+		t.Fatal(err)
+	}
+	client.pool.mu.Lock()
+	client.pool.idle[0].idleSince = time.Now().Add(-freshLimit - time.Millisecond)
+	client.pool.mu.Unlock()
+	if _, err := do(client, "id", false); err != nil {
+		t.Fatal(err)
+	}
+	if n := u.accepted.Load(); n != 2 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+func TestKeepAliveHeader(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"": 0, "timeout=5": 5 * time.Second, "max=10, timeout=7": 7 * time.Second, "timeout=x": 0, "timeout=-1": 0,
+	} {
+		if got := keepAlive(text); got != want {
+			t.Errorf("%q: %s", text, got)
+		}
+	}
+}
