Test translations, the reducer and where the platform's names stand

A new upstream whose clock is behind takes over once the old one is silent for three reports; a refused configuration lets peers be asked again; problems of settings name their field.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -31,6 +31,9 @@
 	// silentBeats is how many reports may be missing before the upstream
 	// counts as gone.
 	silentBeats = 6
+	// lapsedBeats is how many reports must be missing before an upstream that
+	// seems to be older takes the place of the one that is known.
+	lapsedBeats = 3
 	// lostPause is how long an upstream that broke connections is left alone
 	// unless it reports before.
 	lostPause = 300 * time.Millisecond
@@ -77,6 +80,7 @@
 	case ConfigRead:
 		c.configRead(ev)
 	case ConfigRejected:
+		c.fetching = 0
 		c.log(event.ConfigRefused, true, step.F("error", ev.Err), step.F("from", ev.From))
 	case PeerHeard:
 		c.peerHeard(ev)
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,166 @@
+package control
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"godwitmount/internal/manifest"
+	"godwitmount/internal/step"
+	"godwitmount/internal/store"
+)
+
+// TestTranscripts feeds events to a core and prints the effects of each.
+func TestTranscripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		core := New(Config{
+			Self:            Member{Instance: "a-1", DataCentre: "a", Address: "127.0.0.1:1", Service: "desk"},
+			Heartbeat:       time.Second,
+			UpstreamAddress: "127.0.0.1:9",
+		})
+		now := time.Duration(0)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			ev := eventOf(t, d, &now)
+			return describe(core.Step(step.Moment{Now: now}, ev))
+		})
+	})
+}
+
+// eventOf reads an event of a transcript; after=DURATION moves the clock first.
+func eventOf(t *testing.T, d *datadriven.TestData, now *time.Duration) step.Event {
+	t.Helper()
+	*now += argument(t, d, "after", time.ParseDuration)
+	number := func(name string) uint64 {
+		return argument(t, d, name, func(text string) (n uint64, err error) {
+			_, err = fmt.Sscan(text, &n)
+			return n, err
+		})
+	}
+	text := func(name string) string {
+		return argument(t, d, name, func(text string) (string, error) { return text, nil })
+	}
+	switch d.Cmd {
+	case "tick":
+		return step.Tick{}
+	case "config":
+		return ConfigRead{Version: number("version"), From: "store", Manifest: &manifest.Manifest{
+			Services: []manifest.Service{{Name: "desk"}},
+			Routes:   []manifest.Route{{Name: "r", Service: text("service")}},
+		}}
+	case "rejected":
+		return ConfigRejected{Err: errors.New("no version"), From: "store"}
+	case "peer":
+		return PeerHeard{Instance: text("from"), Version: number("version")}
+	case "fetch-failed":
+		return FetchFailed{}
+	case "members":
+		return MembersRead{Rows: rows(d.Input), Whole: d.HasArg("whole")}
+	case "written":
+		if d.HasArg("failed") {
+			return MemberWritten{Err: store.ErrUnknown}
+		}
+		return MemberWritten{}
+	case "report":
+		report := UpstreamReport{
+			Upstream: text("id"), Born: int64(number("born")), Service: "desk", Address: "127.0.0.1:9",
+			Slots: 4, State: UpstreamReady, Sequence: number("sequence"),
+		}
+		if d.HasArg("address") {
+			report.Address = text("address")
+		}
+		if d.HasArg("draining") {
+			report.State = UpstreamDraining
+		}
+		return report
+	case "leave":
+		return UpstreamReport{Upstream: text("id"), Born: int64(number("born")), State: UpstreamGone}
+	case "lost":
+		return UpstreamLost{ID: text("id")}
+	case "stop":
+		return StopRequested{}
+	default:
+		t.Fatalf("unknown directive %s", d.Cmd)
+		return nil
+	}
+}
+
+// argument parses an argument, or returns the zero value without it.
+func argument[T any](t *testing.T, d *datadriven.TestData, name string, parse func(string) (T, error)) T {
+	t.Helper()
+	var value T
+	if !d.HasArg(name) {
+		return value
+	}
+	var text string
+	d.ScanArgs(t, name, &text)
+	value, err := parse(text)
+	if err != nil {
+		t.Fatalf("%s=%s: %v", name, text, err)
+	}
+	return value
+}
+
+// rows reads lines "KEY VERSION VALUE"; a value "-" marks a removed row.
+func rows(input string) []store.Row {
+	var all []store.Row
+	for _, line := range strings.Split(input, "\n") {
+		parts := strings.SplitN(line, " ", 3)
+		if len(parts) < 3 {
+			continue
+		}
+		row := store.Row{Key: parts[0], Value: []byte(parts[2]), Removed: parts[2] == "-"}
+		if _, err := fmt.Sscan(parts[1], &row.Version); err != nil {
+			panic(err)
+		}
+		all = append(all, row)
+	}
+	return all
+}
+
+// describe prints effects, one a line.
+func describe(effects []step.Effect) string {
+	var out strings.Builder
+	for _, effect := range effects {
+		fmt.Fprintf(&out, "%s %s\n", effect.EffectName(), detail(effect))
+	}
+	if out.Len() == 0 {
+		return "nothing\n"
+	}
+	return out.String()
+}
+
+func detail(effect step.Effect) string {
+	switch e := effect.(type) {
+	case step.Log:
+		texts := []string{e.Event.String()}
+		for _, f := range e.Fields {
+			texts = append(texts, f.Key+"="+f.Value)
+		}
+		return strings.Join(texts, " ")
+	case PublishTable:
+		return fmt.Sprint(e.Version)
+	case PublishMembers:
+		var names []string
+		for _, m := range e.Members {
+			names = append(names, m.Instance+"@"+m.Address)
+		}
+		slices.Sort(names)
+		return strings.Join(names, " ")
+	case SetUpstream:
+		return fmt.Sprintf("%s takes=%t", e.Upstream.ID, e.Upstream.Takes())
+	case WriteMember:
+		return e.Key + " " + string(e.Value)
+	default:
+		text, err := json.Marshal(effect)
+		if err != nil {
+			panic(err)
+		}
+		return string(text)
+	}
+}
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -113,7 +113,9 @@
 		return false
 	}
 	if !sameLife {
-		return ev.Born < known.Born
+		// The clock of a new upstream may be behind; then the one that is
+		// known has fallen silent.
+		return ev.Born < known.Born && c.now-c.lastBeat < lapsedBeats*c.cfg.Heartbeat
 	}
 	if ev.Sequence <= known.sequence {
 		return true
--- /dev/null
+++ b/internal/docscheck/names_test.go
@@ -0,0 +1,45 @@
+package docscheck
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// platformNames are paths, headers and fields of the platform.
+var platformNames = []string{
+	"Attempt-Id", "Deadline-Ms", "Response-Signature", "Target-Instance", "Not-Executed", "Caller-Service", "Instance-Id",
+	"/api/", "rows-tx", "rows-get", "rows-feed", "Instances.Heartbeat", "Instances.Leave", "GODWITMOUNT_NODE_FILE",
+	"goal_latency_ms", "max_attempts", "timeout_ms", "cold_left_ms", "beat_addr", "app_addr", "schema_version", "expect_rev",
+	"non_idempotent", "hosts\"", "paths\"", "node_name", "budget_ratio", "drain_ms", "grace_s",
+}
+
+// TestPlatformNamesStandInOnePlace checks that no source file outside platform/
+// holds a name of the platform, and that the product does not import it.
+func TestPlatformNamesStandInOnePlace(t *testing.T) {
+	for _, top := range []string{"internal", "cmd", "examples"} {
+		err := filepath.WalkDir(filepath.Join(root, top), func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || entry.Name() == "names_test.go" {
+				return err
+			}
+			source, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			for _, name := range platformNames {
+				if strings.Contains(string(source), name) {
+					t.Errorf("%s holds the platform's name %q", path, name)
+				}
+			}
+			if top == "internal" && strings.Contains(string(source), `"godwitmount/platform`) {
+				t.Errorf("%s imports the platform's package", path)
+			}
+			return nil
+		})
+		if err != nil && !os.IsNotExist(err) {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -61,7 +61,7 @@
 }
 
 func (c *checker) refuse(path, format string, args ...any) {
-	c.Add(path, code.SettingsOutOfRange, format, args...)
+	c.Add(path, code.SettingsOutOfRange, strings.TrimPrefix(path, "/")+": "+format, args...)
 }
 
 func (c *checker) within(path string, n, least, most int64) {
