Keep requests that crash upstreams away from them; watch idle links less

Cause: nothing kept a request that crashes each upstream from being sent on; the watch of each connection woke 25 times a second also when nothing waited. Change: quarantine: a request that ran when the upstream crashed (its connection broke and it takes no new one) is a suspect; from the second crash on it is refused; peers are told at once. The watch rests while no request waits.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -116,11 +116,7 @@
 	self := control.Member{Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerListen, Service: s.Service}
 	core := control.New(control.Config{Self: self, Heartbeat: s.Heartbeat.Std(), UpstreamAddress: s.UpstreamAddress})
 	d.loop = newLoop(core, d.perform, d.log)
-	d.peers = proxy.NewPeers(self, func(instance string, version uint64) {
-		if t := d.proxy.TableInForce(); t == nil || version > t.Version {
-			d.loop.post(control.PeerHeard{Instance: instance, Version: version})
-		}
-	}, d.log)
+	d.peers = proxy.NewPeers(self, d.heard, d.log)
 	path, err := proxy.New(proxy.Config{
 		Instance:     s.Instance,
 		DataCentre:   s.DataCentre,
@@ -132,6 +128,7 @@
 	}, proxy.Deps{
 		Peers:      d.peers,
 		Lost:       func(upstream string) { d.loop.post(control.UpstreamLost{ID: upstream}) },
+		Tell:       d.tell,
 		Log:        d.log,
 		Registerer: d.registry,
 	})
@@ -139,11 +136,25 @@
 		return fmt.Errorf("data path: %w", err)
 	}
 	d.proxy = path
-	d.peers.SetState(path.State)
+	d.peers.SetState(path.Greeting)
 	d.server = hop.NewServer(&hopv1.Hello{Instance: s.Instance, DataCentre: s.DataCentre}, hopHandler{d})
 	return nil
 }
 
+// heard takes a peer's state.
+func (d *Daemon) heard(instance string, state *hopv1.State) {
+	version := state.GetConfigVersion()
+	if t := d.proxy.TableInForce(); version > 0 && (t == nil || version > t.Version) {
+		d.loop.post(control.PeerHeard{Instance: instance, Version: version})
+	}
+	if len(state.GetSuspects()) > 0 {
+		d.proxy.Suspected(state.GetSuspects())
+	}
+}
+
+// tell sends the own state to all peers.
+func (d *Daemon) tell() { d.server.Tell(d.proxy.Greeting()) }
+
 // listen opens all listeners and serves them.
 func (d *Daemon) listen() error {
 	s := d.cfg.Settings
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -26,12 +26,12 @@
 		d.write(e)
 	case control.PublishTable:
 		d.proxy.SetTable(&proxy.Table{Table: e.Table, Version: e.Version, Source: e.Source})
-		d.server.Tell(d.proxy.State())
+		d.tell()
 	case control.PublishMembers:
 		d.peers.Set(e.Members)
 	case control.SetUpstream:
 		d.proxy.SetUpstream(e.Upstream)
-		d.server.Tell(d.proxy.State())
+		d.tell()
 	case control.WriteMember:
 		go d.writeMember(e)
 	case control.RemoveMember:
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -43,7 +43,7 @@
 	waitUntil(ctx, leaveAt, func() bool { return time.Since(began) >= unreadyTime && d.quiet() })
 	d.proxy.CloseEntry()
 	d.peers.Leave()
-	d.server.Tell(d.proxy.State())
+	d.tell()
 	sleep(ctx, leaveTime)
 	waitUntil(ctx, endAt, d.idle)
 	entering, running := d.proxy.InFlight()
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -41,6 +41,8 @@
 	CallAnswered Number = 4003
 	CallRetried  Number = 4004
 
+	RequestCrashed Number = 6001
+
 	StoreLost        Number = 7001
 	StoreRecovered   Number = 7002
 	StoreHistoryGone Number = 7003
@@ -84,6 +86,8 @@
 	{CallAnswered, "call-answered", "A request got its final answer."},
 	{CallRetried, "call-retried", "A request is tried on another upstream, and why."},
 
+	{RequestCrashed, "request-crashed", "A request was running when the upstream crashed; from the second crash on it is refused."},
+
 	{StoreLost, "store-lost", "The platform's store stopped answering."},
 	{StoreRecovered, "store-recovered", "The platform's store answers again."},
 	{StoreHistoryGone, "store-history-gone", "The store no longer has the changes asked for; the table is read anew."},
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
@@ -60,6 +61,13 @@
 	next    uint64
 	closed  bool
 	stop    chan struct{}
+	// began tells the watch that a request waits where none did.
+	began chan struct{}
+	// watching is set while the watch looks often.
+	watching atomic.Bool
+	// waitedSince is when the first of the requests that wait was sent, in
+	// nanoseconds since the epoch of the link.
+	waitedSince atomic.Int64
 }
 
 // NewClient returns a client that begins to connect at once.
@@ -70,6 +78,7 @@
 		hooks:   hooks,
 		waiting: map[uint64]chan *hopv1.Frame{},
 		stop:    make(chan struct{}),
+		began:   make(chan struct{}, 1),
 	}
 	go c.run()
 	return c
@@ -121,6 +130,7 @@
 	if err := l.send(&hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: hello}}); err != nil {
 		return err
 	}
+	c.watching.Store(false)
 	go c.watch(l)
 	err := l.read(func(frame *hopv1.Frame) { c.take(l, frame) })
 	c.drop(l)
@@ -177,31 +187,42 @@
 }
 
 // watch asks a silent peer for a sign and ends the connection when none comes.
+// It looks often only while requests wait.
 func (c *Client) watch(l *link) {
-	ticker := time.NewTicker(watchStep)
-	defer ticker.Stop()
+	timer := time.NewTimer(idlePing)
+	defer timer.Stop()
 	var asked time.Duration
 	for {
 		select {
 		case <-l.done:
 			return
-		case <-ticker.C:
+		case <-c.began:
+		case <-timer.C:
 		}
+		ping, limit, step := idlePing, idlePing+giveUpAfter, idlePing/2
+		busy := c.busy()
+		if busy {
+			ping, limit, step = pingAfter, giveUpAfter, watchStep
+		}
+		c.watching.Store(busy)
+		if asked > 0 || !busy && c.busy() {
+			// A sign is awaited, or a request came just now.
+			step = watchStep
+		}
+		timer.Reset(step)
 		silence := l.silence()
-		limit, ping := giveUpAfter, pingAfter
-		if !c.busy() {
-			limit, ping = idlePing+giveUpAfter, idlePing
+		if busy {
+			// Before the request nothing had to come.
+			silence = min(silence, time.Since(l.epoch)-time.Duration(c.waitedSince.Load()))
 		}
-		if silence < ping {
+		switch {
+		case silence < ping:
 			asked = 0
-			continue
-		}
-		if asked == 0 {
+		case asked == 0:
 			asked = silence
+			// A link that takes no more frames ends by itself.
 			_ = l.send(&hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: c.hooks.State()}}})
-			continue
-		}
-		if silence-asked >= limit-ping {
+		case silence-asked >= limit-ping:
 			l.reset()
 			return
 		}
@@ -244,7 +265,12 @@
 	c.next++
 	frame.Stream = c.next
 	c.waiting[frame.Stream] = answer
+	first := len(c.waiting) == 1
 	c.mu.Unlock()
+	if first {
+		c.waitedSince.Store(int64(time.Since(l.epoch)))
+		c.wakeWatch()
+	}
 	if err := l.send(frame); err != nil {
 		c.forget(frame.Stream)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -262,6 +288,17 @@
 	}
 }
 
+// wakeWatch makes the watch look at once if it rests.
+func (c *Client) wakeWatch() {
+	if c.watching.Swap(true) {
+		return
+	}
+	select {
+	case c.began <- struct{}{}:
+	default:
+	}
+}
+
 func (c *Client) forget(stream uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -90,6 +90,9 @@
 		Nested:        c.nested,
 		Route:         route.Name,
 	}
+	if p.quarantined(c.request) {
+		return c, fail(code.CallQuarantined)
+	}
 	return c, nil
 }
 
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -26,6 +26,9 @@
 	if !u.Takes() || u.Service != request.Service {
 		return p.refuse(request, code.CallDraining, 0)
 	}
+	if p.quarantined(request) {
+		return p.refuse(request, code.CallQuarantined, 0)
+	}
 	slot, refusal := p.gate.Admit(ctx, admission.Ask{
 		Kind:     request.Route,
 		Nested:   request.Nested,
@@ -101,6 +104,10 @@
 		if ctx.Err() == nil {
 			p.deps.Lost(u.ID)
 		}
+	case ctx.Err() == nil && p.client.Crashed(ctx):
+		result = code.CallUpstreamLost
+		p.deps.Lost(u.ID)
+		p.suspect(request, u)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		result = code.CallDeadlineUnknown
 	case ctx.Err() != nil:
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -32,7 +32,7 @@
 type Peers struct {
 	self    control.Member
 	hello   *hopv1.Hello
-	heard   func(instance string, version uint64)
+	heard   func(instance string, state *hopv1.State)
 	log     *logbook.Book
 	leaving atomic.Bool
 	// state returns the own state to tell peers.
@@ -62,9 +62,9 @@
 	others float64
 }
 
-// NewPeers returns no peers. heard is told of the configuration versions that
-// peers have; it must not block.
-func NewPeers(self control.Member, heard func(string, uint64), log *logbook.Book) *Peers {
+// NewPeers returns no peers. heard is told of each state that a peer sends; it
+// must not block.
+func NewPeers(self control.Member, heard func(string, *hopv1.State), log *logbook.Book) *Peers {
 	return &Peers{
 		self:  self,
 		hello: &hopv1.Hello{Instance: self.Instance, DataCentre: self.DataCentre},
@@ -153,7 +153,7 @@
 	load := float64(state.GetRunning() + state.GetWaiting())
 	others := max(load-float64(p.own.Load()), 0)
 	p.state.Store(&peerState{State: state, at: time.Now(), others: others})
-	ps.heard(p.Instance, state.GetConfigVersion())
+	ps.heard(p.Instance, state)
 }
 
 // Heard takes the state of a peer that connected to this daemon.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,6 +18,7 @@
 	"godwitmount/internal/control"
 	"godwitmount/internal/logbook"
 	"godwitmount/internal/manifest"
+	"godwitmount/internal/quarantine"
 	"godwitmount/internal/routing"
 	"godwitmount/internal/upstream"
 )
@@ -57,7 +58,9 @@
 	Peers *Peers
 	// Lost tells that the upstream with the id took no connection. It must not
 	// block.
-	Lost       func(upstream string)
+	Lost func(upstream string)
+	// Tell sends the own state to all peers at once.
+	Tell       func()
 	Log        *logbook.Book
 	Registerer prometheus.Registerer
 }
@@ -78,7 +81,8 @@
 	entering atomic.Int64
 	running  atomic.Int64
 
-	refused *refusals
+	refused  *refusals
+	suspects *quarantine.Set
 
 	mu      sync.Mutex
 	budgets map[string]*routing.Budget
@@ -97,13 +101,14 @@
 func New(cfg Config, deps Deps) (*Proxy, error) {
 	epoch := time.Now()
 	p := &Proxy{
-		cfg:     cfg,
-		deps:    deps,
-		epoch:   epoch,
-		gate:    admission.NewGate(epoch),
-		refused: newRefusals(),
-		budgets: map[string]*routing.Budget{},
-		sizes:   map[string]float64{},
+		cfg:      cfg,
+		deps:     deps,
+		epoch:    epoch,
+		gate:     admission.NewGate(epoch),
+		refused:  newRefusals(),
+		suspects: quarantine.NewSet(),
+		budgets:  map[string]*routing.Budget{},
+		sizes:    map[string]float64{},
 	}
 	p.client = upstream.NewClient(upstream.Headers{
 		RequestID: cfg.Headers.RequestID,
@@ -173,6 +178,22 @@
 	return state
 }
 
+// Greeting is the state with the suspects, for peers that may not know them.
+func (p *Proxy) Greeting() *hopv1.State {
+	state := p.State()
+	for _, suspect := range p.suspects.Known(maxToldSuspects) {
+		told := &hopv1.Suspect{Fingerprint: uint64(suspect.Fingerprint)}
+		for _, crash := range suspect.Crashes {
+			told.Crashes = append(told.Crashes, uint64(crash))
+		}
+		state.Suspects = append(state.Suspects, told)
+	}
+	return state
+}
+
+// maxToldSuspects bounds the suspects in one message.
+const maxToldSuspects = 256
+
 // callerService is the service that requests of this machine come from.
 func (p *Proxy) callerService() string {
 	if u := p.upstream.Load(); u.Service != "" {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -63,6 +63,17 @@
 // Reset drops all idle connections, as after a restart of the upstream.
 func (c *Client) Reset() { c.pool.reset() }
 
+// Crashed tells whether the upstream takes no connection right now, as after a
+// crash.
+func (c *Client) Crashed(ctx context.Context) bool {
+	connection, err := dial(ctx, c.pool.current())
+	if err != nil {
+		return ctx.Err() == nil
+	}
+	c.pool.put(connection, c.pool.current())
+	return false
+}
+
 // Call is one request to the upstream.
 type Call struct {
 	*hopv1.Request
