--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -55,8 +55,18 @@
 	// lostUntil is until when a broken upstream gets no requests.
 	lostUntil time.Duration
 	stopping  bool
-	// fetching are the versions that were asked for from peers.
+	// fetching is the version that was asked for from a peer.
 	fetching uint64
+	// wanted is a version that only daemons of other data centres are known to
+	// have, and wantedFrom one of them; wantedAt is when it is read.
+	wanted     uint64
+	wantedFrom string
+	wantedAt   time.Duration
+	// fetchNext is asked for the wanted version when reading it has failed.
+	fetchNext string
+	up        map[string]bool
+	// duty is set while this daemon waits at the store for configurations.
+	duty bool
 }
 
 // memberRow is an entry of the member table with its version at the store.
@@ -67,7 +77,7 @@
 
 // New returns the core of a process that just started.
 func New(cfg Config) *Core {
-	return &Core{cfg: cfg, members: map[string]memberRow{}}
+	return &Core{cfg: cfg, members: map[string]memberRow{}, up: map[string]bool{}, duty: true}
 }
 
 // Step takes one event and returns the work it asks for, in order.
@@ -86,6 +96,11 @@
 		c.peerHeard(ev)
 	case FetchFailed:
 		c.fetching = 0
+	case PeerGreeted:
+		c.greeted(ev.Member)
+	case PeerReached:
+		c.up[ev.Instance] = ev.Up
+		c.updateDuty()
 	case MembersRead:
 		c.membersRead(ev)
 	case UpstreamReport:
@@ -124,14 +139,15 @@
 	c.log(event.ConfigApplied, false, step.F("version", ev.Version), step.F("from", ev.From), step.F("routes", len(table.Routes())))
 }
 
-// peerHeard asks a peer for its configuration when that is newer.
-func (c *Core) peerHeard(ev PeerHeard) {
-	if ev.Version <= max(c.version, c.fetching) {
+// greeted takes a daemon that connected to this one: it may be new, and the
+// store may be away.
+func (c *Core) greeted(m Member) {
+	known := c.members[m.Instance]
+	if known.Member == m || m.Instance == c.cfg.Self.Instance || m.Instance == "" || m.Address == "" || m.DataCentre == "" {
 		return
 	}
-	c.fetching = ev.Version
-	c.emit(FetchConfig{Instance: ev.Instance, Version: ev.Version})
-	c.log(event.ConfigSeen, false, step.F("version", ev.Version), step.F("from", ev.Instance))
+	c.members[m.Instance] = memberRow{m, known.version}
+	c.publishMembers()
 }
 
 // membersRead takes entries of the member table. An entry that cannot be read
@@ -171,7 +187,8 @@
 func (c *Core) dropUnseen(seen map[string]bool) bool {
 	dropped := false
 	for key, known := range c.members {
-		if !seen[key] && known.Instance != "" {
+		// One that is known from its greeting alone has not been written yet.
+		if !seen[key] && known.Instance != "" && known.version > 0 {
 			delete(c.members, key)
 			dropped = true
 		}
@@ -187,6 +204,7 @@
 		}
 	}
 	c.emit(PublishMembers{Members: all})
+	c.updateDuty()
 	c.log(event.MembersChanged, false, step.F("members", len(all)))
 }
 
@@ -219,6 +237,7 @@
 		c.lostUntil = 0
 		c.publishUpstream()
 	}
+	c.readWanted()
 	silent := c.now - c.lastBeat
 	if c.upstream.State == UpstreamReady && silent > silentBeats*c.cfg.Heartbeat {
 		c.upstream.State = UpstreamSilent
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -57,6 +57,11 @@
 		return ConfigRejected{Err: errors.New("no version"), From: "store"}
 	case "peer":
 		return PeerHeard{Instance: text("from"), Version: number("version")}
+	case "greeted":
+		instance := text("instance")
+		return PeerGreeted{Member: Member{Instance: instance, DataCentre: text("data-centre"), Address: "at-" + instance, Service: "desk"}}
+	case "reached":
+		return PeerReached{Instance: text("instance"), Up: !d.HasArg("down")}
 	case "fetch-failed":
 		return FetchFailed{}
 	case "members":
@@ -97,7 +102,7 @@
 	if !d.HasArg(name) {
 		return value
 	}
-	var text string
+	text := ""
 	d.ScanArgs(t, name, &text)
 	value, err := parse(text)
 	if err != nil {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -27,6 +27,17 @@
 	Version  uint64
 }
 
+// PeerGreeted tells of a daemon that connected to this one.
+type PeerGreeted struct {
+	Member Member
+}
+
+// PeerReached tells that a peer can, or can no longer, be reached.
+type PeerReached struct {
+	Instance string
+	Up       bool
+}
+
 // FetchFailed tells that a peer did not serve its configuration.
 type FetchFailed struct{}
 
@@ -59,6 +70,12 @@
 // EventName implements step.Event.
 func (PeerHeard) EventName() string { return "peer-heard" }
 
+// EventName implements step.Event.
+func (PeerGreeted) EventName() string { return "peer-greeted" }
+
+// EventName implements step.Event.
+func (PeerReached) EventName() string { return "peer-reached" }
+
 // EventName implements step.Event.
 func (FetchFailed) EventName() string { return "fetch-failed" }
 
@@ -108,6 +125,20 @@
 	Version  uint64
 }
 
+// SetDuty tells whether this daemon waits at the store for configurations.
+type SetDuty struct {
+	On bool
+}
+
+// ReadConfig reads the configuration from the store once.
+type ReadConfig struct{}
+
+// EffectName implements step.Effect.
+func (SetDuty) EffectName() string { return "set-duty" }
+
+// EffectName implements step.Effect.
+func (ReadConfig) EffectName() string { return "read-config" }
+
 // EffectName implements step.Effect.
 func (PublishTable) EffectName() string { return "publish-table" }
 
--- /dev/null
+++ b/internal/control/spread.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"godwitmount/internal/event"
+	"godwitmount/internal/step"
+)
+
+// nearTime is how long a version that a daemon of another data centre has may
+// take to arrive in the own one before it is read from the store: the way
+// between data centres is dearer than a read.
+const nearTime = 150 * time.Millisecond
+
+// peerHeard brings in a newer configuration: from a peer of the own data
+// centre, or soon from the store.
+func (c *Core) peerHeard(ev PeerHeard) {
+	if ev.Version <= max(c.version, c.fetching) {
+		return
+	}
+	if c.members[ev.Instance].DataCentre == c.cfg.Self.DataCentre {
+		c.fetch(ev.Instance, ev.Version)
+		return
+	}
+	if ev.Version > c.wanted {
+		if c.wanted <= c.version {
+			c.wantedAt = c.now + nearTime
+		}
+		c.wanted, c.wantedFrom = ev.Version, ev.Instance
+	}
+}
+
+func (c *Core) fetch(instance string, version uint64) {
+	c.fetching = version
+	c.emit(FetchConfig{Instance: instance, Version: version})
+	c.log(event.ConfigSeen, false, step.F("version", version), step.F("from", instance))
+}
+
+// readWanted reads a version that did not arrive in the own data centre: from
+// the store, and when that has not helped either, from the daemon that has it.
+func (c *Core) readWanted() {
+	if c.wanted <= c.version || c.now < c.wantedAt {
+		return
+	}
+	if c.wantedFrom != "" {
+		c.emit(ReadConfig{})
+		c.wantedAt = c.now + 2*nearTime
+		c.fetchNext, c.wantedFrom = c.wantedFrom, ""
+		return
+	}
+	if c.fetching < c.wanted {
+		c.wantedAt = c.now + 2*nearTime
+		c.fetch(c.fetchNext, c.wanted)
+	}
+}
+
+// updateDuty decides which daemons wait at the store for configurations: one
+// in each data centre, and a second one when there is only one data centre.
+// Each daemon decides for itself by what it can reach; daemons that see things
+// differently only wait where another one waits as well.
+func (c *Core) updateDuty() {
+	own := rank(c.cfg.Self.Instance)
+	before := 0
+	elsewhere := false
+	for key, known := range c.members {
+		if !c.up[key] || known.Instance == "" || key == c.cfg.Self.Instance {
+			continue
+		}
+		if known.DataCentre != c.cfg.Self.DataCentre {
+			elsewhere = true
+			continue
+		}
+		if rank(key) < own {
+			before++
+		}
+	}
+	watchers := 2
+	if elsewhere {
+		watchers = 1
+	}
+	if on := before < watchers; on != c.duty {
+		c.duty = on
+		c.emit(SetDuty{On: on})
+		c.log(event.WatchDuty, false, step.F("on", on), step.F("before", before))
+	}
+}
+
+// rank orders the daemons of a data centre in a way that is the same for all.
+func rank(instance string) uint64 { return xxhash.Sum64String(instance) }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,7 +67,11 @@
 	cfg        Config
 	log        *logbook.Book
 	background context.Context
-	cancel     context.CancelFunc
+	// duty tells the watch of the configuration whether to wait at the store,
+	// and read makes it look once.
+	duty   chan bool
+	read   chan struct{}
+	cancel context.CancelFunc
 
 	loop    *loop
 	peers   *proxy.Peers
@@ -90,7 +94,8 @@
 // Start opens the listeners and begins to serve. The caller ends the daemon
 // with Stop.
 func Start(cfg Config) (*Daemon, error) {
-	d := &Daemon{cfg: cfg, log: cfg.Log, registry: prometheus.NewRegistry(), started: time.Now()}
+	d := &Daemon{cfg: cfg, log: cfg.Log, registry: prometheus.NewRegistry(), started: time.Now(),
+		duty: make(chan bool, 1), read: make(chan struct{}, 1)}
 	d.background, d.cancel = context.WithCancel(context.Background())
 	if err := d.build(); err != nil {
 		d.cancel()
@@ -116,7 +121,9 @@
 	self := control.Member{Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerListen, Service: s.Service}
 	core := control.New(control.Config{Self: self, Heartbeat: s.Heartbeat.Std(), UpstreamAddress: s.UpstreamAddress})
 	d.loop = newLoop(core, d.perform, d.log)
-	d.peers = proxy.NewPeers(self, d.heard, d.log)
+	d.peers = proxy.NewPeers(self, d.heard, func(instance string, up bool) {
+		d.loop.post(control.PeerReached{Instance: instance, Up: up})
+	}, d.log)
 	path, err := proxy.New(proxy.Config{
 		Instance:     s.Instance,
 		DataCentre:   s.DataCentre,
@@ -137,7 +144,7 @@
 	}
 	d.proxy = path
 	d.peers.SetState(path.Greeting)
-	d.server = hop.NewServer(&hopv1.Hello{Instance: s.Instance, DataCentre: s.DataCentre}, hopHandler{d})
+	d.server = hop.NewServer(proxy.Hello(self), hopHandler{d})
 	return nil
 }
 
@@ -271,5 +278,16 @@
 // State implements hop.Handler.
 func (h hopHandler) State() *hopv1.State { return h.d.proxy.State() }
 
+// Greeted implements hop.Handler.
+func (h hopHandler) Greeted(hello *hopv1.Hello) {
+	h.d.loop.post(control.PeerGreeted{Member: control.Member{
+		Instance:   hello.GetInstance(),
+		DataCentre: hello.GetDataCentre(),
+		Address:    hello.GetAddress(),
+		Service:    hello.GetService(),
+	}})
+	h.Heard(hello.GetInstance(), hello.GetState())
+}
+
 // Heard implements hop.Handler.
 func (h hopHandler) Heard(instance string, state *hopv1.State) { h.d.peers.Heard(instance, state) }
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -36,6 +36,10 @@
 		go d.writeMember(e)
 	case control.RemoveMember:
 		go d.removeMember(e)
+	case control.SetDuty:
+		setLatest(d.duty, e.On)
+	case control.ReadConfig:
+		setLatest(d.read, struct{}{})
 	case control.FetchConfig:
 		go d.fetchConfig(e)
 	}
@@ -84,3 +88,12 @@
 	}
 	d.readConfig(answer.GetSource(), e.Instance)
 }
+
+// setLatest puts a value into a channel of one, in place of one that waits.
+func setLatest[T any](channel chan T, value T) {
+	select {
+	case <-channel:
+	default:
+	}
+	channel <- value
+}
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,103 +17,122 @@
 const (
 	// MembersTable is the table of the daemons.
 	MembersTable = "godwitmount-members"
-	// configWait is how long one wait for a new configuration lasts.
-	configWait = 10 * time.Second
-	// membersWait is how long one wait for changes of members lasts.
-	membersWait = 25 * time.Second
-	// membersPause gathers changes of members that come close together.
-	membersPause = 250 * time.Millisecond
+	// configWait is how long one wait for a new configuration lasts. A call
+	// that the store has lost is noticed soon after.
+	configWait = 2 * time.Second
+	// configPoll is how often a daemon that does not wait at the store looks
+	// there; it hears of versions from its peers.
+	configPoll = 8 * time.Second
+	// membersPoll is how often the member table is looked at. Daemons that
+	// join greet all others, so that this only finds what was missed.
+	membersPoll = 10 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
+	// jitter is the share of a poll's interval that is drawn at random.
+	jitter = 0.2
 )
 
-// watcher follows one table of the store.
-type watcher struct {
+// startPolls are the first looks at the member table: daemons that start
+// together have not all written their entries at the first one.
+var startPolls = []time.Duration{600 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second}
+
+// table follows one table of the store.
+type table struct {
 	store store.Store
-	table string
-	wait  time.Duration
-	// pause is kept after each change.
-	pause time.Duration
+	name  string
 	// take gets all rows, or the changes.
 	take func(rows []store.Row, whole bool)
 	log  *logbook.Book
-	lost bool
+
+	// after is the version up to which the table is known, if it is.
+	after   uint64
+	known   bool
+	lost    bool
+	backoff time.Duration
 }
 
-// run reads the table and then its changes until ctx ends.
-func (w *watcher) run(ctx context.Context) {
-	backoff := minBackoff
-	after, known := uint64(0), false
-	for ctx.Err() == nil {
-		rows, err := w.next(ctx, after, known)
-		if err != nil {
-			known = known && !errors.Is(err, store.ErrHistoryGone)
-			w.failed(ctx, err)
-			sleep(ctx, backoff)
-			backoff = min(2*backoff, maxBackoff)
-			continue
-		}
-		w.recovered()
-		backoff = minBackoff
-		if len(rows.Rows) > 0 || !known {
-			w.take(rows.Rows, !known)
-		}
-		if known && len(rows.Rows) > 0 {
-			sleep(ctx, w.pause)
-		}
-		after, known = max(after, rows.Version), true
+// look reads the table, or its changes, waiting for some if there are none. It
+// pauses after a failure.
+func (t *table) look(ctx context.Context, wait time.Duration) bool {
+	rows, err := t.next(ctx, wait)
+	if err != nil {
+		t.known = t.known && !errors.Is(err, store.ErrHistoryGone)
+		t.failed(ctx, err)
+		sleep(ctx, t.backoff)
+		t.backoff = min(2*t.backoff, maxBackoff)
+		return false
 	}
+	t.recovered()
+	t.backoff = minBackoff
+	if len(rows.Rows) > 0 || !t.known {
+		t.take(rows.Rows, !t.known)
+	}
+	t.after, t.known = max(t.after, rows.Version), true
+	return true
 }
 
-func (w *watcher) next(ctx context.Context, after uint64, known bool) (store.Rows, error) {
-	if !known {
-		return w.store.Read(ctx, w.table)
+func (t *table) next(ctx context.Context, wait time.Duration) (store.Rows, error) {
+	if !t.known {
+		return t.store.Read(ctx, t.name)
 	}
-	return w.store.Watch(ctx, w.table, after, w.wait)
+	return t.store.Watch(ctx, t.name, t.after, wait)
 }
 
-func (w *watcher) failed(ctx context.Context, err error) {
+func (t *table) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	if errors.Is(err, store.ErrHistoryGone) {
-		w.log.Event(event.StoreHistoryGone, zap.String("table", w.table))
+		t.log.Event(event.StoreHistoryGone, zap.String("table", t.name))
 		return
 	}
-	if !w.lost {
-		w.lost = true
-		w.log.Warn(event.StoreLost, zap.String("table", w.table), zap.Error(err))
-	}
-}
-
-func (w *watcher) recovered() {
-	if w.lost {
-		w.lost = false
-		w.log.Event(event.StoreRecovered, zap.String("table", w.table))
+	if !t.lost {
+		t.lost = true
+		t.log.Warn(event.StoreLost, zap.String("table", t.name), zap.Error(err))
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+func (t *table) recovered() {
+	if t.lost {
+		t.lost = false
+		t.log.Event(event.StoreRecovered, zap.String("table", t.name))
 	}
 }
 
-// watchConfig follows the row that holds the configuration.
+// watchConfig follows the row that holds the configuration: by waiting at the
+// store while this daemon is on duty, otherwise by a look now and then and when
+// one is asked for.
 func (d *Daemon) watchConfig(ctx context.Context) {
 	p := d.cfg.Platform
-	w := &watcher{store: p.Store, table: p.ConfigTable, wait: configWait, log: d.log, take: func(rows []store.Row, _ bool) {
+	t := &table{store: p.Store, name: p.ConfigTable, log: d.log, backoff: minBackoff, take: func(rows []store.Row, _ bool) {
 		for _, row := range rows {
 			if row.Key == p.ConfigKey && !row.Removed {
 				d.readConfig(row.Value, "store")
 			}
 		}
 	}}
-	w.run(ctx)
+	duty := true
+	for ctx.Err() == nil {
+		select {
+		case duty = <-d.duty:
+		default:
+		}
+		if duty || !t.known {
+			t.look(ctx, configWait)
+			continue
+		}
+		timer := time.NewTimer(jittered(configPoll))
+		select {
+		case <-ctx.Done():
+		case duty = <-d.duty:
+		case <-d.read:
+			t.look(ctx, 0)
+		case <-timer.C:
+			t.look(ctx, 0)
+		}
+		timer.Stop()
+	}
 }
 
 // readConfig decodes a configuration for the reducer.
@@ -125,11 +145,34 @@
 	d.loop.post(control.ConfigRead{Version: version, Manifest: m, Source: source, From: from})
 }
 
-// watchMembers follows the member table.
+// watchMembers looks at the member table, often at first.
 func (d *Daemon) watchMembers(ctx context.Context) {
-	w := &watcher{
-		store: d.cfg.Platform.Store, table: MembersTable, wait: membersWait, pause: membersPause, log: d.log,
+	t := &table{
+		store: d.cfg.Platform.Store, name: MembersTable, log: d.log, backoff: minBackoff,
 		take: func(rows []store.Row, whole bool) { d.loop.post(control.MembersRead{Rows: rows, Whole: whole}) },
 	}
-	w.run(ctx)
+	for looks := 0; ctx.Err() == nil; {
+		if !t.look(ctx, 0) {
+			continue
+		}
+		pause := membersPoll
+		if looks < len(startPolls) {
+			pause = startPolls[looks]
+		}
+		looks++
+		sleep(ctx, jittered(pause))
+	}
+}
+
+func jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - jitter*rand.Float64()))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -26,6 +26,7 @@
 	ConfigSeen    Number = 2001
 	ConfigApplied Number = 2003
 	ConfigRefused Number = 2004
+	WatchDuty     Number = 2005
 
 	MembersChanged   Number = 3001
 	MemberUnreadable Number = 3002
@@ -71,6 +72,7 @@
 	{ConfigSeen, "config-seen", "A peer has a newer version in force."},
 	{ConfigApplied, "config-applied", "A version is in force."},
 	{ConfigRefused, "config-refused", "A version was refused whole, and why."},
+	{WatchDuty, "watch-duty", "This daemon began or ceased to wait at the store for configurations."},
 
 	{MembersChanged, "members-changed", "The member table changed."},
 	{MemberUnreadable, "member-unreadable", "An entry of the member table cannot be read; the entry known before holds."},
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -126,8 +126,7 @@
 func (c *Client) serve(conn net.Conn) error {
 	l := newLink(conn)
 	defer l.close()
-	hello := &hopv1.Hello{Instance: c.hello.Instance, DataCentre: c.hello.DataCentre, State: c.hooks.State()}
-	if err := l.send(&hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: hello}}); err != nil {
+	if err := l.send(&hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: withState(c.hello, c.hooks.State())}}); err != nil {
 		return err
 	}
 	c.watching.Store(false)
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -33,6 +33,8 @@
 
 func (h *testHandler) State() *hopv1.State { return &hopv1.State{ConfigVersion: 3} }
 
+func (h *testHandler) Greeted(*hopv1.Hello) {}
+
 func (h *testHandler) Heard(string, *hopv1.State) { h.heard.Add(1) }
 
 // valve passes bytes between a client and a server until it is shut; then both
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -17,6 +17,8 @@
 	Config() *hopv1.ConfigAnswer
 	// State returns the state to tell peers.
 	State() *hopv1.State
+	// Greeted takes the first frame of a peer that connected.
+	Greeted(hello *hopv1.Hello)
 	// Heard takes a peer's state.
 	Heard(instance string, state *hopv1.State)
 }
@@ -99,9 +101,9 @@
 	switch body := frame.Body.(type) {
 	case *hopv1.Frame_Hello:
 		s.peer = body.Hello.GetInstance()
-		hello := &hopv1.Hello{Instance: s.server.hello.Instance, DataCentre: s.server.hello.DataCentre, State: handler.State()}
+		hello := withState(s.server.hello, handler.State())
 		_ = s.link.send(&hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: hello}})
-		handler.Heard(s.peer, body.Hello.GetState())
+		handler.Greeted(body.Hello)
 	case *hopv1.Frame_Ping:
 		_ = s.link.send(&hopv1.Frame{Body: &hopv1.Frame_Pong{Pong: &hopv1.Pong{State: handler.State()}}})
 		handler.Heard(s.peer, body.Ping.GetState())
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -30,9 +30,11 @@
 // Peers are the other daemons and what is known of them. All methods may be
 // called from any goroutine.
 type Peers struct {
-	self    control.Member
-	hello   *hopv1.Hello
-	heard   func(instance string, state *hopv1.State)
+	self  control.Member
+	hello *hopv1.Hello
+	heard func(instance string, state *hopv1.State)
+	// reached is told whether a peer can be reached.
+	reached func(instance string, up bool)
 	log     *logbook.Book
 	leaving atomic.Bool
 	// state returns the own state to tell peers.
@@ -62,18 +64,24 @@
 	others float64
 }
 
-// NewPeers returns no peers. heard is told of each state that a peer sends; it
-// must not block.
-func NewPeers(self control.Member, heard func(string, *hopv1.State), log *logbook.Book) *Peers {
+// NewPeers returns no peers. heard is told of each state that a peer sends, and
+// reached of each change between up and down; they must not block.
+func NewPeers(self control.Member, heard func(string, *hopv1.State), reached func(string, bool), log *logbook.Book) *Peers {
 	return &Peers{
-		self:  self,
-		hello: &hopv1.Hello{Instance: self.Instance, DataCentre: self.DataCentre},
-		heard: heard,
-		log:   log,
-		all:   map[string]*peer{},
+		self:    self,
+		hello:   Hello(self),
+		heard:   heard,
+		reached: reached,
+		log:     log,
+		all:     map[string]*peer{},
 	}
 }
 
+// Hello is what a daemon says of itself on a new connection.
+func Hello(self control.Member) *hopv1.Hello {
+	return &hopv1.Hello{Instance: self.Instance, DataCentre: self.DataCentre, Address: self.Address, Service: self.Service}
+}
+
 // SetState names the function that returns the own state.
 func (ps *Peers) SetState(state func() *hopv1.State) { ps.state = state }
 
@@ -132,11 +140,13 @@
 	p.client = hop.NewClient(m.Address, ps.hello, hop.Hooks{
 		Up: func() {
 			if !p.up.Swap(true) {
+				ps.reached(m.Instance, true)
 				ps.log.Event(event.PeerUp, zap.String("peer", m.Instance))
 			}
 		},
 		Down: func(err error) {
 			if p.up.Swap(false) {
+				ps.reached(m.Instance, false)
 				ps.log.Event(event.PeerDown, zap.String("peer", m.Instance), zap.Error(err))
 			}
 		},
