--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -22,7 +22,7 @@
 	configWait = 2 * time.Second
 	// configPoll is how often a daemon that does not wait at the store looks
 	// there; it hears of versions from its peers.
-	configPoll = 8 * time.Second
+	configPoll = 12 * time.Second
 	// membersPoll is how often the member table is looked at. Daemons that
 	// join greet all others, so that this only finds what was missed.
 	membersPoll = 10 * time.Second
@@ -35,7 +35,7 @@
 
 // startPolls are the first looks at the member table: daemons that start
 // together have not all written their entries at the first one.
-var startPolls = []time.Duration{600 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second}
+var startPolls = []time.Duration{1200 * time.Millisecond}
 
 // table follows one table of the store.
 type table struct {
