--- a/cmd/godwitmountd/main.go
+++ b/cmd/godwitmountd/main.go
@@ -87,7 +87,7 @@
 		fmt.Fprintln(os.Stderr, "godwitmountd: log_level:", err)
 		return exitSettings
 	}
-	log := logbook.New(os.Stdout, level, loaded.LogLines)
+	log := logbook.New(os.Stdout, loaded.Instance, level, loaded.LogLines)
 	defer log.Close()
 	debug.SetMemoryLimit(loaded.MemoryLimit)
 	d, err := daemon.Start(daemon.Config{Settings: loaded, Platform: platform.Join(loaded), Log: log})
--- /dev/null
+++ b/examples/demo/main.go
@@ -0,0 +1,186 @@
+// Command demo runs a whole mesh in one process on loopback: a stand-in of the
+// platform's store, three data centres with nine daemons and their upstreams,
+// a configuration, some requests, a change, a leaving upstream and planned
+// stops.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"godwitmount/platform/platformtest"
+)
+
+const (
+	// patience bounds the whole demonstration.
+	patience = time.Minute
+	// work is how long a request runs.
+	work = 20 * time.Millisecond
+	host = "stockist.example"
+)
+
+func main() {
+	keep := flag.Bool("keep", false, "go on until Enter is pressed")
+	logs := flag.Bool("logs", false, "show the daemons' logs")
+	flag.Parse()
+	if err := run(*keep, *logs); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
+
+func run(keep, logs bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	output := io.Discard
+	if logs {
+		output = os.Stderr
+	}
+	mesh, err := platformtest.StartMesh(places(), work, output)
+	if err != nil {
+		return err
+	}
+	defer mesh.Close()
+	mesh.Store.Publish(configuration(1, "orders-desk"))
+	if err := mesh.Ready(ctx); err != nil {
+		return err
+	}
+	fmt.Printf("%d daemons in 3 data centres are ready with version 1\n", len(mesh.Nodes))
+	if err := tour(ctx, mesh); err != nil {
+		return err
+	}
+	if keep {
+		for _, node := range mesh.Nodes {
+			fmt.Printf("%-14s callers at %s, metrics at %s\n", node.Settings.Instance, node.Settings.CallerListen, node.Settings.MetricsListen)
+		}
+		fmt.Println("press Enter to stop")
+		// The end of the input stops the demonstration as Enter does.
+		_, _ = fmt.Scanln()
+		ctx, cancel = context.WithTimeout(context.Background(), patience)
+		defer cancel()
+	}
+	return stopAll(ctx, mesh)
+}
+
+// places are the instances: four in each of two data centres, one in a third.
+func places() []platformtest.Place {
+	var all []platformtest.Place
+	for _, dataCentre := range []string{"kendal-a", "penrith-b", "lancaster-c"} {
+		all = append(all,
+			platformtest.Place{DataCentre: dataCentre, Service: "orders-desk"},
+			platformtest.Place{DataCentre: dataCentre, Service: "orders-desk"},
+			platformtest.Place{DataCentre: dataCentre, Service: "dispatch-desk"})
+	}
+	return all
+}
+
+func configuration(version uint64, sheets string) []byte {
+	return platformtest.Config(version, []string{"orders-desk", "dispatch-desk"},
+		platformtest.Route{Host: host, Prefix: "/stock/", Kind: platformtest.Idempotent, Service: "orders-desk", TimeoutMS: 1000, GoalMS: 300, Priority: 2, MaxAttempts: 2},
+		platformtest.Route{Host: host, Prefix: "/orders/", Kind: platformtest.NonIdempotent, Service: "orders-desk", TimeoutMS: 1200, GoalMS: 400, Priority: 1, MaxAttempts: 2},
+		platformtest.Route{Host: host, Prefix: "/sheets/", Kind: platformtest.Download, Service: sheets, TimeoutMS: 1000, GoalMS: 300, Priority: 2, MaxAttempts: 2})
+}
+
+// tour shows requests, a change of the configuration and a leaving upstream.
+func tour(ctx context.Context, mesh *platformtest.Mesh) error {
+	for _, request := range []struct{ method, path string }{
+		{http.MethodGet, "/stock/pickle"}, {http.MethodPost, "/orders/"}, {http.MethodGet, "/sheets/2026"}, {http.MethodGet, "/nowhere"},
+	} {
+		status, body, err := send(ctx, mesh.Nodes[0], request.method, request.path)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%-4s %-14s %d %s\n", request.method, request.path, status, strings.TrimSpace(body))
+	}
+	mesh.Store.Publish(configuration(2, "dispatch-desk"))
+	began := time.Now()
+	for _, node := range mesh.Nodes {
+		for {
+			_, body, err := send(ctx, node, http.MethodGet, "/sheets/2026")
+			if err != nil {
+				return err
+			}
+			if strings.HasPrefix(body, "i-"+node.Settings.DataCentre+"-3") || strings.Contains(body, "-6 ") || strings.Contains(body, "-9 ") {
+				break
+			}
+		}
+	}
+	fmt.Printf("version 2 is in force on all daemons after %s\n", time.Since(began).Round(time.Millisecond))
+	leaving := mesh.Nodes[1]
+	leaving.StopReports()
+	if _, err := leaving.Upstream.Report(ctx, "draining"); err != nil {
+		return err
+	}
+	counts, err := burst(ctx, mesh)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("while %s leaves, 200 requests at once: %v\n", leaving.Settings.Instance, counts)
+	return nil
+}
+
+// burst sends requests through all daemons at once and counts their statuses.
+func burst(ctx context.Context, mesh *platformtest.Mesh) (map[int]int, error) {
+	const requests = 200
+	var mu sync.Mutex
+	var failed error
+	counts := map[int]int{}
+	var wg sync.WaitGroup
+	for i := range requests {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			status, _, err := send(ctx, mesh.Nodes[i%len(mesh.Nodes)], http.MethodGet, "/stock/"+strconv.Itoa(i))
+			mu.Lock()
+			defer mu.Unlock()
+			counts[status]++
+			if err != nil {
+				failed = err
+			}
+		}()
+	}
+	wg.Wait()
+	return counts, failed
+}
+
+// send sends one request to a node's daemon.
+func send(ctx context.Context, node *platformtest.Node, method, path string) (int, string, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+node.Settings.CallerListen+path, http.NoBody)
+	if err != nil {
+		return 0, "", fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	request.Host = host
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, "", fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	return response.StatusCode, string(body), nil
+}
+
+// stopAll stops all daemons at once, as planned.
+func stopAll(ctx context.Context, mesh *platformtest.Mesh) error {
+	errs := make(chan error, len(mesh.Nodes))
+	for _, node := range mesh.Nodes {
+		go func() { errs <- node.Daemon.Stop(ctx) }()
+	}
+	for range mesh.Nodes {
+		if err := <-errs; err != nil {
+			return err
+		}
+	}
+	fmt.Println("all daemons have stopped; nothing was cut off")
+	return nil
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -73,6 +73,8 @@
 	t.add(t.parser.Command, "diff", "Show what differs between two manifests", diffHelp, &diffCommand{})
 	settings := t.add(t.parser.Command, "settings", "Work on settings files", settingsHelp, nil)
 	t.add(settings, "check", "Check a daemon's settings file", settingsCheckHelp, &settingsCheckCommand{})
+	t.add(t.parser.Command, "status", "Show a daemon's version, upstream and peers", statusHelp, &statusCommand{})
+	t.add(t.parser.Command, "explain", "Show the way of one request through the logs", explainHelp, &explainCommand{})
 	t.add(t.parser.Command, "completion", "Print a shell completion script", completionHelp, &completionCommand{})
 	t.add(t.parser.Command, "version", "Print the version", versionHelp, &versionCommand{})
 	return t
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -28,7 +28,7 @@
 	text string
 }{
 	{ExitOK, "done"},
-	{ExitInvalid, "a file has problems, no route takes the request, or diff --exit-code found differences"},
+	{ExitInvalid, "a file has problems, no route takes the request, diff --exit-code found differences, or there is no line of the request"},
 	{ExitUsage, "wrong command line"},
 	{ExitUnavailable, "a file or every given daemon could not be read"},
 }
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,84 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"godwitmount/internal/code"
+	"godwitmount/internal/status"
+)
+
+const statusHelp = `
+Asks a daemon for the version in force, its upstream, and what it knows of the
+others. With several --daemon the first that answers is taken.`
+
+// statusTimeout bounds the answer of one daemon.
+const statusTimeout = 3 * time.Second
+
+type statusCommand struct {
+	Daemons []string `long:"daemon" value-name:"IP:PORT" env:"GODWITMOUNT_DAEMON" env-delim:"," description:"Metrics address of a daemon; may be given several times."`
+}
+
+// statusResult is the status of the daemon that answered.
+type statusResult struct {
+	status.Daemon
+}
+
+func (c *statusCommand) run(ctx context.Context, _ io.Writer) (output, error) {
+	if len(c.Daemons) == 0 {
+		return nil, failed(ExitUsage, code.OK, "status needs --daemon")
+	}
+	var errs []error
+	for _, address := range c.Daemons {
+		answer, err := askStatus(ctx, address)
+		if err == nil {
+			return answer, nil
+		}
+		errs = append(errs, err)
+	}
+	return nil, failed(ExitUnavailable, code.OK, "no daemon answered: %v", errors.Join(errs...))
+}
+
+func askStatus(ctx context.Context, address string) (*statusResult, error) {
+	bounded, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(bounded, http.MethodGet, "http://"+address+status.Path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", address, err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", address, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: status %d", address, response.StatusCode)
+	}
+	result := &statusResult{}
+	if err := json.NewDecoder(response.Body).Decode(&result.Daemon); err != nil {
+		return nil, fmt.Errorf("%s: %w", address, err)
+	}
+	return result, nil
+}
+
+func (r *statusResult) writeText(w io.Writer) {
+	u := r.Upstream
+	fmt.Fprintf(w, "instance  %s in %s, release %s\n", r.Instance, r.DataCentre, r.Release)
+	fmt.Fprintf(w, "version   %d\n", r.ConfigVersion)
+	fmt.Fprintf(w, "upstream  %s of %s is %s: %d running, %d waiting, %d slots\n", u.ID, u.Service, u.State, u.Running, u.Waiting, u.Slots)
+	for _, p := range r.Peers {
+		state := "cannot be reached"
+		switch {
+		case p.Reachable && p.TakesWork:
+			state = "takes requests"
+		case p.Reachable:
+			state = "takes no requests"
+		}
+		fmt.Fprintf(w, "peer      %s in %s, %s: %s, version %d\n", p.Instance, p.DataCentre, p.Service, state, p.ConfigVersion)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/proxy"
 	"godwitmount/internal/settings"
+	"godwitmount/internal/status"
 	"godwitmount/internal/store"
 	"godwitmount/internal/version"
 )
@@ -109,7 +110,7 @@
 	go d.watchConfig(d.background)
 	go d.watchMembers(d.background)
 	s := cfg.Settings
-	d.log.Event(event.DaemonStarted, zap.String("instance", s.Instance), zap.String("data_centre", s.DataCentre),
+	d.log.Event(event.DaemonStarted, zap.String("data_centre", s.DataCentre),
 		zap.String("service", s.Service), zap.String("callers", s.CallerListen), zap.String("peers", s.PeerListen),
 		zap.String("release", version.Get().String()))
 	return d, nil
@@ -251,10 +252,22 @@
 
 func (d *Daemon) metricsHandler() http.Handler {
 	e := echo.New()
+	e.GET(status.Path, func(c echo.Context) error { return c.JSON(http.StatusOK, d.status()) })
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})))
 	return e
 }
 
+// status is what the daemon tells operators.
+func (d *Daemon) status() status.Daemon {
+	s := d.proxy.Status()
+	s.Instance = d.cfg.Settings.Instance
+	s.DataCentre = d.cfg.Settings.DataCentre
+	s.Release = version.Get().String()
+	s.Stopping = d.stopping.Load()
+	s.Peers = d.peers.Status()
+	return s
+}
+
 // Usable returns how many other daemons have an upstream that takes requests.
 func (d *Daemon) Usable() int { return d.peers.Usable() }
 
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -33,15 +33,15 @@
 	budget budget
 }
 
-// New returns a log that writes JSON lines to an output, at most so many lines
-// of requests a second.
-func New(output io.Writer, level zapcore.Level, lines int) *Book {
+// New returns a log of an instance that writes JSON lines to an output, at most
+// so many lines of requests a second.
+func New(output io.Writer, instance string, level zapcore.Level, lines int) *Book {
 	s := &sink{output: output, lines: make(chan []byte, queueLines), done: make(chan struct{})}
 	go s.run()
 	encoder := zap.NewProductionEncoderConfig()
 	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), s, level)
-	b := &Book{log: zap.New(core), sink: s, budget: budget{limit: lines}}
+	b := &Book{log: zap.New(core).With(zap.String("instance", instance)), sink: s, budget: budget{limit: lines}}
 	return b
 }
 
--- a/internal/logbook/logbook_test.go
+++ b/internal/logbook/logbook_test.go
@@ -17,7 +17,7 @@
 func TestOutputThatIsNeverReadCostsLinesOnly(t *testing.T) {
 	reader, writer := io.Pipe()
 	defer func() { _ = reader.Close() }()
-	book := New(writer, zapcore.InfoLevel, 1<<30)
+	book := New(writer, "a-1", zapcore.InfoLevel, 1<<30)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -72,7 +72,7 @@
 
 func TestCloseWritesWhatIsLeft(t *testing.T) {
 	out := &lines{}
-	book := New(out, zapcore.InfoLevel, 10)
+	book := New(out, "a-1", zapcore.InfoLevel, 10)
 	for range 5 {
 		book.Call(event.CallAnswered, true)
 	}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -55,6 +55,9 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "godwitmount_slots_waiting", Help: "Requests that wait for a slot.",
 		}, func() float64 { return float64(p.gate.Load().Waiting) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "godwitmount_log_lines_dropped_total", Help: "Log lines that were left out or could not be written.",
+		}, func() float64 { return float64(p.deps.Log.Dropped()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "godwitmount_peers", Help: "Other daemons that are known.",
 		}, func() float64 { return float64(p.deps.Peers.Count()) }),
