Hand the watch on when the store turns a daemon away

Change: a daemon tells its peers when the store does not answer it; it does not count for the duty then. Two daemons of each data centre wait at the store. A request that lost two upstreams is not sent a third time by the same daemon (a test of ours failed once: the news of the second crash was still on its way).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -65,6 +65,8 @@
 	// fetchNext is asked for the wanted version when reading it has failed.
 	fetchNext string
 	up        map[string]bool
+	// turnedAway are the peers that the store does not answer.
+	turnedAway map[string]bool
 	// duty is set while this daemon waits at the store for configurations.
 	duty bool
 }
@@ -77,7 +79,7 @@
 
 // New returns the core of a process that just started.
 func New(cfg Config) *Core {
-	return &Core{cfg: cfg, members: map[string]memberRow{}, up: map[string]bool{}, duty: true}
+	return &Core{cfg: cfg, members: map[string]memberRow{}, up: map[string]bool{}, turnedAway: map[string]bool{}, duty: true}
 }
 
 // Step takes one event and returns the work it asks for, in order.
@@ -101,6 +103,9 @@
 	case PeerReached:
 		c.up[ev.Instance] = ev.Up
 		c.updateDuty()
+	case PeerStore:
+		c.turnedAway[ev.Instance] = ev.Lost
+		c.updateDuty()
 	case MembersRead:
 		c.membersRead(ev)
 	case UpstreamReport:
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -62,6 +62,8 @@
 		return PeerGreeted{Member: Member{Instance: instance, DataCentre: text("data-centre"), Address: "at-" + instance, Service: "desk"}}
 	case "reached":
 		return PeerReached{Instance: text("instance"), Up: !d.HasArg("down")}
+	case "store-of":
+		return PeerStore{Instance: text("instance"), Lost: d.HasArg("lost")}
 	case "fetch-failed":
 		return FetchFailed{}
 	case "members":
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -38,6 +38,12 @@
 	Up       bool
 }
 
+// PeerStore tells that the store does not answer a peer, or answers it again.
+type PeerStore struct {
+	Instance string
+	Lost     bool
+}
+
 // FetchFailed tells that a peer did not serve its configuration.
 type FetchFailed struct{}
 
@@ -76,6 +82,9 @@
 // EventName implements step.Event.
 func (PeerReached) EventName() string { return "peer-reached" }
 
+// EventName implements step.Event.
+func (PeerStore) EventName() string { return "peer-store" }
+
 // EventName implements step.Event.
 func (FetchFailed) EventName() string { return "fetch-failed" }
 
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -56,30 +56,23 @@
 	}
 }
 
-// updateDuty decides which daemons wait at the store for configurations: one
-// in each data centre, and a second one when there is only one data centre.
-// Each daemon decides for itself by what it can reach; daemons that see things
-// differently only wait where another one waits as well.
+// watchers is how many daemons of a data centre wait at the store: one, and one
+// for when that one is cut off, frozen or turned away by the store.
+const watchers = 2
+
+// updateDuty decides which daemons wait at the store for configurations: the
+// first of each data centre by rank. Each daemon decides for itself by whom it
+// can reach and whom the store answers; daemons that see things differently only
+// wait where another one waits as well.
 func (c *Core) updateDuty() {
 	own := rank(c.cfg.Self.Instance)
 	before := 0
-	elsewhere := false
 	for key, known := range c.members {
-		if !c.up[key] || known.Instance == "" || key == c.cfg.Self.Instance {
-			continue
-		}
-		if known.DataCentre != c.cfg.Self.DataCentre {
-			elsewhere = true
-			continue
-		}
-		if rank(key) < own {
+		near := known.Instance != "" && known.DataCentre == c.cfg.Self.DataCentre
+		if near && key != c.cfg.Self.Instance && c.up[key] && !c.turnedAway[key] && rank(key) < own {
 			before++
 		}
 	}
-	watchers := 2
-	if elsewhere {
-		watchers = 1
-	}
 	if on := before < watchers; on != c.duty {
 		c.duty = on
 		c.emit(SetDuty{On: on})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -124,6 +124,8 @@
 	d.loop = newLoop(core, d.perform, d.log)
 	d.peers = proxy.NewPeers(self, d.heard, func(instance string, up bool) {
 		d.loop.post(control.PeerReached{Instance: instance, Up: up})
+	}, func(instance string, lost bool) {
+		d.loop.post(control.PeerStore{Instance: instance, Lost: lost})
 	}, d.log)
 	path, err := proxy.New(proxy.Config{
 		Instance:     s.Instance,
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -43,6 +43,8 @@
 	name  string
 	// take gets all rows, or the changes.
 	take func(rows []store.Row, whole bool)
+	// lose is told when the store stops answering and when it answers again.
+	lose func(lost bool)
 	log  *logbook.Book
 
 	// after is the version up to which the table is known, if it is.
@@ -89,6 +91,7 @@
 	}
 	if !t.lost {
 		t.lost = true
+		t.lose(true)
 		t.log.Warn(event.StoreLost, zap.String("table", t.name), zap.Error(err))
 	}
 }
@@ -96,6 +99,7 @@
 func (t *table) recovered() {
 	if t.lost {
 		t.lost = false
+		t.lose(false)
 		t.log.Event(event.StoreRecovered, zap.String("table", t.name))
 	}
 }
@@ -105,7 +109,7 @@
 // one is asked for.
 func (d *Daemon) watchConfig(ctx context.Context) {
 	p := d.cfg.Platform
-	t := &table{store: p.Store, name: p.ConfigTable, log: d.log, backoff: minBackoff, take: func(rows []store.Row, _ bool) {
+	t := &table{store: p.Store, name: p.ConfigTable, log: d.log, backoff: minBackoff, lose: d.storeLost, take: func(rows []store.Row, _ bool) {
 		for _, row := range rows {
 			if row.Key == p.ConfigKey && !row.Removed {
 				d.readConfig(row.Value, "store")
@@ -135,6 +139,14 @@
 	}
 }
 
+// storeLost tells peers whether the store answers this daemon, so that another
+// one goes on duty.
+func (d *Daemon) storeLost(lost bool) {
+	if d.proxy.SetStoreLost(lost) {
+		d.tell()
+	}
+}
+
 // readConfig decodes a configuration for the reducer.
 func (d *Daemon) readConfig(source []byte, from string) {
 	version, m, err := d.cfg.Platform.ParseConfig(source)
@@ -148,7 +160,7 @@
 // watchMembers looks at the member table, often at first.
 func (d *Daemon) watchMembers(ctx context.Context) {
 	t := &table{
-		store: d.cfg.Platform.Store, name: MembersTable, log: d.log, backoff: minBackoff,
+		store: d.cfg.Platform.Store, name: MembersTable, log: d.log, backoff: minBackoff, lose: func(bool) {},
 		take: func(rows []store.Row, whole bool) { d.loop.post(control.MembersRead{Rows: rows, Whole: whole}) },
 	}
 	for looks := 0; ctx.Err() == nil; {
--- a/internal/proxy/decide.go
+++ b/internal/proxy/decide.go
@@ -30,8 +30,14 @@
 	arrivals int
 	// offers are daemons that were asked and have not run the request.
 	offers int
+	// crashes are upstreams that were lost while they ran the request.
+	crashes int
 }
 
+// maxCrashes is how many upstreams one request may lose: it may be what
+// crashes them.
+const maxCrashes = 2
+
 // maxOffers is how many daemons are asked before a request is refused.
 const maxOffers = 4
 
@@ -64,7 +70,7 @@
 		}
 		return tryElsewhere
 	}
-	if done.arrivals >= attempts {
+	if done.arrivals >= attempts || done.crashes >= maxCrashes {
 		return finish
 	}
 	on := map[result]manifest.RetryOn{
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -207,6 +207,9 @@
 		return frame, notSent
 	}
 	f.arrivals++
+	if code.Code(failed.Code) == code.CallUpstreamLost {
+		f.crashes++
+	}
 	return frame, unknown
 }
 
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -35,6 +35,8 @@
 	heard func(instance string, state *hopv1.State)
 	// reached is told whether a peer can be reached.
 	reached func(instance string, up bool)
+	// store is told whether the store does not answer a peer.
+	store   func(instance string, lost bool)
 	log     *logbook.Book
 	leaving atomic.Bool
 	// state returns the own state to tell peers.
@@ -64,14 +66,19 @@
 	others float64
 }
 
-// NewPeers returns no peers. heard is told of each state that a peer sends, and
-// reached of each change between up and down; they must not block.
-func NewPeers(self control.Member, heard func(string, *hopv1.State), reached func(string, bool), log *logbook.Book) *Peers {
+// lostStore tells whether the store does not answer the peer.
+func (s *peerState) lostStore() bool { return s != nil && s.GetStoreLost() }
+
+// NewPeers returns no peers. heard is told of each state that a peer sends,
+// reached of each change between up and down, and store of each change in
+// whether the store answers the peer; they must not block.
+func NewPeers(self control.Member, heard func(string, *hopv1.State), reached, store func(string, bool), log *logbook.Book) *Peers {
 	return &Peers{
 		self:    self,
 		hello:   Hello(self),
 		heard:   heard,
 		reached: reached,
+		store:   store,
 		log:     log,
 		all:     map[string]*peer{},
 	}
@@ -160,6 +167,9 @@
 	if state == nil {
 		return
 	}
+	if before := p.state.Load(); before.lostStore() != state.GetStoreLost() {
+		ps.store(p.Instance, state.GetStoreLost())
+	}
 	load := float64(state.GetRunning() + state.GetWaiting())
 	others := max(load-float64(p.own.Load()), 0)
 	p.state.Store(&peerState{State: state, at: time.Now(), others: others})
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -78,8 +78,10 @@
 	upstream atomic.Pointer[control.Upstream]
 	stopping atomic.Bool
 	closed   atomic.Bool
-	entering atomic.Int64
-	running  atomic.Int64
+	// storeLost is set while the store does not answer this daemon.
+	storeLost atomic.Bool
+	entering  atomic.Int64
+	running   atomic.Int64
 
 	refused  *refusals
 	suspects *quarantine.Set
@@ -145,6 +147,10 @@
 	p.gate.Close()
 }
 
+// SetStoreLost notes whether the store answers this daemon; it reports whether
+// that is news.
+func (p *Proxy) SetStoreLost(lost bool) bool { return p.storeLost.Swap(lost) != lost }
+
 // BeginStop makes callers close their connections from now on.
 func (p *Proxy) BeginStop() { p.stopping.Store(true) }
 
@@ -171,6 +177,7 @@
 		Upstream:      u.ID,
 		Service:       u.Service,
 		Stopping:      p.stopping.Load(),
+		StoreLost:     p.storeLost.Load(),
 	}
 	if t := p.table.Load(); t != nil {
 		state.ConfigVersion = t.Version
