Read the settings again on SIGHUP and when the file changes

Cause: settings may change with or without a signal; the signal was only noted. Change: the instance's service and the store's address take effect at once, the rest at the next start; settings that cannot be read leave those in force.

--- a/cmd/godwitmountd/main.go
+++ b/cmd/godwitmountd/main.go
@@ -37,6 +37,10 @@
 	exitCutOff   = 4
 )
 
+// settingsPoll is how often the settings file is looked at: it may change
+// without a signal.
+const settingsPoll = time.Second
+
 // stopMargin is how much longer than the grace a stop is waited for.
 const stopMargin = time.Second
 
@@ -63,7 +67,7 @@
 		fmt.Fprintln(os.Stderr, "godwitmountd:", err)
 		return exitSettings
 	}
-	return serve(loaded)
+	return serve(opts, loaded)
 }
 
 // load reads the product's settings file, or the platform's.
@@ -78,8 +82,48 @@
 	return loaded, nil
 }
 
+// follow takes changed settings, with SIGHUP or without, until the daemon is
+// told to stop.
+func follow(opts options, d *daemon.Daemon, signals <-chan os.Signal) {
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	seen := settingsTime(opts.Settings)
+	for {
+		select {
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				return
+			}
+		case <-ticker.C:
+			if settingsTime(opts.Settings).Equal(seen) {
+				continue
+			}
+		}
+		seen = settingsTime(opts.Settings)
+		fresh, err := load(opts.Settings)
+		if err != nil {
+			d.RefuseReload(err)
+			continue
+		}
+		d.Reload(fresh)
+	}
+}
+
+// settingsTime is when the settings file was last changed; zero if it cannot
+// be told.
+func settingsTime(file string) time.Time {
+	if file == "" {
+		file = os.Getenv(platform.SettingsVariable)
+	}
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 // serve runs the daemon until SIGTERM or SIGINT, then stops it as planned.
-func serve(loaded *settings.Daemon) int {
+func serve(opts options, loaded *settings.Daemon) int {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	level, err := zapcore.ParseLevel(loaded.LogLevel)
@@ -95,12 +139,7 @@
 		log.Warn(event.ListenFailed, zap.Error(err))
 		return exitFailed
 	}
-	for received := range signals {
-		if received != syscall.SIGHUP {
-			break
-		}
-		log.Event(event.SettingsReread)
-	}
+	follow(opts, d, signals)
 	ctx, cancel := context.WithTimeout(context.Background(), loaded.ShutdownGrace.Std()+stopMargin)
 	defer cancel()
 	if err := d.Stop(ctx); err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -84,6 +85,9 @@
 	registry *prometheus.Registry
 	ready    atomic.Bool
 	stopping atomic.Bool
+	// taken are the settings in force; reload is held while they change.
+	taken  settings.Daemon
+	reload sync.Mutex
 	// connections are those of callers that are open.
 	connections atomic.Int64
 	// lastRequest is when the last request of a caller began, in nanoseconds
@@ -96,7 +100,7 @@
 // with Stop.
 func Start(cfg Config) (*Daemon, error) {
 	d := &Daemon{cfg: cfg, log: cfg.Log, registry: prometheus.NewRegistry(), started: time.Now(),
-		duty: make(chan bool, 1), read: make(chan struct{}, 1)}
+		taken: *cfg.Settings, duty: make(chan bool, 1), read: make(chan struct{}, 1)}
 	d.background, d.cancel = context.WithCancel(context.Background())
 	if err := d.build(); err != nil {
 		d.cancel()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -74,6 +74,8 @@
 	gate    *admission.Gate
 	client  *upstream.Client
 
+	// service is that of the instance in the settings.
+	service  atomic.Pointer[string]
 	table    atomic.Pointer[Table]
 	upstream atomic.Pointer[control.Upstream]
 	stopping atomic.Bool
@@ -118,6 +120,7 @@
 		NotRun:    cfg.Headers.NotRun,
 	})
 	p.upstream.Store(&control.Upstream{})
+	p.SetService(cfg.Service)
 	m, err := newMetrics(deps.Registerer, p)
 	p.metrics = m
 	return p, err
@@ -206,9 +209,12 @@
 	if u := p.upstream.Load(); u.Service != "" {
 		return u.Service
 	}
-	return p.cfg.Service
+	return *p.service.Load()
 }
 
+// SetService takes the instance's service from the settings.
+func (p *Proxy) SetService(service string) { p.service.Store(&service) }
+
 // budget returns the retry budget of a service; the lock is held.
 func (p *Proxy) budget(service string) *routing.Budget {
 	b := p.budgets[service]
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -48,6 +48,9 @@
 	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Rows, error)
 	// Put writes a row, whatever it held.
 	Put(ctx context.Context, table, key string, value []byte) error
+	// SetAddress changes the store's address, host:port, for the calls that
+	// follow.
+	SetAddress(address string)
 	// Remove removes a row if there is one.
 	Remove(ctx context.Context, table, key string) error
 }
