Do not let a late report bring back an upstream that left

Change: a report of an upstream with the same id that started before it left is of the same life, which does not come back.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -41,8 +41,10 @@
 
 // Core is the reducer. It is used by one goroutine.
 type Core struct {
-	cfg     Config
-	now     time.Duration
+	cfg Config
+	now time.Duration
+	// wall is the time of day in Unix milliseconds.
+	wall    int64
 	effects []step.Effect
 
 	version uint64
@@ -85,6 +87,7 @@
 // Step takes one event and returns the work it asks for, in order.
 func (c *Core) Step(m step.Moment, ev step.Event) []step.Effect {
 	c.now = m.Now
+	c.wall = m.Wall.UnixMilli()
 	c.effects = nil
 	switch ev := ev.(type) {
 	case step.Tick:
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -27,7 +27,7 @@
 		now := time.Duration(0)
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			ev := eventOf(t, d, &now)
-			return describe(core.Step(step.Moment{Now: now}, ev))
+			return describe(core.Step(step.Moment{Now: now, Wall: time.UnixMilli(1000).Add(now)}, ev))
 		})
 	})
 }
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -45,6 +45,9 @@
 	// Lost is set while it breaks connections.
 	Lost     bool
 	sequence uint64
+	// leftAt is when it said that it ends, in Unix milliseconds of this
+	// machine, if it did not say when it started.
+	leftAt int64
 }
 
 // Takes tells whether the upstream may be given requests.
@@ -80,8 +83,7 @@
 		c.log(event.UpstreamIgnored, true, step.F("upstream", ev.Upstream), step.F("address", ev.Address), step.F("why", "other address"))
 		return
 	}
-	known := &c.upstream
-	sameLife := known.ID == ev.Upstream && known.Born == ev.Born
+	sameLife := c.upstream.sameLife(ev)
 	if c.outdated(ev, sameLife) {
 		c.log(event.UpstreamIgnored, false, step.F("upstream", ev.Upstream), step.F("sequence", ev.Sequence), step.F("why", "outdated"))
 		return
@@ -105,6 +107,19 @@
 	}
 }
 
+// sameLife tells whether a report comes from the incarnation that is known. One
+// that left without saying when it started is told from its successor by what
+// started after that.
+func (u Upstream) sameLife(ev UpstreamReport) bool {
+	if u.ID != ev.Upstream {
+		return false
+	}
+	if u.Born == 0 && u.leftAt != 0 {
+		return ev.Born <= u.leftAt
+	}
+	return u.Born == ev.Born
+}
+
 // outdated tells whether a report is older than what is known. A leaving
 // upstream does not come back in the same life.
 func (c *Core) outdated(ev UpstreamReport, sameLife bool) bool {
@@ -137,6 +152,9 @@
 	if ev.Born != 0 {
 		known.Born = ev.Born
 	}
+	if known.Born == 0 {
+		known.leftAt = c.wall
+	}
 	if known.State != UpstreamGone {
 		known.State = UpstreamGone
 		c.publishUpstream()
