Leave an upstream alone that answers nothing until it reports

Cause: an upstream that goes dark keeps its connections and takes each request until its deadline; six missing reports (9 s at kbh) were needed to notice. Change: after four runs in a row that ran out of time the gate closes until the upstream's next report.

--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -64,6 +64,12 @@
 	ID string
 }
 
+// UpstreamStalled tells that the upstream with the id has answered nothing
+// while several requests ran out of time.
+type UpstreamStalled struct {
+	ID string
+}
+
 // StopRequested begins a planned stop.
 type StopRequested struct{}
 
@@ -97,6 +103,9 @@
 // EventName implements step.Event.
 func (UpstreamLost) EventName() string { return "upstream-lost" }
 
+// EventName implements step.Event.
+func (UpstreamStalled) EventName() string { return "upstream-stalled" }
+
 // EventName implements step.Event.
 func (StopRequested) EventName() string { return "stop-requested" }
 
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -43,7 +43,9 @@
 	Slots   int
 	State   UpstreamState
 	// Lost is set while it breaks connections.
-	Lost     bool
+	Lost bool
+	// Stalled is set while it answers nothing, until its next report.
+	Stalled  bool
 	sequence uint64
 	// leftAt is when it said that it ends, in Unix milliseconds of this
 	// machine, if it did not say when it started.
@@ -51,7 +53,9 @@
 }
 
 // Takes tells whether the upstream may be given requests.
-func (u Upstream) Takes() bool { return u.State == UpstreamReady && !u.Lost && u.Slots > 0 }
+func (u Upstream) Takes() bool {
+	return u.State == UpstreamReady && !u.Lost && !u.Stalled && u.Slots > 0
+}
 
 // UpstreamReport is what an upstream says of itself.
 type UpstreamReport struct {
@@ -171,11 +175,21 @@
 	c.publishUpstream()
 }
 
+// upstreamStalled leaves an upstream alone until it reports: one that has gone
+// dark keeps its connections and would hold each request until its deadline.
+func (c *Core) upstreamStalled(ev UpstreamStalled) {
+	if ev.ID != c.upstream.ID || c.upstream.Stalled || c.upstream.State != UpstreamReady {
+		return
+	}
+	c.upstream.Stalled = true
+	c.publishUpstream()
+}
+
 func (c *Core) publishUpstream() {
 	if c.lostUntil == 0 {
 		c.upstream.Lost = false
 	}
 	c.emit(SetUpstream{Upstream: c.upstream})
 	c.log(event.UpstreamState, false, step.F("upstream", c.upstream.ID), step.F("state", c.upstream.State),
-		step.F("lost", c.upstream.Lost), step.F("sequence", c.upstream.sequence))
+		step.F("lost", c.upstream.Lost), step.F("stalled", c.upstream.Stalled), step.F("sequence", c.upstream.sequence))
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -142,6 +142,7 @@
 	}, proxy.Deps{
 		Peers:      d.peers,
 		Lost:       func(upstream string) { d.loop.post(control.UpstreamLost{ID: upstream}) },
+		Stalled:    func(upstream string) { d.loop.post(control.UpstreamStalled{ID: upstream}) },
 		Tell:       d.tell,
 		Log:        d.log,
 		Registerer: d.registry,
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -90,6 +90,7 @@
 	p.deps.Log.Call(event.CallExecuted, answer.Status >= 500, zap.String("id", request.Id),
 		zap.String("route", request.Route), zap.Uint64("status", uint64(answer.Status)),
 		zap.Bool("not_run", answer.NotRun), zap.Duration("waited", started-arrived), zap.Duration("took", took))
+	p.expired.Store(0)
 	answer.State = p.State()
 	return &hopv1.Frame{Body: &hopv1.Frame_Answer{Answer: answer}}
 }
@@ -110,6 +111,7 @@
 		p.suspect(request, u)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		result = code.CallDeadlineUnknown
+		p.noteExpired(u)
 	case ctx.Err() != nil:
 		result = code.CallCancelled
 	}
@@ -118,6 +120,18 @@
 	return failureFrame(result, notRun, 0, p.State())
 }
 
+// stallExpired is how many runs in a row must run out of time before the
+// upstream counts as stalled.
+const stallExpired = 4
+
+// noteExpired counts a run that ran out of time.
+func (p *Proxy) noteExpired(u *control.Upstream) {
+	if p.expired.Add(1) >= stallExpired {
+		p.expired.Store(0)
+		p.deps.Stalled(u.ID)
+	}
+}
+
 // refuse answers a request that is not run here.
 func (p *Proxy) refuse(request *hopv1.Request, result code.Code, retry time.Duration) *hopv1.Frame {
 	state := p.State()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -59,6 +59,9 @@
 	// Lost tells that the upstream with the id took no connection. It must not
 	// block.
 	Lost func(upstream string)
+	// Stalled tells that the upstream with the id answers nothing. It must not
+	// block.
+	Stalled func(upstream string)
 	// Tell sends the own state to all peers at once.
 	Tell       func()
 	Log        *logbook.Book
@@ -84,6 +87,8 @@
 	storeLost atomic.Bool
 	entering  atomic.Int64
 	running   atomic.Int64
+	// expired counts the runs that ran out of time since the last answer.
+	expired atomic.Int64
 
 	refused  *refusals
 	suspects *quarantine.Set
