Take out what nothing uses; let nested requests wait until their deadline

Cause: the drain time, the cold time of reports and one function were not used; nested requests were refused once their goal could not be met, though the request that waits for them needs them until its deadline. Change: as said, with a test.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -132,9 +132,10 @@
 	return ticket, 0, 0
 }
 
-// limit is until when the answer must be there for waiting to make sense.
+// limit is until when the answer must be there for waiting to make sense. The
+// answer to a nested request is of use to its parent until the deadline.
 func (a *Ask) limit() time.Duration {
-	if a.Patient {
+	if a.Patient || a.Nested {
 		return a.Deadline
 	}
 	return min(a.Goal, a.Deadline)
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -206,3 +206,21 @@
 		t.Errorf("the naive queue does as well: %d", naive)
 	}
 }
+
+// TestNestedRequestsWaitUntilTheirDeadline covers a service under load whose
+// own callers wait for it: what comes too late for its goal is still of use to
+// the request that waits for it.
+func TestNestedRequestsWaitUntilTheirDeadline(t *testing.T) {
+	q := open(10)
+	fill(t, q)
+	ask := Ask{Kind: "k", Nested: true, Goal: 120 * ms, Deadline: 250 * ms}
+	if ticket, reason, _ := q.Offer(0, ask); ticket == nil {
+		t.Errorf("refused: %v", reason)
+	}
+	for range 100 {
+		if _, reason, _ := q.Offer(0, ask); reason == Full {
+			return
+		}
+	}
+	t.Error("nothing is refused")
+}
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"time"
-
 	"godwitmount/internal/event"
 	"godwitmount/internal/step"
 )
@@ -67,8 +65,6 @@
 	Address string
 	Slots   int
 	State   UpstreamState
-	// SlowFor is how much longer it is slow after its start.
-	SlowFor time.Duration
 	// Sequence grows with each report of one incarnation.
 	Sequence uint64
 }
--- a/internal/proxy/decide.go
+++ b/internal/proxy/decide.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 
-	"godwitmount/internal/code"
 	"godwitmount/internal/manifest"
 )
 
@@ -95,11 +94,3 @@
 		return answered
 	}
 }
-
-// resultOfFailure tells what a failure at the executing daemon means.
-func resultOfFailure(c code.Code, notRun bool) result {
-	if notRun {
-		return notSent
-	}
-	return unknown
-}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -52,7 +52,6 @@
 	c.oneOf("/log_format", string(d.LogFormat), logFormats)
 	c.within("/log_lines_per_second", int64(d.LogLines), 1, MaxLogLines)
 	c.between("/shutdown_grace", d.ShutdownGrace, MinShutdownGrace, MaxShutdownGrace)
-	c.between("/drain_time", d.DrainTime, 0, MaxShutdownGrace)
 	c.between("/heartbeat", d.Heartbeat, MinHeartbeat, MaxHeartbeat)
 	c.within("/retry_percent", int64(d.RetryPercent), 0, MaxRetryPercent)
 	c.between("/retry_window", d.RetryWindow, time.Second, MaxHeartbeat)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,7 +37,6 @@
 	DefaultLogFormat      = LogJSON
 	DefaultLogLines       = 200
 	DefaultShutdownGrace  = 6 * time.Second
-	DefaultDrainTime      = 2 * time.Second
 	DefaultHeartbeat      = 1500 * time.Millisecond
 	DefaultRetryPercent   = 20
 	DefaultRetryWindow    = 10 * time.Second
@@ -107,9 +106,6 @@
 	LogLines int `json:"log_lines_per_second"`
 	// ShutdownGrace is how long a planned stop may take.
 	ShutdownGrace Duration `json:"shutdown_grace"`
-	// DrainTime is how long after its announcement a leaving upstream still
-	// serves what it was given before.
-	DrainTime Duration `json:"drain_time"`
 	// Heartbeat is the interval at which the upstream reports.
 	Heartbeat Duration `json:"heartbeat"`
 	// RetryPercent is how many retries a service may get for each hundred
@@ -132,7 +128,6 @@
 	d.LogFormat = DefaultLogFormat
 	d.LogLines = DefaultLogLines
 	d.ShutdownGrace = Duration(DefaultShutdownGrace)
-	d.DrainTime = Duration(DefaultDrainTime)
 	d.Heartbeat = Duration(DefaultHeartbeat)
 	d.RetryPercent = DefaultRetryPercent
 	d.RetryWindow = Duration(DefaultRetryWindow)
