Let peers remind a restarted daemon that its upstream was leaving

Change: a daemon's state says when its upstream leaves, and which one; peers remember it and say so when a connection is made.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -115,6 +115,8 @@
 		c.report(ev)
 	case UpstreamLost:
 		c.upstreamLost(ev)
+	case UpstreamReminded:
+		c.reminded(ev)
 	case UpstreamStalled:
 		c.upstreamStalled(ev)
 	case MemberWritten:
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -89,6 +89,8 @@
 		return UpstreamReport{Upstream: text("id"), Born: int64(number("born")), State: UpstreamGone}
 	case "lost":
 		return UpstreamLost{ID: text("id")}
+	case "reminded":
+		return UpstreamReminded{ID: text("id"), Born: int64(number("born"))}
 	case "stalled":
 		return UpstreamStalled{ID: text("id")}
 	case "stop":
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -64,6 +64,13 @@
 	ID string
 }
 
+// UpstreamReminded carries what a peer remembers of the upstream beside this
+// daemon: the incarnation that was leaving.
+type UpstreamReminded struct {
+	ID   string
+	Born int64
+}
+
 // UpstreamStalled tells that the upstream with the id has answered nothing
 // while several requests ran out of time.
 type UpstreamStalled struct {
@@ -103,6 +110,9 @@
 // EventName implements step.Event.
 func (UpstreamLost) EventName() string { return "upstream-lost" }
 
+// EventName implements step.Event.
+func (UpstreamReminded) EventName() string { return "upstream-reminded" }
+
 // EventName implements step.Event.
 func (UpstreamStalled) EventName() string { return "upstream-stalled" }
 
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -55,6 +55,9 @@
 	return u.State == UpstreamReady && !u.Lost && !u.Stalled && u.Slots > 0
 }
 
+// Leaving tells whether the upstream has said that it leaves.
+func (u Upstream) Leaving() bool { return u.State == UpstreamDraining || u.State == UpstreamGone }
+
 // UpstreamReport is what an upstream says of itself.
 type UpstreamReport struct {
 	// Upstream is its id. A new start may have the id of the one before.
@@ -135,8 +138,7 @@
 	if ev.Sequence <= known.sequence {
 		return true
 	}
-	leaving := known.State == UpstreamDraining || known.State == UpstreamGone
-	return leaving && ev.State == UpstreamReady
+	return known.Leaving() && ev.State == UpstreamReady
 }
 
 // leave takes the news that the upstream ends. One that has not reported to
@@ -161,6 +163,19 @@
 	}
 }
 
+// reminded takes what peers remember from before this process started: an
+// upstream that was leaving goes on leaving.
+func (c *Core) reminded(ev UpstreamReminded) {
+	known := &c.upstream
+	other := known.State != UpstreamUnknown && (known.ID != ev.ID || known.Born != ev.Born)
+	if ev.ID == "" || ev.Born == 0 || other || known.Leaving() {
+		return
+	}
+	known.ID, known.Born = ev.ID, ev.Born
+	known.State = UpstreamDraining
+	c.publishUpstream()
+}
+
 // upstreamLost leaves an upstream alone that took no connection.
 func (c *Core) upstreamLost(ev UpstreamLost) {
 	if ev.ID != c.upstream.ID || c.upstream.Lost || c.upstream.State != UpstreamReady {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -126,11 +126,7 @@
 	self := control.Member{Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerListen, Service: s.Service}
 	core := control.New(control.Config{Self: self, Heartbeat: s.Heartbeat.Std(), UpstreamAddress: s.UpstreamAddress})
 	d.loop = newLoop(core, d.perform, d.log)
-	d.peers = proxy.NewPeers(self, d.heard, func(instance string, up bool) {
-		d.loop.post(control.PeerReached{Instance: instance, Up: up})
-	}, func(instance string, lost bool) {
-		d.loop.post(control.PeerStore{Instance: instance, Lost: lost})
-	}, d.log)
+	d.peers = proxy.NewPeers(self, d.listener(), d.log)
 	path, err := proxy.New(proxy.Config{
 		Instance:     s.Instance,
 		DataCentre:   s.DataCentre,
@@ -156,6 +152,27 @@
 	return nil
 }
 
+// listener hands what peers say to the control loop.
+func (d *Daemon) listener() proxy.Listener {
+	return proxy.Listener{
+		Heard: d.heard,
+		Reached: func(instance string, up bool) {
+			d.loop.post(control.PeerReached{Instance: instance, Up: up})
+		},
+		Store: func(instance string, lost bool) {
+			d.loop.post(control.PeerStore{Instance: instance, Lost: lost})
+		},
+		Reminded: d.reminded,
+	}
+}
+
+// reminded takes what a peer remembers of the upstream beside this daemon.
+func (d *Daemon) reminded(left *hopv1.Left) {
+	if left != nil {
+		d.loop.post(control.UpstreamReminded{ID: left.GetUpstream(), Born: left.GetBorn()})
+	}
+}
+
 // heard takes a peer's state.
 func (d *Daemon) heard(instance string, state *hopv1.State) {
 	version := state.GetConfigVersion()
@@ -298,8 +315,12 @@
 // State implements hop.Handler.
 func (h hopHandler) State() *hopv1.State { return h.d.proxy.State() }
 
+// Left implements hop.Handler.
+func (h hopHandler) Left(instance string) *hopv1.Left { return h.d.peers.Left(instance) }
+
 // Greeted implements hop.Handler.
 func (h hopHandler) Greeted(hello *hopv1.Hello) {
+	h.d.reminded(hello.GetLeft())
 	h.d.loop.post(control.PeerGreeted{Member: control.Member{
 		Instance:   hello.GetInstance(),
 		DataCentre: hello.GetDataCentre(),
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -45,6 +45,10 @@
 	Down func(error)
 	// Heard is called with each state that the peer sends.
 	Heard func(*hopv1.State)
+	// Reminded takes what the peer remembers of the own upstream.
+	Reminded func(*hopv1.Left)
+	// Left returns what is remembered of the peer's upstream, or nil.
+	Left func() *hopv1.Left
 	// State returns the own state to send.
 	State func() *hopv1.State
 }
@@ -126,7 +130,7 @@
 func (c *Client) serve(conn net.Conn) error {
 	l := newLink(conn)
 	defer l.close()
-	if err := l.send(&hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: withState(c.hello, c.hooks.State())}}); err != nil {
+	if err := l.send(&hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: withState(c.hello, c.hooks.State(), c.hooks.Left())}}); err != nil {
 		return err
 	}
 	c.watching.Store(false)
@@ -145,6 +149,7 @@
 		c.link = l
 		c.mu.Unlock()
 		c.hooks.Heard(body.Hello.GetState())
+		c.hooks.Reminded(body.Hello.GetLeft())
 		c.hooks.Up()
 	case *hopv1.Frame_Pong:
 		c.hooks.Heard(body.Pong.GetState())
--- a/internal/hop/frame.go
+++ b/internal/hop/frame.go
@@ -58,13 +58,15 @@
 	return frame, nil
 }
 
-// withState returns a hello with a state of now.
-func withState(hello *hopv1.Hello, state *hopv1.State) *hopv1.Hello {
+// withState returns a hello with a state of now and what is remembered of the
+// receiver.
+func withState(hello *hopv1.Hello, state *hopv1.State, left *hopv1.Left) *hopv1.Hello {
 	return &hopv1.Hello{
 		Instance:   hello.Instance,
 		DataCentre: hello.DataCentre,
 		Address:    hello.Address,
 		Service:    hello.Service,
 		State:      state,
+		Left:       left,
 	}
 }
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -33,6 +33,8 @@
 
 func (h *testHandler) State() *hopv1.State { return &hopv1.State{ConfigVersion: 3} }
 
+func (h *testHandler) Left(string) *hopv1.Left { return &hopv1.Left{Upstream: "u-1", Born: 5} }
+
 func (h *testHandler) Greeted(*hopv1.Hello) {}
 
 func (h *testHandler) Heard(string, *hopv1.State) { h.heard.Add(1) }
@@ -114,6 +116,12 @@
 		Up:    func() { up <- struct{}{} },
 		Down:  func(err error) { down <- err },
 		Heard: func(*hopv1.State) {},
+		Left:  func() *hopv1.Left { return nil },
+		Reminded: func(left *hopv1.Left) {
+			if left.GetUpstream() != "u-1" || left.GetBorn() != 5 {
+				t.Errorf("reminded of %v", left)
+			}
+		},
 		State: func() *hopv1.State { return &hopv1.State{} },
 	})
 	t.Cleanup(func() {
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -17,6 +17,8 @@
 	Config() *hopv1.ConfigAnswer
 	// State returns the state to tell peers.
 	State() *hopv1.State
+	// Left returns what is remembered of a peer's upstream, or nil.
+	Left(instance string) *hopv1.Left
 	// Greeted takes the first frame of a peer that connected.
 	Greeted(hello *hopv1.Hello)
 	// Heard takes a peer's state.
@@ -101,7 +103,7 @@
 	switch body := frame.Body.(type) {
 	case *hopv1.Frame_Hello:
 		s.peer = body.Hello.GetInstance()
-		hello := withState(s.server.hello, handler.State())
+		hello := withState(s.server.hello, handler.State(), handler.Left(s.peer))
 		_ = s.link.send(&hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: hello}})
 		handler.Greeted(body.Hello)
 	case *hopv1.Frame_Ping:
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -30,15 +30,11 @@
 // Peers are the other daemons and what is known of them. All methods may be
 // called from any goroutine.
 type Peers struct {
-	self  control.Member
-	hello *hopv1.Hello
-	heard func(instance string, state *hopv1.State)
-	// reached is told whether a peer can be reached.
-	reached func(instance string, up bool)
-	// store is told whether the store does not answer a peer.
-	store   func(instance string, lost bool)
-	log     *logbook.Book
-	leaving atomic.Bool
+	self     control.Member
+	hello    *hopv1.Hello
+	listener Listener
+	log      *logbook.Book
+	leaving  atomic.Bool
 	// state returns the own state to tell peers.
 	state func() *hopv1.State
 
@@ -54,6 +50,9 @@
 	state  atomic.Pointer[peerState]
 	// own counts the own requests that are under way there.
 	own atomic.Int64
+	// left is the peer's upstream that said it leaves, until another one is
+	// there.
+	left atomic.Pointer[hopv1.Left]
 	// avoidUntil is in nanoseconds on the process's clock.
 	avoidUntil atomic.Int64
 }
@@ -69,18 +68,26 @@
 // lostStore tells whether the store does not answer the peer.
 func (s *peerState) lostStore() bool { return s != nil && s.GetStoreLost() }
 
-// NewPeers returns no peers. heard is told of each state that a peer sends,
-// reached of each change between up and down, and store of each change in
-// whether the store answers the peer; they must not block.
-func NewPeers(self control.Member, heard func(string, *hopv1.State), reached, store func(string, bool), log *logbook.Book) *Peers {
+// Listener is told what peers say. Its functions must not block.
+type Listener struct {
+	// Heard is told of each state that a peer sends.
+	Heard func(instance string, state *hopv1.State)
+	// Reached is told whether a peer can be reached.
+	Reached func(instance string, up bool)
+	// Store is told whether the store does not answer a peer.
+	Store func(instance string, lost bool)
+	// Reminded is told what a peer remembers of the own upstream; it may be nil.
+	Reminded func(*hopv1.Left)
+}
+
+// NewPeers returns no peers.
+func NewPeers(self control.Member, listener Listener, log *logbook.Book) *Peers {
 	return &Peers{
-		self:    self,
-		hello:   Hello(self),
-		heard:   heard,
-		reached: reached,
-		store:   store,
-		log:     log,
-		all:     map[string]*peer{},
+		self:     self,
+		hello:    Hello(self),
+		listener: listener,
+		log:      log,
+		all:      map[string]*peer{},
 	}
 }
 
@@ -147,33 +154,55 @@
 	p.client = hop.NewClient(m.Address, ps.hello, hop.Hooks{
 		Up: func() {
 			if !p.up.Swap(true) {
-				ps.reached(m.Instance, true)
+				ps.listener.Reached(m.Instance, true)
 				ps.log.Event(event.PeerUp, zap.String("peer", m.Instance))
 			}
 		},
 		Down: func(err error) {
 			if p.up.Swap(false) {
-				ps.reached(m.Instance, false)
+				ps.listener.Reached(m.Instance, false)
 				ps.log.Event(event.PeerDown, zap.String("peer", m.Instance), zap.Error(err))
 			}
 		},
-		Heard: func(state *hopv1.State) { ps.take(p, state) },
-		State: ps.state,
+		Heard:    func(state *hopv1.State) { ps.take(p, state) },
+		Reminded: ps.listener.Reminded,
+		Left:     p.left.Load,
+		State:    ps.state,
 	})
 	return p
 }
 
+// noteLeaving remembers for a peer that its upstream leaves. A peer that has
+// been restarted knows of no upstream at first.
+func (p *peer) noteLeaving(state *hopv1.State) {
+	switch {
+	case state.GetLeaving():
+		p.left.Store(&hopv1.Left{Upstream: state.GetUpstream(), Born: state.GetBorn()})
+	case state.GetUpstream() != "" && state.GetBorn() != p.left.Load().GetBorn():
+		p.left.Store(nil)
+	}
+}
+
+// Left returns what is remembered of a peer's upstream, or nil.
+func (ps *Peers) Left(instance string) *hopv1.Left {
+	if p := ps.get(instance); p != nil {
+		return p.left.Load()
+	}
+	return nil
+}
+
 func (ps *Peers) take(p *peer, state *hopv1.State) {
 	if state == nil {
 		return
 	}
 	if before := p.state.Load(); before.lostStore() != state.GetStoreLost() {
-		ps.store(p.Instance, state.GetStoreLost())
+		ps.listener.Store(p.Instance, state.GetStoreLost())
 	}
 	load := float64(state.GetRunning() + state.GetWaiting())
 	others := max(load-float64(p.own.Load()), 0)
+	p.noteLeaving(state)
 	p.state.Store(&peerState{State: state, at: time.Now(), others: others})
-	ps.heard(p.Instance, state)
+	ps.listener.Heard(p.Instance, state)
 }
 
 // Heard takes the state of a peer that connected to this daemon.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -186,6 +186,8 @@
 		Service:       u.Service,
 		Stopping:      p.stopping.Load(),
 		StoreLost:     p.storeLost.Load(),
+		Leaving:       u.Leaving(),
+		Born:          u.Born,
 	}
 	if t := p.table.Load(); t != nil {
 		state.ConfigVersion = t.Version
