Tell nested requests by their parent, not by the machine's address

Cause: clients share the machine's address, so that every request counted as nested. Change: a request is nested if the parent that its id names runs at the upstream beside the daemon; it goes first and waits within its goal.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -132,10 +132,11 @@
 	return ticket, 0, 0
 }
 
-// limit is until when the answer must be there for waiting to make sense. The
-// answer to a nested request is of use to its parent until the deadline.
+// limit is until when the answer must be there for waiting to make sense. That
+// of a nested request is its goal as well: while it waits, its parent holds a
+// slot that others want.
 func (a *Ask) limit() time.Duration {
-	if a.Patient || a.Nested {
+	if a.Patient {
 		return a.Deadline
 	}
 	return min(a.Goal, a.Deadline)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,6 +51,8 @@
 	// ParseConfig decodes the row's value.
 	ParseConfig func([]byte) (uint64, *manifest.Manifest, error)
 	Headers     proxy.Headers
+	// ParentID tells which request an upstream made another one for.
+	ParentID func(id string) string
 	// ReadyPath is asked whether the daemon takes requests.
 	ReadyPath string
 	// Reports serves the reports of the upstream beside the daemon.
@@ -132,6 +134,7 @@
 		DataCentre:   s.DataCentre,
 		Service:      s.Service,
 		Headers:      d.cfg.Platform.Headers,
+		ParentID:     d.cfg.Platform.ParentID,
 		RetryPercent: s.RetryPercent,
 		RetryExtra:   s.RetryExtra,
 		RetryWindow:  s.RetryWindow.Std(),
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -70,7 +69,7 @@
 	c.route = route
 	c.idempotent = route.IsIdempotent(r.Method)
 	c.service = pickTarget(route)
-	c.nested = p.fromUpstream(r)
+	c.nested = p.fromUpstream(c.id)
 	p.setTimes(c, r)
 	body, f := readBody(w, r, c, table.Manifest().Limits.MaxBodyBytes)
 	if f != nil {
@@ -113,16 +112,15 @@
 	c.goal = c.started.Add(min(goal-c.age, bound))
 }
 
-// fromUpstream tells whether the upstream beside the daemon sent the request:
-// a request that it runs waits for this one.
-func (p *Proxy) fromUpstream(r *http.Request) bool {
-	u := p.upstream.Load()
-	from, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
+// fromUpstream tells whether a request that runs at the upstream beside the
+// daemon sent this one and waits for it.
+func (p *Proxy) fromUpstream(id string) bool {
+	parent := p.cfg.ParentID(id)
+	if parent == "" {
 		return false
 	}
-	own, _, err := net.SplitHostPort(u.Address)
-	return err == nil && from == own
+	_, runs := p.atUpstream.Load(parent)
+	return runs
 }
 
 // forwarded returns the caller's headers but for those that the data path sets
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -255,7 +255,7 @@
 	if f == nil {
 		return nil
 	}
-	return []zap.Field{zap.String("route", f.call.route.Name), zap.Duration("age", f.call.age), zap.String("at", f.where),
+	return []zap.Field{zap.String("route", f.call.route.Name), zap.Duration("age", f.call.age), zap.Bool("nested", f.call.nested), zap.Duration("goal", f.call.goal.Sub(f.call.started)), zap.String("at", f.where),
 		zap.Int("arrivals", f.arrivals), zap.Int("offers", f.offers), zap.Strings("tried", f.tried)}
 }
 
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -76,6 +76,8 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
+	p.atUpstream.Store(request.Id, true)
+	defer p.atUpstream.Delete(request.Id)
 	answer, err := p.client.Do(bounded, upstream.Call{Request: request, Extra: []*hopv1.Header{
 		{Name: p.cfg.Headers.RequestID, Value: request.Id},
 		{Name: p.cfg.Headers.Deadline, Value: upstream.Milliseconds(left)},
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -45,6 +45,9 @@
 	DataCentre string
 	Service    string
 	Headers    Headers
+	// ParentID returns the id of the request that an upstream made a request
+	// with the given id for, or nothing.
+	ParentID func(id string) string
 	// RetryPercent, RetryExtra and RetryWindow bound the retries of a service
 	// over all daemons.
 	RetryPercent int
@@ -87,6 +90,8 @@
 	storeLost atomic.Bool
 	entering  atomic.Int64
 	running   atomic.Int64
+	// atUpstream holds the ids of the requests that run at the upstream.
+	atUpstream sync.Map
 	// expired counts the runs that ran out of time since the last answer.
 	expired atomic.Int64
 
