Name the results of attempts in the log; say when the upstream refused

Cause: lines told results as numbers, and a request that the upstream itself refused was answered as if there were no upstream.

--- a/internal/proxy/decide.go
+++ b/internal/proxy/decide.go
@@ -23,6 +23,15 @@
 	unknown
 )
 
+// String returns the result's name in logs.
+func (r result) String() string {
+	names := [...]string{"answered", "server-error", "not-sent", "rejected", "unknown"}
+	if int(r) >= len(names) {
+		return "invalid"
+	}
+	return names[r]
+}
+
 // progress is what has been done for a request so far.
 type progress struct {
 	// arrivals are sends that have, or may have, reached an upstream.
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -73,7 +73,7 @@
 		}
 		f.keep(frame)
 		f.proxy.deps.Log.Call(event.CallRetried, true, zap.String("id", f.call.id), zap.String("at", f.where),
-			zap.Int("arrivals", f.arrivals), zap.Int("offers", f.offers), zap.Uint8("result", uint8(r)))
+			zap.Int("arrivals", f.arrivals), zap.Int("offers", f.offers), zap.Stringer("result", r))
 	}
 }
 
@@ -118,6 +118,9 @@
 }
 
 func (f *flight) failureOf(frame *hopv1.Frame) *failure {
+	if frame.GetAnswer() != nil {
+		return fail(code.CallUpstreamRefused)
+	}
 	failed := frame.GetFailure()
 	if failed == nil {
 		return fail(code.CallNoUpstream)
