Take out deltas between manifests

Cause: nothing sends them any more; the platform's store gives a version whole, and peers pass its source on. Their tests go with them, as do words on keys in the examples. The daemon never linked them.

--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -1,6 +1,6 @@
 // Package manifest is the configuration that operators publish: its types,
 // strict parsing, validation, canonical form, compilation into a route table,
-// differences between two manifests and deltas between their bodies.
+// and differences between two manifests.
 //
 // The same code runs in the tool and in the daemon, so what the tool accepts
 // compiles in every daemon of the same release.
