--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -146,7 +146,6 @@
 	candidates := p.candidates(c.service)
 	chosen := routing.Choose(candidates, routing.Ask{
 		Bytes: p.size(c.route.Name),
-		Left:  time.Until(c.goal),
 		Tried: f.tried,
 		Draw:  rand.Float64,
 	})
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -26,8 +26,6 @@
 type Ask struct {
 	// Bytes is the expected size of request and answer together.
 	Bytes int
-	// Left is the time until the goal.
-	Left time.Duration
 	// Tried are instances that have refused the request or failed it.
 	Tried []string
 	// Draw returns a fresh random number in [0,1).
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,7 +28,6 @@
 	idleSince time.Time
 	// keep is how long the upstream keeps it open when idle; 0 is unknown.
 	keep time.Duration
-	used bool
 }
 
 func newConn(c net.Conn) *conn {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -91,7 +91,6 @@
 // put keeps a connection for the next request.
 func (p *pool) put(c *conn, address string) {
 	c.idleSince = time.Now()
-	c.used = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.address != address {
