Reckon the pause of a failing peer by the steady clock

Cause: peer.avoidUntil held nanoseconds of the time of day. A jump back within the pause of 150 ms left the peer alone for as long as the jump. Ruled out: ages of states (time.Time keeps the steady reading), the gate and the budget (both count from an epoch). Change: peers count from an epoch, as the data path does.

--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -172,7 +172,8 @@
 
 // sendTo sends the request to a peer; a lost connection becomes a failure.
 func (f *flight) sendTo(ctx context.Context, instance string) *hopv1.Frame {
-	p := f.proxy.deps.Peers.get(instance)
+	peers := f.proxy.deps.Peers
+	p := peers.get(instance)
 	if p == nil {
 		return failureFrame(code.CallConnectRefused, true, 0, nil)
 	}
@@ -181,10 +182,10 @@
 	case err == nil:
 		return frame
 	case errors.Is(err, hop.ErrNotSent):
-		p.avoid()
+		p.avoid(peers.now())
 		return failureFrame(code.CallConnectRefused, true, 0, nil)
 	case errors.Is(err, hop.ErrLost):
-		p.avoid()
+		p.avoid(peers.now())
 		return failureFrame(code.CallPeerLost, false, 0, nil)
 	default:
 		return failureFrame(code.CallDeadlineUnknown, false, 0, nil)
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -30,7 +30,9 @@
 // Peers are the other daemons and what is known of them. All methods may be
 // called from any goroutine.
 type Peers struct {
-	self     control.Member
+	self control.Member
+	// epoch is the zero of the steady clock that ages are reckoned by.
+	epoch    time.Time
 	hello    *hopv1.Hello
 	listener Listener
 	log      *logbook.Book
@@ -53,14 +55,16 @@
 	// left is the peer's upstream that said it leaves, until another one is
 	// there.
 	left atomic.Pointer[hopv1.Left]
-	// avoidUntil is in nanoseconds on the process's clock.
+	// avoidUntil is until when the peer is left alone, in nanoseconds since the
+	// epoch of the peers.
 	avoidUntil atomic.Int64
 }
 
 // peerState is what a peer said of itself, and when.
 type peerState struct {
 	*hopv1.State
-	at time.Time
+	// at is the time since the epoch of the peers.
+	at time.Duration
 	// others is the load there at that time without the own requests.
 	others float64
 }
@@ -84,6 +88,7 @@
 func NewPeers(self control.Member, listener Listener, log *logbook.Book) *Peers {
 	return &Peers{
 		self:     self,
+		epoch:    time.Now(),
 		hello:    Hello(self),
 		listener: listener,
 		log:      log,
@@ -96,6 +101,9 @@
 	return &hopv1.Hello{Instance: self.Instance, DataCentre: self.DataCentre, Address: self.Address, Service: self.Service}
 }
 
+// now is the steady time since the peers were made.
+func (ps *Peers) now() time.Duration { return time.Since(ps.epoch) }
+
 // SetState names the function that returns the own state.
 func (ps *Peers) SetState(state func() *hopv1.State) { ps.state = state }
 
@@ -201,7 +209,7 @@
 	load := float64(state.GetRunning() + state.GetWaiting())
 	others := max(load-float64(p.own.Load()), 0)
 	p.noteLeaving(state)
-	p.state.Store(&peerState{State: state, at: time.Now(), others: others})
+	p.state.Store(&peerState{State: state, at: ps.now(), others: others})
 	ps.listener.Heard(p.Instance, state)
 }
 
@@ -231,7 +239,7 @@
 func (ps *Peers) candidates(all []routing.Candidate, service string) []routing.Candidate {
 	ps.mu.RLock()
 	defer ps.mu.RUnlock()
-	now := time.Now()
+	now := ps.now()
 	for _, p := range ps.all {
 		state := p.state.Load()
 		if state == nil || state.GetService() != service {
@@ -242,8 +250,8 @@
 	return all
 }
 
-func (p *peer) candidate(state *peerState, now time.Time, near bool) routing.Candidate {
-	fade := math.Exp(-float64(now.Sub(state.at)) / float64(loadFade))
+func (p *peer) candidate(state *peerState, now time.Duration, near bool) routing.Candidate {
+	fade := math.Exp(-float64(now-state.at) / float64(loadFade))
 	hold := time.Duration(state.GetServiceTimeUs()) * time.Microsecond
 	if hold == 0 {
 		hold = unknownHold
@@ -251,7 +259,7 @@
 	return routing.Candidate{
 		Instance: p.Instance,
 		Near:     near,
-		Takes:    p.up.Load() && state.GetTakesWork() && now.UnixNano() >= p.avoidUntil.Load(),
+		Takes:    p.up.Load() && state.GetTakesWork() && int64(now) >= p.avoidUntil.Load(),
 		Load:     float64(p.own.Load()) + fade*state.others,
 		Slots:    int(state.GetSlots()),
 		Hold:     hold,
@@ -266,6 +274,4 @@
 }
 
 // avoid leaves a peer alone for a while.
-func (p *peer) avoid() {
-	p.avoidUntil.Store(time.Now().Add(failurePause).UnixNano())
-}
+func (p *peer) avoid(now time.Duration) { p.avoidUntil.Store(int64(now + failurePause)) }
