Bear silence as long as the machine's line has shown it needs

Cause: on the grown kbh deployment lines of 10.5 Mbit/s are filled for parts of a second by single answers of up to 540 KB. All connections of a machine fell silent together, and after 400 ms their requests were given up: 502, LOST at planned stops, GONE through requests that ran after their connection's end. Ruled out: processor slices (0.0064 cores of 0.16 at most), slots (a third used), silence while one frame arrives (mended before). Change: hop.Patience, one for a daemon: 400 ms while peers answer at once, three times the delays that were seen, doubled after a connection that was given up although its peer could be reached, 2 s at most, fading in 10 s. A daemon that has not answered a ping is chosen last by its silence.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -22,9 +22,9 @@
 	watchStep = 40 * time.Millisecond
 	// pingAfter is the silence after which the peer is asked for a sign.
 	pingAfter = 100 * time.Millisecond
-	// giveUpAfter is the silence after which a connection counts as lost. A
-	// daemon that gets its processor in slices stands still for up to 100 ms.
-	giveUpAfter = 400 * time.Millisecond
+	// quickRedial is the time within which a peer must be reached again after a
+	// silence for that to count as a false alarm.
+	quickRedial = 500 * time.Millisecond
 	// idlePing is how often a connection without requests is tried.
 	idlePing = 2 * time.Second
 )
@@ -51,6 +51,9 @@
 	Left func() *hopv1.Left
 	// State returns the own state to send.
 	State func() *hopv1.State
+	// Patience is that of the daemon, and Now the steady clock it goes by.
+	Patience *Patience
+	Now      func() time.Duration
 }
 
 // Client keeps a connection to one peer and sends requests on it.
@@ -69,8 +72,10 @@
 	began chan struct{}
 	// watching is set while the watch looks often.
 	watching atomic.Bool
+	// asked is when a sign was asked for that has not come, or 0.
+	asked atomic.Int64
 	// waitedSince is when the first of the requests that wait was sent, in
-	// nanoseconds since the epoch of the link.
+	// nanoseconds on the clock of the hooks.
 	waitedSince atomic.Int64
 }
 
@@ -105,11 +110,17 @@
 // run connects, reads and connects again until Close.
 func (c *Client) run() {
 	pause := minRedial
+	var silence time.Duration
+	lost := c.now()
 	for {
 		conn, err := net.DialTimeout("tcp", c.address, dialTimeout)
 		if err == nil {
+			if silence > 0 && c.now()-lost < quickRedial {
+				c.hooks.Patience.FalseAlarm(c.now(), silence)
+			}
 			pause = minRedial
-			err = c.serve(conn)
+			silence, err = c.serve(conn)
+			lost = c.now()
 		}
 		select {
 		case <-c.stop:
@@ -126,18 +137,22 @@
 	}
 }
 
-// serve uses one connection until it ends.
-func (c *Client) serve(conn net.Conn) error {
+func (c *Client) now() time.Duration { return c.hooks.Now() }
+
+// serve uses one connection until it ends. It returns the silence for which the
+// connection was given up, if that was why.
+func (c *Client) serve(conn net.Conn) (time.Duration, error) {
 	l := newLink(conn)
 	defer l.close()
 	if err := l.send(&hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: withState(c.hello, c.hooks.State(), c.hooks.Left())}}); err != nil {
-		return err
+		return 0, err
 	}
 	c.watching.Store(false)
-	go c.watch(l)
+	given := make(chan time.Duration, 1)
+	go func() { given <- c.watch(l) }()
 	err := l.read(func(frame *hopv1.Frame) { c.take(l, frame) })
 	c.drop(l)
-	return err
+	return <-given, err
 }
 
 // take handles one frame of the peer. The peer's hello makes the connection
@@ -191,48 +206,69 @@
 }
 
 // watch asks a silent peer for a sign and ends the connection when none comes.
-// It looks often only while requests wait.
-func (c *Client) watch(l *link) {
+// It looks often only while requests wait. It returns the silence for which it
+// has given up the connection, or 0 when that ended otherwise.
+func (c *Client) watch(l *link) time.Duration {
 	timer := time.NewTimer(idlePing)
 	defer timer.Stop()
-	var asked time.Duration
+	defer c.asked.Store(0)
 	for {
 		select {
 		case <-l.done:
-			return
+			return 0
 		case <-c.began:
 		case <-timer.C:
 		}
-		ping, limit, step := idlePing, idlePing+giveUpAfter, idlePing/2
+		ping, step := idlePing, idlePing/2
 		busy := c.busy()
 		if busy {
-			ping, limit, step = pingAfter, giveUpAfter, watchStep
+			ping, step = pingAfter, watchStep
 		}
 		c.watching.Store(busy)
-		if asked > 0 || !busy && c.busy() {
+		if c.asked.Load() > 0 || !busy && c.busy() {
 			// A sign is awaited, or a request came just now.
 			step = watchStep
 		}
 		timer.Reset(step)
-		silence := l.silence()
-		if busy {
-			// Before the request nothing had to come.
-			silence = min(silence, time.Since(l.epoch)-time.Duration(c.waitedSince.Load()))
-		}
-		switch {
-		case silence < ping:
-			asked = 0
-		case asked == 0:
-			asked = silence
-			// A link that takes no more frames ends by itself.
-			_ = l.send(&hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: c.hooks.State()}}})
-		case silence-asked >= limit-ping:
+		if silence := c.look(l, ping, busy); silence > 0 {
 			l.reset()
-			return
+			return silence
 		}
 	}
 }
 
+// look asks for a sign after a silence, and returns the silence when it is too
+// long.
+func (c *Client) look(l *link, ping time.Duration, busy bool) time.Duration {
+	now := c.now()
+	silence := l.silence()
+	if busy {
+		// Before the request nothing had to come.
+		silence = min(silence, now-time.Duration(c.waitedSince.Load()))
+	}
+	asked := time.Duration(c.asked.Load())
+	switch {
+	case asked > 0 && l.silence() < now-asked:
+		c.hooks.Patience.Delayed(now, now-l.silence()-asked)
+		c.asked.Store(0)
+	case asked == 0 && silence >= ping:
+		c.asked.Store(int64(now))
+		// A link that takes no more frames ends by itself.
+		_ = l.send(&hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: c.hooks.State()}}})
+	case asked > 0 && now-asked >= c.hooks.Patience.GiveUpAfter(now)-pingAfter:
+		return silence
+	}
+	return 0
+}
+
+// Unanswered is how long a sign of the peer has been waited for.
+func (c *Client) Unanswered() time.Duration {
+	if asked := time.Duration(c.asked.Load()); asked > 0 {
+		return c.now() - asked
+	}
+	return 0
+}
+
 func (c *Client) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -272,7 +308,7 @@
 	first := len(c.waiting) == 1
 	c.mu.Unlock()
 	if first {
-		c.waitedSince.Store(int64(time.Since(l.epoch)))
+		c.waitedSince.Store(int64(c.now()))
 		c.wakeWatch()
 	}
 	if err := l.send(frame); err != nil {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -37,6 +37,7 @@
 	listener Listener
 	log      *logbook.Book
 	leaving  atomic.Bool
+	patience *hop.Patience
 	// state returns the own state to tell peers.
 	state func() *hopv1.State
 
@@ -92,6 +93,7 @@
 		hello:    Hello(self),
 		listener: listener,
 		log:      log,
+		patience: &hop.Patience{},
 		all:      map[string]*peer{},
 	}
 }
@@ -176,6 +178,8 @@
 		Reminded: ps.listener.Reminded,
 		Left:     p.left.Load,
 		State:    ps.state,
+		Patience: ps.patience,
+		Now:      ps.now,
 	})
 	return p
 }
@@ -263,6 +267,7 @@
 		Load:     float64(p.own.Load()) + fade*state.others,
 		Slots:    int(state.GetSlots()),
 		Hold:     hold,
+		Silent:   p.client.Unanswered(),
 	}
 }
 
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -20,6 +20,8 @@
 	Slots int
 	// Hold is the mean time for which a request holds a slot.
 	Hold time.Duration
+	// Silent is how long a sign of the daemon has been waited for in vain.
+	Silent time.Duration
 }
 
 // Ask is what one choice depends on besides the candidates.
@@ -54,6 +56,9 @@
 	// spread is the largest random addition to a candidate's cost, as a share
 	// of its hold time, so that daemons with the same news choose differently.
 	spread = 0.3
+	// silentWeight is how many times the silence of a daemon counts: when it
+	// is cut off, the wait has only begun.
+	silentWeight = 4
 	// kilobyte is the unit of farPerKilobyte.
 	kilobyte = 1024
 )
@@ -100,7 +105,7 @@
 	chosen, seen := -1, 0.0
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.Near || !c.Takes || c.Wait() > 0 || a.tried(c.Instance) {
+		if !c.Near || !c.Takes || c.Wait() > 0 || c.Silent > 0 || a.tried(c.Instance) {
 			continue
 		}
 		seen++
@@ -120,7 +125,7 @@
 
 // cost is the time until the answer, and what the way costs put as time.
 func (c *Candidate) cost(bytes int) time.Duration {
-	cost := c.Wait() + c.Hold
+	cost := c.Wait() + c.Hold + silentWeight*c.Silent
 	if !c.Near {
 		cost += farDelay + farPerKilobyte*time.Duration(bytes+hopBytes)/kilobyte
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -28,6 +28,8 @@
 	full, idle := 15.0, 1.0
 	closed := at("closed", true, 0, 10*ms)
 	closed.Takes = false
+	silent := at("silent", true, 0, 10*ms)
+	silent.Silent = 50 * ms
 	for name, c := range map[string]struct {
 		candidates []Candidate
 		bytes      int
@@ -43,6 +45,8 @@
 		"a large one stays":                {[]Candidate{at("a", true, 40, 90*ms), at("b", false, idle, 90*ms)}, 90_000, nil, "a"},
 		"a large one goes when it must":    {[]Candidate{closed, at("b", false, full, 90*ms)}, 90_000, nil, "b"},
 		"not one that takes nothing":       {[]Candidate{closed, at("b", true, full, 90*ms)}, 0, nil, "b"},
+		"not one that says nothing":        {[]Candidate{silent, at("b", true, idle, 90*ms)}, 0, nil, "b"},
+		"a silent one when it must":        {[]Candidate{silent, closed}, 0, nil, "silent"},
 		"not one that was tried":           {[]Candidate{at("a", true, idle, 9*ms), at("b", true, idle, 90*ms)}, 0, []string{"a"}, "b"},
 		"nothing when all have been tried": {[]Candidate{at("a", true, idle, 9*ms)}, 0, []string{"a"}, ""},
 	} {
