Send configurations packed; look at the store less often

Change: gzip between daemons, kept as received; polls of 40 s, since news comes from peers; a daemon that starts waits 0.6 s for peers on duty before it waits at the store; nothing is read while a peer is asked. A peer that answers with an older version no longer blocks later fetches (transcript config, which had the core stuck until the next version).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -48,7 +48,6 @@
 	effects []step.Effect
 
 	version uint64
-	source  []byte
 	members map[string]memberRow
 	// written is set once the own entry is known to be in the table.
 	written  bool
@@ -136,6 +135,10 @@
 // configRead puts a configuration in force if it is newer than the one that
 // is. Versions only grow within one process.
 func (c *Core) configRead(ev ConfigRead) {
+	if ev.From != FromStore {
+		// The peer that was asked has answered, with whatever version.
+		c.fetching = 0
+	}
 	if ev.Version <= c.version {
 		return
 	}
@@ -145,9 +148,8 @@
 		return
 	}
 	c.version = ev.Version
-	c.source = ev.Source
 	c.fetching = 0
-	c.emit(PublishTable{Version: ev.Version, Table: table, Source: ev.Source})
+	c.emit(PublishTable{Version: ev.Version, Table: table, Packed: ev.Packed})
 	c.log(event.ConfigApplied, false, step.F("version", ev.Version), step.F("from", ev.From), step.F("routes", len(table.Routes())))
 }
 
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -49,7 +49,11 @@
 	case "tick":
 		return step.Tick{}
 	case "config":
-		return ConfigRead{Version: number("version"), From: "store", Manifest: &manifest.Manifest{
+		from := FromStore
+		if d.HasArg("from") {
+			from = text("from")
+		}
+		return ConfigRead{Version: number("version"), From: from, Manifest: &manifest.Manifest{
 			Services: []manifest.Service{{Name: "desk"}},
 			Routes:   []manifest.Route{{Name: "r", Service: text("service")}},
 		}}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -5,13 +5,16 @@
 	"godwitmount/internal/store"
 )
 
+// FromStore is the source of what was read from the store.
+const FromStore = "store"
+
 // ConfigRead carries a configuration that was read.
 type ConfigRead struct {
 	Version  uint64
 	Manifest *manifest.Manifest
-	// Source is the configuration as it was read, to be passed on.
-	Source []byte
-	// From is "store" or the instance that served it.
+	// Packed is the configuration as it was read, to be passed on to peers.
+	Packed []byte
+	// From is FromStore or the instance that served it.
 	From string
 }
 
@@ -123,7 +126,7 @@
 type PublishTable struct {
 	Version uint64
 	Table   *manifest.Table
-	Source  []byte
+	Packed  []byte
 }
 
 // PublishMembers tells the data path of all other daemons.
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -44,16 +44,18 @@
 	if c.wanted <= c.version || c.now < c.wantedAt {
 		return
 	}
+	if c.fetching >= c.wanted {
+		// A peer has been asked; its answer, or the failure, will come.
+		return
+	}
 	if c.wantedFrom != "" {
 		c.emit(ReadConfig{})
 		c.wantedAt = c.now + 2*nearTime
 		c.fetchNext, c.wantedFrom = c.wantedFrom, ""
 		return
 	}
-	if c.fetching < c.wanted {
-		c.wantedAt = c.now + 2*nearTime
-		c.fetch(c.fetchNext, c.wanted)
-	}
+	c.wantedAt = c.now + 2*nearTime
+	c.fetch(c.fetchNext, c.wanted)
 }
 
 // watchers is how many daemons of a data centre wait at the store: one, and one
--- /dev/null
+++ b/internal/daemon/config.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"godwitmount/internal/control"
+	"godwitmount/internal/hop"
+)
+
+// readConfig decodes a configuration for the reducer and packs it for peers.
+func (d *Daemon) readConfig(source []byte, from string) {
+	packed, err := hop.Pack(source)
+	if err != nil {
+		d.loop.post(control.ConfigRejected{Err: err, From: from})
+		return
+	}
+	d.decodeConfig(source, packed, from)
+}
+
+// readPacked decodes a configuration that a peer has sent.
+func (d *Daemon) readPacked(packed []byte, from string) {
+	source, err := hop.Unpack(packed)
+	if err != nil {
+		d.loop.post(control.ConfigRejected{Err: err, From: from})
+		return
+	}
+	d.decodeConfig(source, packed, from)
+}
+
+func (d *Daemon) decodeConfig(source, packed []byte, from string) {
+	version, m, err := d.cfg.Platform.ParseConfig(source)
+	if err != nil {
+		d.loop.post(control.ConfigRejected{Err: err, From: from})
+		return
+	}
+	d.loop.post(control.ConfigRead{Version: version, Manifest: m, Packed: packed, From: from})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -312,7 +312,7 @@
 	if t == nil {
 		return &hopv1.ConfigAnswer{}
 	}
-	return &hopv1.ConfigAnswer{Version: t.Version, Source: t.Source}
+	return &hopv1.ConfigAnswer{Version: t.Version, Packed: t.Packed}
 }
 
 // State implements hop.Handler.
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -25,7 +25,7 @@
 	case step.Log:
 		d.write(e)
 	case control.PublishTable:
-		d.proxy.SetTable(&proxy.Table{Table: e.Table, Version: e.Version, Source: e.Source})
+		d.proxy.SetTable(&proxy.Table{Table: e.Table, Version: e.Version, Packed: e.Packed})
 		d.tell()
 	case control.PublishMembers:
 		d.peers.Set(e.Members)
@@ -86,7 +86,7 @@
 		d.loop.post(control.FetchFailed{})
 		return
 	}
-	d.readConfig(answer.GetSource(), e.Instance)
+	d.readPacked(answer.GetPacked(), e.Instance)
 }
 
 // setLatest puts a value into a channel of one, in place of one that waits.
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -20,12 +20,15 @@
 	// configWait is how long one wait for a new configuration lasts. A call
 	// that the store has lost is noticed soon after.
 	configWait = 2 * time.Second
+	// dutyGrace is how long a daemon that has just read the configuration waits
+	// for peers that wait at the store already.
+	dutyGrace = 600 * time.Millisecond
 	// configPoll is how often a daemon that does not wait at the store looks
 	// there; it hears of versions from its peers.
-	configPoll = 12 * time.Second
+	configPoll = 40 * time.Second
 	// membersPoll is how often the member table is looked at. Daemons that
 	// join greet all others, so that this only finds what was missed.
-	membersPoll = 10 * time.Second
+	membersPoll = 40 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
@@ -112,7 +115,7 @@
 	t := &table{store: p.Store, name: p.ConfigTable, log: d.log, backoff: minBackoff, lose: d.storeLost, take: func(rows []store.Row, _ bool) {
 		for _, row := range rows {
 			if row.Key == p.ConfigKey && !row.Removed {
-				d.readConfig(row.Value, "store")
+				d.readConfig(row.Value, control.FromStore)
 			}
 		}
 	}}
@@ -122,7 +125,13 @@
 		case duty = <-d.duty:
 		default:
 		}
-		if duty || !t.known {
+		if !t.known {
+			if t.look(ctx, 0) {
+				duty = d.awaitDuty(ctx, duty)
+			}
+			continue
+		}
+		if duty {
 			t.look(ctx, configWait)
 			continue
 		}
@@ -139,6 +148,22 @@
 	}
 }
 
+// awaitDuty waits for a moment for the news that other daemons are on duty.
+func (d *Daemon) awaitDuty(ctx context.Context, duty bool) bool {
+	timer := time.NewTimer(dutyGrace)
+	defer timer.Stop()
+	for duty {
+		select {
+		case <-ctx.Done():
+			return duty
+		case <-timer.C:
+			return duty
+		case duty = <-d.duty:
+		}
+	}
+	return duty
+}
+
 // storeLost tells peers whether the store answers this daemon, so that another
 // one goes on duty.
 func (d *Daemon) storeLost(lost bool) {
@@ -147,16 +172,6 @@
 	}
 }
 
-// readConfig decodes a configuration for the reducer.
-func (d *Daemon) readConfig(source []byte, from string) {
-	version, m, err := d.cfg.Platform.ParseConfig(source)
-	if err != nil {
-		d.loop.post(control.ConfigRejected{Err: err, From: from})
-		return
-	}
-	d.loop.post(control.ConfigRead{Version: version, Manifest: m, Source: source, From: from})
-}
-
 // watchMembers looks at the member table, often at first.
 func (d *Daemon) watchMembers(ctx context.Context) {
 	t := &table{
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -34,7 +34,7 @@
 }
 
 func (h *testHandler) Config() *hopv1.ConfigAnswer {
-	return &hopv1.ConfigAnswer{Version: 3, Source: []byte("source")}
+	return &hopv1.ConfigAnswer{Version: 3, Packed: []byte("source")}
 }
 
 func (h *testHandler) State() *hopv1.State { return &hopv1.State{ConfigVersion: 3} }
@@ -165,7 +165,7 @@
 	}
 	wg.Wait()
 	config, err := client.FetchConfig(context.Background())
-	if err != nil || config.Version != 3 || string(config.Source) != "source" {
+	if err != nil || config.Version != 3 || string(config.Packed) != "source" {
 		t.Errorf("%v %v", config, err)
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -107,8 +107,8 @@
 type Table struct {
 	*manifest.Table
 	Version uint64
-	// Source is the configuration as it was read.
-	Source []byte
+	// Packed is the configuration as it was read, for peers that ask for it.
+	Packed []byte
 }
 
 // New returns a data path without a configuration and an upstream.
