Place requests by what the way to a machine takes, large ones evenly

Cause: on the grown kbh deployment the fastest upstreams of dispatch-desk drew most downloads of 90 kB, and filled their machines' lines of 10.5 Mbit/s: answers lay on the way for 0.4 s in one of a hundred cases, 1.9 s at worst, while the number of requests at the upstream said nothing. Change: the executing daemon tells how long a request was with it; what is left is the way. Peers tell it what they saw, it tells all the mean (routing.Line). Requests from 32 KB on are spread over near upstreams whatever their speed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -303,7 +303,7 @@
 
 // Execute implements hop.Handler.
 func (h hopHandler) Execute(ctx context.Context, request *hopv1.Request) *hopv1.Frame {
-	return h.d.proxy.Execute(ctx, request)
+	return h.d.proxy.ExecuteFor(ctx, request)
 }
 
 // Config implements hop.Handler.
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -158,6 +158,7 @@
 // take handles one frame of the peer. The peer's hello makes the connection
 // usable.
 func (c *Client) take(l *link, frame *hopv1.Frame) {
+	c.hooks.Patience.Heard(c.now())
 	switch body := frame.Body.(type) {
 	case *hopv1.Frame_Hello:
 		c.mu.Lock()
@@ -261,12 +262,15 @@
 	return 0
 }
 
-// Unanswered is how long a sign of the peer has been waited for.
+// Unanswered is how long a sign of the peer has been waited for while others
+// were heard.
 func (c *Client) Unanswered() time.Duration {
-	if asked := time.Duration(c.asked.Load()); asked > 0 {
-		return c.now() - asked
+	asked := time.Duration(c.asked.Load())
+	if asked == 0 {
+		return 0
 	}
-	return 0
+	now := c.now()
+	return c.hooks.Patience.Excess(now, now-asked)
 }
 
 func (c *Client) busy() bool {
--- a/internal/hop/patience.go
+++ b/internal/hop/patience.go
@@ -30,6 +30,23 @@
 	// extra is what was added to minGiveUp at the time at.
 	extra time.Duration
 	at    time.Duration
+	// heard is when a frame of any peer arrived last.
+	heard time.Duration
+}
+
+// Heard notes that a frame of any peer has arrived.
+func (p *Patience) Heard(now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard = now
+}
+
+// Excess returns the part of a peer's silence that the machine's own line does
+// not explain: where nothing arrives from anyone, no peer is to blame.
+func (p *Patience) Excess(now, silence time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(silence-(now-p.heard), 0)
 }
 
 // GiveUpAfter returns the silence after which a connection counts as lost.
--- a/internal/hop/patience_test.go
+++ b/internal/hop/patience_test.go
@@ -31,3 +31,18 @@
 		t.Errorf("long after: %s", got)
 	}
 }
+
+// TestOwnLineExplainsSilence covers a machine whose own line is full: all peers
+// are silent at once.
+func TestOwnLineExplainsSilence(t *testing.T) {
+	p := &Patience{}
+	const now = time.Minute
+	p.Heard(now - 300*time.Millisecond)
+	if got := p.Excess(now, 280*time.Millisecond); got != 0 {
+		t.Errorf("all are silent, and one is blamed for %s", got)
+	}
+	p.Heard(now - 10*time.Millisecond)
+	if got := p.Excess(now, 280*time.Millisecond); got != 270*time.Millisecond {
+		t.Errorf("one is silent, and is blamed for %s", got)
+	}
+}
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -15,6 +15,21 @@
 	"godwitmount/internal/upstream"
 )
 
+// ExecuteFor runs a request of a peer, and tells how long it was here.
+func (p *Proxy) ExecuteFor(ctx context.Context, request *hopv1.Request) *hopv1.Frame {
+	arrived := p.now()
+	p.noteLine(microseconds(request.LineDelayUs))
+	frame := p.Execute(ctx, request)
+	spent := uint32((p.now() - arrived).Microseconds())
+	switch body := frame.Body.(type) {
+	case *hopv1.Frame_Answer:
+		body.Answer.SpentUs = spent
+	case *hopv1.Frame_Failure:
+		body.Failure.SpentUs = spent
+	}
+	return frame
+}
+
 // Execute runs a request at the upstream beside the daemon, if that can be
 // done. The frame is the upstream's answer, or a failure.
 func (p *Proxy) Execute(ctx context.Context, request *hopv1.Request) *hopv1.Frame {
@@ -154,3 +169,5 @@
 }
 
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func microseconds(n uint32) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -53,6 +53,9 @@
 	state  atomic.Pointer[peerState]
 	// own counts the own requests that are under way there.
 	own atomic.Int64
+	// lineDelay is what the way there and back took for the last request, in
+	// nanoseconds; 0 is unknown.
+	lineDelay atomic.Int64
 	// left is the peer's upstream that said it leaves, until another one is
 	// there.
 	left atomic.Pointer[hopv1.Left]
@@ -256,7 +259,7 @@
 
 func (p *peer) candidate(state *peerState, now time.Duration, near bool) routing.Candidate {
 	fade := math.Exp(-float64(now-state.at) / float64(loadFade))
-	hold := time.Duration(state.GetServiceTimeUs()) * time.Microsecond
+	hold := microseconds(state.GetServiceTimeUs())
 	if hold == 0 {
 		hold = unknownHold
 	}
@@ -267,6 +270,7 @@
 		Load:     float64(p.own.Load()) + fade*state.others,
 		Slots:    int(state.GetSlots()),
 		Hold:     hold,
+		Line:     time.Duration(fade * float64(microseconds(state.GetLineDelayUs()))),
 		Silent:   p.client.Unanswered(),
 	}
 }
@@ -275,7 +279,15 @@
 func (p *peer) send(ctx context.Context, request *hopv1.Request) (*hopv1.Frame, error) {
 	p.own.Add(1)
 	defer p.own.Add(-1)
-	return p.client.Do(ctx, request)
+	request.LineDelayUs = uint32(time.Duration(p.lineDelay.Load()).Microseconds())
+	sent := time.Now()
+	frame, err := p.client.Do(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	spent := max(frame.GetAnswer().GetSpentUs(), frame.GetFailure().GetSpentUs())
+	p.lineDelay.Store(int64(max(time.Since(sent)-microseconds(spent), 0)))
+	return frame, nil
 }
 
 // avoid leaves a peer alone for a while.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -98,7 +98,9 @@
 	refused  *refusals
 	suspects *quarantine.Set
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// line is the way to this daemon and back.
+	line    routing.Line
 	budgets map[string]*routing.Budget
 	sizes   map[string]float64
 }
@@ -193,6 +195,7 @@
 		StoreLost:     p.storeLost.Load(),
 		Leaving:       u.Leaving(),
 		Born:          u.Born,
+		LineDelayUs:   uint32(p.lineDelay().Microseconds()),
 	}
 	if t := p.table.Load(); t != nil {
 		state.ConfigVersion = t.Version
@@ -266,6 +269,23 @@
 	return p.budget(service).Spend(p.now())
 }
 
+// noteLine takes what the way to this daemon and back took for a peer's last
+// request; 0 is unknown.
+func (p *Proxy) noteLine(took time.Duration) {
+	if took == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.line.Observe(p.now(), took)
+}
+
+func (p *Proxy) lineDelay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.line.Delay(p.now())
+}
+
 // sizeWeight is the weight of a new size in the mean of a route.
 const sizeWeight = 0.05
 
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -20,6 +20,8 @@
 	Slots int
 	// Hold is the mean time for which a request holds a slot.
 	Hold time.Duration
+	// Line is what the way there and back is expected to take.
+	Line time.Duration
 	// Silent is how long a sign of the daemon has been waited for in vain.
 	Silent time.Duration
 }
@@ -59,6 +61,10 @@
 	// silentWeight is how many times the silence of a daemon counts: when it
 	// is cut off, the wait has only begun.
 	silentWeight = 4
+	// largeSpread takes the place of spread for large requests: what counts for
+	// them are the lines of machines, which are alike, and not which upstream
+	// computes fastest.
+	largeSpread = 300 * time.Millisecond
 	// kilobyte is the unit of farPerKilobyte.
 	kilobyte = 1024
 )
@@ -81,7 +87,7 @@
 		if !c.Near && near && !c.worthTheWay(ask.Bytes) {
 			continue
 		}
-		cost := c.cost(ask.Bytes) + time.Duration(ask.Draw()*spread*float64(c.Hold))
+		cost := c.cost(ask.Bytes) + time.Duration(ask.Draw()*float64(ask.spread(c)))
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -125,7 +131,7 @@
 
 // cost is the time until the answer, and what the way costs put as time.
 func (c *Candidate) cost(bytes int) time.Duration {
-	cost := c.Wait() + c.Hold + silentWeight*c.Silent
+	cost := c.Wait() + c.Hold + c.Line + silentWeight*c.Silent
 	if !c.Near {
 		cost += farDelay + farPerKilobyte*time.Duration(bytes+hopBytes)/kilobyte
 	}
@@ -141,6 +147,14 @@
 	return time.Duration(excess * float64(c.Hold) / float64(c.Slots))
 }
 
+// spread is the largest random addition to a candidate's cost.
+func (a *Ask) spread(c *Candidate) time.Duration {
+	if a.Bytes >= farLimit {
+		return largeSpread
+	}
+	return time.Duration(spread * float64(c.Hold))
+}
+
 func (a *Ask) tried(instance string) bool {
 	for _, tried := range a.Tried {
 		if tried == instance {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -28,6 +28,8 @@
 	full, idle := 15.0, 1.0
 	closed := at("closed", true, 0, 10*ms)
 	closed.Takes = false
+	filled := at("filled", true, idle, 10*ms)
+	filled.Line = 200 * ms
 	silent := at("silent", true, 0, 10*ms)
 	silent.Silent = 50 * ms
 	for name, c := range map[string]struct {
@@ -47,6 +49,7 @@
 		"not one that takes nothing":       {[]Candidate{closed, at("b", true, full, 90*ms)}, 0, nil, "b"},
 		"not one that says nothing":        {[]Candidate{silent, at("b", true, idle, 90*ms)}, 0, nil, "b"},
 		"a silent one when it must":        {[]Candidate{silent, closed}, 0, nil, "silent"},
+		"not one whose line is full":       {[]Candidate{filled, at("b", true, idle, 90*ms)}, 0, nil, "b"},
 		"not one that was tried":           {[]Candidate{at("a", true, idle, 9*ms), at("b", true, idle, 90*ms)}, 0, []string{"a"}, "b"},
 		"nothing when all have been tried": {[]Candidate{at("a", true, idle, 9*ms)}, 0, []string{"a"}, ""},
 	} {
