Let load count before an upstream is full; old news count as the mean

Cause: on the grown kbh deployment 24 daemons place requests at 19 near upstreams and hear of each of them twice a second. All filled the fastest first, and took one without news for idle: one in ten requests waited for over 58 ms and one in twenty for over 169 ms, with a third of the slots in use. Ruled out: the way (mended before). Change: Estimate puts the mean of near upstreams in the place of old news, which fade in 1 s; a candidate's load costs up to two hold times before it is full, among the upstreams of one place.

--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -231,7 +231,9 @@
 			Hold:     load.Hold,
 		})
 	}
-	return p.deps.Peers.candidates(all, service)
+	all = p.deps.Peers.candidates(all, service)
+	routing.Estimate(all)
+	return all
 }
 
 // answerFailure tells the caller what became of its request.
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,9 +17,6 @@
 )
 
 const (
-	// loadFade is the age at which what a peer said of its load counts for
-	// little.
-	loadFade = 400 * time.Millisecond
 	// unknownHold stands for the hold time of an upstream that has told none.
 	unknownHold = 100 * time.Millisecond
 	// failurePause is how long a peer is left alone after it broke a request.
@@ -258,7 +254,6 @@
 }
 
 func (p *peer) candidate(state *peerState, now time.Duration, near bool) routing.Candidate {
-	fade := math.Exp(-float64(now-state.at) / float64(loadFade))
 	hold := microseconds(state.GetServiceTimeUs())
 	if hold == 0 {
 		hold = unknownHold
@@ -267,10 +262,12 @@
 		Instance: p.Instance,
 		Near:     near,
 		Takes:    p.up.Load() && state.GetTakesWork() && int64(now) >= p.avoidUntil.Load(),
-		Load:     float64(p.own.Load()) + fade*state.others,
+		Own:      float64(p.own.Load()),
+		Others:   state.others,
+		Age:      now - state.at,
 		Slots:    int(state.GetSlots()),
 		Hold:     hold,
-		Line:     time.Duration(fade * float64(microseconds(state.GetLineDelayUs()))),
+		Line:     microseconds(state.GetLineDelayUs()),
 		Silent:   p.client.Unanswered(),
 	}
 }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -15,12 +15,18 @@
 	Near bool
 	// Takes tells that the upstream can be reached and takes requests.
 	Takes bool
-	// Load is the number of requests that run or wait there.
-	Load  float64
-	Slots int
+	// Load is the number of requests that run or wait there: as it is known, or
+	// as Estimate has worked it out from Own, Others and Age.
+	Load float64
+	// Own are the deciding daemon's requests there, and Others the rest of the
+	// load when the daemon there told of it, Age ago.
+	Own    float64
+	Others float64
+	Age    time.Duration
+	Slots  int
 	// Hold is the mean time for which a request holds a slot.
 	Hold time.Duration
-	// Line is what the way there and back is expected to take.
+	// Line is what the way there and back took, as told Age ago.
 	Line time.Duration
 	// Silent is how long a sign of the daemon has been waited for in vain.
 	Silent time.Duration
@@ -58,6 +64,10 @@
 	// spread is the largest random addition to a candidate's cost, as a share
 	// of its hold time, so that daemons with the same news choose differently.
 	spread = 0.3
+	// crowding is what a full upstream costs more than an idle one, in hold
+	// times: other daemons place requests there that have not been told of, and
+	// all would fill the fastest one first.
+	crowding = 2
 	// silentWeight is how many times the silence of a daemon counts: when it
 	// is cut off, the wait has only begun.
 	silentWeight = 4
@@ -78,16 +88,29 @@
 			return i
 		}
 	}
+	inside := ask.best(candidates, func(c *Candidate) bool { return c.Near })
+	outside := ask.best(candidates, func(c *Candidate) bool {
+		return !c.Near && (!near || c.worthTheWay(ask.Bytes))
+	})
+	if inside < 0 || outside < 0 {
+		return max(inside, outside)
+	}
+	if candidates[outside].cost(ask.Bytes) < candidates[inside].cost(ask.Bytes) {
+		return outside
+	}
+	return inside
+}
+
+// best returns the index of the best of the candidates that may be chosen, or
+// -1.
+func (a *Ask) best(candidates []Candidate, may func(*Candidate) bool) int {
 	best, bestCost := -1, time.Duration(0)
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.Takes || ask.tried(c.Instance) {
-			continue
-		}
-		if !c.Near && near && !c.worthTheWay(ask.Bytes) {
+		if !may(c) || !c.Takes || a.tried(c.Instance) {
 			continue
 		}
-		cost := c.cost(ask.Bytes) + time.Duration(ask.Draw()*float64(ask.spread(c)))
+		cost := c.cost(a.Bytes) + c.crowded() + time.Duration(a.Draw()*float64(a.spread(c)))
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -131,7 +154,8 @@
 
 // cost is the time until the answer, and what the way costs put as time.
 func (c *Candidate) cost(bytes int) time.Duration {
-	cost := c.Wait() + c.Hold + c.Line + silentWeight*c.Silent
+	line := time.Duration(c.freshness() * float64(c.Line))
+	cost := c.Wait() + c.Hold + line + silentWeight*c.Silent
 	if !c.Near {
 		cost += farDelay + farPerKilobyte*time.Duration(bytes+hopBytes)/kilobyte
 	}
@@ -147,6 +171,16 @@
 	return time.Duration(excess * float64(c.Hold) / float64(c.Slots))
 }
 
+// crowded is what the load costs before there is a wait. It counts between the
+// upstreams of one place only: while there is room nothing leaves it.
+func (c *Candidate) crowded() time.Duration {
+	if c.Slots == 0 {
+		return 0
+	}
+	share := c.Load / float64(c.Slots)
+	return time.Duration(crowding * share * share * float64(c.Hold))
+}
+
 // spread is the largest random addition to a candidate's cost.
 func (a *Ask) spread(c *Candidate) time.Duration {
 	if a.Bytes >= farLimit {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -38,20 +38,22 @@
 		tried      []string
 		want       string
 	}{
-		"none":                             {nil, 0, nil, ""},
-		"the faster near one":              {[]Candidate{at("a", true, idle, 90*ms), at("b", true, idle, 60*ms)}, 2000, nil, "b"},
-		"the less loaded near one":         {[]Candidate{at("a", true, full, 60*ms), at("b", true, idle, 90*ms)}, 2000, nil, "b"},
-		"near before far":                  {[]Candidate{at("a", true, 9, 90*ms), at("b", false, idle, 90*ms)}, 2000, nil, "a"},
-		"far when the near one is full":    {[]Candidate{at("a", true, 40, 90*ms), at("b", false, idle, 90*ms)}, 2000, nil, "b"},
-		"not far where that is full, too":  {[]Candidate{at("a", true, 40, 90*ms), at("b", false, 9, 90*ms)}, 2000, nil, "a"},
-		"a large one stays":                {[]Candidate{at("a", true, 40, 90*ms), at("b", false, idle, 90*ms)}, 90_000, nil, "a"},
-		"a large one goes when it must":    {[]Candidate{closed, at("b", false, full, 90*ms)}, 90_000, nil, "b"},
-		"not one that takes nothing":       {[]Candidate{closed, at("b", true, full, 90*ms)}, 0, nil, "b"},
-		"not one that says nothing":        {[]Candidate{silent, at("b", true, idle, 90*ms)}, 0, nil, "b"},
-		"a silent one when it must":        {[]Candidate{silent, closed}, 0, nil, "silent"},
-		"not one whose line is full":       {[]Candidate{filled, at("b", true, idle, 90*ms)}, 0, nil, "b"},
-		"not one that was tried":           {[]Candidate{at("a", true, idle, 9*ms), at("b", true, idle, 90*ms)}, 0, []string{"a"}, "b"},
-		"nothing when all have been tried": {[]Candidate{at("a", true, idle, 9*ms)}, 0, []string{"a"}, ""},
+		"none":                               {nil, 0, nil, ""},
+		"the faster near one":                {[]Candidate{at("a", true, idle, 90*ms), at("b", true, idle, 60*ms)}, 2000, nil, "b"},
+		"the less loaded near one":           {[]Candidate{at("a", true, full, 60*ms), at("b", true, idle, 90*ms)}, 2000, nil, "b"},
+		"near before far":                    {[]Candidate{at("a", true, 9, 90*ms), at("b", false, idle, 90*ms)}, 2000, nil, "a"},
+		"far when the near one is full":      {[]Candidate{at("a", true, 40, 90*ms), at("b", false, idle, 90*ms)}, 2000, nil, "b"},
+		"not far where that is full, too":    {[]Candidate{at("a", true, 40, 90*ms), at("b", false, 9, 90*ms)}, 2000, nil, "a"},
+		"far past a faster one without room": {[]Candidate{at("a", true, 40, 90*ms), at("b", false, 9, 20*ms), at("c", false, idle, 90*ms)}, 2000, nil, "c"},
+		"a large one stays":                  {[]Candidate{at("a", true, 40, 90*ms), at("b", false, idle, 90*ms)}, 90_000, nil, "a"},
+		"a large one goes when it must":      {[]Candidate{closed, at("b", false, full, 90*ms)}, 90_000, nil, "b"},
+		"not one that takes nothing":         {[]Candidate{closed, at("b", true, full, 90*ms)}, 0, nil, "b"},
+		"not one that says nothing":          {[]Candidate{silent, at("b", true, idle, 90*ms)}, 0, nil, "b"},
+		"a silent one when it must":          {[]Candidate{silent, closed}, 0, nil, "silent"},
+		"not one whose line is full":         {[]Candidate{filled, at("b", true, idle, 90*ms)}, 0, nil, "b"},
+		"not one that was tried":             {[]Candidate{at("a", true, idle, 9*ms), at("b", true, idle, 90*ms)}, 0, []string{"a"}, "b"},
+		"not far with a large one at last":   {[]Candidate{at("a", true, idle, 9*ms), at("b", false, idle, 9*ms)}, 90_000, []string{"a"}, ""},
+		"nothing when all have been tried":   {[]Candidate{at("a", true, idle, 9*ms)}, 0, []string{"a"}, ""},
 	} {
 		got := Choose(c.candidates, Ask{Bytes: c.bytes, Tried: c.tried, Draw: steady()})
 		name2 := ""
