Count the time that a request was on its way between daemons

Change: frames carry when they were sent on the sender's steady clock; the receiver takes the quickest frame of the last 2 to 4 s as the measure and takes the rest off the time left (transit). A suspended sender, whose clock stood still, begins a new measure. TestTimeRunsOnTheWay fails before (600 ms of 600 left after 200 ms) and passes.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -144,7 +144,7 @@
 func (c *Client) serve(conn net.Conn) (time.Duration, error) {
 	l := newLink(conn)
 	defer l.close()
-	if err := l.send(&hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: withState(c.hello, c.hooks.State(), c.hooks.Left())}}); err != nil {
+	if err := c.send(l, &hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: withState(c.hello, c.hooks.State(), c.hooks.Left())}}); err != nil {
 		return 0, err
 	}
 	c.watching.Store(false)
@@ -155,6 +155,12 @@
 	return <-given, err
 }
 
+// send queues a frame with the time.
+func (c *Client) send(l *link, frame *hopv1.Frame) error {
+	frame.SentUs = uint64(c.now().Microseconds())
+	return l.send(frame)
+}
+
 // take handles one frame of the peer. The peer's hello makes the connection
 // usable.
 func (c *Client) take(l *link, frame *hopv1.Frame) {
@@ -255,7 +261,7 @@
 	case asked == 0 && silence >= ping:
 		c.asked.Store(int64(now))
 		// A link that takes no more frames ends by itself.
-		_ = l.send(&hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: c.hooks.State()}}})
+		_ = c.send(l, &hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: c.hooks.State()}}})
 	case asked > 0 && now-asked >= c.hooks.Patience.GiveUpAfter(now)-pingAfter:
 		return silence
 	}
@@ -315,7 +321,7 @@
 		c.waitedSince.Store(int64(c.now()))
 		c.wakeWatch()
 	}
-	if err := l.send(frame); err != nil {
+	if err := c.send(l, frame); err != nil {
 		c.forget(frame.Stream)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -327,7 +333,7 @@
 		return reply, nil
 	case <-ctx.Done():
 		c.forget(frame.Stream)
-		_ = l.send(&hopv1.Frame{Stream: frame.Stream, Body: &hopv1.Frame_Cancel{Cancel: &hopv1.Cancel{}}})
+		_ = c.send(l, &hopv1.Frame{Stream: frame.Stream, Body: &hopv1.Frame_Cancel{Cancel: &hopv1.Cancel{}}})
 		return nil, ctx.Err()
 	}
 }
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -20,9 +20,12 @@
 type testHandler struct {
 	cancelled chan string
 	heard     atomic.Int64
+	// remaining is the time left of the last request, in milliseconds.
+	remaining atomic.Int64
 }
 
 func (h *testHandler) Execute(ctx context.Context, request *hopv1.Request) *hopv1.Frame {
+	h.remaining.Store(int64(request.RemainingMs))
 	if request.Id == "slow" {
 		<-ctx.Done()
 		h.cancelled <- request.Id
@@ -219,3 +222,24 @@
 		t.Errorf("%d bytes, %v", len(frame.GetAnswer().GetBody()), err)
 	}
 }
+
+// TestTimeRunsOnTheWay covers a request that is held up on its way: what its
+// caller still waits for is less by that.
+func TestTimeRunsOnTheWay(t *testing.T) {
+	handler, v, client, _ := startPair(t)
+	send := func() int64 {
+		if _, err := client.Do(context.Background(), &hopv1.Request{Id: "a", RemainingMs: 600}); err != nil {
+			t.Fatal(err)
+		}
+		return handler.remaining.Load()
+	}
+	if left := send(); left < 500 {
+		t.Errorf("%d ms are left after a quick way", left)
+	}
+	v.mu.Lock()
+	v.pause = 200 * time.Millisecond
+	v.mu.Unlock()
+	if left := send(); left > 410 {
+		t.Errorf("%d ms of 600 are left after 200 ms on the way", left)
+	}
+}
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 )
@@ -74,6 +75,9 @@
 	link   *link
 	ctx    context.Context
 	peer   string
+	// epoch is the zero of the times at which frames arrive.
+	epoch   time.Time
+	transit transit
 
 	mu      sync.Mutex
 	running map[uint64]context.CancelFunc
@@ -87,7 +91,7 @@
 	s.links[l] = true
 	s.mu.Unlock()
 	defer s.forget(l)
-	session := &session{server: s, link: l, ctx: ctx, running: map[uint64]context.CancelFunc{}}
+	session := &session{server: s, link: l, ctx: ctx, epoch: time.Now(), running: map[uint64]context.CancelFunc{}}
 	// The end of a connection is the peer's business; it connects again.
 	_ = l.read(session.take)
 }
@@ -100,6 +104,7 @@
 
 func (s *session) take(frame *hopv1.Frame) {
 	handler := s.server.handler
+	delay := s.transit.delay(time.Since(s.epoch), time.Duration(frame.SentUs)*time.Microsecond)
 	switch body := frame.Body.(type) {
 	case *hopv1.Frame_Hello:
 		s.peer = body.Hello.GetInstance()
@@ -110,6 +115,9 @@
 		_ = s.link.send(&hopv1.Frame{Body: &hopv1.Frame_Pong{Pong: &hopv1.Pong{State: handler.State()}}})
 		handler.Heard(s.peer, body.Ping.GetState())
 	case *hopv1.Frame_Request:
+		// Its time has run on the way, too.
+		body.Request.RemainingMs = shortened(body.Request.RemainingMs, delay)
+		body.Request.GoalMs = shortened(body.Request.GoalMs, delay)
 		s.start(frame.Stream, body.Request)
 	case *hopv1.Frame_Cancel:
 		s.cancel(frame.Stream)
