Use all fields of the manifest: queue limit, slow start, connections, attempt time, budget

Cause: queue_limit, slow_start, max_connections, per_try_timeout and budget_percent were checked and documented but nothing read them since the data path was made anew. Change: the gate takes at most max_connections requests and lets queue_limit wait; other daemons are told of a growing part of the slots during the slow start; one attempt ends after per_try_timeout and is repeated only if the rule names it; a retry is taken from the budgets of its rule and of its service. queue_limit 0 now leaves the queue to the goals of requests, as it has been in fact. On the platform only max_connections is given, and exceeds the slots.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -125,11 +125,11 @@
 	}
 }
 
-// Open lets requests in, for an upstream with a number of slots.
-func (g *Gate) Open(slots int) {
+// Open lets requests in, for an upstream with a number of slots; see Queue.Open.
+func (g *Gate) Open(slots, limit int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue.Open(slots)
+	g.queue.Open(slots, limit)
 	for {
 		next, late := g.queue.Next(g.now())
 		g.tell(next, late)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -85,7 +85,9 @@
 // Queue is the slots of one upstream and the requests that wait for them. It
 // is used by one goroutine at a time.
 type Queue struct {
-	slots   int
+	slots int
+	// limit is how many tickets may wait; 0 is no limit.
+	limit   int
 	running int
 	open    bool
 	waiting []*Ticket
@@ -112,7 +114,7 @@
 		q.running++
 		return nil, 0, 0
 	}
-	if ask.Visiting {
+	if ask.Visiting || q.limit > 0 && len(q.waiting) >= q.limit {
 		return nil, Full, 0
 	}
 	ticket := &Ticket{Ask: ask, order: q.order, since: now}
@@ -228,10 +230,12 @@
 	return true
 }
 
-// Open lets requests in, for an upstream with a number of slots.
-func (q *Queue) Open(slots int) {
+// Open lets requests in, for an upstream with a number of slots. At most limit
+// requests wait, if that is above 0.
+func (q *Queue) Open(slots, limit int) {
 	q.open = true
 	q.slots = slots
+	q.limit = limit
 }
 
 // Close keeps new requests out and returns the tickets that waited.
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -11,7 +11,7 @@
 // open returns a queue whose requests of kind "k" take about 100 ms.
 func open(slots int) *Queue {
 	q := NewQueue()
-	q.Open(slots)
+	q.Open(slots, 0)
 	for range 200 {
 		q.running++
 		q.Release(0, "k", 100*ms)
@@ -42,7 +42,7 @@
 	if _, reason, _ := q.Offer(0, fresh(0)); reason != Closed {
 		t.Errorf("reason %v", reason)
 	}
-	q.Open(1)
+	q.Open(1, 0)
 	fill(t, q)
 	ticket, _, _ := q.Offer(0, fresh(0))
 	if waiting := q.Close(); len(waiting) != 1 || waiting[0] != ticket {
@@ -110,7 +110,7 @@
 // would leave its slots empty.
 func TestSlowUpstreamStillLetsWait(t *testing.T) {
 	q := NewQueue()
-	q.Open(10)
+	q.Open(10, 0)
 	for i := range 200 {
 		q.running++
 		q.Release(0, "k", time.Duration(100+i%2*400)*ms)
@@ -224,3 +224,30 @@
 		t.Errorf("%d requests wait", taken)
 	}
 }
+
+// TestQueueLimitBinds covers a service whose operator allows few to wait.
+func TestQueueLimitBinds(t *testing.T) {
+	q := NewQueue()
+	q.Open(1, 2)
+	ask := Ask{Kind: "k", Goal: time.Minute, Deadline: time.Minute}
+	for i := range 3 {
+		if _, reason, _ := q.Offer(0, ask); reason != 0 {
+			t.Errorf("request %d was refused: %s", i, reason)
+		}
+	}
+	if _, reason, _ := q.Offer(0, ask); reason != Full {
+		t.Errorf("a third one may wait: %s", reason)
+	}
+}
+
+// TestRamp covers an upstream that needs ten seconds to get warm.
+func TestRamp(t *testing.T) {
+	for age, want := range map[time.Duration]int{0: 1, 2 * time.Second: 2, 5 * time.Second: 5, 10 * time.Second: 10, time.Hour: 10} {
+		if got := Ramp(10, age, 10*time.Second); got != want {
+			t.Errorf("after %s: %d slots, want %d", age, got, want)
+		}
+	}
+	if got := Ramp(10, 0, 0); got != 10 {
+		t.Errorf("without a slow start: %d slots", got)
+	}
+}
--- a/internal/manifest/compile.go
+++ b/internal/manifest/compile.go
@@ -8,6 +8,7 @@
 	manifest *Manifest
 	routes   []CompiledRoute
 	index    *routeIndex
+	services map[string]*Service
 }
 
 // CompiledRoute is a route with its references resolved.
@@ -30,6 +31,9 @@
 // order and with defaults filled in.
 func (t *Table) Manifest() *Manifest { return t.manifest }
 
+// Service returns what the manifest says of a service, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
 // Routes returns the compiled routes in match order; callers must not change
 // them.
 func (t *Table) Routes() []CompiledRoute { return t.routes }
@@ -66,7 +70,7 @@
 		}
 		routes[i] = CompiledRoute{Route: route, Targets: targets, Rule: rule}
 	}
-	return &Table{manifest: own, routes: routes, index: indexRoutes(own.Routes)}, nil
+	return &Table{manifest: own, routes: routes, services: services, index: indexRoutes(own.Routes)}, nil
 }
 
 // targetsOf resolves the services of a route.
--- a/internal/manifest/limits.go
+++ b/internal/manifest/limits.go
@@ -11,9 +11,6 @@
 	DefaultMaxBody int64 = 1 << 20
 	// DefaultSlowStart is how long a newly ready upstream gets a growing share.
 	DefaultSlowStart = 5 * time.Second
-	// DefaultQueuePerSlot is how many requests may wait for each slot of an
-	// upstream, when its service has no queue limit.
-	DefaultQueuePerSlot = 2
 	// DefaultBudgetPercent is how many retries are allowed for each 100 first
 	// sends.
 	DefaultBudgetPercent = 20
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -41,18 +41,18 @@
 // Service is a set of upstreams that run the same program.
 type Service struct {
 	Name string `json:"name" strict:"required"`
-	// QueueLimit is how many admitted requests may wait for a slot at one
-	// instance. 0 means DefaultQueuePerSlot for each slot of the upstream.
+	// QueueLimit is how many requests may wait for a slot at one instance; 0
+	// leaves that to the goals of the requests.
 	QueueLimit int `json:"queue_limit"`
-	// SlowStart is how long a newly ready upstream gets a growing share. A
-	// manifest without it gets DefaultSlowStart; 0 gives the full share at
+	// SlowStart is how long other daemons are told of a part of a newly ready
+	// upstream's slots only, which grows. A manifest without it gets DefaultSlowStart; 0 gives the full share at
 	// once.
 	SlowStart Duration `json:"slow_start"`
 	// MaxBody is the largest request body in bytes. A manifest without it gets
 	// DefaultMaxBody.
 	MaxBody int64 `json:"max_body_bytes"`
-	// MaxConnections is how many connections one upstream accepts; 0 means
-	// that it is not known.
+	// MaxConnections is how many connections one upstream accepts, and so how
+	// many requests it gets at once at most; 0 means that it is not known.
 	MaxConnections int `json:"max_connections,omitempty"`
 }
 
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -88,6 +88,7 @@
 		Idempotent:    c.idempotent,
 		Nested:        c.nested,
 		Route:         route.Name,
+		AttemptMs:     attemptTime(route.Rule),
 	}
 	if p.quarantined(c.request) {
 		return c, fail(code.CallQuarantined)
@@ -112,6 +113,14 @@
 	c.goal = c.started.Add(min(goal-c.age, bound))
 }
 
+// attemptTime is the time of one attempt in milliseconds, or 0.
+func attemptTime(rule *manifest.RetryRule) uint32 {
+	if rule == nil {
+		return 0
+	}
+	return uint32(rule.PerTryTimeout.Std().Milliseconds())
+}
+
 // fromUpstream tells whether a request that runs at the upstream beside the
 // daemon sent this one and waits for it.
 func (p *Proxy) fromUpstream(id string) bool {
--- a/internal/proxy/decide.go
+++ b/internal/proxy/decide.go
@@ -21,11 +21,13 @@
 	rejected
 	// unknown: the request may have run and has no answer.
 	unknown
+	// timedOut: the upstream has not answered within the time of one attempt.
+	timedOut
 )
 
 // String returns the result's name in logs.
 func (r result) String() string {
-	names := [...]string{"answered", "server-error", "not-sent", "rejected", "unknown"}
+	names := [...]string{"answered", "server-error", "not-sent", "rejected", "unknown", "timed-out"}
 	if int(r) >= len(names) {
 		return "invalid"
 	}
@@ -84,6 +86,7 @@
 	on := map[result]manifest.RetryOn{
 		rejected:    manifest.RetryNotRun,
 		unknown:     manifest.RetryUnknown,
+		timedOut:    manifest.RetryTimeout,
 		serverError: manifest.RetryStatus5xx,
 	}
 	if rule.Covers(on[r]) {
--- a/internal/proxy/decide_test.go
+++ b/internal/proxy/decide_test.go
@@ -10,6 +10,7 @@
 func TestDecide(t *testing.T) {
 	repeatable := &manifest.RetryRule{Attempts: 3, On: []manifest.RetryOn{manifest.RetryNotRun, manifest.RetryUnknown, manifest.RetryStatus5xx}}
 	once := &manifest.RetryRule{Attempts: 2, On: []manifest.RetryOn{manifest.RetryNotRun}}
+	slow := &manifest.RetryRule{Attempts: 2, On: []manifest.RetryOn{manifest.RetryTimeout}}
 	for name, c := range map[string]struct {
 		result result
 		done   progress
@@ -27,6 +28,8 @@
 		"unless it may run twice":                      {unknown, progress{arrivals: 1}, repeatable, repeat},
 		"an error of the upstream is no reason either": {serverError, progress{arrivals: 1}, once, finish},
 		"unless it may run twice, again":               {serverError, progress{arrivals: 1}, repeatable, repeat},
+		"a slow attempt is no unknown one":             {timedOut, progress{arrivals: 1}, repeatable, finish},
+		"a slow attempt is repeated if the rule says":  {timedOut, progress{arrivals: 1}, slow, repeat},
 		"what crashed two upstreams gets no third":     {unknown, progress{arrivals: 2, crashes: 2}, repeatable, finish},
 	} {
 		if got := decide(c.result, c.done, c.rule); got != c.want {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -58,14 +58,14 @@
 
 // fly sends the request until it has an answer or must not be sent again.
 func (f *flight) fly(ctx context.Context) (*hopv1.Answer, *failure) {
-	f.proxy.earn(f.call.service)
+	f.proxy.earn(f.call)
 	for {
 		frame, r := f.attempt(ctx)
 		if ctx.Err() != nil && r != answered {
 			return nil, f.timedOut(ctx)
 		}
 		step := decide(r, f.progress, f.call.route.Rule)
-		if step == repeat && !f.proxy.spend(f.call.service) {
+		if step == repeat && !f.proxy.spend(f.call) {
 			step = finish
 		}
 		if step == finish || frame == nil {
@@ -210,8 +210,11 @@
 		return frame, notSent
 	}
 	f.arrivals++
-	if code.Code(failed.Code) == code.CallUpstreamLost {
+	switch code.Code(failed.Code) {
+	case code.CallUpstreamLost:
 		f.crashes++
+	case code.CallDeadlineUnknown:
+		return frame, timedOut
 	}
 	return frame, unknown
 }
@@ -227,7 +230,7 @@
 			Near:     true,
 			Takes:    load.Open,
 			Load:     float64(load.Running + load.Waiting),
-			Slots:    load.Slots,
+			Slots:    p.toldSlots(load.Slots),
 			Hold:     load.Hold,
 		})
 	}
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -84,6 +84,9 @@
 func (p *Proxy) run(ctx context.Context, request *hopv1.Request, u *control.Upstream, arrived, deadline time.Duration) *hopv1.Frame {
 	started := p.now()
 	left := deadline - started
+	if request.AttemptMs > 0 {
+		left = min(left, milliseconds(request.AttemptMs))
+	}
 	if !request.Idempotent {
 		// A request that must not run twice is not broken off when its caller
 		// goes: it may have been done already.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -84,8 +84,11 @@
 	service  atomic.Pointer[string]
 	table    atomic.Pointer[Table]
 	upstream atomic.Pointer[control.Upstream]
-	stopping atomic.Bool
-	closed   atomic.Bool
+	// upstreamSince is when the upstream became known, in nanoseconds since
+	// epoch.
+	upstreamSince atomic.Int64
+	stopping      atomic.Bool
+	closed        atomic.Bool
 	// storeLost is set while the store does not answer this daemon.
 	storeLost atomic.Bool
 	entering  atomic.Int64
@@ -102,7 +105,9 @@
 	// line is the way to this daemon and back.
 	line    routing.Line
 	budgets map[string]*routing.Budget
-	sizes   map[string]float64
+	// ruleBudgets are by the name of the rule.
+	ruleBudgets map[string]*ruleBudget
+	sizes       map[string]float64
 }
 
 // Table is a configuration in force.
@@ -117,14 +122,15 @@
 func New(cfg Config, deps Deps) (*Proxy, error) {
 	epoch := time.Now()
 	p := &Proxy{
-		cfg:      cfg,
-		deps:     deps,
-		epoch:    epoch,
-		gate:     admission.NewGate(epoch),
-		refused:  newRefusals(),
-		suspects: quarantine.NewSet(),
-		budgets:  map[string]*routing.Budget{},
-		sizes:    map[string]float64{},
+		cfg:         cfg,
+		deps:        deps,
+		epoch:       epoch,
+		gate:        admission.NewGate(epoch),
+		refused:     newRefusals(),
+		suspects:    quarantine.NewSet(),
+		budgets:     map[string]*routing.Budget{},
+		ruleBudgets: map[string]*ruleBudget{},
+		sizes:       map[string]float64{},
 	}
 	p.client = upstream.NewClient(upstream.Headers{
 		RequestID: cfg.Headers.RequestID,
@@ -142,7 +148,10 @@
 func (p *Proxy) now() time.Duration { return time.Since(p.epoch) }
 
 // SetTable puts a configuration in force.
-func (p *Proxy) SetTable(t *Table) { p.table.Store(t) }
+func (p *Proxy) SetTable(t *Table) {
+	p.table.Store(t)
+	p.applyUpstream()
+}
 
 // TableInForce returns the configuration in force, or nil.
 func (p *Proxy) TableInForce() *Table { return p.table.Load() }
@@ -153,13 +162,10 @@
 	before := p.upstream.Swap(&u)
 	if before.ID != u.ID || before.Born != u.Born {
 		p.client.Reset()
+		p.upstreamSince.Store(int64(p.now()))
 	}
 	p.client.SetAddress(u.Address)
-	if u.Takes() {
-		p.gate.Open(u.Slots)
-		return
-	}
-	p.gate.Close()
+	p.applyUpstream()
 }
 
 // SetStoreLost notes whether the store answers this daemon; it reports whether
@@ -186,7 +192,7 @@
 	state := &hopv1.State{
 		Running:       uint32(load.Running),
 		Waiting:       uint32(load.Waiting),
-		Slots:         uint32(load.Slots),
+		Slots:         uint32(p.toldSlots(load.Slots)),
 		ServiceTimeUs: uint32(load.Hold.Microseconds()),
 		TakesWork:     load.Open && !p.deps.Peers.Leaving(),
 		Upstream:      u.ID,
@@ -248,7 +254,6 @@
 )
 
 func (p *Proxy) budgetConfig() routing.BudgetConfig {
-	const percent = 100
 	daemons := float64(p.deps.Peers.Known() + 1)
 	return routing.BudgetConfig{
 		Share:  float64(p.cfg.RetryPercent) / percent * retryShareUsed,
@@ -257,18 +262,45 @@
 	}
 }
 
-func (p *Proxy) earn(service string) {
+// earn counts a call in the budgets that its retries are taken from.
+func (p *Proxy) earn(c *call) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.budget(service).Earn(p.now())
+	p.budget(c.service).Earn(p.now())
+	if c.route.Rule != nil {
+		p.ruleBudget(c.route.Rule).Earn(p.now())
+	}
 }
 
-func (p *Proxy) spend(service string) bool {
+// spend takes a retry from the budgets of a call's rule and service.
+func (p *Proxy) spend(c *call) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget(service).Spend(p.now())
+	return p.ruleBudget(c.route.Rule).Spend(p.now()) && p.budget(c.service).Spend(p.now())
+}
+
+// ruleBudget returns the budget of a retry rule; the lock is held.
+func (p *Proxy) ruleBudget(rule *manifest.RetryRule) *routing.Budget {
+	b := p.ruleBudgets[rule.Name]
+	if b == nil || b.percent != rule.BudgetPercent {
+		b = &ruleBudget{percent: rule.BudgetPercent, Budget: routing.NewBudget(routing.BudgetConfig{
+			Share:  float64(rule.BudgetPercent) / percent,
+			Window: p.cfg.RetryWindow,
+		})}
+		p.ruleBudgets[rule.Name] = b
+	}
+	return b.Budget
 }
 
+// ruleBudget is the budget of a retry rule with the share it was made for.
+type ruleBudget struct {
+	*routing.Budget
+	percent int
+}
+
+// percent is what shares in settings and rules are parts of.
+const percent = 100
+
 // noteLine takes what the way to this daemon and back took for a peer's last
 // request; 0 is unknown.
 func (p *Proxy) noteLine(took time.Duration) {
