--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -125,7 +125,7 @@
 // build makes the daemon's parts and joins them.
 func (d *Daemon) build() error {
 	s := d.cfg.Settings
-	self := control.Member{Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerListen, Service: s.Service}
+	self := control.Member{Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerAddress(), Service: s.Service}
 	core := control.New(control.Config{Self: self, Heartbeat: s.Heartbeat.Std(), UpstreamAddress: s.UpstreamAddress})
 	d.loop = newLoop(core, d.perform, d.log)
 	d.peers = proxy.NewPeers(self, d.listener(), d.log)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -39,6 +39,9 @@
 	}
 	c.listen("/caller_listen", d.CallerListen, mayBeWildcard)
 	c.listen("/peer_listen", d.PeerListen, noWildcard)
+	if d.PeerAdvertise != "" {
+		c.remote("/peer_advertise", d.PeerAdvertise)
+	}
 	c.listen("/announce_listen", d.AnnounceListen, mayBeWildcard)
 	c.listen("/ready_listen", d.ReadyListen, mayBeWildcard)
 	if d.MetricsListen != "" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -86,6 +86,9 @@
 	// PeerListen is the IP:port for other daemons. It is told to them, so that
 	// it must not be a wildcard address.
 	PeerListen string `json:"peer_listen" strict:"required"`
+	// PeerAdvertise is the IP:port at which other daemons reach this one where
+	// that is not PeerListen, as behind a forwarder; empty is PeerListen.
+	PeerAdvertise string `json:"peer_advertise"`
 	// AnnounceListen is the IP:port for the upstream's heartbeats.
 	AnnounceListen string `json:"announce_listen"`
 	// ReadyListen is the IP:port that tells whether the daemon takes requests.
@@ -120,6 +123,14 @@
 	MemoryLimit int64 `json:"memory_limit_bytes"`
 }
 
+// PeerAddress is the IP:port that other daemons are told of.
+func (d *Daemon) PeerAddress() string {
+	if d.PeerAdvertise != "" {
+		return d.PeerAdvertise
+	}
+	return d.PeerListen
+}
+
 // SetDefaults implements strictjson.Defaulter.
 func (d *Daemon) SetDefaults() {
 	d.AnnounceListen = DefaultAnnounceListen
