Never call not run what an earlier attempt may have run

A read's first attempt was lost with its connection and may have run; the second and the third daemon refused. The failure to be told was the last one, so that the caller got 503 and not-run, and the first attempt ran. Ruled out: the gate and the hop, whose refusals were true. Change: a flight keeps the failure of an attempt that may have run apart from the last failure; the caller gets that one. TestWhatMayHaveRunIsNeverCalledNotRun fails in three cases before and passes.

--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -49,9 +49,12 @@
 	tried []string
 	// kept is the answer to give when no better one comes.
 	kept *hopv1.Answer
-	// last is the last failure, and retryAfter the soonest time at which a
-	// daemon expected to take the request.
-	last       *failure
+	// ran is the failure of an attempt that may have run, and last the last
+	// failure of any.
+	ran  *failure
+	last *failure
+	// retryAfter is the soonest time at which a daemon expected to take the
+	// request.
 	retryAfter time.Duration
 	where      string
 }
@@ -84,6 +87,9 @@
 		return
 	}
 	f.last = f.failureOf(frame)
+	if !f.last.notRun {
+		f.ran = f.last
+	}
 }
 
 // finish tells the caller's outcome. An answer of an upstream goes before a
@@ -93,15 +99,15 @@
 		if f.kept != nil && answer.Status >= http.StatusInternalServerError {
 			return f.kept, nil
 		}
-		if !answer.NotRun || f.ranBefore() == nil {
+		if !answer.NotRun || f.ran == nil {
 			return answer, nil
 		}
 	}
 	if f.kept != nil {
 		return f.kept, nil
 	}
-	if before := f.ranBefore(); before != nil {
-		return nil, before
+	if f.ran != nil {
+		return nil, f.ran
 	}
 	if frame == nil && f.last != nil {
 		return nil, f.last
@@ -109,14 +115,6 @@
 	return nil, f.failureOf(frame)
 }
 
-// ranBefore returns the failure of an earlier attempt that may have run.
-func (f *flight) ranBefore() *failure {
-	if f.last != nil && !f.last.notRun {
-		return f.last
-	}
-	return nil
-}
-
 func (f *flight) failureOf(frame *hopv1.Frame) *failure {
 	if frame.GetAnswer() != nil {
 		return fail(code.CallUpstreamRefused)
--- /dev/null
+++ b/internal/proxy/flight_test.go
@@ -0,0 +1,36 @@
+package proxy
+
+import (
+	"testing"
+
+	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/code"
+)
+
+// TestWhatMayHaveRunIsNeverCalledNotRun replays a request whose first attempt was
+// lost under way and whose next ones were refused.
+func TestWhatMayHaveRunIsNeverCalledNotRun(t *testing.T) {
+	lost := failureFrame(code.CallPeerLost, false, 0, nil)
+	shed := failureFrame(code.CallShed, true, 0, nil)
+	rejected := &hopv1.Frame{Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{Status: 503, NotRun: true}}}
+	for name, c := range map[string]struct {
+		kept []*hopv1.Frame
+		last *hopv1.Frame
+		want code.Code
+	}{
+		"refused only":                {[]*hopv1.Frame{shed}, nil, code.CallShed},
+		"lost, then refused":          {[]*hopv1.Frame{lost}, shed, code.CallPeerLost},
+		"lost, refused, nobody left":  {[]*hopv1.Frame{lost, shed}, nil, code.CallPeerLost},
+		"lost, refused, then refused": {[]*hopv1.Frame{lost, shed}, shed, code.CallPeerLost},
+		"lost, refused by upstreams":  {[]*hopv1.Frame{lost, rejected}, rejected, code.CallPeerLost},
+	} {
+		f := &flight{}
+		for _, frame := range c.kept {
+			f.keep(frame)
+		}
+		_, failed := f.finish(c.last)
+		if failed == nil || failed.code != c.want || failed.notRun != (c.want == code.CallShed) {
+			t.Errorf("%s: %+v", name, failed)
+		}
+	}
+}
