Take no other daemon for the peer that had its address

A client believed whoever answered at the address; when a machine's address is given to another instance, requests and states of one counted for the other until the member table was read again. Change: the greeting must name the instance that is expected; else the connection is reset and tried again. TestOtherDaemonAtTheAddress fails before (the other daemon counts as up).

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -36,10 +36,14 @@
 	// ErrLost means that the connection was lost while the request was under
 	// way; it may have run.
 	ErrLost = errors.New("connection was lost while the request was under way")
+	// ErrOtherPeer means that another daemon has the address now.
+	ErrOtherPeer = errors.New("another daemon answers at the address")
 )
 
 // Hooks tell what a client hears of its peer. They must not block.
 type Hooks struct {
+	// Instance is the daemon that is expected at the address.
+	Instance string
 	// Up and Down tell that the peer can and cannot be reached.
 	Up   func()
 	Down func(error)
@@ -70,6 +74,8 @@
 	stop    chan struct{}
 	// began tells the watch that a request waits where none did.
 	began chan struct{}
+	// other is set when another daemon has answered.
+	other atomic.Bool
 	// watching is set while the watch looks often.
 	watching atomic.Bool
 	// asked is when a sign was asked for that has not come, or 0.
@@ -152,6 +158,9 @@
 	go func() { given <- c.watch(l) }()
 	err := l.read(func(frame *hopv1.Frame) { c.take(l, frame) })
 	c.drop(l)
+	if c.other.Swap(false) {
+		err = ErrOtherPeer
+	}
 	return <-given, err
 }
 
@@ -167,6 +176,11 @@
 	c.hooks.Patience.Heard(c.now())
 	switch body := frame.Body.(type) {
 	case *hopv1.Frame_Hello:
+		if body.Hello.GetInstance() != c.hooks.Instance {
+			c.other.Store(true)
+			l.reset()
+			return
+		}
 		c.mu.Lock()
 		c.link = l
 		c.mu.Unlock()
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -126,10 +126,11 @@
 	began := time.Now()
 	up, down := make(chan struct{}, 10), make(chan error, 100)
 	client := NewClient(front.Addr().String(), &hopv1.Hello{Instance: "client"}, Hooks{
-		Up:    func() { up <- struct{}{} },
-		Down:  func(err error) { down <- err },
-		Heard: func(*hopv1.State) {},
-		Left:  func() *hopv1.Left { return nil },
+		Instance: "server",
+		Up:       func() { up <- struct{}{} },
+		Down:     func(err error) { down <- err },
+		Heard:    func(*hopv1.State) {},
+		Left:     func() *hopv1.Left { return nil },
 		Reminded: func(left *hopv1.Left) {
 			if left.GetUpstream() != "u-1" || left.GetBorn() != 5 {
 				t.Errorf("reminded of %v", left)
@@ -243,3 +244,25 @@
 		t.Errorf("%d ms of 600 are left after 200 ms on the way", left)
 	}
 }
+
+// TestOtherDaemonAtTheAddress covers an address that was given to another
+// instance.
+func TestOtherDaemonAtTheAddress(t *testing.T) {
+	handler, v, _, _ := startPair(t)
+	down := make(chan error, 100)
+	client := NewClient(v.Addr().String(), &hopv1.Hello{Instance: "client"}, Hooks{
+		Instance: "gone",
+		Up:       func() { t.Error("another daemon was taken for the one that is gone") },
+		Down:     func(err error) { down <- err },
+		Heard:    func(*hopv1.State) {},
+		Left:     func() *hopv1.Left { return nil },
+		Reminded: func(*hopv1.Left) {},
+		State:    handler.State,
+		Patience: &Patience{},
+		Now:      func() time.Duration { return 0 },
+	})
+	defer client.Close()
+	if err := <-down; !errors.Is(err, ErrOtherPeer) {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -165,6 +165,7 @@
 func (ps *Peers) connect(m control.Member) *peer {
 	p := &peer{Member: m}
 	p.client = hop.NewClient(m.Address, ps.hello, hop.Hooks{
+		Instance: m.Instance,
 		Up: func() {
 			if !p.up.Swap(true) {
 				ps.listener.Reached(m.Instance, true)
--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -53,6 +53,9 @@
 	cancel    context.CancelFunc
 	upstreams []*platformtest.Upstream
 	problems  []string
+
+	// replacing is held while the upstream is replaced.
+	replacing sync.Mutex
 }
 
 // plannedStop is when a process was told to stop and when it had ended.
@@ -201,6 +204,8 @@
 // replaceUpstream ends the upstream, as planned or without a word, and starts
 // the next one. From the acknowledgement of its leaving on it may get nothing.
 func (n *node) replaceUpstream(planned bool) {
+	n.replacing.Lock()
+	defer n.replacing.Unlock()
 	n.cancel()
 	if planned {
 		n.leave()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -37,7 +37,10 @@
 )
 
 // failedSeeds are seeds that have failed once, with the cause.
-var failedSeeds = map[uint64]string{}
+var failedSeeds = map[uint64]string{
+	5:  "a lost attempt followed by refusals was called not run",
+	10: "the same, after the upstream crashed",
+}
 
 // soak is one run.
 type soak struct {
@@ -58,7 +61,8 @@
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runSeed(t, binary, seed) })
 	}
-	for seed := range failedSeeds {
+	for seed, cause := range failedSeeds {
+		t.Logf("seed %d failed once: %s", seed, cause)
 		t.Run(fmt.Sprintf("failed-seed-%d", seed), func(t *testing.T) { runSeed(t, binary, seed) })
 	}
 }
@@ -134,9 +138,6 @@
 	time.Sleep(settleTime)
 }
 
-// busy guards what one trouble at a time may do to a node.
-var busy sync.Map
-
 // play does what an entry says. Two that replace the same thing come one after
 // the other.
 func (s *soak) play(t trouble) {
@@ -161,9 +162,6 @@
 	case publish:
 		s.publish()
 	case leavingUpstream, crashedUpstream:
-		lock, _ := busy.LoadOrStore(n, &sync.Mutex{})
-		lock.(*sync.Mutex).Lock()
-		defer lock.(*sync.Mutex).Unlock()
 		n.replaceUpstream(t.kind == leavingUpstream)
 	}
 }
