Refuse large requests while the machine's line is full; allow writes ten seconds

Ruled out: slots (three quarters used), processor, callers' resets. Change: the daemon beside the upstream refuses requests of routes from 32 KB on while the way to it takes over 150 ms; batches are 64 KB and have 10 s.

--- a/internal/hop/link.go
+++ b/internal/hop/link.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// writeTimeout ends a connection whose peer does not take a batch.
-	writeTimeout = 3 * time.Second
+	// writeTimeout ends a connection whose peer does not take a batch. Where many
+	// connections fill one line, each gets its part slowly; whether the peer is
+	// there is seen from its signs.
+	writeTimeout = 10 * time.Second
 	// readBuffer is in bytes; larger bodies are read past it.
 	readBuffer = 4 << 10
 )
--- a/internal/hop/outbox.go
+++ b/internal/hop/outbox.go
@@ -9,9 +9,9 @@
 	// maxQueued is how many bytes may wait to be written; one frame of any size
 	// always may.
 	maxQueued = 32 << 20
-	// batchBytes is how much is written at once. The slowest links in use carry
-	// it in a fraction of writeTimeout.
-	batchBytes = 256 << 10
+	// batchBytes is how much is written at once. The slowest lines in use carry
+	// it in a fraction of writeTimeout, also when they are shared by a hundred.
+	batchBytes = 64 << 10
 )
 
 // outbox holds encoded frames until they are written. It takes no memory while
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -12,6 +12,7 @@
 	"godwitmount/internal/code"
 	"godwitmount/internal/control"
 	"godwitmount/internal/event"
+	"godwitmount/internal/routing"
 	"godwitmount/internal/upstream"
 )
 
@@ -44,6 +45,9 @@
 	if p.quarantined(request) {
 		return p.refuse(request, code.CallQuarantined, 0)
 	}
+	if p.lineFull(request.Route) {
+		return p.refuse(request, code.CallShed, fullLine)
+	}
 	slot, refusal := p.gate.Admit(ctx, admission.Ask{
 		Kind:     request.Route,
 		Nested:   request.Nested,
@@ -65,6 +69,17 @@
 	return p.run(ctx, request, u, arrived, deadline)
 }
 
+// fullLine is the time on the way from which a daemon takes no more large
+// requests: small ones share the line and wait behind their answers, and those
+// that running requests wait for have the least time.
+const fullLine = 150 * time.Millisecond
+
+// lineFull tells whether a request of a route would add a large answer to a line
+// that others wait for already.
+func (p *Proxy) lineFull(route string) bool {
+	return p.lineDelay() > fullLine && p.size(route) >= routing.LargeBytes
+}
+
 // refusalCode says why a request got no slot. One that could not start within
 // its goal is shed unless its deadline has passed.
 func refusalCode(reason admission.Reason, expired bool) code.Code {
@@ -111,6 +126,7 @@
 		zap.String("route", request.Route), zap.Uint64("status", uint64(answer.Status)),
 		zap.Bool("not_run", answer.NotRun), zap.Duration("waited", started-arrived), zap.Duration("took", took))
 	p.expired.Store(0)
+	p.noteSize(request.Route, len(answer.Body)+len(request.Body))
 	answer.State = p.State()
 	return &hopv1.Frame{Body: &hopv1.Frame_Answer{Answer: answer}}
 }
--- a/internal/proxy/limits_test.go
+++ b/internal/proxy/limits_test.go
@@ -94,3 +94,24 @@
 		t.Errorf("took %s", took)
 	}
 }
+
+// TestFullLineTakesNoLargeRequests replays a machine whose line large answers
+// fill: small requests go on, large ones are refused until the line is free.
+func TestFullLineTakesNoLargeRequests(t *testing.T) {
+	p := newTestProxy(t, manifest.Service{Name: "s"}, manifest.RetryRule{Name: "rule", Attempts: 2})
+	p.noteSize("download", 90_000)
+	p.noteSize("lookup", 1_500)
+	if p.lineFull("download") {
+		t.Error("a large request is refused on a free line")
+	}
+	for range 20 {
+		time.Sleep(10 * time.Millisecond)
+		p.noteLine(4 * fullLine)
+	}
+	if !p.lineFull("download") || p.lineFull("lookup") {
+		t.Errorf("the way takes %s: large refused %t, small refused %t", p.lineDelay(), p.lineFull("download"), p.lineFull("lookup"))
+	}
+	if frame := p.Execute(context.Background(), &hopv1.Request{Route: "download", RemainingMs: 1000}); !frame.GetFailure().GetNotRun() {
+		t.Errorf("%v", frame)
+	}
+}
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -53,7 +53,7 @@
 	hopBytes = 700
 	// farLimit is the size in bytes from which a request leaves the data
 	// centre only when no upstream there can be reached.
-	farLimit = 32 << 10
+	farLimit = LargeBytes
 	// roomyShare is the share of its slots up to which an upstream of another
 	// data centre is asked while the own one has upstreams.
 	roomyShare = 0.8
@@ -79,6 +79,10 @@
 	kilobyte = 1024
 )
 
+// LargeBytes is the size from which a request with its answer fills a line for
+// long enough to hold up others.
+const LargeBytes = 32 << 10
+
 // Choose returns the index of the candidate with the least cost, or -1 when
 // there is none left that takes requests.
 func Choose(candidates []Candidate, ask Ask) int {
