--- a/internal/proxy/limits_test.go
+++ b/internal/proxy/limits_test.go
@@ -23,7 +23,7 @@
 	log := logbook.New(io.Discard, "i", zapcore.InfoLevel, 100)
 	peers := NewPeers(control.Member{Instance: "i"}, Listener{}, log)
 	p, err := New(Config{Instance: "i", RetryPercent: 100, RetryExtra: 100, RetryWindow: 10 * time.Second},
-		Deps{Peers: peers, Log: log, Registerer: prometheus.NewRegistry()})
+		Deps{Peers: peers, Log: log, Tell: func() {}, Registerer: prometheus.NewRegistry()})
 	if err != nil {
 		t.Fatal(err)
 	}
