Publish the members that greeted once a tick

Cause: a fleet that starts greets within milliseconds; each greeting was a line in the log and a new choice of connections, in the square of the fleet's size.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -49,6 +49,9 @@
 
 	version uint64
 	members map[string]memberRow
+	// greetings is set when daemons have greeted that are not published yet. Many
+	// greet at once when a fleet starts.
+	greetings bool
 	// written is set once the own entry is known to be in the table.
 	written  bool
 	upstream Upstream
@@ -161,7 +164,7 @@
 		return
 	}
 	c.members[m.Instance] = memberRow{m, known.version}
-	c.publishMembers()
+	c.greetings = true
 }
 
 // membersRead takes entries of the member table. An entry that cannot be read
@@ -239,6 +242,9 @@
 		c.lostUntil = 0
 		c.publishUpstream()
 	}
+	if c.greetings {
+		c.publishMembers()
+	}
 	c.readWanted()
 	silent := c.now - c.lastBeat
 	if c.upstream.State == UpstreamReady && silent > silentBeats*c.cfg.Heartbeat {
--- a/internal/control/mesh.go
+++ b/internal/control/mesh.go
@@ -25,6 +25,7 @@
 // publishMembers tells the data path with which daemons to keep a connection:
 // all of the own data centre, and a few elsewhere for each service.
 func (c *Core) publishMembers() {
+	c.greetings = false
 	var connected []Member
 	far := map[string][]Member{}
 	known := 0
