--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"godwitmount/platform/platformtest"
 )
 
 const (
@@ -81,14 +83,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+deadlineSlack)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.host+":7481"+target, strings.NewReader(""))
+	request, err := platformtest.ShopRequest(ctx, n.host+":7481", method, target, id, deadline, "")
 	if err != nil {
 		o.err = err
 		return o
 	}
-	request.Host = "shop.example"
-	request.Header.Set("Attempt-Id", id)
-	request.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	response, err := client.Do(request)
 	if err != nil {
 		o.err = err
@@ -101,8 +100,8 @@
 		return o
 	}
 	o.status, o.retry = response.StatusCode, response.Header.Get("Retry-After")
-	if response.Header.Get("Attempt-Id") != id {
-		l.problem("%s got the answer to %q", id, response.Header.Get("Attempt-Id"))
+	if got := platformtest.AnswerID(response); got != id {
+		l.problem("%s got the answer to %q", id, got)
 	}
 	if o.status == http.StatusOK && !strings.HasSuffix(string(body), " ran "+target) {
 		l.problem("%s got the body %q", id, body)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -104,15 +104,7 @@
 	defer s.mu.Unlock()
 	s.version++
 	moved := []string{"desk", "back"}[s.version%2]
-	const timeout, goal = 2000, 1000
-	route := func(prefix, kind, service string) platformtest.Route {
-		return platformtest.Route{Host: "shop.example", Prefix: prefix, Kind: kind, Service: service,
-			TimeoutMS: timeout, GoalMS: goal, MaxAttempts: 3}
-	}
-	s.store.Publish(platformtest.Config(s.version, []string{"desk", "back"},
-		route("/read/", platformtest.Idempotent, "desk"),
-		route("/write/", platformtest.NonIdempotent, "desk"),
-		route("/moved/", platformtest.Idempotent, moved)))
+	s.store.Publish(platformtest.ShopConfig(s.version, moved))
 }
 
 // disturb plays a plan under load and waits until all is well again.
