Order what the store says by era before version

Cause: the store may come back from an older copy and give versions out again; rows, watch positions and absences were ordered by the bare version, so rows written again were ignored, members whose rows were lost were dropped, and members that had left were taken back. Change: store.Position (era, version) replaces the bare version; the client reads the era of every answer and drops those of an earlier one; the reducer reads the member table once per era, spread over the fleet, keeps members that answer, ignores the rows of those that had left, and writes its own row again; peers report the era; event numbers, metrics, status, a drill in the stand-in and in every soak plan.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,9 +6,6 @@
 package control
 
 import (
-	"bytes"
-	"encoding/json"
-	"fmt"
 	"time"
 
 	"godwitmount/internal/event"
@@ -81,24 +78,18 @@
 	// fallbackSource is the daemon to fetch remoteVersion from if the store did
 	// not return it.
 	fallbackSource string
-	// reachable holds whether a peer is reachable, by instance.
+	// reachable is the set of the reachable peers, by instance.
 	reachable map[string]bool
-	// storeUnavailable holds whether the store does not answer a peer, by
+	// storeUnavailable is the set of the peers that the store does not answer, by
 	// instance.
 	storeUnavailable map[string]bool
+	// era is what is known of the store's era.
+	era eraState
 	// storeWatcher is set while this daemon watches the store for new
 	// configurations.
 	storeWatcher bool
 }
 
-// memberRow is a member table entry with its version in the store. The Member is
-// zero if the entry was removed; the version is 0 if the daemon is known only
-// from a handshake.
-type memberRow struct {
-	Member
-	version uint64
-}
-
 // New returns the core of a daemon that has just started. It begins as a store
 // watcher.
 func New(cfg Config) *Core {
@@ -126,11 +117,14 @@
 	case PeerHandshake:
 		c.peerHandshake(ev.Member)
 	case PeerReachability:
-		c.reachable[ev.Instance] = ev.Reachable
-		c.updateStoreWatcher()
+		c.peerReachability(ev)
 	case PeerStoreAvailability:
-		c.storeUnavailable[ev.Instance] = ev.Unavailable
+		setMembership(c.storeUnavailable, ev.Instance, ev.Unavailable)
 		c.updateStoreWatcher()
+	case StoreEra:
+		c.storeEra(ev.Era)
+	case PeerStoreEra:
+		c.peerStoreEra(ev)
 	case MembersRead:
 		c.membersRead(ev)
 	case UpstreamReport:
@@ -163,6 +157,7 @@
 		c.fetching = 0
 	}
 	if ev.Version <= c.version {
+		c.logOlderConfig(ev)
 		return
 	}
 	table, err := manifest.Compile(ev.Manifest)
@@ -176,76 +171,12 @@
 	c.log(event.ConfigApplied, false, step.F("version", ev.Version), step.F("from", ev.From), step.F("routes", len(table.Routes())))
 }
 
-// peerHandshake adds or updates a daemon that connected to this one. New
-// daemons become known this way even while the store is unavailable. A handshake
-// without instance, address or data centre is ignored.
-func (c *Core) peerHandshake(m Member) {
-	known := c.members[m.Instance]
-	if known.Member == m || m.Instance == c.cfg.Self.Instance || m.Instance == "" || m.Address == "" || m.DataCentre == "" {
-		return
-	}
-	c.members[m.Instance] = memberRow{m, known.version}
-	c.publishPending = true
-}
-
-// membersRead applies rows of the member table. Rows that are not newer than
-// the known ones are ignored; a row that cannot be decoded is logged and leaves
-// the known entry unchanged.
-func (c *Core) membersRead(ev MembersRead) {
-	changed := false
-	seen := map[string]bool{}
-	for _, row := range ev.Rows {
-		seen[row.Key] = true
-		known := c.members[row.Key]
-		if row.Version <= known.version {
-			continue
-		}
-		if row.Removed {
-			c.members[row.Key] = memberRow{version: row.Version}
-			changed = true
-			continue
-		}
-		member, err := decodeMember(row.Key, row.Value)
-		if err != nil {
-			c.log(event.MemberUnreadable, true, step.F("key", row.Key), step.F("error", err))
-			continue
-		}
-		c.members[row.Key] = memberRow{member, row.Version}
-		changed = changed || member != known.Member
-	}
-	if ev.Complete {
-		changed = c.dropUnseen(seen) || changed
-		c.writeSelf()
-	}
-	if changed {
-		c.publishMembers()
-	}
-}
-
-// dropUnseen removes the entries that a complete read of the member table did
-// not return. It reports whether it removed any.
-func (c *Core) dropUnseen(seen map[string]bool) bool {
-	dropped := false
-	for key, known := range c.members {
-		// A member known only from its handshake (version 0) may not have
-		// written its entry yet.
-		if !seen[key] && known.Instance != "" && known.version > 0 {
-			delete(c.members, key)
-			dropped = true
-		}
+// logOlderConfig logs that the store holds an older configuration than the one in
+// force, as after it has come back from an older copy. The version in force stays.
+func (c *Core) logOlderConfig(ev ConfigRead) {
+	if ev.From == FromStore && ev.Version < c.version {
+		c.log(event.ConfigOlder, true, step.F("version", ev.Version), step.F("in_force", c.version))
 	}
-	return dropped
-}
-
-// writeSelf writes this daemon's entry unless the member table already holds it
-// or the daemon is stopping.
-func (c *Core) writeSelf() {
-	if c.stopping || c.members[c.cfg.Self.Instance].Member == c.cfg.Self {
-		c.selfWritten = true
-		return
-	}
-	c.selfWritten = true
-	c.emit(WriteMember{Key: c.cfg.Self.Instance, Value: c.cfg.Self.encode()})
 }
 
 // stop starts a planned stop. It removes this daemon's member entry only if the
@@ -268,9 +199,11 @@
 		c.unreachableUntil = 0
 		c.publishUpstream()
 	}
+	c.dropMissing()
 	if c.publishPending {
 		c.publishMembers()
 	}
+	c.readMembersWhenDue()
 	c.readRemoteVersion()
 	sinceHeartbeat := c.now - c.lastHeartbeat
 	if c.upstream.State == UpstreamReady && sinceHeartbeat > silentHeartbeats*c.cfg.HeartbeatInterval {
@@ -279,36 +212,3 @@
 		c.publishUpstream()
 	}
 }
-
-// Member is an entry of the member table: the address of a daemon and the
-// service of its local upstream.
-type Member struct {
-	Instance   string `json:"instance"`
-	DataCentre string `json:"data_centre"`
-	// Address is the host:port at which other daemons connect.
-	Address string `json:"address"`
-	Service string `json:"service"`
-}
-
-func (m Member) encode() []byte {
-	text, err := json.Marshal(m)
-	if err != nil {
-		// Marshalling a struct of strings cannot fail.
-		panic(fmt.Sprintf("control: encode member: %v", err))
-	}
-	return text
-}
-
-// decodeMember decodes a row of the member table. It returns an error unless
-// the instance equals the row's key and the address and data centre are set.
-func decodeMember(key string, value []byte) (Member, error) {
-	var m Member
-	decoder := json.NewDecoder(bytes.NewReader(value))
-	if err := decoder.Decode(&m); err != nil {
-		return m, fmt.Errorf("decode member: %w", err)
-	}
-	if m.Instance != key || m.Address == "" || m.DataCentre == "" {
-		return m, fmt.Errorf("decode member: instance %q, address %q, data centre %q", m.Instance, m.Address, m.DataCentre)
-	}
-	return m, nil
-}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -73,7 +73,12 @@
 	case "fetch-failed":
 		return FetchFailed{}
 	case "members":
-		return MembersRead{Rows: parseRows(d.Input), Complete: d.HasArg("whole")}
+		era := store.Era(number("era"))
+		return MembersRead{Rows: parseRows(d.Input, era), Complete: d.HasArg("whole"), Position: store.Position{Era: era, Version: number("at")}}
+	case "era":
+		return StoreEra{Era: store.Era(number("is"))}
+	case "peer-era":
+		return PeerStoreEra{Instance: text("from"), Era: store.Era(number("is"))}
 	case "written":
 		if d.HasArg("failed") {
 			return MemberWritten{Err: store.ErrOutcomeUnknown}
@@ -124,8 +129,9 @@
 	return value
 }
 
-// parseRows parses lines "KEY VERSION VALUE"; the value "-" marks a removed row.
-func parseRows(input string) []store.Row {
+// parseRows parses lines "KEY VERSION VALUE" of rows read in an era; the value "-"
+// marks a removed row.
+func parseRows(input string, era store.Era) []store.Row {
 	var all []store.Row
 	for _, line := range strings.Split(input, "\n") {
 		parts := strings.SplitN(line, " ", 3)
@@ -133,7 +139,8 @@
 			continue
 		}
 		row := store.Row{Key: parts[0], Value: []byte(parts[2]), Removed: parts[2] == "-"}
-		if _, err := fmt.Sscan(parts[1], &row.Version); err != nil {
+		row.Position.Era = era
+		if _, err := fmt.Sscan(parts[1], &row.Position.Version); err != nil {
 			panic(err)
 		}
 		all = append(all, row)
--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,206 @@
+package control
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"godwitmount/internal/event"
+	"godwitmount/internal/step"
+	"godwitmount/internal/store"
+)
+
+// missingGrace is how long a member stays known that a complete read of the
+// member table did not return and that cannot be reached. It may have written its
+// entry again by then.
+const missingGrace = 10 * time.Second
+
+// Member is an entry of the member table: the address of a daemon and the
+// service of its local upstream.
+type Member struct {
+	Instance   string `json:"instance"`
+	DataCentre string `json:"data_centre"`
+	// Address is the host:port at which other daemons connect.
+	Address string `json:"address"`
+	Service string `json:"service"`
+}
+
+func (m Member) encode() []byte {
+	text, err := json.Marshal(m)
+	if err != nil {
+		// Marshalling a struct of strings cannot fail.
+		panic(fmt.Sprintf("control: encode member: %v", err))
+	}
+	return text
+}
+
+// decodeMember decodes a row of the member table. It returns an error unless
+// the instance equals the row's key and the address and data centre are set.
+func decodeMember(key string, value []byte) (Member, error) {
+	var m Member
+	decoder := json.NewDecoder(bytes.NewReader(value))
+	if err := decoder.Decode(&m); err != nil {
+		return m, fmt.Errorf("decode member: %w", err)
+	}
+	if m.Instance != key || m.Address == "" || m.DataCentre == "" {
+		return m, fmt.Errorf("decode member: instance %q, address %q, data centre %q", m.Instance, m.Address, m.DataCentre)
+	}
+	return m, nil
+}
+
+// memberRow is what is known of one entry of the member table. The Member is zero
+// if the entry was removed.
+type memberRow struct {
+	Member
+	// position is that of the entry's last known change, or of the complete read
+	// that did not return it; zero if the daemon is known only from a handshake.
+	position store.Position
+	// writtenVersion is the store version of the last entry that was read. It is
+	// kept after the entry was removed.
+	writtenVersion uint64
+	// missing is set while the last complete read did not return the entry;
+	// unreachableSince is when the member was first found unreachable since then.
+	missing          bool
+	unreachableSince time.Duration
+}
+
+// removed reports whether the entry is known to have been removed.
+func (r *memberRow) removed() bool { return r.Instance == "" && r.position != store.Position{} }
+
+// restoredBy reports whether row is the removed entry itself, which the store has
+// again because it came back from an older copy. Whatever was written since has a
+// larger version than all of that copy.
+func (r *memberRow) restoredBy(row store.Row) bool {
+	return r.removed() && row.Position.Era > r.position.Era && row.Position.Version <= r.writtenVersion
+}
+
+// peerHandshake adds or updates a daemon that connected to this one. New
+// daemons become known this way even while the store is unavailable. A handshake
+// without instance, address or data centre is ignored.
+func (c *Core) peerHandshake(m Member) {
+	known := c.members[m.Instance]
+	if known.Member == m || m.Instance == c.cfg.Self.Instance || m.Instance == "" || m.Address == "" || m.DataCentre == "" {
+		return
+	}
+	known.Member, known.missing = m, false
+	c.members[m.Instance] = known
+	c.publishPending = true
+}
+
+// membersRead applies rows of the member table. Rows that are not newer than
+// the known ones are ignored; a row that cannot be decoded is logged and leaves
+// the known entry unchanged.
+func (c *Core) membersRead(ev MembersRead) {
+	changed := false
+	seen := map[string]bool{}
+	for _, row := range ev.Rows {
+		seen[row.Key] = true
+		changed = c.memberRead(row) || changed
+	}
+	if ev.Complete {
+		c.markMissing(seen, ev.Position)
+		c.era.membersReadIn(ev.Position.Era)
+		c.writeSelf()
+	}
+	if changed {
+		c.publishMembers()
+	}
+}
+
+// memberRead applies one row of the member table and reports whether it changed
+// the member.
+func (c *Core) memberRead(row store.Row) bool {
+	known := c.members[row.Key]
+	if !row.Position.After(known.position) {
+		return false
+	}
+	if row.Removed {
+		c.forget(row.Key, row.Position)
+		return known.Instance != ""
+	}
+	if known.restoredBy(row) {
+		known.position = row.Position
+		c.members[row.Key] = known
+		c.log(event.MemberRestored, false, step.F("key", row.Key), step.F("version", row.Position.Version))
+		return false
+	}
+	member, err := decodeMember(row.Key, row.Value)
+	if err != nil {
+		c.log(event.MemberUnreadable, true, step.F("key", row.Key), step.F("error", err))
+		return false
+	}
+	c.members[row.Key] = memberRow{Member: member, position: row.Position, writtenVersion: row.Position.Version}
+	return member != known.Member
+}
+
+// markMissing marks the entries that a complete read of the member table at a
+// position did not return. A member that answers is still used: the store may have
+// lost its entry. A member known only from its handshake may not have written one
+// yet. This daemon's own entry is forgotten, so that it is written again.
+func (c *Core) markMissing(seen map[string]bool, at store.Position) {
+	for key, known := range c.members {
+		unwritten := known.position == store.Position{}
+		if seen[key] || known.Instance == "" || unwritten {
+			continue
+		}
+		if key == c.cfg.Self.Instance {
+			delete(c.members, key)
+			continue
+		}
+		known.position = at
+		if !known.missing {
+			known.missing, known.unreachableSince = true, c.now
+		}
+		c.members[key] = known
+	}
+}
+
+// dropMissing drops the missing members that have been unreachable for
+// missingGrace.
+func (c *Core) dropMissing() {
+	for key, known := range c.members {
+		if known.missing && !c.reachable[key] && c.now-known.unreachableSince >= missingGrace {
+			c.forget(key, known.position)
+			c.publishPending = true
+		}
+	}
+}
+
+// forget drops the member of an entry that is removed as of a position. What is
+// left of it shows whether the entry is the same when it comes back.
+func (c *Core) forget(key string, at store.Position) {
+	c.members[key] = memberRow{position: at, writtenVersion: c.members[key].writtenVersion}
+	delete(c.reachable, key)
+	delete(c.storeUnavailable, key)
+}
+
+// peerReachability applies that a peer has become reachable or unreachable.
+func (c *Core) peerReachability(ev PeerReachability) {
+	setMembership(c.reachable, ev.Instance, ev.Reachable)
+	if known := c.members[ev.Instance]; known.missing && !ev.Reachable {
+		known.unreachableSince = c.now
+		c.members[ev.Instance] = known
+	}
+	c.updateStoreWatcher()
+}
+
+// setMembership adds key to a set or removes it.
+func setMembership(set map[string]bool, key string, member bool) {
+	if member {
+		set[key] = true
+		return
+	}
+	delete(set, key)
+}
+
+// writeSelf writes this daemon's entry unless the member table already holds it
+// or the daemon is stopping.
+func (c *Core) writeSelf() {
+	if c.stopping || c.members[c.cfg.Self.Instance].Member == c.cfg.Self {
+		c.selfWritten = true
+		return
+	}
+	c.selfWritten = true
+	c.emit(WriteMember{Key: c.cfg.Self.Instance, Value: c.cfg.Self.encode()})
+}
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"godwitmount/internal/step"
+	"godwitmount/internal/store"
 )
 
 // largeFleet returns size members spread over 14 data centres and 120 services.
@@ -27,7 +28,7 @@
 func connectionsOf(self Member, all []Member) PublishMembers {
 	core := New(Config{Self: self, HeartbeatInterval: time.Second})
 	for _, m := range all {
-		core.members[m.Instance] = memberRow{m, 1}
+		core.members[m.Instance] = memberRow{Member: m, position: store.Position{Version: 1}}
 	}
 	core.publishMembers()
 	for _, effect := range core.effects {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -59,6 +59,19 @@
 	Rows []store.Row
 	// Complete is set when Rows is the complete table, not only its changes.
 	Complete bool
+	// Position is the store's position up to which Rows is complete.
+	Position store.Position
+}
+
+// StoreEra reports a new era in an answer of the store to this daemon.
+type StoreEra struct {
+	Era store.Era
+}
+
+// PeerStoreEra reports the latest era of the store that a peer has seen.
+type PeerStoreEra struct {
+	Instance string
+	Era      store.Era
 }
 
 // MemberWritten reports the result of writing this daemon's member entry.
@@ -115,6 +128,12 @@
 // EventName implements step.Event.
 func (MembersRead) EventName() string { return "members-read" }
 
+// EventName implements step.Event.
+func (StoreEra) EventName() string { return "store-era" }
+
+// EventName implements step.Event.
+func (PeerStoreEra) EventName() string { return "peer-store-era" }
+
 // EventName implements step.Event.
 func (MemberWritten) EventName() string { return "member-written" }
 
@@ -178,6 +197,24 @@
 // ReadConfig reads the configuration from the store once.
 type ReadConfig struct{}
 
+// ReadMembers reads the member table from the store, in full if the store has come
+// back from an older copy.
+type ReadMembers struct{}
+
+// PublishStoreEra passes the era of the store to the data path, which reports it
+// to peers.
+type PublishStoreEra struct {
+	Era store.Era
+	// Advanced is clear for the first era that this daemon has seen.
+	Advanced bool
+}
+
+// EffectName implements step.Effect.
+func (ReadMembers) EffectName() string { return "read-members" }
+
+// EffectName implements step.Effect.
+func (PublishStoreEra) EffectName() string { return "publish-store-era" }
+
 // EffectName implements step.Effect.
 func (SetStoreWatcher) EffectName() string { return "set-duty" }
 
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -71,6 +71,7 @@
 	u := r.Upstream
 	fmt.Fprintf(w, "instance  %s in %s, release %s\n", r.Instance, r.DataCentre, r.Release)
 	fmt.Fprintf(w, "version   %d\n", r.ConfigVersion)
+	fmt.Fprintf(w, "store era %d\n", r.StoreEra)
 	fmt.Fprintf(w, "upstream  %s of %s is %s: %d running, %d waiting, %d slots\n", u.ID, u.Service, u.State, u.Running, u.Waiting, u.Slots)
 	for _, p := range r.Peers {
 		state := "cannot be reached"
@@ -80,6 +81,7 @@
 		case p.Reachable:
 			state = "takes no requests"
 		}
-		fmt.Fprintf(w, "peer      %s in %s, %s: %s, version %d\n", p.Instance, p.DataCentre, p.Service, state, p.ConfigVersion)
+		fmt.Fprintf(w, "peer      %s in %s, %s: %s, version %d, store era %d\n",
+			p.Instance, p.DataCentre, p.Service, state, p.ConfigVersion, p.StoreEra)
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,7 +81,9 @@
 	// a value in readOnce makes it read the configuration once.
 	storeWatcher chan bool
 	readOnce     chan struct{}
-	cancel       context.CancelFunc
+	// readMembers makes watchMembers read the member table at once.
+	readMembers chan struct{}
+	cancel      context.CancelFunc
 
 	loop  *loop
 	peers *proxy.Peers
@@ -92,6 +94,8 @@
 	// closers close the listeners and the servers on them.
 	closers  []func() error
 	registry *prometheus.Registry
+	// storeMetrics are those that the control loop updates.
+	storeMetrics *storeMetrics
 	// ready is set once a readiness check has succeeded, so that only the first
 	// one is logged.
 	ready    atomic.Bool
@@ -111,7 +115,8 @@
 // with Stop or Abort.
 func Start(cfg Config) (*Daemon, error) {
 	d := &Daemon{cfg: cfg, log: cfg.Log, registry: prometheus.NewRegistry(), started: time.Now(),
-		effective: *cfg.Settings, storeWatcher: make(chan bool, 1), readOnce: make(chan struct{}, 1)}
+		effective: *cfg.Settings, storeWatcher: make(chan bool, 1), readOnce: make(chan struct{}, 1),
+		readMembers: make(chan struct{}, 1)}
 	d.background, d.cancel = context.WithCancel(context.Background())
 	if err := d.build(); err != nil {
 		d.cancel()
@@ -137,6 +142,13 @@
 	self := control.Member{Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerAddress(), Service: s.Service}
 	core := control.New(control.Config{Self: self, HeartbeatInterval: s.HeartbeatInterval.Std(), UpstreamAddress: s.UpstreamAddress})
 	d.loop = newLoop(core, d.perform, d.log)
+	eras := d.cfg.Platform.Store.Eras()
+	eras.SetListener(d.eraListener())
+	storeMetrics, err := newStoreMetrics(d.registry, eras)
+	if err != nil {
+		return fmt.Errorf("create store metrics: %w", err)
+	}
+	d.storeMetrics = storeMetrics
 	d.peers = proxy.NewPeers(self, d.peerCallbacks(), d.log)
 	dataPath, err := proxy.New(proxy.Config{
 		Instance:     s.Instance,
@@ -179,6 +191,16 @@
 	}
 }
 
+// eraListener returns the functions that handle the era of the store's answers.
+func (d *Daemon) eraListener() store.EraListener {
+	return store.EraListener{
+		Advanced: func(era store.Era) { d.loop.post(control.StoreEra{Era: era}) },
+		Unreadable: func(text string) {
+			d.log.Event(event.StoreEraMissing, zap.String("header", text))
+		},
+	}
+}
+
 // upstreamWasDraining handles a peer's record that the local upstream was
 // draining; nil means that the peer has none.
 func (d *Daemon) upstreamWasDraining(drained *hopv1.Left) {
@@ -188,13 +210,16 @@
 }
 
 // handlePeerState handles the state that a peer reported: its configuration
-// version, if newer than the one in force, and its crash suspects, that is,
-// requests that were running when an upstream crashed.
+// version and the store's era, if newer than the known ones, and its crash
+// suspects, that is, requests that were running when an upstream crashed.
 func (d *Daemon) handlePeerState(instance string, state *hopv1.State) {
 	version := state.GetConfigVersion()
 	if t := d.proxy.ActiveTable(); version > 0 && (t == nil || version > t.Version) {
 		d.loop.post(control.PeerConfigVersion{Instance: instance, Version: version})
 	}
+	if era := store.Era(state.GetStoreEra()); era > d.cfg.Platform.Store.Eras().Latest() {
+		d.loop.post(control.PeerStoreEra{Instance: instance, Era: era})
+	}
 	if len(state.GetSuspects()) > 0 {
 		d.proxy.MergeSuspects(state.GetSuspects())
 	}
@@ -309,6 +334,7 @@
 	s.DataCentre = d.cfg.Settings.DataCentre
 	s.Release = version.Get().String()
 	s.Stopping = d.stopping.Load()
+	s.StoreEra = uint64(d.cfg.Platform.Store.Eras().Latest())
 	s.Peers = d.peers.Status()
 	return s
 }
--- a/internal/daemon/loop_test.go
+++ b/internal/daemon/loop_test.go
@@ -94,29 +94,35 @@
 	close(core.hold)
 }
 
-// scriptedStore returns the next error of errs from each call, then nil.
+// scriptedStore returns the next error of errs from each call, then nil. Its
+// answers are of the latest era of its tracker.
 type scriptedStore struct {
 	store.Store
+	eras    store.EraTracker
+	version uint64
 	errs    []error
 	reads   int
 	watches int
 }
 
 func (s *scriptedStore) next() (store.Rows, error) {
+	rows := store.Rows{Position: store.Position{Era: s.eras.Latest(), Version: s.version}}
 	if len(s.errs) == 0 {
-		return store.Rows{Version: 7}, nil
+		return rows, nil
 	}
 	err := s.errs[0]
 	s.errs = s.errs[1:]
-	return store.Rows{Version: 7}, err
+	return rows, err
 }
 
+func (s *scriptedStore) Eras() *store.EraTracker { return &s.eras }
+
 func (s *scriptedStore) Read(context.Context, string) (store.Rows, error) {
 	s.reads++
 	return s.next()
 }
 
-func (s *scriptedStore) Watch(context.Context, string, uint64, time.Duration) (store.Rows, error) {
+func (s *scriptedStore) Watch(context.Context, string, store.Position, time.Duration) (store.Rows, error) {
 	s.watches++
 	return s.next()
 }
@@ -124,13 +130,13 @@
 // TestTableIsReadAgainWhenStoreHistoryIsGone covers a store that refuses a call,
 // has then dropped the changes since the last read, and answers again.
 func TestTableIsReadAgainWhenStoreHistoryIsGone(t *testing.T) {
-	s := &scriptedStore{errs: []error{nil, store.ErrRefused, store.ErrHistoryGone, nil, nil}}
+	s := &scriptedStore{version: 7, errs: []error{nil, store.ErrRefused, store.ErrHistoryGone, nil, nil}}
 	var notified []bool
 	complete := 0
 	tableReader := &tableReader{
 		store: s, name: "t", backoff: time.Millisecond, log: asynclog.New(io.Discard, "a-1", zapcore.InfoLevel, 10),
 		notify: func(unavailable bool) { notified = append(notified, unavailable) },
-		apply: func(_ []store.Row, all bool) {
+		apply: func(_ store.Rows, all bool) {
 			if all {
 				complete++
 			}
@@ -150,3 +156,47 @@
 		t.Errorf("store notifications: %v", notified)
 	}
 }
+
+// TestTableIsReadAgainInNewEra covers a store that comes back from an older copy:
+// between two calls of this reader, and while a call waits for changes. In both
+// cases the changes since the last position are not those that the store had.
+func TestTableIsReadAgainInNewEra(t *testing.T) {
+	s := &scriptedStore{version: 7}
+	var applied []store.Position
+	reader := &tableReader{
+		store: s, name: "t", log: asynclog.New(io.Discard, "a-1", zapcore.InfoLevel, 10), notify: func(bool) {},
+		apply: func(rows store.Rows, complete bool) {
+			if complete {
+				applied = append(applied, rows.Position)
+			}
+		},
+	}
+	poll := func() {
+		if !reader.poll(context.Background(), 0) {
+			t.Fatal("the call failed")
+		}
+	}
+	poll()
+	s.eras.Observe(1)
+	s.version = 3
+	poll()
+	poll()
+	if s.reads != 2 || s.watches != 1 || reader.position != (store.Position{Era: 1, Version: 3}) {
+		t.Errorf("%d reads, %d watches, at %+v", s.reads, s.watches, reader.position)
+	}
+	watching := &restoredWhileWatching{scriptedStore: s}
+	reader.store = watching
+	poll()
+	if s.reads != 3 || reader.position != (store.Position{Era: 2, Version: 3}) || len(applied) != 3 {
+		t.Errorf("restored while watching: %d reads, at %+v, %d applied", s.reads, reader.position, len(applied))
+	}
+}
+
+// restoredWhileWatching is a store that comes back from an older copy during each
+// Watch call.
+type restoredWhileWatching struct{ *scriptedStore }
+
+func (s *restoredWhileWatching) Watch(context.Context, string, store.Position, time.Duration) (store.Rows, error) {
+	s.eras.Observe(s.eras.Latest() + 1)
+	return s.next()
+}
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -40,6 +40,10 @@
 		setLatest(d.storeWatcher, e.On)
 	case control.ReadConfig:
 		setLatest(d.readOnce, struct{}{})
+	case control.ReadMembers:
+		setLatest(d.readMembers, struct{}{})
+	case control.PublishStoreEra:
+		d.publishStoreEra(e)
 	case control.FetchConfig:
 		go d.fetchConfig(e)
 	}
@@ -72,6 +76,16 @@
 	d.loop.post(control.MemberWritten{Err: err})
 }
 
+// publishStoreEra passes the store's era on to peers, counted unless it is the
+// first one.
+func (d *Daemon) publishStoreEra(e control.PublishStoreEra) {
+	if e.Advanced {
+		d.storeMetrics.eraChanges.Inc()
+	}
+	d.proxy.SetStoreEra(e.Era)
+	d.broadcastState()
+}
+
 func (d *Daemon) removeMember(e control.RemoveMember) {
 	ctx, cancel := context.WithTimeout(d.background, writeTimeout)
 	defer cancel()
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -49,16 +49,16 @@
 	store store.Store
 	name  string
 	// apply receives all rows (complete) or only the changed ones.
-	apply func(rows []store.Row, complete bool)
+	apply func(rows store.Rows, complete bool)
 	// notify is called with true when the store becomes unavailable and with
 	// false when it answers again.
 	notify func(unavailable bool)
 	log    *asynclog.Logger
 
-	// version is the store version up to which rows were read; it is valid while
-	// synced is set. synced is cleared when the store no longer keeps the changes
-	// since then.
-	version     uint64
+	// position is the store's position up to which rows were read; it is valid
+	// while synced is set. synced is cleared when the store no longer keeps the
+	// changes since then, or has come back from an older copy.
+	position    store.Position
 	synced      bool
 	unavailable bool
 	// backoff is the delay after the next failure.
@@ -80,23 +80,37 @@
 	t.recovered()
 	t.backoff = minBackoff
 	if len(rows.Rows) > 0 || !t.synced {
-		t.apply(rows.Rows, !t.synced)
+		t.apply(rows, !t.synced)
 	}
-	t.version, t.synced = max(t.version, rows.Version), true
+	if !t.synced || rows.Position.After(t.position) {
+		t.position = rows.Position
+	}
+	t.synced = true
 	return true
 }
 
+// readOrWatch reads the table, or its changes if those since the last call are
+// known to be complete. It clears synced if the store has come back from an older
+// copy since then, and reads the table in full.
 func (t *tableReader) readOrWatch(ctx context.Context, wait time.Duration) (store.Rows, error) {
-	if !t.synced {
-		return t.store.Read(ctx, t.name)
+	if t.synced && t.position.Era == t.store.Eras().Latest() {
+		rows, err := t.store.Watch(ctx, t.name, t.position, wait)
+		if err != nil || rows.Position.Era == t.position.Era {
+			return rows, err
+		}
 	}
-	return t.store.Watch(ctx, t.name, t.version, wait)
+	t.synced = false
+	return t.store.Read(ctx, t.name)
 }
 
 func (t *tableReader) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
+	if errors.Is(err, store.ErrEarlierEra) {
+		t.log.Event(event.StoreLost, zap.String("table", t.name), zap.Error(err))
+		return
+	}
 	if errors.Is(err, store.ErrHistoryGone) {
 		t.log.Event(event.StoreHistoryGone, zap.String("table", t.name))
 		return
@@ -121,8 +135,8 @@
 // configPollInterval and when the reducer requests it.
 func (d *Daemon) watchConfig(ctx context.Context) {
 	p := d.cfg.Platform
-	t := &tableReader{store: p.Store, name: p.ConfigTable, log: d.log, backoff: minBackoff, notify: d.setStoreUnavailable, apply: func(rows []store.Row, _ bool) {
-		for _, row := range rows {
+	t := &tableReader{store: p.Store, name: p.ConfigTable, log: d.log, backoff: minBackoff, notify: d.setStoreUnavailable, apply: func(rows store.Rows, _ bool) {
+		for _, row := range rows.Rows {
 			if row.Key == p.ConfigKey && !row.Removed {
 				d.readConfig(row.Value, control.FromStore)
 			}
@@ -183,12 +197,13 @@
 }
 
 // watchMembers polls the member table until ctx ends: first at
-// initialMembersPolls, then every membersPollInterval.
+// initialMembersPolls, then every membersPollInterval and when the reducer
+// requests it.
 func (d *Daemon) watchMembers(ctx context.Context) {
 	t := &tableReader{
 		store: d.cfg.Platform.Store, name: MembersTable, log: d.log, backoff: minBackoff, notify: func(bool) {},
-		apply: func(rows []store.Row, complete bool) {
-			d.loop.post(control.MembersRead{Rows: rows, Complete: complete})
+		apply: func(rows store.Rows, complete bool) {
+			d.loop.post(control.MembersRead{Rows: rows.Rows, Complete: complete, Position: rows.Position})
 		},
 	}
 	for polls := 0; ctx.Err() == nil; {
@@ -200,7 +215,19 @@
 			interval = initialMembersPolls[polls]
 		}
 		polls++
-		sleep(ctx, jittered(interval))
+		d.awaitMembersPoll(ctx, jittered(interval))
+	}
+}
+
+// awaitMembersPoll returns after the interval, when the reducer requests a read of
+// the member table, or when ctx ends.
+func (d *Daemon) awaitMembersPoll(ctx context.Context, interval time.Duration) {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-d.readMembers:
 	}
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -27,6 +27,7 @@
 	ConfigApplied Number = 2003
 	ConfigRefused Number = 2004
 	WatchDuty     Number = 2005
+	ConfigOlder   Number = 2006
 
 	MembersChanged   Number = 3001
 	MemberUnreadable Number = 3002
@@ -36,6 +37,7 @@
 	UpstreamSilent   Number = 3008
 	UpstreamIgnored  Number = 3009
 	ReportRefused    Number = 3010
+	MemberRestored   Number = 3011
 
 	CallRouted   Number = 4001
 	CallExecuted Number = 4002
@@ -47,6 +49,8 @@
 	StoreLost        Number = 7001
 	StoreRecovered   Number = 7002
 	StoreHistoryGone Number = 7003
+	StoreEraAdvanced Number = 7004
+	StoreEraMissing  Number = 7005
 )
 
 // Info describes one event.
@@ -74,6 +78,7 @@
 	{ConfigApplied, "config-applied", "A configuration version was applied."},
 	{ConfigRefused, "config-refused", "A configuration version was rejected as a whole; the line says why."},
 	{WatchDuty, "watch-duty", "This daemon started or stopped watching the store for configurations."},
+	{ConfigOlder, "config-older", "The store holds an older configuration than the one in force, which stays."},
 
 	{MembersChanged, "members-changed", "The member table changed."},
 	{MemberUnreadable, "member-unreadable", "A row of the member table cannot be decoded; the previous row stays in use."},
@@ -83,6 +88,7 @@
 	{UpstreamSilent, "upstream-silent", "The local upstream's heartbeats stopped; it gets no requests until the next one."},
 	{UpstreamIgnored, "upstream-ignored", "A report was ignored because it was outdated or came from another upstream."},
 	{ReportRefused, "report-refused", "A report of an upstream could not be decoded or was not applied in time; the line says which."},
+	{MemberRestored, "member-restored", "A member that had left is in the older copy that the store came back from; it is not used."},
 
 	{CallRouted, "call-routed", "A request was sent to an upstream; the line says why this one was chosen."},
 	{CallExecuted, "call-executed", "The executing daemon ran or refused a request."},
@@ -94,6 +100,8 @@
 	{StoreLost, "store-lost", "The platform's store became unavailable."},
 	{StoreRecovered, "store-recovered", "The platform's store is available again."},
 	{StoreHistoryGone, "store-history-gone", "The store no longer has the requested changes; the whole table is read again."},
+	{StoreEraAdvanced, "store-era-advanced", "The store came back from an older copy; the member table is read again."},
+	{StoreEraMissing, "store-era-missing", "The store's answers carry no valid era; it counts as era 0."},
 }
 
 var byNumber = indexByNumber()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -20,6 +20,7 @@
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/quarantine"
 	"godwitmount/internal/routing"
+	"godwitmount/internal/store"
 	"godwitmount/internal/upstream"
 )
 
@@ -97,6 +98,8 @@
 	entryClosed atomic.Bool
 	// storeUnavailable is set while the store does not answer this daemon.
 	storeUnavailable atomic.Bool
+	// storeEra is the latest era of the store that this daemon has seen.
+	storeEra atomic.Uint64
 	// entryRequests counts callers' requests in flight, executingRequests those
 	// admitted or waiting for the upstream.
 	entryRequests     atomic.Int64
@@ -189,6 +192,9 @@
 	return p.storeUnavailable.Swap(unavailable) != unavailable
 }
 
+// SetStoreEra sets the store's era that this daemon reports to peers.
+func (p *Proxy) SetStoreEra(era store.Era) { p.storeEra.Store(uint64(era)) }
+
 // BeginStop makes the answer to each further request of a caller close its
 // connection.
 func (p *Proxy) BeginStop() { p.stopping.Store(true) }
@@ -216,6 +222,7 @@
 		Service:       u.Service,
 		Stopping:      p.stopping.Load(),
 		StoreLost:     p.storeUnavailable.Load(),
+		StoreEra:      p.storeEra.Load(),
 		Leaving:       u.Draining(),
 		Born:          u.StartTime,
 		LineDelayUs:   uint32(p.expectedRTT().Microseconds()),
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -33,6 +33,7 @@
 			peer.TakesWork = state.GetTakesWork()
 			peer.Service = state.GetService()
 			peer.ConfigVersion = state.GetConfigVersion()
+			peer.StoreEra = state.GetStoreEra()
 		}
 		all = append(all, peer)
 	}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -11,8 +11,11 @@
 	Release    string `json:"release"`
 	Stopping   bool   `json:"stopping"`
 	// ConfigVersion is the configuration version in force; 0 for none.
-	ConfigVersion uint64   `json:"config_version"`
-	Upstream      Upstream `json:"upstream"`
+	ConfigVersion uint64 `json:"config_version"`
+	// StoreEra is the latest era that the daemon has seen in an answer of the
+	// store: how often the store has come back from an older copy.
+	StoreEra uint64   `json:"store_era"`
+	Upstream Upstream `json:"upstream"`
 	// Peers holds the daemons to which this one stays connected.
 	Peers []Peer `json:"peers"`
 }
@@ -41,4 +44,6 @@
 	Service string `json:"service"`
 	// ConfigVersion is the version that the peer last reported; 0 for none.
 	ConfigVersion uint64 `json:"config_version"`
+	// StoreEra is the store's era that the peer last reported.
+	StoreEra uint64 `json:"store_era"`
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,9 +13,8 @@
 type Row struct {
 	Key   string
 	Value []byte
-	// Version comes from one counter over all tables; a later change of any row
-	// has a larger version.
-	Version uint64
+	// Position is that of the row's last change.
+	Position Position
 	// Removed is set when the row was removed; Value is then empty.
 	Removed bool
 }
@@ -23,9 +22,9 @@
 // Rows holds all rows of a table, or the rows changed after an earlier version.
 type Rows struct {
 	Rows []Row
-	// Version is the store version up to which Rows is complete. Rows may hold
-	// some later changes as well; a Watch after Version returns these again.
-	Version uint64
+	// Position is the one up to which Rows is complete. Rows may hold some later
+	// changes as well; a Watch after Position returns these again.
+	Position Position
 }
 
 // Errors returned by the methods of Store.
@@ -38,6 +37,9 @@
 	// ErrHistoryGone means that the store no longer keeps the requested changes;
 	// the table must be read again in full.
 	ErrHistoryGone = errors.New("store no longer has these changes")
+	// ErrEarlierEra means that the answer describes rows that the store has lost
+	// since, because it came back from an older copy.
+	ErrEarlierEra = errors.New("store answered from an earlier era")
 )
 
 // Store reads, writes and watches tables. All methods are safe for concurrent
@@ -45,12 +47,15 @@
 type Store interface {
 	// Read returns all rows of a table.
 	Read(ctx context.Context, table string) (Rows, error)
-	// Watch blocks until a row of the table has a version above after, or wait
-	// has elapsed, and returns the changed rows in order of version. It returns
-	// ErrHistoryGone if the store no longer keeps all of these changes.
-	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Rows, error)
+	// Watch blocks until a row of the table has changed after a position, or wait
+	// has elapsed, and returns the changed rows in order. It returns ErrHistoryGone
+	// if the store no longer keeps all of these changes. If the result is of a
+	// later era than after, the table must be read again in full.
+	Watch(ctx context.Context, table string, after Position, wait time.Duration) (Rows, error)
 	// Put creates or overwrites a row.
 	Put(ctx context.Context, table, key string, value []byte) error
+	// Eras returns the tracker of the era of the store's answers.
+	Eras() *EraTracker
 	// SetAddress sets the store's address, host:port, for subsequent calls.
 	SetAddress(address string)
 	// Remove removes a row; a missing row is not an error.
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -25,11 +25,17 @@
 	publish
 	drainingUpstream
 	crashedUpstream
-	numKinds
+	// numDrawn is the number of the kinds above. Each plan draws from all of them,
+	// so that their number must stay for a seed to keep its plan.
+	numDrawn
+	// restoredStore is in each plan once.
+	restoredStore = numDrawn
+	numKinds      = numDrawn + 1
 )
 
 var kindNames = [numKinds]string{"kill-daemon", "pause-daemon", "stop-daemon", "slow-link", "blocked-link", "one-way-link",
-	"reset-link", "busy-store", "unresponsive-store", "lost-write-responses", "truncated-history", "publish", "draining-upstream", "crashed-upstream"}
+	"reset-link", "busy-store", "unresponsive-store", "lost-write-responses", "truncated-history", "publish", "draining-upstream", "crashed-upstream",
+	"restored-store"}
 
 // fault is one entry of a plan.
 type fault struct {
@@ -39,8 +45,9 @@
 	// node is the index of the affected node. Faults of the store and publish
 	// ignore it.
 	node int
-	// duration is how long a fault of a link or the store, or a pause, lasts. The
-	// other kinds ignore it.
+	// duration is how long a fault of a link or the store, or a pause, lasts, and
+	// how old the copy is that the store comes back from. The other kinds ignore
+	// it.
 	duration time.Duration
 }
 
@@ -63,11 +70,17 @@
 	for range int(planLength / faultInterval) {
 		plan = append(plan, fault{
 			start:    time.Duration(random.Int64N(int64(planLength))),
-			kind:     kind(random.IntN(int(numKinds))),
+			kind:     kind(random.IntN(int(numDrawn))),
 			node:     random.IntN(nodes),
 			duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))),
 		})
 	}
+	drill := rand.New(rand.NewPCG(seed, 2))
+	plan = append(plan, fault{
+		start:    time.Duration(drill.Int64N(int64(planLength))),
+		kind:     restoredStore,
+		duration: minFaultDuration + time.Duration(drill.Int64N(int64(maxFaultDuration-minFaultDuration))),
+	})
 	slices.SortFunc(plan, func(a, b fault) int { return int(a.start - b.start) })
 	return plan
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -36,6 +36,9 @@
 	// upstreams.
 	settleTime   = time.Second
 	pollInterval = 100 * time.Millisecond
+	// rewriteDelay is how long operators take to write the configuration again after
+	// the store has come back from an older copy.
+	rewriteDelay = 500 * time.Millisecond
 )
 
 // failedSeeds are seeds that failed in the past, with the cause. They run every
@@ -107,8 +110,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
+	s.store.Publish(s.config())
+}
+
+// republish writes the latest version of the configuration again, as operators do
+// after the store has come back from an older copy.
+func (s *soak) republish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.Publish(s.config())
+}
+
+// config returns the latest version of the configuration. The caller holds mu.
+func (s *soak) config() []byte {
 	movedTo := []string{"desk", "back"}[s.version%2]
-	s.store.Publish(platformtest.ShopConfig(s.version, movedTo))
+	return platformtest.ShopConfig(s.version, movedTo)
 }
 
 // runPlan injects the faults of a plan under load and waits until all daemons
@@ -158,6 +174,12 @@
 		s.store.SetFault(platformtest.NoFault)
 	case truncatedHistory:
 		s.store.TruncateHistory()
+	case restoredStore:
+		older := s.store.Copy()
+		time.Sleep(f.duration)
+		s.store.Restore(older)
+		time.Sleep(rewriteDelay)
+		s.republish()
 	case publish:
 		s.publish()
 	case drainingUpstream, crashedUpstream:
