Keep requests local while the local upstream is expected to keep their goal

Change: the entry daemon learns the service time of each route as a share of the upstream's mean (answers carry how long the slot was held), and leaves the data centre only if the local upstream is not expected to answer within the goal with a margin. A late answer of the store is no longer logged as an older configuration before the first new era.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -172,9 +172,10 @@
 }
 
 // logOlderConfig logs that the store holds an older configuration than the one in
-// force, as after it has come back from an older copy. The version in force stays.
+// force since it has come back from an older copy. The version in force stays.
+// Before, an older one is only an answer that a newer one from a peer has overtaken.
 func (c *Core) logOlderConfig(ev ConfigRead) {
-	if ev.From == FromStore && ev.Version < c.version {
+	if ev.From == FromStore && ev.Version < c.version && c.era.advanced {
 		c.log(event.ConfigOlder, true, step.F("version", ev.Version), step.F("in_force", c.version))
 	}
 }
--- a/internal/control/era.go
+++ b/internal/control/era.go
@@ -25,6 +25,9 @@
 	// set from the first answer on.
 	current store.Era
 	known   bool
+	// advanced is set once the store has come back from an older copy while this
+	// process ran.
+	advanced bool
 	// resync is the latest era for which a read of the member table was scheduled;
 	// resyncAt is the time of that read, 0 for none.
 	resync   store.Era
@@ -51,6 +54,7 @@
 		c.era.resync = max(c.era.resync, era)
 		return
 	}
+	c.era.advanced = true
 	c.log(event.StoreEraAdvanced, true, step.F("era", era), step.F("before", before.current))
 	c.scheduleResync(era)
 }
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -152,7 +152,9 @@
 	p, c := f.proxy, f.call
 	candidates := p.candidates(c.service)
 	chosen := routing.Choose(candidates, routing.PlacementRequest{
-		Bytes: p.expectedSize(c.route.Name),
+		Bytes: p.routes.size(c.route.Name),
+		Work:  p.routes.work(c.route.Name),
+		Goal:  time.Until(c.goal),
 		Tried: f.tried,
 		Rand:  rand.Float64,
 	})
@@ -301,7 +303,8 @@
 	p.deps.Log.Request(event.CallAnswered, answer.Status >= http.StatusInternalServerError,
 		slices.Concat([]zap.Field{zap.String("id", c.id), zap.Uint32("status", answer.Status),
 			zap.Duration("took", time.Since(c.started)), zap.Uint64("config", c.version)}, f.fields())...)
-	p.recordSize(c.route.Name, len(answer.Body)+len(c.request.Body))
+	p.routes.recordSize(c.route.Name, len(answer.Body)+len(c.request.Body))
+	p.routes.recordWork(c.route.Name, microseconds(answer.RanUs), microseconds(answer.State.GetServiceTimeUs()))
 	w.WriteHeader(int(answer.Status))
 	// The caller may have disconnected; there is nobody to report the error to.
 	_, _ = w.Write(answer.Body)
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -80,7 +80,7 @@
 // linkSaturatedFor reports whether a request of the route would add a large
 // answer to a network link that is already saturated.
 func (p *Proxy) linkSaturatedFor(route string) bool {
-	return p.expectedRTT() > saturatedRTT && p.expectedSize(route) >= routing.LargeRequestBytes
+	return p.expectedRTT() > saturatedRTT && p.routes.size(route) >= routing.LargeRequestBytes
 }
 
 // refusalCode returns the result code for a request that got no slot. A request
@@ -130,7 +130,8 @@
 		zap.String("route", request.Route), zap.Uint64("status", uint64(answer.Status)),
 		zap.Bool("not_run", answer.NotRun), zap.Duration("waited", started-arrived), zap.Duration("took", took))
 	p.consecutiveTimeouts.Store(0)
-	p.recordSize(request.Route, len(answer.Body)+len(request.Body))
+	p.routes.recordSize(request.Route, len(answer.Body)+len(request.Body))
+	answer.RanUs = uint32(took.Microseconds())
 	answer.State = p.State()
 	return &hopv1.Frame{Body: &hopv1.Frame_Answer{Answer: answer}}
 }
--- a/internal/proxy/limits_test.go
+++ b/internal/proxy/limits_test.go
@@ -102,8 +102,8 @@
 // until the link is no longer saturated.
 func TestSaturatedLinkRefusesLargeRequests(t *testing.T) {
 	p := newTestProxy(t, manifest.Service{Name: "s"}, manifest.RetryRule{Name: "rule", Attempts: 2})
-	p.recordSize("download", 90_000)
-	p.recordSize("lookup", 1_500)
+	p.routes.recordSize("download", 90_000)
+	p.routes.recordSize("lookup", 1_500)
 	if p.linkSaturatedFor("download") {
 		t.Error("a large request is refused on an idle link")
 	}
--- a/internal/proxy/observed.go
+++ b/internal/proxy/observed.go
@@ -19,26 +19,3 @@
 	defer p.mu.Unlock()
 	return p.rttEstimator.Estimate(p.now())
 }
-
-// sizeWeight is the weight of a new sample in a route's mean size.
-const sizeWeight = 0.05
-
-// recordSize records the size in bytes of a request and its answer together,
-// without headers.
-func (p *Proxy) recordSize(route string, bytes int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	mean, ok := p.meanSizes[route]
-	if !ok {
-		mean = float64(bytes)
-	}
-	p.meanSizes[route] = mean + sizeWeight*(float64(bytes)-mean)
-}
-
-// expectedSize returns the mean size in bytes of a route's recent requests and
-// their answers together, or 0 before the first one.
-func (p *Proxy) expectedSize(route string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return int(p.meanSizes[route])
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -119,9 +119,8 @@
 	// budgets holds retry budgets by service, ruleBudgets by rule name.
 	budgets     map[string]*routing.RetryBudget
 	ruleBudgets map[string]*ruleBudget
-	// meanSizes holds the mean size in bytes of a request and its answer
-	// together, by route.
-	meanSizes map[string]float64
+	// routes holds what the requests of each route have needed.
+	routes *routeProfiles
 }
 
 // Table is the compiled routes of one version of the configuration.
@@ -146,7 +145,7 @@
 		suspects:            quarantine.NewSet(),
 		budgets:             map[string]*routing.RetryBudget{},
 		ruleBudgets:         map[string]*ruleBudget{},
-		meanSizes:           map[string]float64{},
+		routes:              newRouteProfiles(),
 	}
 	p.client = upstream.NewClient(upstream.Headers{
 		RequestID: cfg.Headers.RequestID,
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -53,6 +53,12 @@
 type PlacementRequest struct {
 	// Bytes is the expected size of the request and its answer together.
 	Bytes int
+	// Work is the expected service time of the request as a share of the mean
+	// service time of all requests at the same upstream; 0 means unknown and counts
+	// as 1.
+	Work float64
+	// Goal is the time left to the request's latency goal.
+	Goal time.Duration
 	// Tried lists instances that have refused the request or failed to run it.
 	Tried []string
 	// Rand returns a random number in [0,1).
@@ -91,6 +97,9 @@
 	// pendingPingWeight is the weight of PendingPingAge in the cost. It is
 	// above 1 because the wait for a daemon that is cut off has only begun.
 	pendingPingWeight = 4
+	// goalMargin is the factor by which the expected time until the answer of a
+	// local upstream may grow without missing the goal. Service times vary.
+	goalMargin = 1.5
 	// largeJitter replaces jitter for large requests. Their cost depends on the
 	// network links of machines, which are alike, and not on which upstream
 	// computes fastest.
@@ -103,9 +112,11 @@
 // from which a transfer occupies a network link long enough to delay others.
 const LargeRequestBytes = 32 << 10
 
-// Choose returns the index of the candidate with the lowest cost or, for a small
-// share of the requests, of a random local candidate with a free slot. It
-// returns -1 if no candidate may be chosen.
+// Choose returns the index of the local candidate with the lowest cost if that is
+// expected to answer within the goal, else of the candidate with the lowest cost,
+// remote ones included. For a small share of the requests it returns that of a
+// random local candidate with a free slot. It returns -1 if no candidate may be
+// chosen.
 func Choose(candidates []Candidate, request PlacementRequest) int {
 	hasLocal := HasLocal(candidates)
 	if request.Rand() < explorationShare {
@@ -114,13 +125,16 @@
 		}
 	}
 	local := request.best(candidates, func(c *Candidate) bool { return c.Local })
+	if local >= 0 && request.meetsGoal(&candidates[local]) {
+		return local
+	}
 	remote := request.best(candidates, func(c *Candidate) bool {
 		return !c.Local && (!hasLocal || c.allowsSpillover(request.Bytes))
 	})
 	if local < 0 || remote < 0 {
 		return max(local, remote)
 	}
-	if candidates[remote].cost(request.Bytes) < candidates[local].cost(request.Bytes) {
+	if request.cost(&candidates[remote]) < request.cost(&candidates[local]) {
 		return remote
 	}
 	return local
@@ -136,7 +150,7 @@
 		if !eligible(c) || !c.Available || r.tried(c.Instance) {
 			continue
 		}
-		cost := c.cost(r.Bytes) + c.loadPenalty() + time.Duration(r.Rand()*float64(r.jitter(c)))
+		cost := r.cost(c) + c.loadPenalty() + time.Duration(r.Rand()*float64(r.jitter(c)))
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -178,18 +192,37 @@
 	return bytes < localOnlyBytes && c.Load < spilloverLoadShare*float64(c.Slots)
 }
 
+// meetsGoal reports whether the candidate is expected to answer within the goal,
+// also when the answer takes goalMargin times as long as expected.
+func (r *PlacementRequest) meetsGoal(c *Candidate) bool {
+	return goalMargin*float64(r.answerTime(c)) <= float64(r.Goal)
+}
+
 // cost returns the expected time until the answer, plus the cost of data sent
-// to another data centre expressed as time. The older the report, the less its
-// RTT counts.
-func (c *Candidate) cost(bytes int) time.Duration {
-	rtt := time.Duration(c.freshness() * float64(c.RTT))
-	cost := c.ExpectedWait() + c.ServiceTime + rtt + pendingPingWeight*c.PendingPingAge
+// to another data centre expressed as time.
+func (r *PlacementRequest) cost(c *Candidate) time.Duration {
+	cost := r.answerTime(c)
 	if !c.Local {
-		cost += remoteRTT + remoteCostPerKilobyte*time.Duration(bytes+overheadBytes)/kilobyte
+		cost += remoteRTT + remoteCostPerKilobyte*time.Duration(r.Bytes+overheadBytes)/kilobyte
 	}
 	return cost
 }
 
+// answerTime returns the expected time until the answer. The older the report, the
+// less its RTT counts.
+func (r *PlacementRequest) answerTime(c *Candidate) time.Duration {
+	rtt := time.Duration(c.freshness() * float64(c.RTT))
+	return c.ExpectedWait() + r.serviceTime(c) + rtt + pendingPingWeight*c.PendingPingAge
+}
+
+// serviceTime returns the expected service time of the request at the candidate.
+func (r *PlacementRequest) serviceTime(c *Candidate) time.Duration {
+	if r.Work <= 0 {
+		return c.ServiceTime
+	}
+	return time.Duration(r.Work * float64(c.ServiceTime))
+}
+
 // ExpectedWait returns the expected time until the request gets a slot.
 func (c *Candidate) ExpectedWait() time.Duration {
 	excess := c.Load + 1 - float64(c.Slots)
--- /dev/null
+++ b/internal/routing/goal_test.go
@@ -0,0 +1,42 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestShortRequestStaysAtSlowLocalUpstream covers a service with one upstream in
+// each data centre, of which the local one is half as fast. Its mean service time
+// is that of long requests. Short ones that running requests wait for, with a
+// tenth of that service time, answer within their goal there, so that sending them
+// to a faster data centre would only cost the transfer.
+func TestShortRequestStaysAtSlowLocalUpstream(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 8))
+	slow, fast := candidate("slow", true, 5, 300*ms), candidate("fast", false, 0, 100*ms)
+	remote := func(work float64, goal time.Duration, load float64) int {
+		slow.Load = load
+		sent := 0
+		for range 100 {
+			if Choose([]Candidate{slow, fast}, PlacementRequest{Bytes: 600, Work: work, Goal: goal, Rand: random.Float64}) == 1 {
+				sent++
+			}
+		}
+		return sent
+	}
+	if n := remote(0.1, 100*ms, 5); n > 0 {
+		t.Errorf("%d of 100 short requests left a data centre that answers within the goal", n)
+	}
+	if n := remote(0.1, 100*ms, 14); n < 90 {
+		t.Errorf("%d of 100 short requests left a data centre whose queue makes them late", n)
+	}
+	if n := remote(1, 400*ms, 5); n < 90 {
+		t.Errorf("%d of 100 long requests went to the fast upstream that alone keeps their goal", n)
+	}
+	if n := remote(1, 600*ms, 5); n > 0 {
+		t.Errorf("%d of 100 long requests left although the slow upstream keeps their goal", n)
+	}
+	if n := remote(1, 0, 5); n < 90 {
+		t.Errorf("%d of 100 requests past their goal went to the faster upstream", n)
+	}
+}
