Avoid upstreams that fail requests while they report themselves ready

Cause: an upstream that refused or failed part of its requests at once looked idle and fast, because its failures counted as service times, and so attracted more. Change: the executing daemon estimates the share of requests that its upstream fails and reports it; placement adds it as a cost; fast failures are no service times; a server error after a failed nested request is not the upstream's fault.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -108,14 +108,14 @@
 	return &Slot{c, t.Kind, c.now()}, nil
 }
 
-// Release frees the slot after its request has run and records the service
-// time.
-func (s *Slot) Release() {
+// Release frees the slot after its request has run or failed, and records the
+// service time; see Queue.Release.
+func (s *Slot) Release(failed bool) {
 	c := s.controller
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	next, late := c.queue.Release(now, s.kind, now-s.start)
+	next, late := c.queue.Release(now, s.kind, now-s.start, failed)
 	c.notify(next, late)
 }
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -212,9 +212,13 @@
 
 // Release frees the slot of a request and records the time for which the
 // request held it. It then assigns the slot as Dispatch does, and returns what
-// Dispatch returns.
-func (q *Queue) Release(now time.Duration, kind string, held time.Duration) (next *Ticket, late []*Ticket) {
+// Dispatch returns. The time of a failed request counts only if it exceeds the mean:
+// an upstream that fails quickly is not a fast one.
+func (q *Queue) Release(now time.Duration, kind string, held time.Duration, failed bool) (next *Ticket, late []*Ticket) {
 	q.running--
+	if failed && held < q.ServiceTime() {
+		return q.Dispatch(now)
+	}
 	q.serviceTime.add(held)
 	if q.kinds[kind] == nil {
 		q.kinds[kind] = &movingAverage{}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -15,7 +15,7 @@
 	q.Open(slots, 0)
 	for range 200 {
 		q.running++
-		q.Release(0, "k", 100*ms)
+		q.Release(0, "k", 100*ms, false)
 	}
 	return q
 }
@@ -67,7 +67,7 @@
 		tickets[i] = ticket
 	}
 	for _, want := range []int{3, 2, 1, 0} {
-		next, _ := q.Release(10*ms, "k", 100*ms)
+		next, _ := q.Release(10*ms, "k", 100*ms, false)
 		if next != tickets[want] {
 			t.Errorf("request %d is not next", want)
 		}
@@ -118,7 +118,7 @@
 	q.Open(10, 0)
 	for i := range 200 {
 		q.running++
-		q.Release(0, "k", time.Duration(100+i%2*400)*ms)
+		q.Release(0, "k", time.Duration(100+i%2*400)*ms, false)
 	}
 	takeAllSlots(t, q)
 	if ticket, reason, _ := q.Submit(0, requestInTime(0)); ticket == nil {
@@ -130,7 +130,7 @@
 	q := openQueue(1)
 	takeAllSlots(t, q)
 	expired, _, _ := q.Submit(0, requestInTime(0))
-	next, late := q.Release(400*ms, "k", 100*ms)
+	next, late := q.Release(400*ms, "k", 100*ms, false)
 	if next != nil || len(late) != 1 || late[0] != expired {
 		t.Errorf("next ticket %v, %d late tickets", next, len(late))
 	}
@@ -169,7 +169,7 @@
 	horizon := time.Duration(arrivals)*gap + 3*time.Second
 	for now := time.Duration(0); now < horizon; now += step {
 		for range ends[now] {
-			next, _ := q.Release(now, "k", run)
+			next, _ := q.Release(now, "k", run, false)
 			if next != nil {
 				start(now, waiting[next])
 			}
@@ -261,3 +261,23 @@
 		t.Errorf("without a slow start: %d slots, want 10", got)
 	}
 }
+
+// TestFastFailuresDoNotMakeAnUpstreamFast covers an upstream that fails requests
+// at once, then one that leaves them without an answer.
+func TestFastFailuresDoNotMakeAnUpstreamFast(t *testing.T) {
+	q := openQueue(4)
+	for range 100 {
+		q.running++
+		q.Release(0, "k", ms, true)
+	}
+	if got := q.ServiceTime(); got != 100*ms {
+		t.Errorf("after requests that failed at once: service time %s", got)
+	}
+	for range 100 {
+		q.running++
+		q.Release(0, "k", 2*time.Second, true)
+	}
+	if got := q.ServiceTime(); got < time.Second {
+		t.Errorf("after requests that failed late: service time %s", got)
+	}
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -46,8 +46,9 @@
 	// idempotent requests may run more than once.
 	idempotent bool
 	// nested marks a request that the upstream beside this daemon sent while it
-	// ran another one, which waits for it.
+	// ran another one, parent, which waits for it. Otherwise parent is nil.
 	nested  bool
+	parent  *runningRequest
 	request *hopv1.Request
 }
 
@@ -75,7 +76,8 @@
 	c.route = route
 	c.idempotent = route.IsIdempotent(r.Method)
 	c.service = pickTarget(route)
-	c.nested = p.isNested(c.id)
+	c.parent = p.running.get(p.cfg.ParentID(c.id))
+	c.nested = c.parent != nil
 	p.setTimes(c, r)
 	body, f := readBody(w, r, c, table.Manifest().Limits.MaxBodyBytes)
 	if f != nil {
@@ -129,17 +131,6 @@
 	return uint32(rule.PerTryTimeout.Std().Milliseconds())
 }
 
-// isNested reports whether the upstream beside this daemon sent the request with
-// the id for another request that it is still running.
-func (p *Proxy) isNested(id string) bool {
-	parent := p.cfg.ParentID(id)
-	if parent == "" {
-		return false
-	}
-	_, running := p.runningIDs.Load(parent)
-	return running
-}
-
 // forwardedHeaders returns the caller's end-to-end headers without those that
 // the data path sets itself.
 func (p *Proxy) forwardedHeaders(header http.Header) []*hopv1.Header {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -248,6 +248,8 @@
 			Load:        float64(load.Running + load.Waiting),
 			Slots:       p.advertisedSlots(load.Slots),
 			ServiceTime: load.ServiceTime,
+
+			FailureShare: p.failureShare(),
 		})
 	}
 	all = p.deps.Peers.candidates(all, service)
@@ -255,6 +257,14 @@
 	return all
 }
 
+// recordNestedFailure tells the request for which a nested one was sent that this
+// one failed.
+func (c *call) recordNestedFailure() {
+	if c.parent != nil {
+		c.parent.nestedFailed.Store(true)
+	}
+}
+
 // writeFailure answers the caller with a failure and records it. The forwarder
 // is nil if no attempt was made.
 func (p *Proxy) writeFailure(w http.ResponseWriter, c *call, failed *failure, f *forwarder) {
@@ -263,6 +273,7 @@
 	if c.deadline.IsZero() {
 		remaining = time.Second
 	}
+	c.recordNestedFailure()
 	delay := retryAfter(failed.retryAfter, time.Until(c.goal), remaining, rand.Float64())
 	if failed.notRun && failed.code.Info().RetryAfter {
 		p.recentRefusals.record(c.key, c.firstSeen, p.now())
@@ -299,6 +310,9 @@
 	if c.method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	}
+	if answer.Status >= http.StatusInternalServerError || answer.NotRun {
+		c.recordNestedFailure()
+	}
 	p.metrics.recordAnswer(c, strconv.Itoa(int(answer.Status)))
 	p.deps.Log.Request(event.CallAnswered, answer.Status >= http.StatusInternalServerError,
 		slices.Concat([]zap.Field{zap.String("id", c.id), zap.Uint32("status", answer.Status),
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -62,13 +62,17 @@
 	if refusal != nil {
 		return p.refuse(request, refusalCode(refusal.Reason, p.now() >= deadline), refusal.RetryAfter)
 	}
-	defer slot.Release()
+	upstreamFailed := true
+	defer func() { slot.Release(upstreamFailed) }()
 	// The upstream may have changed while the request waited.
 	u = p.upstream.Load()
 	if !u.AcceptsRequests() || u.Service != request.Service {
 		return p.refuse(request, code.CallDraining, 0)
 	}
-	return p.run(ctx, request, u, arrived, deadline)
+	var frame *hopv1.Frame
+	frame, upstreamFailed = p.run(ctx, request, u, arrived, deadline)
+	p.recordOutcome(upstreamFailed)
+	return frame
 }
 
 // saturatedRTT is the network round-trip time from which this daemon's network
@@ -99,8 +103,9 @@
 }
 
 // run sends an admitted request to the upstream and returns its answer or a
-// failure. The times arrived and deadline are since epoch.
-func (p *Proxy) run(ctx context.Context, request *hopv1.Request, u *control.Upstream, arrived, deadline time.Duration) *hopv1.Frame {
+// failure, and whether the outcome is a fault of the upstream. The times arrived and
+// deadline are since epoch.
+func (p *Proxy) run(ctx context.Context, request *hopv1.Request, u *control.Upstream, arrived, deadline time.Duration) (frame *hopv1.Frame, failed bool) {
 	started := p.now()
 	timeout := deadline - started
 	if request.AttemptMs > 0 {
@@ -113,8 +118,9 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	p.runningIDs.Store(request.Id, true)
-	defer p.runningIDs.Delete(request.Id)
+	running := p.running.add(request.Id)
+	defer p.running.remove(request.Id)
+	mean := p.admissionController.Load().ServiceTime
 	answer, err := p.client.Do(bounded, upstream.Call{Request: request, ExtraHeaders: []*hopv1.Header{
 		{Name: p.cfg.Headers.RequestID, Value: request.Id},
 		{Name: p.cfg.Headers.Deadline, Value: upstream.FormatMilliseconds(timeout)},
@@ -124,7 +130,8 @@
 	took := p.now() - started
 	p.metrics.recordRun(took, started-arrived)
 	if err != nil {
-		return p.runFailure(bounded, request, u, err, took)
+		failed = bounded.Err() == nil || errors.Is(bounded.Err(), context.DeadlineExceeded) && took > longRuns*mean
+		return p.runFailure(bounded, request, u, err, took), failed
 	}
 	p.deps.Log.Request(event.CallExecuted, answer.Status >= 500, zap.String("id", request.Id),
 		zap.String("route", request.Route), zap.Uint64("status", uint64(answer.Status)),
@@ -133,7 +140,7 @@
 	p.routes.recordSize(request.Route, len(answer.Body)+len(request.Body))
 	answer.RanUs = uint32(took.Microseconds())
 	answer.State = p.State()
-	return &hopv1.Frame{Body: &hopv1.Frame_Answer{Answer: answer}}
+	return &hopv1.Frame{Body: &hopv1.Frame_Answer{Answer: answer}}, answerFails(answer, running, took, mean)
 }
 
 // runFailure returns the failure of a run that ended with err and without a
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -298,6 +298,7 @@
 		ReportAge:      now - state.at,
 		Slots:          int(state.GetSlots()),
 		ServiceTime:    serviceTime,
+		FailureShare:   float64(state.GetFailuresPerMille()) / perMille,
 		RTT:            microseconds(state.GetLineDelayUs()),
 		PendingPingAge: p.client.UnansweredPingAge(),
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -104,8 +104,8 @@
 	// admitted or waiting for the upstream.
 	entryRequests     atomic.Int64
 	executingRequests atomic.Int64
-	// runningIDs is the set of ids of the requests that run at the upstream.
-	runningIDs sync.Map
+	// running holds the requests that run at the upstream.
+	running runningRequests
 	// consecutiveTimeouts counts the runs that timed out since the last answer
 	// of the upstream or the last call of ReportStalled.
 	consecutiveTimeouts atomic.Int64
@@ -116,6 +116,8 @@
 	mu sync.Mutex
 	// rttEstimator estimates the network round-trip time (RTT) to this daemon.
 	rttEstimator routing.RTTEstimator
+	// failures estimates the share of requests that the upstream fails.
+	failures routing.FailureEstimator
 	// budgets holds retry budgets by service, ruleBudgets by rule name.
 	budgets     map[string]*routing.RetryBudget
 	ruleBudgets map[string]*ruleBudget
@@ -180,6 +182,7 @@
 	if before.ID != u.ID || before.StartTime != u.StartTime {
 		p.client.CloseIdleConnections()
 		p.upstreamSince.Store(int64(p.now()))
+		p.forgetOutcomes()
 	}
 	p.client.SetAddress(u.Address)
 	p.updateAdmission()
@@ -225,6 +228,8 @@
 		Leaving:       u.Draining(),
 		Born:          u.StartTime,
 		LineDelayUs:   uint32(p.expectedRTT().Microseconds()),
+
+		FailuresPerMille: uint32(p.failureShare() * perMille),
 	}
 	if t := p.table.Load(); t != nil {
 		state.ConfigVersion = t.Version
@@ -246,6 +251,9 @@
 	return state
 }
 
+// perMille is the divisor that converts thousandths to a share.
+const perMille = 1000
+
 // maxReportedSuspects bounds the suspects in one message.
 const maxReportedSuspects = 256
 
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -39,6 +39,8 @@
 	// ServiceTime is the mean service time: the time for which a request holds
 	// a slot.
 	ServiceTime time.Duration
+	// FailureShare is the share of its recent requests that the upstream has failed.
+	FailureShare float64
 	// RTT is the network round-trip time to the instance, as its peers have
 	// measured it recently.
 	RTT time.Duration
@@ -100,6 +102,12 @@
 	// goalMargin is the factor by which the expected time until the answer of a
 	// local upstream may grow without missing the goal. Service times vary.
 	goalMargin = 1.5
+	// failurePenalty is the added cost of an upstream that fails all its requests,
+	// in service times.
+	failurePenalty = 10
+	// maxFailureShare is the share of failed requests up to which an upstream is
+	// expected to answer within the goal.
+	maxFailureShare = 0.2
 	// largeJitter replaces jitter for large requests. Their cost depends on the
 	// network links of machines, which are alike, and not on which upstream
 	// computes fastest.
@@ -195,13 +203,13 @@
 // meetsGoal reports whether the candidate is expected to answer within the goal,
 // also when the answer takes goalMargin times as long as expected.
 func (r *PlacementRequest) meetsGoal(c *Candidate) bool {
-	return goalMargin*float64(r.answerTime(c)) <= float64(r.Goal)
+	return c.FailureShare <= maxFailureShare && goalMargin*float64(r.answerTime(c)) <= float64(r.Goal)
 }
 
-// cost returns the expected time until the answer, plus the cost of data sent
-// to another data centre expressed as time.
+// cost returns the expected time until the answer, plus the costs of a failure and
+// of data sent to another data centre, both expressed as time.
 func (r *PlacementRequest) cost(c *Candidate) time.Duration {
-	cost := r.answerTime(c)
+	cost := r.answerTime(c) + time.Duration(failurePenalty*c.FailureShare*float64(c.ServiceTime))
 	if !c.Local {
 		cost += remoteRTT + remoteCostPerKilobyte*time.Duration(r.Bytes+overheadBytes)/kilobyte
 	}
--- a/internal/routing/estimate.go
+++ b/internal/routing/estimate.go
@@ -1,9 +1,6 @@
 package routing
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// localDecay is the time constant with which the weight of a local daemon's
@@ -64,5 +61,5 @@
 	if c.Local {
 		decay = localDecay
 	}
-	return math.Exp(-float64(c.ReportAge) / float64(decay))
+	return decayFactor(c.ReportAge, decay)
 }
--- a/internal/routing/rtt.go
+++ b/internal/routing/rtt.go
@@ -20,16 +20,18 @@
 
 // Observe adds the RTT of one request as a sample.
 func (e *RTTEstimator) Observe(now, rtt time.Duration) {
-	kept := decayFactor(now - e.at)
+	kept := decayFactor(now-e.at, rttDecay)
 	e.mean = time.Duration(kept*float64(e.mean) + (1-kept)*float64(rtt))
 	e.at = now
 }
 
 // Estimate returns the expected RTT. Without new samples it decays towards 0.
 func (e *RTTEstimator) Estimate(now time.Duration) time.Duration {
-	return time.Duration(decayFactor(now-e.at) * float64(e.mean))
+	return time.Duration(decayFactor(now-e.at, rttDecay) * float64(e.mean))
 }
 
-// decayFactor returns the factor, between 0 and 1, by which an estimate decays
-// within age.
-func decayFactor(age time.Duration) float64 { return math.Exp(-float64(age) / float64(rttDecay)) }
+// decayFactor returns the factor, between 0 and 1, by which an estimate with the
+// given time constant decays within age.
+func decayFactor(age, constant time.Duration) float64 {
+	return math.Exp(-float64(age) / float64(constant))
+}
