Keep requests at a silent peer, and account retries exactly

Cause: a peer from which nothing arrived for 0.4 s had its connection reset, which cancelled the requests that it was running; their callers got 502. The retry budget used an eighth of what is allowed, because nested requests of a retried run were not counted, kept the number of daemons of its first call, and charged a rule's budget for retries that the service's budget refused. Failure estimates of upstreams that all fail alike differed by chance and concentrated load. Change: a silent peer gets no new requests; one that may run twice moves elsewhere if the budget allows, all others wait, and the connection is reset 1.2 s later. Nested requests of a retried run count as retries; daemons use 0.6 of the budget, half of it for nested requests only. Failures count above the mean only. SIGTERM and SIGHUP have channels of their own, so that neither displaces the other.

--- a/cmd/godwitmountd/main.go
+++ b/cmd/godwitmountd/main.go
@@ -83,19 +83,32 @@
 	return loaded, nil
 }
 
+// stopAndReload holds the channels of the signals that the daemon handles. Each has
+// its own, so that an unread SIGHUP does not displace a SIGTERM.
+type stopAndReload struct {
+	stop, reload chan os.Signal
+}
+
+// notifySignals starts the delivery of signals.
+func notifySignals() stopAndReload {
+	signals := stopAndReload{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(signals.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals.reload, syscall.SIGHUP)
+	return signals
+}
+
 // watchSettings reloads the settings on SIGHUP and when their file changes.
 // Daemon.Reload says which of them take effect before the next start. It returns
 // on SIGTERM or SIGINT.
-func watchSettings(opts options, d *daemon.Daemon, signals <-chan os.Signal) {
+func watchSettings(opts options, d *daemon.Daemon, signals stopAndReload) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	lastModified := settingsModTime(opts.Settings)
 	for {
 		select {
-		case received := <-signals:
-			if received != syscall.SIGHUP {
-				return
-			}
+		case <-signals.stop:
+			return
+		case <-signals.reload:
 		case <-ticker.C:
 			if settingsModTime(opts.Settings).Equal(lastModified) {
 				continue
@@ -127,8 +140,7 @@
 // serve runs the daemon until SIGTERM or SIGINT, performs a planned stop and
 // returns the exit code.
 func serve(opts options, loaded *settings.Daemon) int {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signals := notifySignals()
 	level, err := zapcore.ParseLevel(loaded.LogLevel)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "godwitmountd: log_level:", err)
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -32,6 +32,9 @@
 	// ErrConnectionLost means that the connection was lost while the request
 	// was in flight. The request may have run.
 	ErrConnectionLost = errors.New("connection was lost while the request was in flight")
+	// ErrPeerSilent means that nothing has arrived from the peer for the read
+	// timeout. The request may have run. The connection stays open for silenceLimit.
+	ErrPeerSilent = errors.New("peer is silent while the request is in flight")
 	// ErrInstanceMismatch means that an instance other than Hooks.Instance
 	// answers at the address.
 	ErrInstanceMismatch = errors.New("another instance answers at the peer's address")
@@ -42,10 +45,11 @@
 type Hooks struct {
 	// Instance is the instance that is expected at the address.
 	Instance string
-	// Up is called when the handshake with the peer completes.
+	// Up is called when the handshake with the peer completes and when data arrives
+	// from a silent peer.
 	Up func()
-	// Down is called with the error when an attempt to connect fails and when the
-	// connection is lost.
+	// Down is called with the error when an attempt to connect fails, when the peer
+	// falls silent and when the connection is lost.
 	Down func(error)
 	// StateReceived is called with each state received from the peer. The state
 	// may be nil.
@@ -79,8 +83,10 @@
 	// when the connection is lost.
 	pending    map[uint64]chan *hopv1.Frame
 	lastStream uint64
-	closed     bool
-	stop       chan struct{}
+	// silence is closed while the peer is silent, and replaced when data arrives.
+	silence chan struct{}
+	closed  bool
+	stop    chan struct{}
 	// wake makes monitor check immediately.
 	wake chan struct{}
 	// instanceMismatch is set when another instance answered the Hello.
@@ -103,6 +109,7 @@
 		hello:   hello,
 		hooks:   hooks,
 		pending: map[uint64]chan *hopv1.Frame{},
+		silence: make(chan struct{}),
 		stop:    make(chan struct{}),
 		wake:    make(chan struct{}, 1),
 	}
@@ -167,6 +174,7 @@
 	if err := c.send(pc, &hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: withState(c.hello, c.hooks.State(), c.hooks.DrainRecord())}}); err != nil {
 		return 0, err
 	}
+	c.endSilence()
 	c.polling.Store(false)
 	monitorResult := make(chan time.Duration, 1)
 	go func() { monitorResult <- c.monitor(pc) }()
@@ -188,6 +196,7 @@
 // after the peer's Hello.
 func (c *Client) handleFrame(pc *peerConn, frame *hopv1.Frame) {
 	c.hooks.AdaptiveTimeout.RecordReceive(c.now())
+	c.dataArrived()
 	switch body := frame.Body.(type) {
 	case *hopv1.Frame_Hello:
 		if body.Hello.GetInstance() != c.hooks.Instance {
@@ -243,16 +252,20 @@
 }
 
 // Do sends a request and returns the peer's Answer or Failure frame. Otherwise it
-// returns an error that wraps ErrNotSent or ErrConnectionLost. If ctx ends first,
-// it sends the peer a Cancel frame and returns ctx.Err().
-func (c *Client) Do(ctx context.Context, request *hopv1.Request) (*hopv1.Frame, error) {
-	return c.roundTrip(ctx, &hopv1.Frame{Body: &hopv1.Frame_Request{Request: request}})
+// returns an error that wraps ErrNotSent, ErrConnectionLost or ErrPeerSilent. If ctx
+// ends first, it sends the peer a Cancel frame and returns ctx.Err().
+//
+// If the peer falls silent, giveUp is called once. If it returns true, Do cancels the
+// request and returns ErrPeerSilent; otherwise it goes on waiting, because a peer that
+// is only slow still answers.
+func (c *Client) Do(ctx context.Context, request *hopv1.Request, giveUp func() bool) (*hopv1.Frame, error) {
+	return c.roundTrip(ctx, &hopv1.Frame{Body: &hopv1.Frame_Request{Request: request}}, giveUp)
 }
 
 // FetchConfig returns the configuration in force at the peer. Its errors are
 // those of Do, and one for a reply of another type.
 func (c *Client) FetchConfig(ctx context.Context) (*hopv1.ConfigAnswer, error) {
-	frame, err := c.roundTrip(ctx, &hopv1.Frame{Body: &hopv1.Frame_ConfigRequest{ConfigRequest: &hopv1.ConfigRequest{}}})
+	frame, err := c.roundTrip(ctx, &hopv1.Frame{Body: &hopv1.Frame_ConfigRequest{ConfigRequest: &hopv1.ConfigRequest{}}}, always)
 	if err != nil {
 		return nil, err
 	}
@@ -263,12 +276,14 @@
 	return config, nil
 }
 
-// roundTrip sends a frame on a new stream and returns the reply.
-func (c *Client) roundTrip(ctx context.Context, frame *hopv1.Frame) (*hopv1.Frame, error) {
+func always() bool { return true }
+
+// roundTrip sends a frame on a new stream and returns the reply. For giveUp, see Do.
+func (c *Client) roundTrip(ctx context.Context, frame *hopv1.Frame, giveUp func() bool) (*hopv1.Frame, error) {
 	result := make(chan *hopv1.Frame, 1)
 	c.mu.Lock()
-	pc := c.peerConn
-	if pc == nil {
+	pc, silence := c.peerConn, c.silence
+	if pc == nil || isClosed(silence) {
 		c.mu.Unlock()
 		return nil, ErrNotSent
 	}
@@ -285,19 +300,33 @@
 		c.removePending(frame.Stream)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	select {
-	case reply, ok := <-result:
-		if !ok {
-			return nil, ErrConnectionLost
+	for {
+		select {
+		case reply, ok := <-result:
+			if !ok {
+				return nil, ErrConnectionLost
+			}
+			return reply, nil
+		case <-silence:
+			silence = nil
+			if giveUp() {
+				c.cancelRequest(pc, frame.Stream)
+				return nil, ErrPeerSilent
+			}
+		case <-ctx.Done():
+			c.cancelRequest(pc, frame.Stream)
+			return nil, ctx.Err()
 		}
-		return reply, nil
-	case <-ctx.Done():
-		c.removePending(frame.Stream)
-		_ = c.send(pc, &hopv1.Frame{Stream: frame.Stream, Body: &hopv1.Frame_Cancel{Cancel: &hopv1.Cancel{}}})
-		return nil, ctx.Err()
 	}
 }
 
+// cancelRequest stops waiting for the reply on a stream and tells the peer.
+func (c *Client) cancelRequest(pc *peerConn, stream uint64) {
+	c.removePending(stream)
+	// If this fails, the connection ends, and with it the request.
+	_ = c.send(pc, &hopv1.Frame{Stream: stream, Body: &hopv1.Frame_Cancel{Cancel: &hopv1.Cancel{}}})
+}
+
 func (c *Client) removePending(stream uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -16,8 +16,8 @@
 	idlePingAfter = 2 * time.Second
 )
 
-// monitor pings an idle peer and resets the connection when no data arrives
-// within the read timeout. It checks at busyCheckInterval while requests are
+// monitor pings an idle peer, marks it as silent when no data arrives within the read
+// timeout, and resets the connection silenceLimit later. It checks at busyCheckInterval while requests are
 // pending or a ping is unanswered, otherwise at idlePingAfter/2. The first check
 // after a ping without pending requests still follows the longer interval. When
 // the connection has ended, monitor returns the idle time after which it reset the
@@ -44,10 +44,17 @@
 			interval = busyCheckInterval
 		}
 		timer.Reset(interval)
-		if idleTime := c.checkIdle(pc, pingAfter, busy); idleTime > 0 {
+		idleTime := c.checkIdle(pc, pingAfter, busy)
+		if idleTime == 0 {
+			continue
+		}
+		if !c.established(pc) || idleTime >= c.hooks.AdaptiveTimeout.Timeout(c.now())+silenceLimit {
 			pc.reset()
 			return idleTime
 		}
+		if c.beginSilence() {
+			c.hooks.Down(ErrPeerSilent)
+		}
 	}
 }
 
@@ -66,6 +73,7 @@
 	case pingSentAt > 0 && pc.idleTime() < now-pingSentAt:
 		c.hooks.AdaptiveTimeout.RecordPingDelay(now, now-pc.idleTime()-pingSentAt)
 		c.pingSentAt.Store(0)
+		c.dataArrived()
 	case pingSentAt == 0 && idleTime >= pingAfter:
 		c.pingSentAt.Store(int64(now))
 		// If the outbox is full, send resets the connection, which ends monitor.
--- a/internal/proxy/budgets.go
+++ b/internal/proxy/budgets.go
@@ -5,23 +5,27 @@
 	"godwitmount/internal/routing"
 )
 
-// budget returns the retry budget of a service. It creates the budget at the first
-// call, with the number of daemons at that time. The caller holds p.mu.
+// budget returns the retry budget of a service, with this daemon's share as of now.
+// The caller holds p.mu.
 func (p *Proxy) budget(service string) *routing.RetryBudget {
+	cfg := p.budgetConfig()
 	b := p.budgets[service]
 	if b == nil {
-		b = routing.NewRetryBudget(p.budgetConfig())
+		b = routing.NewRetryBudget(cfg)
 		p.budgets[service] = b
 	}
+	b.SetExtra(cfg.Extra)
 	return b
 }
 
-// Shares of RetryPercent and RetryExtra that daemons use. They are below 1
-// because a retry also repeats the nested requests of the first run, which count
-// as repeated requests at the services that they are sent to.
 const (
-	usedShareOfPercent = 0.125
-	usedShareOfExtra   = 0.25
+	// usedShare is the share of RetryPercent and RetryExtra that daemons use. The
+	// rest covers what daemons that were restarted have forgotten.
+	usedShare = 0.6
+	// callerShare is the share of a budget that retries of callers' requests may
+	// use. The rest is kept for nested requests: no caller sends those again, and
+	// each that fails wastes the work of the request that it was sent for.
+	callerShare = 0.5
 )
 
 // budgetConfig returns this daemon's retry budget for one service. The used share
@@ -30,29 +34,43 @@
 func (p *Proxy) budgetConfig() routing.RetryBudgetConfig {
 	daemons := float64(p.deps.Peers.Count() + 1)
 	return routing.RetryBudgetConfig{
-		Share:  float64(p.cfg.RetryPercent) / percent * usedShareOfPercent,
-		Extra:  max(float64(p.cfg.RetryExtra)*usedShareOfExtra/daemons, 1),
+		Share:  float64(p.cfg.RetryPercent) / percent * usedShare,
+		Extra:  max(float64(p.cfg.RetryExtra)*usedShare/daemons, 1),
 		Window: p.cfg.RetryWindow,
 	}
 }
 
-// recordRequest counts a call in the retry budgets of its service and rule.
+// recordRequest counts a call in the retry budgets of its service and rule. A
+// nested call of a run that is itself a retry counts as a retry, too: without the
+// retry it would not have been made.
 func (p *Proxy) recordRequest(c *call) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.budget(c.service).RecordRequest(p.now())
+	if c.isRetry() {
+		p.budget(c.service).RecordRetry(p.now())
+	}
 	if c.route.Rule != nil {
 		p.ruleBudget(c.route.Rule).RecordRequest(p.now())
 	}
 }
 
-// takeRetry counts a retry in the budgets of a call's rule and service, and
-// reports whether both allow it. If only the rule's budget does, the retry
-// remains counted there.
+// takeRetry counts a retry in the budgets of a call's rule and service if both
+// allow it, and reports whether they do.
 func (p *Proxy) takeRetry(c *call) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.ruleBudget(c.route.Rule).AllowRetry(p.now()) && p.budget(c.service).AllowRetry(p.now())
+	share := callerShare
+	if c.nested {
+		share = 1
+	}
+	rule, service := p.ruleBudget(c.route.Rule), p.budget(c.service)
+	if !rule.AllowsRetry(p.now(), 1) || !service.AllowsRetry(p.now(), share) {
+		return false
+	}
+	rule.RecordRetry(p.now())
+	service.RecordRetry(p.now())
+	return true
 }
 
 // ruleBudget returns the budget of a retry rule. It creates a new one at the first
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -52,6 +52,9 @@
 	request *hopv1.Request
 }
 
+// isRetry reports whether the call was made by a run that is a retry.
+func (c *call) isRetry() bool { return c.parent != nil && c.parent.retry }
+
 // newCall reads a request with its body and finds its route. The failure is nil
 // if the call can be forwarded; the call is always set, but incomplete on
 // failure.
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -60,6 +60,8 @@
 	retryAfter time.Duration
 	// lastInstance is the instance of the last attempt.
 	lastInstance string
+	// retryTaken is set while the next retry is already counted in the budget.
+	retryTaken bool
 }
 
 // forward makes attempts until the call has an answer or must not be sent again.
@@ -72,7 +74,7 @@
 			return nil, f.contextFailure(ctx)
 		}
 		step := decide(r, f.progress, f.call.route.Rule)
-		if step == retryWithBudget && !f.proxy.takeRetry(f.call) {
+		if step == retryWithBudget && !f.takeRetry() {
 			step = finish
 		}
 		if step == finish || frame == nil {
@@ -170,6 +172,7 @@
 	c.request.RemainingMs = wireMilliseconds(time.Until(c.deadline))
 	c.request.GoalMs = wireMilliseconds(time.Until(c.goal))
 	c.request.Patient = c.request.GoalMs == 0
+	c.request.Retry = f.deliveries > 0 || c.isRetry()
 	c.request.Visiting = !candidate.Local && routing.HasLocal(candidates)
 	if candidate.Self {
 		return f.recordOutcome(p.Execute(ctx, c.request))
@@ -177,6 +180,37 @@
 	return f.recordOutcome(f.sendTo(ctx, candidate.Instance))
 }
 
+// moveFromSilentPeer reports whether the request is to be sent elsewhere while the
+// peer that may run it is silent. It takes the retry from the budget. Otherwise the
+// peer's answer is awaited: giving the request up would be no better for the caller.
+func (f *forwarder) moveFromSilentPeer() bool {
+	done := f.progress
+	done.deliveries++
+	if decide(unknown, done, f.call.route.Rule) != retryWithBudget || !f.hasUntried() {
+		return false
+	}
+	f.retryTaken = f.proxy.takeRetry(f.call)
+	return f.retryTaken
+}
+
+// hasUntried reports whether an available upstream is left to try.
+func (f *forwarder) hasUntried() bool {
+	for _, candidate := range f.proxy.candidates(f.call.service) {
+		if candidate.Available && !slices.Contains(f.tried, candidate.Instance) {
+			return true
+		}
+	}
+	return false
+}
+
+// takeRetry reports whether the budget allows a retry, and counts it there unless
+// moveFromSilentPeer has done so.
+func (f *forwarder) takeRetry() bool {
+	taken := f.retryTaken
+	f.retryTaken = false
+	return taken || f.proxy.takeRetry(f.call)
+}
+
 // wireMilliseconds returns the remaining time in the hop protocol's unit, whole
 // milliseconds, rounded down; 0 if no time remains.
 func wireMilliseconds(remaining time.Duration) uint32 {
@@ -191,14 +225,14 @@
 	if p == nil {
 		return failureFrame(code.CallConnectRefused, true, 0, nil)
 	}
-	frame, err := p.send(ctx, f.call.request)
+	frame, err := p.send(ctx, f.call.request, f.moveFromSilentPeer)
 	switch {
 	case err == nil:
 		return frame
 	case errors.Is(err, hop.ErrNotSent):
 		p.backOff(peers.now())
 		return failureFrame(code.CallConnectRefused, true, 0, nil)
-	case errors.Is(err, hop.ErrConnectionLost):
+	case errors.Is(err, hop.ErrConnectionLost), errors.Is(err, hop.ErrPeerSilent):
 		p.backOff(peers.now())
 		return failureFrame(code.CallPeerLost, false, 0, nil)
 	default:
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -118,7 +118,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	running := p.running.add(request.Id)
+	running := p.running.add(request.Id, request.Retry)
 	defer p.running.remove(request.Id)
 	mean := p.admissionController.Load().ServiceTime
 	answer, err := p.client.Do(bounded, upstream.Call{Request: request, ExtraHeaders: []*hopv1.Header{
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -307,13 +307,13 @@
 // send sends a request to the peer and waits for its answer. It measures the
 // network round-trip time, which is the time until the answer without the time
 // at the peer, and reports the last measured one to the peer in the request.
-// Errors are those of hop.Client.Do.
-func (p *peer) send(ctx context.Context, request *hopv1.Request) (*hopv1.Frame, error) {
+// GiveUp and the errors are those of hop.Client.Do.
+func (p *peer) send(ctx context.Context, request *hopv1.Request, giveUp func() bool) (*hopv1.Frame, error) {
 	p.outstanding.Add(1)
 	defer p.outstanding.Add(-1)
 	request.LineDelayUs = uint32(time.Duration(p.lastRTT.Load()).Microseconds())
 	sent := time.Now()
-	frame, err := p.client.Do(ctx, request)
+	frame, err := p.client.Do(ctx, request, giveUp)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proxy/running.go
+++ b/internal/proxy/running.go
@@ -15,14 +15,17 @@
 
 // runningRequest is one request that runs at the upstream.
 type runningRequest struct {
+	// retry marks a run that is not the first of its request, or that was caused by
+	// such a run.
+	retry bool
 	// nestedFailed is set once a request failed that the upstream sent while it ran
 	// this one.
 	nestedFailed atomic.Bool
 }
 
 // add adds a request that is about to run; remove removes it.
-func (r *runningRequests) add(id string) *runningRequest {
-	running := &runningRequest{}
+func (r *runningRequests) add(id string, retry bool) *runningRequest {
+	running := &runningRequest{retry: retry}
 	r.byID.Store(id, running)
 	return running
 }
--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -36,11 +36,19 @@
 // NewRetryBudget returns a budget that has counted no requests.
 func NewRetryBudget(cfg RetryBudgetConfig) *RetryBudget { return &RetryBudget{cfg: cfg} }
 
+// SetExtra changes RetryBudgetConfig.Extra, for when the number of daemons that
+// share it has changed.
+func (b *RetryBudget) SetExtra(extra float64) { b.cfg.Extra = extra }
+
 // RecordRequest counts a request.
 func (b *RetryBudget) RecordRequest(now time.Duration) { b.bucket(now).requests++ }
 
-// AllowRetry reports whether a retry is allowed, and counts it if so.
-func (b *RetryBudget) AllowRetry(now time.Duration) bool {
+// RecordRetry counts a retry, whether it is allowed or not.
+func (b *RetryBudget) RecordRetry(now time.Duration) { b.bucket(now).retries++ }
+
+// AllowsRetry reports whether a retry may use a share, between 0 and 1, of the
+// budget. It does not count the retry.
+func (b *RetryBudget) AllowsRetry(now time.Duration, share float64) bool {
 	current := b.bucket(now)
 	requests, retries := 0, 0
 	for _, bucket := range b.buckets {
@@ -49,11 +57,7 @@
 			retries += bucket.retries
 		}
 	}
-	if float64(retries+1) > b.cfg.Share*float64(requests)+b.cfg.Extra {
-		return false
-	}
-	current.retries++
-	return true
+	return float64(retries+1) <= share*(b.cfg.Share*float64(requests)+b.cfg.Extra)
 }
 
 // bucket returns the bucket for a time, and resets it if its counts are from an
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -65,6 +65,8 @@
 	Tried []string
 	// Rand returns a random number in [0,1).
 	Rand func() float64
+	// meanFailureShare is the mean FailureShare of the available candidates.
+	meanFailureShare float64
 }
 
 const (
@@ -102,12 +104,13 @@
 	// goalMargin is the factor by which the expected time until the answer of a
 	// local upstream may grow without missing the goal. Service times vary.
 	goalMargin = 1.5
-	// failurePenalty is the added cost of an upstream that fails all its requests,
-	// in service times.
+	// failurePenalty is the added cost of an upstream that fails all its requests
+	// while the others fail none, in service times.
 	failurePenalty = 10
-	// maxFailureShare is the share of failed requests up to which an upstream is
-	// expected to answer within the goal.
-	maxFailureShare = 0.2
+	// tolerableFailureShare is by how much the share of failed requests may exceed
+	// the mean before it counts. If all upstreams fail requests alike, the
+	// differences are chance, and would only concentrate the load.
+	tolerableFailureShare = 0.15
 	// largeJitter replaces jitter for large requests. Their cost depends on the
 	// network links of machines, which are alike, and not on which upstream
 	// computes fastest.
@@ -127,6 +130,7 @@
 // chosen.
 func Choose(candidates []Candidate, request PlacementRequest) int {
 	hasLocal := HasLocal(candidates)
+	request.meanFailureShare = meanFailureShare(candidates)
 	if request.Rand() < explorationShare {
 		if i := request.randomFree(candidates); i >= 0 {
 			return i
@@ -203,19 +207,38 @@
 // meetsGoal reports whether the candidate is expected to answer within the goal,
 // also when the answer takes goalMargin times as long as expected.
 func (r *PlacementRequest) meetsGoal(c *Candidate) bool {
-	return c.FailureShare <= maxFailureShare && goalMargin*float64(r.answerTime(c)) <= float64(r.Goal)
+	return r.excessFailures(c) == 0 && goalMargin*float64(r.answerTime(c)) <= float64(r.Goal)
 }
 
 // cost returns the expected time until the answer, plus the costs of a failure and
 // of data sent to another data centre, both expressed as time.
 func (r *PlacementRequest) cost(c *Candidate) time.Duration {
-	cost := r.answerTime(c) + time.Duration(failurePenalty*c.FailureShare*float64(c.ServiceTime))
+	cost := r.answerTime(c) + time.Duration(failurePenalty*r.excessFailures(c)*float64(c.ServiceTime))
 	if !c.Local {
 		cost += remoteRTT + remoteCostPerKilobyte*time.Duration(r.Bytes+overheadBytes)/kilobyte
 	}
 	return cost
 }
 
+// excessFailures returns by how much the candidate's share of failed requests
+// exceeds what is tolerable, or 0.
+func (r *PlacementRequest) excessFailures(c *Candidate) float64 {
+	return max(c.FailureShare-r.meanFailureShare-tolerableFailureShare, 0)
+}
+
+// meanFailureShare returns the mean share of failed requests of the available
+// candidates, or 0 if there are none.
+func meanFailureShare(candidates []Candidate) float64 {
+	sum, count := 0.0, 0.0
+	for i := range candidates {
+		if candidates[i].Available {
+			sum += candidates[i].FailureShare
+			count++
+		}
+	}
+	return sum / max(count, 1)
+}
+
 // answerTime returns the expected time until the answer. The older the report, the
 // less its RTT counts.
 func (r *PlacementRequest) answerTime(c *Candidate) time.Duration {
--- a/internal/routing/failures_test.go
+++ b/internal/routing/failures_test.go
@@ -93,3 +93,23 @@
 		t.Errorf("the recovered upstream gets %d of 100 requests", counts[39])
 	}
 }
+
+// TestUpstreamsThatFailAlikeShareTheLoad covers a service whose upstreams all fail
+// half of their requests. Their estimates differ by chance, which must not move the
+// load to one of them.
+func TestUpstreamsThatFailAlikeShareTheLoad(t *testing.T) {
+	random := rand.New(rand.NewPCG(13, 14))
+	var candidates []Candidate
+	for i, instance := range []string{"a", "b", "c", "d"} {
+		c := candidate(instance, true, 4, 90*ms)
+		c.FailureShare = 0.45 + 0.03*float64(i)
+		candidates = append(candidates, c)
+	}
+	counts := map[string]int{}
+	for range 1000 {
+		counts[candidates[Choose(candidates, PlacementRequest{Bytes: 2000, Goal: 300 * ms, Rand: random.Float64})].Instance]++
+	}
+	if counts["d"] < 200 {
+		t.Errorf("requests by instance: %v", counts)
+	}
+}
