Send large frames in parts as the machine's network link has room

Cause: on links of 10 to 14 Mbit/s a download of 90 kB occupies the link for 50 to 70 ms. Change: internal/shaping, a token bucket at 0.9 of the link's rate (new setting link_kbps, from the platform's settings). A cancelled frame's other parts are not sent. Daemons that do not take parts get frames whole. Answers to callers are not paced.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/proxy"
 	"godwitmount/internal/settings"
+	"godwitmount/internal/shaping"
 	"godwitmount/internal/status"
 	"godwitmount/internal/store"
 	"godwitmount/internal/version"
@@ -41,6 +42,8 @@
 	maxHeaderBytes = 64 << 10
 	// reportTimeout bounds applying an upstream's report.
 	reportTimeout = 900 * time.Millisecond
+	// bitsPerKilobit converts the unit of the link's rate in the settings.
+	bitsPerKilobit = 1000
 )
 
 // Platform holds what the daemon needs from the platform that it runs on.
@@ -149,7 +152,8 @@
 		return fmt.Errorf("create store metrics: %w", err)
 	}
 	d.storeMetrics = storeMetrics
-	d.peers = proxy.NewPeers(self, d.peerCallbacks(), d.log)
+	link := shaping.NewLink(s.LinkKbps * bitsPerKilobit)
+	d.peers = proxy.NewPeers(self, d.peerCallbacks(), link, d.log)
 	dataPath, err := proxy.New(proxy.Config{
 		Instance:     s.Instance,
 		DataCentre:   s.DataCentre,
@@ -172,7 +176,7 @@
 	}
 	d.proxy = dataPath
 	d.peers.SetState(dataPath.StateWithSuspects)
-	d.server = hop.NewServer(proxy.Hello(self), hopHandler{d})
+	d.server = hop.NewServer(proxy.Hello(self), hopHandler{d}, link)
 	return nil
 }
 
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/shaping"
 )
 
 const (
@@ -66,6 +67,8 @@
 	State func() *hopv1.State
 	// AdaptiveTimeout is the read timeout shared by all clients of the daemon.
 	AdaptiveTimeout *AdaptiveTimeout
+	// Link is the machine's network link; nil for no limit.
+	Link *shaping.Link
 	// Now reads the monotonic clock that AdaptiveTimeout uses.
 	Now func() time.Duration
 }
@@ -169,7 +172,7 @@
 // time if monitor reset the connection because the read timeout expired, or 0, and
 // the error that ended the connection.
 func (c *Client) serve(conn net.Conn) (time.Duration, error) {
-	pc := newPeerConn(conn)
+	pc := newPeerConn(conn, c.hooks.Link)
 	defer pc.close()
 	if err := c.send(pc, &hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: withState(c.hello, c.hooks.State(), c.hooks.DrainRecord())}}); err != nil {
 		return 0, err
--- a/internal/hop/frame.go
+++ b/internal/hop/frame.go
@@ -56,6 +56,11 @@
 	if _, err := io.ReadFull(r, buffer); err != nil {
 		return nil, err
 	}
+	return decode(buffer)
+}
+
+// decode decodes a frame without its length.
+func decode(buffer []byte) (*hopv1.Frame, error) {
 	frame := &hopv1.Frame{}
 	if err := proto.Unmarshal(buffer, frame); err != nil {
 		return nil, fmt.Errorf("decode frame: %w", err)
@@ -73,5 +78,6 @@
 		Service:    hello.Service,
 		State:      state,
 		Left:       drainRecord,
+		TakesParts: true,
 	}
 }
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/shaping"
 )
 
 // largeBody is the size in bytes of the answer to the request with id "large".
@@ -113,13 +114,19 @@
 // startPair starts a server and a client that connects to it through a proxy,
 // and waits for the handshake. The channel receives the arguments of Hooks.Down.
 func startPair(t *testing.T) (*testHandler, *proxy, *Client, chan error) {
+	t.Helper()
+	return startPairOn(t, nil)
+}
+
+// startPairOn is startPair with a network link of the server's machine.
+func startPairOn(t *testing.T, link *shaping.Link) (*testHandler, *proxy, *Client, chan error) {
 	t.Helper()
 	handler := &testHandler{cancelled: make(chan string, 10)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewServer(&hopv1.Hello{Instance: "server"}, handler)
+	server := NewServer(&hopv1.Hello{Instance: "server"}, handler, link)
 	go func() { _ = server.Serve(listener) }()
 	proxyListener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/hop/peerconn.go
+++ b/internal/hop/peerconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -9,6 +10,7 @@
 	"time"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/shaping"
 )
 
 const (
@@ -28,17 +30,24 @@
 // peerConn is one connection between two daemons. It writes from a goroutine of
 // its own; read runs on the caller's.
 type peerConn struct {
-	conn      net.Conn
-	out       outbox
-	done      chan struct{}
+	conn net.Conn
+	// link is the machine's network link, which all connections share.
+	link  *shaping.Link
+	out   outbox
+	parts *partSender
+	// done is closed by cancel, with the connection.
+	done      <-chan struct{}
+	cancel    context.CancelFunc
 	closeOnce sync.Once
 	epoch     time.Time
 	// lastReceived is when data last arrived, in nanoseconds since epoch.
 	lastReceived atomic.Int64
 }
 
-func newPeerConn(conn net.Conn) *peerConn {
-	pc := &peerConn{conn: conn, out: newOutbox(), done: make(chan struct{}), epoch: time.Now()}
+func newPeerConn(conn net.Conn, link *shaping.Link) *peerConn {
+	ctx, cancel := context.WithCancel(context.Background())
+	pc := &peerConn{conn: conn, link: link, out: newOutbox(), done: ctx.Done(), cancel: cancel, epoch: time.Now()}
+	pc.parts = newPartSender(ctx, link, pc.put)
 	go pc.write()
 	return pc
 }
@@ -47,14 +56,28 @@
 // above MaxFrame, and errConnClosed if the connection is closed. It resets a
 // connection whose outbox is full.
 func (pc *peerConn) send(frame *hopv1.Frame) error {
+	if frame.GetCancel() != nil {
+		pc.parts.cancel(frame.Stream)
+	}
 	buffer, err := encode(frame)
 	if err != nil {
 		return err
 	}
-	select {
-	case <-pc.done:
+	if isClosed(pc.done) {
+		return errConnClosed
+	}
+	if pc.parts.takes(buffer) {
+		pc.parts.start(frame.Stream, withoutLength(buffer))
+		return nil
+	}
+	pc.link.Consume(len(buffer))
+	return pc.put(buffer)
+}
+
+// put queues an encoded frame.
+func (pc *peerConn) put(buffer []byte) error {
+	if isClosed(pc.done) {
 		return errConnClosed
-	default:
 	}
 	if !pc.out.put(buffer) {
 		pc.reset()
@@ -88,11 +111,22 @@
 func (pc *peerConn) read(handle func(*hopv1.Frame)) error {
 	defer pc.close()
 	reader := bufio.NewReaderSize(pc, readBuffer)
+	parts := newPartReceiver()
 	for {
-		frame, err := readFrame(reader)
+		received, err := readFrame(reader)
 		if err != nil {
 			return err
 		}
+		frame, err := parts.receive(received)
+		if err != nil {
+			return err
+		}
+		if frame == nil {
+			continue
+		}
+		if hello := frame.GetHello(); hello != nil {
+			pc.parts.allowed.Store(hello.GetTakesParts())
+		}
 		handle(frame)
 	}
 }
@@ -115,7 +149,7 @@
 // close closes the connection. Data that was already written is still sent.
 func (pc *peerConn) close() {
 	pc.closeOnce.Do(func() {
-		close(pc.done)
+		pc.cancel()
 		_ = pc.conn.Close()
 	})
 }
@@ -124,7 +158,7 @@
 // Otherwise requests delayed by a network partition would run once it ends.
 func (pc *peerConn) reset() {
 	pc.closeOnce.Do(func() {
-		close(pc.done)
+		pc.cancel()
 		if tcp, ok := pc.conn.(*net.TCPConn); ok {
 			// If this fails, Close still sends pending data in the background.
 			_ = tcp.SetLinger(0)
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/shaping"
 )
 
 // Handler handles the frames of peers that connect to this daemon. Its methods
@@ -34,15 +35,16 @@
 type Server struct {
 	hello   *hopv1.Hello
 	handler Handler
+	link    *shaping.Link
 
 	mu    sync.Mutex
 	conns map[*peerConn]bool
 }
 
 // NewServer returns a server that replies to each peer's Hello with hello and
-// the current state.
-func NewServer(hello *hopv1.Hello, handler Handler) *Server {
-	return &Server{hello: hello, handler: handler, conns: map[*peerConn]bool{}}
+// the current state. Link is the machine's network link; nil for no limit.
+func NewServer(hello *hopv1.Hello, handler Handler, link *shaping.Link) *Server {
+	return &Server{hello: hello, handler: handler, link: link, conns: map[*peerConn]bool{}}
 }
 
 // Serve accepts connections until the listener fails or is closed, and returns
@@ -93,7 +95,7 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	pc := newPeerConn(conn)
+	pc := newPeerConn(conn, s.link)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.mu.Lock()
--- a/internal/proxy/limits_test.go
+++ b/internal/proxy/limits_test.go
@@ -21,7 +21,7 @@
 func newTestProxy(t *testing.T, service manifest.Service, rule manifest.RetryRule) *Proxy {
 	t.Helper()
 	log := asynclog.New(io.Discard, "i", zapcore.InfoLevel, 100)
-	peers := NewPeers(control.Member{Instance: "i"}, Listener{}, log)
+	peers := NewPeers(control.Member{Instance: "i"}, Listener{}, nil, log)
 	p, err := New(Config{Instance: "i", RetryPercent: 100, RetryExtra: 100, RetryWindow: 10 * time.Second},
 		Deps{Peers: peers, Log: log, BroadcastState: func() {}, Registerer: prometheus.NewRegistry()})
 	if err != nil {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -14,6 +14,7 @@
 	"godwitmount/internal/event"
 	"godwitmount/internal/hop"
 	"godwitmount/internal/routing"
+	"godwitmount/internal/shaping"
 )
 
 const (
@@ -38,6 +39,8 @@
 	draining atomic.Bool
 	// readTimeout is the adaptive read timeout of all connections.
 	readTimeout *hop.AdaptiveTimeout
+	// link is the machine's network link; nil for no limit.
+	link *shaping.Link
 	// state returns the state that this daemon reports to peers.
 	state func() *hopv1.State
 
@@ -97,13 +100,15 @@
 	DrainRecordReceived func(*hopv1.Left)
 }
 
-// NewPeers returns an empty set of peers.
-func NewPeers(self control.Member, listener Listener, log *asynclog.Logger) *Peers {
+// NewPeers returns an empty set of peers. Link is the machine's network link; nil for
+// no limit.
+func NewPeers(self control.Member, listener Listener, link *shaping.Link, log *asynclog.Logger) *Peers {
 	return &Peers{
 		self:        self,
 		epoch:       time.Now(),
 		hello:       Hello(self),
 		listener:    listener,
+		link:        link,
 		log:         log,
 		readTimeout: &hop.AdaptiveTimeout{},
 		all:         map[string]*peer{},
@@ -199,6 +204,7 @@
 		DrainRecord:         p.drainingUpstream.Load,
 		State:               ps.state,
 		AdaptiveTimeout:     ps.readTimeout,
+		Link:                ps.link,
 		Now:                 ps.now,
 	})
 	return p
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,6 +68,8 @@
 	MinMemoryLimitBytes int64 = 16 << 20
 	// MaxMemoryLimitBytes is the largest memory limit in bytes.
 	MaxMemoryLimitBytes int64 = 64 << 30
+	// MaxLinkKbps is the largest LinkKbps.
+	MaxLinkKbps int64 = 1_000_000_000
 )
 
 // Daemon holds the settings of one daemon.
@@ -132,6 +134,9 @@
 	RetryExtra int `json:"retry_extra"`
 	// MemoryLimitBytes is the Go runtime's soft memory limit in bytes.
 	MemoryLimitBytes int64 `json:"memory_limit_bytes"`
+	// LinkKbps is the rate of the machine's network link in kilobits per second, by
+	// which large messages to other daemons are paced; 0 for no limit.
+	LinkKbps int64 `json:"link_kbps"`
 }
 
 // PeerAddress returns the IP:port that is advertised to other daemons.
--- /dev/null
+++ b/internal/shaping/link.go
@@ -0,0 +1,87 @@
+package shaping
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Link is a network link whose rate is shared by all goroutines that send on it. A
+// nil Link has no limit. All methods may be called from any goroutine.
+type Link struct {
+	epoch time.Time
+
+	mu     sync.Mutex
+	shaper *Shaper
+	// timerSet is set while a timer runs that ends when the next turn is due.
+	timerSet bool
+}
+
+// NewLink returns a link with the given rate, or nil, which has no limit, if that is
+// 0 or less.
+func NewLink(bitsPerSecond int64) *Link {
+	if bitsPerSecond <= 0 {
+		return nil
+	}
+	return &Link{epoch: time.Now(), shaper: NewShaper(bitsPerSecond)}
+}
+
+// Now returns the time on the link's clock, to be given to Await.
+func (l *Link) Now() time.Duration {
+	if l == nil {
+		return 0
+	}
+	return time.Since(l.epoch)
+}
+
+// Consume counts bytes that are sent without waiting.
+func (l *Link) Consume(bytes int) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shaper.Consume(l.Now(), bytes)
+}
+
+// Await returns once a part of a frame may be sent that was queued at the time
+// order, or once ctx ends. It reports whether the part may be sent.
+func (l *Link) Await(ctx context.Context, order time.Duration, bytes int) bool {
+	if l == nil {
+		return ctx.Err() == nil
+	}
+	l.mu.Lock()
+	turn := l.shaper.Queue(order, bytes)
+	l.grantDue()
+	l.mu.Unlock()
+	select {
+	case <-turn.ready:
+		return true
+	case <-ctx.Done():
+		l.mu.Lock()
+		l.shaper.Cancel(turn)
+		l.mu.Unlock()
+		return false
+	}
+}
+
+// grantDue wakes the turns that may be sent and sets the timer for the next one. The
+// caller holds mu.
+func (l *Link) grantDue() {
+	granted, next := l.shaper.Grant(l.Now())
+	for _, turn := range granted {
+		close(turn.ready)
+	}
+	if next == 0 || l.timerSet {
+		return
+	}
+	l.timerSet = true
+	time.AfterFunc(next, l.timerFired)
+}
+
+func (l *Link) timerFired() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.timerSet = false
+	l.grantDue()
+}
--- /dev/null
+++ b/internal/shaping/shaper.go
@@ -0,0 +1,96 @@
+// Package shaping shares a machine's network link between the frames that a daemon
+// sends. Small frames are sent at once; parts of large ones wait until the link has
+// room, so that they queue here and not in the network, where small frames would
+// queue behind them.
+//
+// Shaper decides and does no I/O. Link lets goroutines wait on it.
+package shaping
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// usableShare is the share of the link's rate that is used. The rest covers
+	// packet headers and what other processes of the machine send.
+	usableShare = 0.9
+	// burstTime is the time of unused rate that can be used later.
+	burstTime = 20 * time.Millisecond
+)
+
+// Turn is a part of a large frame that waits until the link has room.
+type Turn struct {
+	// order is when the frame was queued: the parts of an earlier frame go first.
+	order time.Duration
+	bytes int
+	// ready is closed when the part may be sent.
+	ready chan struct{}
+}
+
+// Shaper is a token bucket with a queue. It is not safe for concurrent use. Times
+// are on one monotonic clock.
+type Shaper struct {
+	// rate is in bytes per second.
+	rate float64
+	// credit is the number of bytes that may be sent as of at; negative while small
+	// frames have used more than there was.
+	credit  float64
+	at      time.Duration
+	waiting []*Turn
+}
+
+// NewShaper returns a shaper for a link with the given rate in bits per second.
+func NewShaper(bitsPerSecond int64) *Shaper {
+	const bitsPerByte = 8
+	return &Shaper{rate: usableShare * float64(bitsPerSecond) / bitsPerByte}
+}
+
+// Consume counts a small frame, which does not wait.
+func (s *Shaper) Consume(now time.Duration, bytes int) {
+	s.refill(now)
+	s.credit -= float64(bytes)
+}
+
+// Queue adds a part of a frame that was queued at the time order.
+func (s *Shaper) Queue(order time.Duration, bytes int) *Turn {
+	turn := &Turn{order: order, bytes: bytes, ready: make(chan struct{})}
+	position, _ := slices.BinarySearchFunc(s.waiting, order, func(t *Turn, order time.Duration) int {
+		if t.order <= order {
+			return -1
+		}
+		return 1
+	})
+	s.waiting = slices.Insert(s.waiting, position, turn)
+	return turn
+}
+
+// Cancel removes a turn that will not be used.
+func (s *Shaper) Cancel(turn *Turn) {
+	if i := slices.Index(s.waiting, turn); i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+	}
+}
+
+// Grant removes and returns the turns that may be sent now, and how long it takes
+// until the next one may be; 0 if none waits.
+func (s *Shaper) Grant(now time.Duration) (granted []*Turn, next time.Duration) {
+	s.refill(now)
+	for len(s.waiting) > 0 && s.credit >= 0 {
+		turn := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		s.credit -= float64(turn.bytes)
+		granted = append(granted, turn)
+	}
+	if len(s.waiting) == 0 {
+		return granted, 0
+	}
+	return granted, max(time.Duration(-s.credit/s.rate*float64(time.Second)), time.Millisecond)
+}
+
+// refill adds the credit for the time since the last call.
+func (s *Shaper) refill(now time.Duration) {
+	s.credit += s.rate * (now - s.at).Seconds()
+	s.credit = min(s.credit, s.rate*burstTime.Seconds())
+	s.at = now
+}
