Place and refuse large requests by the link's backlog; mend truths of answers

Cause: large requests were refused by a round-trip time that all requests mix, and placed by slots alone, although the link was the bottleneck. Change: the link's backlog is reported, counts in placement of large requests, and refuses those that could not be sent by their goal or, past it, their deadline. A restarted daemon reads the member table once.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -66,8 +66,10 @@
 	// gets requests again; 0 if the upstream is reachable.
 	unreachableUntil time.Duration
 	stopping         bool
-	// fetching is the version requested from a peer; 0 for none.
-	fetching uint64
+	// fetching is the version requested from a peer, 0 for none, and fetchEnds the
+	// time after which the fetch counts as failed.
+	fetching  uint64
+	fetchEnds time.Duration
 	// remoteVersion is the newest version that a daemon of another data centre
 	// reported before a local one did; 0 for none. remoteSource is that daemon,
 	// or empty once a read of the store for the version was requested.
@@ -108,12 +110,14 @@
 	case ConfigRead:
 		c.configRead(ev)
 	case ConfigRejected:
-		c.fetching = 0
+		if ev.From != FromStore {
+			c.endFetch()
+		}
 		c.log(event.ConfigRefused, true, step.F("error", ev.Err), step.F("from", ev.From))
 	case PeerConfigVersion:
 		c.peerVersion(ev)
 	case FetchFailed:
-		c.fetching = 0
+		c.endFetch()
 	case PeerHandshake:
 		c.peerHandshake(ev.Member)
 	case PeerReachability:
@@ -154,7 +158,7 @@
 func (c *Core) configRead(ev ConfigRead) {
 	if ev.From != FromStore {
 		// The fetch has ended, even if the peer sent another version.
-		c.fetching = 0
+		c.endFetch()
 	}
 	if ev.Version <= c.version {
 		c.logOlderConfig(ev)
@@ -166,7 +170,7 @@
 		return
 	}
 	c.version = ev.Version
-	c.fetching = 0
+	c.endFetch()
 	c.emit(PublishTable{Version: ev.Version, Table: table, Packed: ev.Packed})
 	c.log(event.ConfigApplied, false, step.F("version", ev.Version), step.F("from", ev.From), step.F("routes", len(table.Routes())))
 }
@@ -200,6 +204,9 @@
 		c.unreachableUntil = 0
 		c.publishUpstream()
 	}
+	if c.fetching > 0 && c.now >= c.fetchEnds {
+		c.endFetch()
+	}
 	c.dropMissing()
 	if c.publishPending {
 		c.publishMembers()
--- a/internal/control/distribution.go
+++ b/internal/control/distribution.go
@@ -33,12 +33,19 @@
 	}
 }
 
+// fetchLimit is longer than a fetch takes. The event that ends one is lost if the
+// queue of events is full.
+const fetchLimit = 3 * time.Second
+
 func (c *Core) fetch(instance string, version uint64) {
-	c.fetching = version
+	c.fetching, c.fetchEnds = version, c.now+fetchLimit
 	c.emit(FetchConfig{Instance: instance, Version: version})
 	c.log(event.ConfigSeen, false, step.F("version", version), step.F("from", instance))
 }
 
+// endFetch makes room for the next fetch.
+func (c *Core) endFetch() { c.fetching = 0 }
+
 // readRemoteVersion obtains a version that has not reached the local data centre
 // within localArrivalWait: first from the store and, if that does not return it
 // within twice that time, from the remote daemon that reported it.
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -198,11 +199,14 @@
 
 // watchMembers polls the member table until ctx ends: first at
 // initialMembersPolls, then every membersPollInterval and when the reducer
-// requests it.
+// requests it. If the first read returns this daemon's own entry, it was restarted, and
+// the entries of the others have long been there, too.
 func (d *Daemon) watchMembers(ctx context.Context) {
+	restarted := false
 	t := &tableReader{
 		store: d.cfg.Platform.Store, name: MembersTable, log: d.log, backoff: minBackoff, notify: func(bool) {},
 		apply: func(rows store.Rows, complete bool) {
+			restarted = restarted || hasRow(rows.Rows, d.cfg.Settings.Instance)
 			d.loop.post(control.MembersRead{Rows: rows.Rows, Complete: complete, Position: rows.Position})
 		},
 	}
@@ -211,7 +215,7 @@
 			continue
 		}
 		interval := membersPollInterval
-		if polls < len(initialMembersPolls) {
+		if polls < len(initialMembersPolls) && !restarted {
 			interval = initialMembersPolls[polls]
 		}
 		polls++
@@ -219,6 +223,11 @@
 	}
 }
 
+// hasRow reports whether rows has one with the key that was not removed.
+func hasRow(rows []store.Row, key string) bool {
+	return slices.ContainsFunc(rows, func(row store.Row) bool { return row.Key == key && !row.Removed })
+}
+
 // awaitMembersPoll returns after the interval, when the reducer requests a read of
 // the member table, or when ctx ends.
 func (d *Daemon) awaitMembersPoll(ctx context.Context, interval time.Duration) {
--- a/internal/hop/parts.go
+++ b/internal/hop/parts.go
@@ -53,12 +53,16 @@
 // send sends the parts of a frame until ctx ends.
 func (s *partSender) send(ctx context.Context, stream uint64, encoded []byte) {
 	order := s.link.Now()
+	s.link.AddBacklog(len(encoded))
+	defer func() { s.link.AddBacklog(-len(encoded)) }()
 	for len(encoded) > 0 {
 		part := encoded[:min(partBytes, len(encoded))]
-		encoded = encoded[len(part):]
-		if !s.link.Await(ctx, order, len(part)) || !s.sendPart(ctx, stream, part, len(encoded) == 0) {
+		last := len(part) == len(encoded)
+		if !s.link.Await(ctx, order, len(part)) || !s.sendPart(ctx, stream, part, last) {
 			return
 		}
+		encoded = encoded[len(part):]
+		s.link.AddBacklog(-len(part))
 	}
 }
 
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -112,8 +112,9 @@
 // received, so a retry by the caller does not extend it.
 func (p *Proxy) setTimes(c *call, r *http.Request) {
 	timeout := c.route.Deadline.Std()
-	if ms, err := strconv.ParseFloat(r.Header.Get(p.cfg.Headers.Deadline), 64); err == nil && ms >= 0 {
-		timeout = min(timeout, time.Duration(ms*float64(time.Millisecond)))
+	// The comparison comes before the conversion, which a large number overflows.
+	if ms, err := strconv.ParseFloat(r.Header.Get(p.cfg.Headers.Deadline), 64); err == nil && ms >= 0 && ms < float64(timeout.Milliseconds()) {
+		timeout = time.Duration(ms * float64(time.Millisecond))
 	}
 	c.key = requestKey(r)
 	c.firstSeen = p.recentRefusals.firstSeen(c.key, p.now())
@@ -135,13 +136,14 @@
 }
 
 // forwardedHeaders returns the caller's end-to-end headers without those that
-// the data path sets itself.
+// the data path sets itself, and without Accept-Encoding: an answer must be the
+// upstream's own bytes.
 func (p *Proxy) forwardedHeaders(header http.Header) []*hopv1.Header {
 	all := upstream.EndToEnd(header)
 	kept := all[:0]
 	for _, h := range all {
 		switch h.Name {
-		case p.cfg.Headers.RequestID, p.cfg.Headers.Deadline, p.cfg.Headers.Upstream, p.cfg.Headers.CallerService:
+		case p.cfg.Headers.RequestID, p.cfg.Headers.Deadline, p.cfg.Headers.Upstream, p.cfg.Headers.CallerService, "Accept-Encoding":
 			continue
 		}
 		kept = append(kept, h)
--- a/internal/proxy/decide_test.go
+++ b/internal/proxy/decide_test.go
@@ -71,7 +71,11 @@
 	if firstSeen := s.firstSeen(1, 2*time.Second); firstSeen != time.Second {
 		t.Errorf("retry: first seen at %s", firstSeen)
 	}
-	if firstSeen := s.firstSeen(1, 10*time.Second); firstSeen != 10*time.Second {
+	s.record(2, 2*time.Second, 2*time.Second)
+	if firstSeen := s.firstSeen(2, time.Minute); firstSeen != time.Minute {
+		t.Errorf("after a quiet minute: first seen at %s", firstSeen)
+	}
+	if firstSeen := s.firstSeen(1, 2*time.Minute); firstSeen != 2*time.Minute {
 		t.Errorf("retry after the record expired: first seen at %s", firstSeen)
 	}
 }
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -104,7 +104,7 @@
 // not run.
 func (f *forwarder) finish(frame *hopv1.Frame) (*hopv1.Answer, *failure) {
 	if answer := frame.GetAnswer(); answer != nil {
-		if f.fallback != nil && answer.Status >= http.StatusInternalServerError {
+		if f.fallback != nil && (answer.NotRun || answer.Status >= http.StatusInternalServerError) {
 			return f.fallback, nil
 		}
 		if !answer.NotRun || f.uncertain == nil {
@@ -241,7 +241,7 @@
 }
 
 // recordOutcome counts an attempt's outcome and classifies it. A frame that is
-// neither an answer nor a failure is replaced by a failure and not counted.
+// neither an answer nor a failure is replaced by a failure: the request may have run.
 func (f *forwarder) recordOutcome(frame *hopv1.Frame) (*hopv1.Frame, result) {
 	if answer := frame.GetAnswer(); answer != nil {
 		f.deliveries++
@@ -249,6 +249,7 @@
 	}
 	failed := frame.GetFailure()
 	if failed == nil {
+		f.deliveries++
 		return failureFrame(code.CallAnswerBroken, false, 0, nil), unknown
 	}
 	if retry := milliseconds(failed.RetryMs); retry > 0 && (f.retryAfter == 0 || retry < f.retryAfter) {
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -47,8 +47,8 @@
 	if p.isQuarantined(request) {
 		return p.refuse(request, code.CallQuarantined, 0)
 	}
-	if p.linkSaturatedFor(request.Route) {
-		return p.refuse(request, code.CallShed, saturatedRTT)
+	if excess := p.linkBusyFor(request); excess > 0 {
+		return p.refuse(request, code.CallShed, excess)
 	}
 	slot, refusal := p.admissionController.Admit(ctx, admission.Request{
 		Kind:      request.Route,
@@ -75,16 +75,18 @@
 	return frame
 }
 
-// saturatedRTT is the network round-trip time from which this daemon's network
-// link counts as saturated and large requests are refused, with saturatedRTT as
-// the retry delay. Small requests share the link and wait behind large answers;
-// nested ones have the least time to wait.
-const saturatedRTT = 150 * time.Millisecond
-
-// linkSaturatedFor reports whether a request of the route would add a large
-// answer to a network link that is already saturated.
-func (p *Proxy) linkSaturatedFor(route string) bool {
-	return p.expectedRTT() > saturatedRTT && p.routes.size(route) >= routing.LargeRequestBytes
+// linkBusyFor returns how much longer than until the request's deadline, or its goal
+// if that is not past, large answers occupy this machine's network link before one of
+// the request could be sent; 0 if it could be sent in time or is small.
+func (p *Proxy) linkBusyFor(request *hopv1.Request) time.Duration {
+	if p.routes.size(request.Route) < routing.LargeRequestBytes {
+		return 0
+	}
+	left := request.GoalMs
+	if left == 0 {
+		left = request.RemainingMs
+	}
+	return max(p.deps.Peers.LinkBacklog()-milliseconds(left), 0)
 }
 
 // refusalCode returns the result code for a request that got no slot. A request
--- a/internal/proxy/limits_test.go
+++ b/internal/proxy/limits_test.go
@@ -15,6 +15,7 @@
 	"godwitmount/internal/code"
 	"godwitmount/internal/control"
 	"godwitmount/internal/manifest"
+	"godwitmount/internal/shaping"
 )
 
 // newTestProxy returns a data path with one route and without peers.
@@ -97,24 +98,40 @@
 	}
 }
 
-// TestSaturatedLinkRefusesLargeRequests covers a machine whose network link is
-// saturated by large answers: small requests are accepted, large ones are refused
-// until the link is no longer saturated.
-func TestSaturatedLinkRefusesLargeRequests(t *testing.T) {
+// TestBusyLinkRefusesLargeRequests covers a machine whose network link has a second
+// of large answers to send: a large request whose goal is earlier is refused at once
+// with the rest as the time to retry; small ones and those with more time are not.
+func TestBusyLinkRefusesLargeRequests(t *testing.T) {
 	p := newTestProxy(t, manifest.Service{Name: "s"}, manifest.RetryRule{Name: "rule", Attempts: 2})
 	p.routes.recordSize("download", 90_000)
 	p.routes.recordSize("lookup", 1_500)
-	if p.linkSaturatedFor("download") {
-		t.Error("a large request is refused on an idle link")
+	busyFor := func(route string, goalMs, remainingMs uint32) time.Duration {
+		return p.linkBusyFor(&hopv1.Request{Route: route, GoalMs: goalMs, RemainingMs: remainingMs}).Round(10 * time.Millisecond)
 	}
-	for range 20 {
-		time.Sleep(10 * time.Millisecond)
-		p.recordRTT(4 * saturatedRTT)
+	if got := busyFor("download", 600, 4000); got != 0 {
+		t.Errorf("a large request is refused on an idle link: %s", got)
 	}
-	if !p.linkSaturatedFor("download") || p.linkSaturatedFor("lookup") {
-		t.Errorf("RTT %s: large refused %t, small refused %t", p.expectedRTT(), p.linkSaturatedFor("download"), p.linkSaturatedFor("lookup"))
+	link := shaping.NewLink(8_000_000)
+	p.deps.Peers.link = link
+	link.AddBacklog(900_000)
+	for _, c := range []struct {
+		route           string
+		goal, remaining uint32
+		want            time.Duration
+	}{
+		{"download", 600, 4000, 400 * time.Millisecond},
+		{"download", 1200, 4000, 0},
+		{"download", 0, 4000, 0},
+		{"download", 0, 300, 700 * time.Millisecond},
+		{"lookup", 600, 600, 0},
+	} {
+		if got := busyFor(c.route, c.goal, c.remaining); got != c.want {
+			t.Errorf("%s with %d ms to its goal and %d left: refused for %s, want %s", c.route, c.goal, c.remaining, got, c.want)
+		}
 	}
-	if frame := p.Execute(context.Background(), &hopv1.Request{Route: "download", RemainingMs: 1000}); !frame.GetFailure().GetNotRun() {
-		t.Errorf("frame %v, want a failure that is not run", frame)
+	p.SetUpstream(control.Upstream{ID: "u", StartTime: 1, Service: "s", Slots: 9, State: control.UpstreamReady})
+	frame := p.Execute(context.Background(), &hopv1.Request{Route: "download", Service: "s", RemainingMs: 300})
+	if failed := frame.GetFailure(); !failed.GetNotRun() || failed.GetRetryMs() < 650 {
+		t.Errorf("frame %v, want a failure that is not run and a time to retry", frame)
 	}
 }
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -134,6 +134,10 @@
 // Draining reports whether StartDraining was called.
 func (ps *Peers) Draining() bool { return ps.draining.Load() }
 
+// LinkBacklog returns how long this machine's network link needs for the large
+// frames that wait for it.
+func (ps *Peers) LinkBacklog() time.Duration { return ps.link.Backlog() }
+
 // Count returns the number of other daemons, whether or not this daemon connects
 // to them.
 func (ps *Peers) Count() int {
@@ -306,6 +310,7 @@
 		ServiceTime:    serviceTime,
 		FailureShare:   float64(state.GetFailuresPerMille()) / perMille,
 		RTT:            microseconds(state.GetLineDelayUs()),
+		LinkBacklog:    microseconds(state.GetLinkBacklogUs()),
 		PendingPingAge: p.client.UnansweredPingAge(),
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -230,6 +230,7 @@
 		LineDelayUs:   uint32(p.expectedRTT().Microseconds()),
 
 		FailuresPerMille: uint32(p.failureShare() * perMille),
+		LinkBacklogUs:    uint32(p.deps.Peers.LinkBacklog().Microseconds()),
 	}
 	if t := p.table.Load(); t != nil {
 		state.ConfigVersion = t.Version
@@ -241,7 +242,7 @@
 // they may not have been reported yet. It holds at most maxReportedSuspects.
 func (p *Proxy) StateWithSuspects() *hopv1.State {
 	state := p.State()
-	for _, suspect := range p.suspects.Snapshot(maxReportedSuspects) {
+	for _, suspect := range p.suspects.Snapshot(maxReportedSuspects, p.now()) {
 		reported := &hopv1.Suspect{Fingerprint: uint64(suspect.Fingerprint)}
 		for _, crash := range suspect.Crashes {
 			reported.Crashes = append(reported.Crashes, uint64(crash))
--- a/internal/proxy/refusals.go
+++ b/internal/proxy/refusals.go
@@ -67,11 +67,15 @@
 }
 
 // rotate starts a new generation when the recent one is at least half of
-// refusalTTL old, and drops the older one. The caller holds s.mu.
+// refusalTTL old, and drops the older one; in quiet times, it drops both. The caller
+// holds s.mu.
 func (s *refusals) rotate(now time.Duration) {
 	if now-s.since < refusalTTL/2 {
 		return
 	}
+	if now-s.since >= refusalTTL {
+		s.recent = nil
+	}
 	s.older, s.recent = s.recent, map[uint64]time.Duration{}
 	s.since = now
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -107,9 +107,9 @@
 	return known != nil && now < known.expires && len(known.crashes) >= threshold
 }
 
-// Snapshot returns copies of at most limit suspects, in no particular order.
-// They may include expired ones, which are removed only by Add.
-func (s *Set) Snapshot(limit int) []Suspect {
+// Snapshot returns copies of at most limit suspects that have not expired, in no
+// particular order.
+func (s *Set) Snapshot(limit int, now time.Duration) []Suspect {
 	if s.Empty() {
 		return nil
 	}
@@ -120,6 +120,9 @@
 		if len(all) == limit {
 			break
 		}
+		if now >= known.expires {
+			continue
+		}
 		all = append(all, Suspect{fingerprint, append([]Crash(nil), known.crashes...)})
 	}
 	return all
@@ -141,10 +144,10 @@
 		return
 	}
 	var oldest Fingerprint
-	var at time.Duration
+	var first *entry
 	for fingerprint, known := range s.all {
-		if at == 0 || known.expires < at {
-			oldest, at = fingerprint, known.expires
+		if first == nil || known.expires < first.expires {
+			oldest, first = fingerprint, known
 		}
 	}
 	delete(s.all, oldest)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -30,7 +30,7 @@
 		t.Error("refused after its time to live")
 	}
 	s.Add(Suspect{2, []Crash{12}}, suspectTTL)
-	if known := s.Snapshot(10); len(known) != 1 || known[0].Fingerprint != 2 {
+	if known := s.Snapshot(10, suspectTTL); len(known) != 1 || known[0].Fingerprint != 2 {
 		t.Errorf("suspects %v, want only fingerprint 2", known)
 	}
 }
@@ -40,10 +40,23 @@
 	for i := range 2 * maxSuspects {
 		s.Add(Suspect{Fingerprint(i), []Crash{1}}, time.Duration(i))
 	}
-	if n := len(s.Snapshot(1 << 20)); n != maxSuspects {
+	if n := len(s.Snapshot(1<<20, 0)); n != maxSuspects {
 		t.Errorf("%d suspects, want maxSuspects", n)
 	}
-	if n := len(s.Snapshot(5)); n != 5 {
+	if n := len(s.Snapshot(5, 0)); n != 5 {
 		t.Errorf("%d suspects, want the 5 asked for", n)
 	}
 }
+
+// TestExpiredSuspectsAreNotReported covers a suspect that no other one pushes out
+// after its time: peers that have dropped it would take it as new.
+func TestExpiredSuspectsAreNotReported(t *testing.T) {
+	s := NewSet()
+	s.Add(Suspect{Fingerprint: 1, Crashes: []Crash{1}}, 0)
+	if got := s.Snapshot(10, 0); len(got) != 1 {
+		t.Errorf("reported %v", got)
+	}
+	if got := s.Snapshot(10, suspectTTL); len(got) != 0 {
+		t.Errorf("reported after its time: %v", got)
+	}
+}
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -44,6 +44,9 @@
 	// RTT is the network round-trip time to the instance, as its peers have
 	// measured it recently.
 	RTT time.Duration
+	// LinkBacklog is how long the network link of the instance needs for the large
+	// answers that wait for it. A large answer waits behind them.
+	LinkBacklog time.Duration
 	// PendingPingAge is how long ago the deciding daemon sent a ping that the
 	// instance has not answered, less the time since it received a frame from
 	// any daemon: while nothing arrives at all, its own network link may be at
@@ -240,10 +243,14 @@
 }
 
 // answerTime returns the expected time until the answer. The older the report, the
-// less its RTT counts.
+// less its network delays count.
 func (r *PlacementRequest) answerTime(c *Candidate) time.Duration {
-	rtt := time.Duration(c.freshness() * float64(c.RTT))
-	return c.ExpectedWait() + r.serviceTime(c) + rtt + pendingPingWeight*c.PendingPingAge
+	delay := c.RTT
+	if r.Bytes >= LargeRequestBytes {
+		delay += c.LinkBacklog
+	}
+	delay = time.Duration(c.freshness() * float64(delay))
+	return c.ExpectedWait() + r.serviceTime(c) + delay + pendingPingWeight*c.PendingPingAge
 }
 
 // serviceTime returns the expected service time of the request at the candidate.
--- a/internal/routing/goal_test.go
+++ b/internal/routing/goal_test.go
@@ -40,3 +40,26 @@
 		t.Errorf("%d of 100 requests past their goal went to the faster upstream", n)
 	}
 }
+
+// TestLargeRequestsAvoidBusyLinks covers two local upstreams, one of which has half a
+// second of large answers to send. Small requests do not wait behind these.
+func TestLargeRequestsAvoidBusyLinks(t *testing.T) {
+	random := rand.New(rand.NewPCG(15, 16))
+	busy, idle := candidate("busy", true, 2, 90*ms), candidate("idle", true, 4, 90*ms)
+	busy.LinkBacklog = 500 * ms
+	toBusy := func(bytes int) int {
+		sent := 0
+		for range 200 {
+			if Choose([]Candidate{busy, idle}, PlacementRequest{Bytes: bytes, Goal: 800 * ms, Rand: random.Float64}) == 0 {
+				sent++
+			}
+		}
+		return sent
+	}
+	if n := toBusy(90_000); n > 20 {
+		t.Errorf("%d of 200 large requests were sent to the busy link", n)
+	}
+	if n := toBusy(1_500); n < 100 {
+		t.Errorf("%d of 200 small requests were sent to the less loaded upstream", n)
+	}
+}
--- a/internal/shaping/link.go
+++ b/internal/shaping/link.go
@@ -44,6 +44,26 @@
 	l.shaper.Consume(l.Now(), bytes)
 }
 
+// AddBacklog is Shaper.AddBacklog.
+func (l *Link) AddBacklog(bytes int) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shaper.AddBacklog(bytes)
+}
+
+// Backlog is Shaper.Backlog.
+func (l *Link) Backlog() time.Duration {
+	if l == nil {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shaper.Backlog()
+}
+
 // Await returns once a part of a frame may be sent that was queued at the time
 // order, or once ctx ends. It reports whether the part may be sent.
 func (l *Link) Await(ctx context.Context, order time.Duration, bytes int) bool {
--- a/internal/shaping/shaper.go
+++ b/internal/shaping/shaper.go
@@ -38,6 +38,9 @@
 	credit  float64
 	at      time.Duration
 	waiting []*Turn
+	// backlog is the number of bytes of large frames that are not sent yet, also of
+	// those parts that are not in waiting yet.
+	backlog int
 }
 
 // NewShaper returns a shaper for a link with the given rate in bits per second.
@@ -46,6 +49,15 @@
 	return &Shaper{rate: usableShare * float64(bitsPerSecond) / bitsPerByte}
 }
 
+// AddBacklog counts bytes of a large frame that are to be sent; a negative number
+// those that have been sent or never will be.
+func (s *Shaper) AddBacklog(bytes int) { s.backlog += bytes }
+
+// Backlog returns how long it takes to send what waits.
+func (s *Shaper) Backlog() time.Duration {
+	return time.Duration(float64(s.backlog) / s.rate * float64(time.Second))
+}
+
 // Consume counts a small frame, which does not wait.
 func (s *Shaper) Consume(now time.Duration, bytes int) {
 	s.refill(now)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return ctx.Err() == nil
 	}
-	c.pool.put(connection, c.pool.currentAddress())
+	c.pool.put(connection)
 	return false
 }
 
@@ -96,7 +96,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	address := c.pool.currentAddress()
 	stop := context.AfterFunc(ctx, connection.abort)
 	answer, reusable, err := c.exchange(connection, call)
 	if !stop() && ctx.Err() != nil && err != nil {
@@ -105,7 +104,7 @@
 	if err != nil || !reusable {
 		connection.abort()
 	} else {
-		c.pool.put(connection, address)
+		c.pool.put(connection)
 	}
 	return answer, err
 }
@@ -223,18 +222,18 @@
 	}
 }
 
-// readBody returns the complete body, or an error if it is truncated or exceeds
+// readBody returns the complete body, none for HEAD, or an error if it is truncated or exceeds
 // maxResponseBody.
 func readBody(response *http.Response) ([]byte, error) {
 	defer func() { _ = response.Body.Close() }()
+	if response.Request.Method == http.MethodHead {
+		return nil, nil
+	}
 	if response.ContentLength > maxResponseBody {
 		return nil, fmt.Errorf("body of %d bytes exceeds the limit", response.ContentLength)
 	}
 	if response.ContentLength >= 0 {
 		body := make([]byte, response.ContentLength)
-		if response.Request.Method == http.MethodHead {
-			return nil, nil
-		}
 		_, err := io.ReadFull(response.Body, body)
 		return body, err
 	}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -227,3 +227,42 @@
 		}
 	}
 }
+
+// TestHeadAllocatesNoBody covers the answer to a HEAD request, whose Content-Length is
+// that of a body that is not sent.
+func TestHeadAllocatesNoBody(t *testing.T) {
+	response := &http.Response{Request: &http.Request{Method: http.MethodHead}, ContentLength: maxResponseBody, Body: http.NoBody}
+	allocated := testing.AllocsPerRun(1, func() {
+		if body, err := readBody(response); body != nil || err != nil {
+			t.Errorf("body of %d bytes, error %v", len(body), err)
+		}
+	})
+	if allocated > 0 {
+		t.Errorf("%.0f allocations", allocated)
+	}
+	response.ContentLength = maxResponseBody + 1
+	if _, err := readBody(response); err != nil {
+		t.Errorf("a body that is not sent exceeds the limit: %v", err)
+	}
+}
+
+// TestConnectionKeepsItsAddress covers an upstream whose address changes while a
+// request is in flight: its connection must not be pooled for the new address.
+func TestConnectionKeepsItsAddress(t *testing.T) {
+	var client *Client
+	_, client = startRawUpstream(t, func(conn net.Conn, request *http.Request, _ int) bool {
+		client.SetAddress("127.0.0.1:1")
+		_, err := io.WriteString(conn, responseText(request.Header.Get("Request-Id"), "old"))
+		return err == nil
+	})
+	if _, err := do(client, "a", true); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := do(client, "b", true); !errors.Is(err, ErrUnreachable) {
+		t.Errorf("request to the new address: error %v, want ErrUnreachable", err)
+	}
+	connection := newConn(nil, "127.0.0.1:2")
+	if connection.address != "127.0.0.1:2" {
+		t.Errorf("connection to %q", connection.address)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -22,8 +22,10 @@
 // conn is one connection to the upstream.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
-	writer *bufio.Writer
+	// address is the one that it was opened to.
+	address string
+	reader  *bufio.Reader
+	writer  *bufio.Writer
 	// idleSince is when the last request on the connection ended.
 	idleSince time.Time
 	// keepAliveTimeout is how long the upstream keeps the connection open while
@@ -31,8 +33,8 @@
 	keepAliveTimeout time.Duration
 }
 
-func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), writer: bufio.NewWriterSize(c, writeBuffer)}
+func newConn(c net.Conn, address string) *conn {
+	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBuffer), writer: bufio.NewWriterSize(c, writeBuffer)}
 }
 
 // abort resets the connection and discards unsent data, so that an abandoned
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -97,13 +97,13 @@
 	return c, p.address
 }
 
-// put returns a connection to address to the pool. It closes the connection if
-// the pool's address has changed.
-func (p *pool) put(c *conn, address string) {
+// put returns a connection to the pool. It closes the connection if the pool's
+// address is another one by now.
+func (p *pool) put(c *conn) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.address != address {
+	if p.address != c.address {
 		_ = c.Close()
 		return
 	}
@@ -116,5 +116,5 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to upstream: %w", err)
 	}
-	return newConn(c), nil
+	return newConn(c, address), nil
 }
