Keep one request or frame from harming the others of a daemon

Cause: a panic while a peer's request was handled ended the whole process; a reply above the frame limit left its caller to the deadline; a frame's announced length allocated up to 80 MB; a connection whose handshake was in progress survived Close; a state that arrived before the handshake was used. Change: a panic and an oversized reply become a failure that may have run, with event 4005; memory for large frames grows with their data; Close ends the open connection; only a Hello is read before the handshake.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -371,6 +372,11 @@
 // DrainRecord implements hop.Handler.
 func (h hopHandler) DrainRecord(instance string) *hopv1.Left { return h.d.peers.DrainRecord(instance) }
 
+// Panicked implements hop.Handler.
+func (h hopHandler) Panicked(cause any) {
+	h.d.log.Warn(event.RequestPanicked, zap.Any("cause", cause), zap.ByteString("stack", debug.Stack()))
+}
+
 // HelloReceived implements hop.Handler.
 func (h hopHandler) HelloReceived(hello *hopv1.Hello) {
 	h.d.upstreamWasDraining(hello.GetLeft())
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -44,6 +44,8 @@
 	CallAnswered Number = 4003
 	CallRetried  Number = 4004
 
+	RequestPanicked Number = 4005
+
 	RequestCrashed Number = 6001
 
 	StoreLost        Number = 7001
@@ -94,6 +96,7 @@
 	{CallExecuted, "call-executed", "The executing daemon ran or refused a request."},
 	{CallAnswered, "call-answered", "A request received its final answer."},
 	{CallRetried, "call-retried", "A request is retried on another upstream; the line says why."},
+	{RequestPanicked, "request-panicked", "Handling a peer's request panicked; the peer was told that it may have run."},
 
 	{RequestCrashed, "request-crashed", "A request was running when the upstream crashed; it is refused after its second crash."},
 
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -80,7 +80,9 @@
 	hooks   Hooks
 
 	mu sync.Mutex
-	// peerConn is the connection once the handshake is complete, or nil.
+	// current is the open connection, and peerConn the same once its handshake is
+	// complete; nil if there is none.
+	current  *peerConn
 	peerConn *peerConn
 	// pending holds, by stream, the channel that awaits the reply. It is closed
 	// when the connection is lost.
@@ -121,8 +123,7 @@
 }
 
 // Close stops connecting and closes the connection, which fails all pending
-// requests with ErrConnectionLost. A connection whose handshake is not yet
-// complete is not closed.
+// requests with ErrConnectionLost.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -131,8 +132,8 @@
 	}
 	c.closed = true
 	close(c.stop)
-	if c.peerConn != nil {
-		c.peerConn.close()
+	if c.current != nil {
+		c.current.close()
 	}
 }
 
@@ -174,6 +175,9 @@
 func (c *Client) serve(conn net.Conn) (time.Duration, error) {
 	pc := newPeerConn(conn, c.hooks.Link)
 	defer pc.close()
+	if !c.use(pc) {
+		return 0, errConnClosed
+	}
 	if err := c.send(pc, &hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: withState(c.hello, c.hooks.State(), c.hooks.DrainRecord())}}); err != nil {
 		return 0, err
 	}
@@ -189,6 +193,14 @@
 	return <-monitorResult, err
 }
 
+// use makes pc the open connection. It returns false after Close.
+func (c *Client) use(pc *peerConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current = pc
+	return !c.closed
+}
+
 // send stamps a frame with the current time and queues it.
 func (c *Client) send(pc *peerConn, frame *hopv1.Frame) error {
 	frame.SentUs = uint64(c.now().Microseconds())
@@ -200,6 +212,10 @@
 func (c *Client) handleFrame(pc *peerConn, frame *hopv1.Frame) {
 	c.hooks.AdaptiveTimeout.RecordReceive(c.now())
 	c.dataArrived()
+	if frame.GetHello() == nil && !c.established(pc) {
+		// Another instance may have taken over the peer's address.
+		return
+	}
 	switch body := frame.Body.(type) {
 	case *hopv1.Frame_Hello:
 		if body.Hello.GetInstance() != c.hooks.Instance {
@@ -207,9 +223,9 @@
 			pc.reset()
 			return
 		}
-		c.mu.Lock()
-		c.peerConn = pc
-		c.mu.Unlock()
+		if !c.establish(pc) {
+			return
+		}
 		c.hooks.StateReceived(body.Hello.GetState())
 		c.hooks.DrainRecordReceived(body.Hello.GetLeft())
 		c.hooks.Up()
@@ -228,6 +244,17 @@
 	}
 }
 
+// establish makes requests use the connection. It returns false after Close.
+func (c *Client) establish(pc *peerConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	c.peerConn = pc
+	return true
+}
+
 // deliver passes a reply to the request that awaits it, if that is still
 // pending.
 func (c *Client) deliver(frame *hopv1.Frame) {
--- a/internal/hop/frame.go
+++ b/internal/hop/frame.go
@@ -21,6 +21,10 @@
 // body is limited to 64 MiB, with its headers.
 const MaxFrame = 80 << 20
 
+// largeAllocation is the frame size in bytes up to which memory is allocated before
+// the data has arrived.
+const largeAllocation = 256 << 10
+
 // errFrameTooLarge is returned for a frame above MaxFrame. On receipt it ends the
 // connection: the frame's content is left unread, so the next frame cannot be
 // located.
@@ -52,13 +56,28 @@
 	if size > MaxFrame {
 		return nil, errFrameTooLarge
 	}
-	buffer := make([]byte, size)
-	if _, err := io.ReadFull(r, buffer); err != nil {
+	buffer, err := readBytes(r, int(size))
+	if err != nil {
 		return nil, err
 	}
 	return decode(buffer)
 }
 
+// readBytes reads size bytes. It allocates memory for a large frame as its data
+// arrives, so that a wrong length does not exhaust the memory.
+func readBytes(r io.Reader, size int) ([]byte, error) {
+	if size <= largeAllocation {
+		buffer := make([]byte, size)
+		_, err := io.ReadFull(r, buffer)
+		return buffer, err
+	}
+	buffer, err := io.ReadAll(io.LimitReader(r, int64(size)))
+	if err == nil && len(buffer) < size {
+		err = io.ErrUnexpectedEOF
+	}
+	return buffer, err
+}
+
 // decode decodes a frame without its length.
 func decode(buffer []byte) (*hopv1.Frame, error) {
 	frame := &hopv1.Frame{}
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -32,6 +32,12 @@
 		<-ctx.Done()
 		h.cancelled <- request.Id
 	}
+	if request.Id == "panic" {
+		panic("malformed request")
+	}
+	if request.Id == "oversized" {
+		return &hopv1.Frame{Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{Status: 200, Body: make([]byte, MaxFrame)}}}
+	}
 	if request.Id == "large" {
 		return &hopv1.Frame{Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{Status: 200, Body: make([]byte, largeBody)}}}
 	}
@@ -46,6 +52,8 @@
 
 func (h *testHandler) DrainRecord(string) *hopv1.Left { return &hopv1.Left{Upstream: "u-1", Born: 5} }
 
+func (h *testHandler) Panicked(any) {}
+
 func (h *testHandler) HelloReceived(*hopv1.Hello) {}
 
 func (h *testHandler) StateReceived(string, *hopv1.State) { h.states.Add(1) }
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/code"
 	"godwitmount/internal/shaping"
 )
 
@@ -24,6 +26,8 @@
 	// DrainRecord returns this daemon's drain record of the peer instance's
 	// upstream, or nil.
 	DrainRecord(instance string) *hopv1.Left
+	// Panicked is called with the cause when Execute has panicked.
+	Panicked(cause any)
 	// HelloReceived is called with the Hello of a peer that connected.
 	HelloReceived(hello *hopv1.Hello)
 	// StateReceived is called with the state that a peer sent in a Ping. The state
@@ -147,12 +151,32 @@
 	s.mu.Unlock()
 	go func() {
 		defer s.cancel(stream)
-		reply := s.server.handler.Execute(ctx, request)
+		reply := s.execute(ctx, request)
 		reply.Stream = stream
-		_ = s.peerConn.send(reply)
+		if errors.Is(s.peerConn.send(reply), errFrameTooLarge) {
+			_ = s.peerConn.send(&hopv1.Frame{Stream: stream, Body: brokenAnswer()})
+		}
 	}()
 }
 
+// execute runs a request. If that panics, the reply says that the request may have
+// run: one request must not end the process and with it all others.
+func (s *session) execute(ctx context.Context, request *hopv1.Request) (reply *hopv1.Frame) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.server.handler.Panicked(cause)
+			reply = &hopv1.Frame{Body: brokenAnswer()}
+		}
+	}()
+	return s.server.handler.Execute(ctx, request)
+}
+
+// brokenAnswer returns the failure of a request that may have run and has no answer
+// that can be sent.
+func brokenAnswer() *hopv1.Frame_Failure {
+	return &hopv1.Frame_Failure{Failure: &hopv1.Failure{Code: uint32(code.CallAnswerBroken)}}
+}
+
 // cancel cancels the request of a stream, if it still runs.
 func (s *session) cancel(stream uint64) {
 	s.mu.Lock()
