Serve what a planned stop needs, refuse what it would cut off, send nothing late

Cause: once a stopping daemon refused callers, it refused the nested requests of requests that still ran at its upstream, too, so that these failed; it still ran requests of peers with an old state, which its end could cut off; and a request whose time had run out while the process was paused was sent on an open connection. Change: nested requests are served until the end; peers' requests are refused as not run once the daemon drains; a run without time left is refused as not run.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -63,7 +63,10 @@
 	if c.id == "" {
 		c.id = uuid.NewString()
 	}
-	if p.entryClosed.Load() {
+	c.parent = p.running.get(p.cfg.ParentID(c.id))
+	c.nested = c.parent != nil
+	// A request that runs here needs its nested ones to end.
+	if p.entryClosed.Load() && !c.nested {
 		return c, newFailure(code.CallDraining)
 	}
 	table := p.table.Load()
@@ -79,8 +82,6 @@
 	c.route = route
 	c.idempotent = route.IsIdempotent(r.Method)
 	c.service = pickTarget(route)
-	c.parent = p.running.get(p.cfg.ParentID(c.id))
-	c.nested = c.parent != nil
 	p.setTimes(c, r)
 	body, f := readBody(w, r, c, table.Manifest().Limits.MaxBodyBytes)
 	if f != nil {
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -18,10 +18,14 @@
 
 // ExecuteFor runs a peer's request like Execute. It records the network
 // round-trip time that the peer measured, and sets in the frame how long the
-// request was at this daemon.
+// request was at this daemon. Once the daemon drains, it refuses the request: the peer
+// has an old state, and the run might be cut off when the process ends.
 func (p *Proxy) ExecuteFor(ctx context.Context, request *hopv1.Request) *hopv1.Frame {
 	arrived := p.now()
 	p.recordRTT(microseconds(request.LineDelayUs))
+	if p.deps.Peers.Draining() {
+		return p.refuse(request, code.CallDraining, 0)
+	}
 	frame := p.Execute(ctx, request)
 	spent := uint32((p.now() - arrived).Microseconds())
 	switch body := frame.Body.(type) {
@@ -110,6 +114,10 @@
 func (p *Proxy) run(ctx context.Context, request *hopv1.Request, u *control.Upstream, arrived, deadline time.Duration) (frame *hopv1.Frame, failed bool) {
 	started := p.now()
 	timeout := deadline - started
+	if timeout <= 0 {
+		// The process may have been paused since the request got its slot.
+		return p.refuse(request, code.CallDeadlineNotRun, 0), false
+	}
 	if request.AttemptMs > 0 {
 		timeout = min(timeout, milliseconds(request.AttemptMs))
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -201,7 +201,8 @@
 // connection.
 func (p *Proxy) BeginStop() { p.stopping.Store(true) }
 
-// CloseEntry refuses new requests of callers. Requests in flight continue.
+// CloseEntry refuses new requests of callers. Requests in flight continue, and nested
+// ones that they need are still served.
 func (p *Proxy) CloseEntry() { p.entryClosed.Store(true) }
 
 // InFlight returns the numbers of requests in flight: those of callers, and
