--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -78,7 +78,7 @@
 // Close waits up to 200 ms until the queued lines are written. Lines written
 // later are dropped.
 func (l *Logger) Close() {
-	close(l.sink.lines)
+	l.sink.close()
 	select {
 	case <-l.sink.done:
 	case <-time.After(closeTimeout):
@@ -124,6 +124,9 @@
 type sink struct {
 	output io.Writer
 	lines  chan []byte
+	// mu guards closed and the closing of lines.
+	mu     sync.RWMutex
+	closed bool
 	// done is closed when run returns.
 	done chan struct{}
 	// dropped is the number of lines that were not written because the queue was
@@ -131,14 +134,24 @@
 	dropped atomic.Int64
 }
 
-// Write implements io.Writer. It drops the line if the queue is full.
+// close ends run once the queue is empty.
+func (s *sink) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.closed = true
+		close(s.lines)
+	}
+}
+
+// Write implements io.Writer. It drops the line if the queue is full or closed.
 func (s *sink) Write(line []byte) (n int, err error) {
-	// After Close, sending to the closed channel panics. The line is dropped.
-	defer func() {
-		if recover() != nil {
-			s.dropped.Add(1)
-		}
-	}()
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.closed {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case s.lines <- append([]byte(nil), line...):
 	default:
--- a/internal/asynclog/asynclog_test.go
+++ b/internal/asynclog/asynclog_test.go
@@ -86,3 +86,22 @@
 		t.Errorf("%d lines were written, want 5", n)
 	}
 }
+
+// TestCloseWhileLinesAreWritten closes the log while others write to it. The race
+// detector must find nothing, and a second Close does no harm.
+func TestCloseWhileLinesAreWritten(t *testing.T) {
+	logger := New(io.Discard, "a-1", zapcore.InfoLevel, 1<<30)
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Add(1)
+		go func() {
+			defer writers.Done()
+			for range 2000 {
+				logger.Event(event.DaemonStarted)
+			}
+		}()
+	}
+	logger.Close()
+	writers.Wait()
+	logger.Close()
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -109,6 +109,12 @@
 	reloadMu  sync.Mutex
 	// connections is the number of open connections from callers.
 	connections atomic.Int64
+	// memberCalls orders the writes of this daemon's member entry, so that none
+	// follows its removal; memberCallsLeft counts those that have not ended.
+	memberCalls     sync.Mutex
+	memberCallsLeft sync.WaitGroup
+	// removed is set once the entry is to be removed.
+	removed atomic.Bool
 	// lastRequest is when the last request of a caller began, in nanoseconds
 	// since started.
 	lastRequest atomic.Int64
@@ -127,7 +133,7 @@
 		return nil, err
 	}
 	if err := d.listen(); err != nil {
-		d.cancel()
+		d.Abort()
 		return nil, err
 	}
 	go d.loop.run(d.background)
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -33,9 +33,10 @@
 		d.proxy.SetUpstream(e.Upstream)
 		d.broadcastState()
 	case control.WriteMember:
-		go d.writeMember(e)
+		d.callForMember(func() { d.writeMember(e) })
 	case control.RemoveMember:
-		go d.removeMember(e)
+		d.removed.Store(true)
+		d.callForMember(func() { d.removeMember(e) })
 	case control.SetStoreWatcher:
 		setLatest(d.storeWatcher, e.On)
 	case control.ReadConfig:
@@ -62,10 +63,25 @@
 	d.log.Event(line.Event, fields...)
 }
 
+// callForMember runs a store call for this daemon's member entry in the background,
+// after the one before.
+func (d *Daemon) callForMember(call func()) {
+	d.memberCallsLeft.Add(1)
+	go func() {
+		defer d.memberCallsLeft.Done()
+		d.memberCalls.Lock()
+		defer d.memberCalls.Unlock()
+		call()
+	}()
+}
+
 // writeMember writes this daemon's member entry and posts the result. After a
 // failure it first sleeps for minBackoff, because the reducer repeats the write
-// at the next tick.
+// at the next tick. It does nothing once the entry is to be removed.
 func (d *Daemon) writeMember(e control.WriteMember) {
+	if d.removed.Load() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(d.background, writeTimeout)
 	defer cancel()
 	err := d.cfg.Platform.Store.Put(ctx, MembersTable, e.Key, e.Value)
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -57,6 +57,7 @@
 	d.broadcastState()
 	sleep(ctx, drainNoticeTime)
 	waitUntil(ctx, exitAt, d.idle)
+	d.awaitMemberCalls(ctx, exitAt)
 	entering, running := d.proxy.InFlight()
 	d.log.Event(event.DaemonStopped, zap.Int64("entering", entering), zap.Int64("running", running),
 		zap.Duration("took", time.Since(began)))
@@ -67,6 +68,22 @@
 	return nil
 }
 
+// awaitMemberCalls waits until the calls for the member entry have ended, at most
+// until end. The removal of the entry must not be cancelled by the daemon's end.
+func (d *Daemon) awaitMemberCalls(ctx context.Context, end time.Time) {
+	ended := make(chan struct{})
+	go func() {
+		d.memberCallsLeft.Wait()
+		close(ended)
+	}()
+	bounded, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	select {
+	case <-ended:
+	case <-bounded.Done():
+	}
+}
+
 // callersQuiet reports whether callers have stopped sending requests: none is
 // connected, or none has sent a request for quietPeriod and no request is in
 // flight.
