--- a/internal/manifest/check.go
+++ b/internal/manifest/check.go
@@ -26,12 +26,21 @@
 		rules:    map[string]*RetryRule{},
 	}
 	c.name(strictjson.Path("mesh"), m.Mesh)
+	c.limits()
 	c.dataCentres()
 	c.checkServices()
 	c.checkRules()
 	c.checkRoutes()
 }
 
+func (c *checker) limits() {
+	limits := c.manifest.Limits
+	c.intRange(strictjson.Path("limits", "max_header_bytes"), int64(limits.MaxHeaderBytes), 0, MaxHeaderLimit)
+	c.intRange(strictjson.Path("limits", "max_body_bytes"), limits.MaxBodyBytes, 0, MaxServiceBodyBytes)
+	c.durationRange(strictjson.Path("limits", "header_timeout"), limits.HeaderTimeout, 0, MaxDeadline)
+	c.durationRange(strictjson.Path("limits", "idle_timeout"), limits.IdleTimeout, 0, MaxDeadline)
+}
+
 func (c *checker) dataCentres() {
 	path := strictjson.Path("data_centres")
 	c.count(path, len(c.manifest.DataCentres), 1, MaxDataCentres)
@@ -51,6 +60,7 @@
 		c.name(path+"/name", s.Name)
 		c.unique(path+"/name", "service", s.Name, c.services)
 		c.intRange(path+"/queue_limit", int64(s.QueueLimit), 0, MaxQueueLimit)
+		c.intRange(path+"/max_connections", int64(s.MaxConnections), 0, MaxServiceConnections)
 		c.durationRange(path+"/slow_start", s.SlowStart, 0, MaxSlowStart)
 		c.intRange(path+"/max_body_bytes", s.MaxRequestBodyBytes, 1, MaxServiceBodyBytes)
 	}
--- a/internal/manifest/check_route.go
+++ b/internal/manifest/check_route.go
@@ -1,6 +1,7 @@
 package manifest
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 
@@ -146,15 +147,19 @@
 }
 
 // validHost reports whether host consists of at most MaxHostLength letters,
-// digits and "-._:", without a port or a trailing dot. An IPv6 address is
-// accepted without brackets: it has more than one colon.
+// digits and "-._", without a port or a trailing dot, or is an IPv6 address without
+// brackets.
 func validHost(host string) bool {
-	if len(host) > MaxHostLength || strings.Count(host, ":") == 1 {
+	if strings.Contains(host, ":") {
+		address, err := netip.ParseAddr(host)
+		return err == nil && address.Is6()
+	}
+	if len(host) > MaxHostLength {
 		return false
 	}
 	for _, b := range []byte(host) {
 		alphanumeric := b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9'
-		if !alphanumeric && !strings.ContainsRune("-._:", rune(b)) {
+		if !alphanumeric && !strings.ContainsRune("-._", rune(b)) {
 			return false
 		}
 	}
--- a/internal/manifest/diff.go
+++ b/internal/manifest/diff.go
@@ -24,6 +24,7 @@
 // The kinds of entry.
 const (
 	EntryMesh       EntryKind = "mesh"
+	EntryLimits     EntryKind = "limits"
 	EntryDataCentre EntryKind = "data centre"
 	EntryService    EntryKind = "service"
 	EntryRoute      EntryKind = "route"
@@ -73,15 +74,15 @@
 	}
 }
 
-// Diff returns the differences between two valid manifests: mesh, data centres,
-// services, routes, retry rules, in this order. Within each kind, the entries of
-// the old manifest come first, in its order, then the added ones; moved routes
-// follow the other changes of routes. Limits are not compared. A nil manifest is
-// one without entries.
+// Diff returns the differences between two valid manifests: mesh, limits, data
+// centres, services, routes, retry rules, in this order. Within each kind, the entries
+// of the old manifest come first, in its order, then the added ones; moved routes
+// follow the other changes of routes. A nil manifest is one without entries.
 func Diff(old, new *Manifest) []Change {
 	before, after := normalized(old), normalized(new)
 	var changes []Change
 	changes = append(changes, diffMesh(before, after)...)
+	changes = append(changes, diffLimits(before, after)...)
 	changes = append(changes, diffEntries(EntryDataCentre, dataCentreEntries(before), dataCentreEntries(after))...)
 	changes = append(changes, diffEntries(EntryService, serviceEntries(before), serviceEntries(after))...)
 	routesBefore, routesAfter := routeEntries(before), routeEntries(after)
@@ -111,6 +112,15 @@
 	return []Change{{Kind: Changed, Entry: EntryMesh, Name: new.Mesh, Fields: []FieldChange{field}}}
 }
 
+// diffLimits compares the limits for callers.
+func diffLimits(old, new *Manifest) []Change {
+	fields := diffFields(fieldTexts(&old.Limits), fieldTexts(&new.Limits))
+	if len(fields) == 0 {
+		return nil
+	}
+	return []Change{{Kind: Changed, Entry: EntryLimits, Name: "limits", Fields: fields}}
+}
+
 // entry is one named element of a manifest's lists, with its fields as text.
 type entry struct {
 	name   string
--- a/internal/manifest/limits.go
+++ b/internal/manifest/limits.go
@@ -40,6 +40,10 @@
 	MaxHeaderValue = 1024
 	// MaxQueueLimit is the largest QueueLimit, in requests.
 	MaxQueueLimit = 10_000
+	// MaxServiceConnections is the largest MaxConnections.
+	MaxServiceConnections = 100_000
+	// MaxHeaderLimit is the largest MaxHeaderBytes.
+	MaxHeaderLimit = 1 << 20
 	// MaxSlowStart is the longest slow start.
 	MaxSlowStart = 10 * time.Minute
 	// MaxServiceBodyBytes is the largest MaxRequestBodyBytes in bytes.
--- a/internal/proxy/decide.go
+++ b/internal/proxy/decide.go
@@ -101,13 +101,16 @@
 	return finish
 }
 
+// maxServerError is the largest status of the class of server errors.
+const maxServerError = 599
+
 // classifyAnswer returns the result of an attempt that ended with an upstream's
 // answer; notRun means that the upstream refused to run the request.
 func classifyAnswer(status uint32, notRun bool) result {
 	switch {
 	case notRun:
 		return rejected
-	case status >= http.StatusInternalServerError:
+	case status >= http.StatusInternalServerError && status <= maxServerError:
 		return serverError
 	default:
 		return answered
--- a/internal/proxy/decide_test.go
+++ b/internal/proxy/decide_test.go
@@ -79,3 +79,11 @@
 		t.Errorf("retry after the record expired: first seen at %s", firstSeen)
 	}
 }
+
+func TestOnlyServerErrorsAreServerErrors(t *testing.T) {
+	for status, want := range map[uint32]result{200: answered, 499: answered, 500: serverError, 599: serverError, 600: answered, 999: answered} {
+		if got := classifyAnswer(status, false); got != want {
+			t.Errorf("status %d: %s, want %s", status, got, want)
+		}
+	}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -58,7 +58,7 @@
 	c.durationRange("/shutdown_grace", d.ShutdownGrace, MinShutdownGrace, MaxShutdownGrace)
 	c.durationRange("/heartbeat", d.HeartbeatInterval, MinHeartbeatInterval, MaxHeartbeatInterval)
 	c.intRange("/retry_percent", int64(d.RetryPercent), 0, MaxRetryPercent)
-	c.durationRange("/retry_window", d.RetryWindow, time.Second, MaxHeartbeatInterval)
+	c.durationRange("/retry_window", d.RetryWindow, time.Second, MaxRetryWindow)
 	c.intRange("/retry_extra", int64(d.RetryExtra), 0, MaxRetryExtra)
 	c.intRange("/memory_limit_bytes", d.MemoryLimitBytes, MinMemoryLimitBytes, MaxMemoryLimitBytes)
 	c.intRange("/link_kbps", d.LinkKbps, 0, MaxLinkKbps)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,8 @@
 	MaxHeartbeatInterval = time.Hour
 	// MaxRetryPercent is the largest RetryPercent.
 	MaxRetryPercent = 100
+	// MaxRetryWindow is the longest RetryWindow.
+	MaxRetryWindow = 10 * time.Minute
 	// MaxRetryExtra is the largest RetryExtra.
 	MaxRetryExtra = 100_000
 	// MaxLogLinesPerSecond is the largest LogLinesPerSecond.
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -36,13 +36,3 @@
 
 // EventName implements Event.
 func (Tick) EventName() string { return "tick" }
-
-// Paused is the event that the process was suspended for Gap. Anything that was
-// valid for a limited time, such as a lease, must be treated as expired. The
-// daemon's loop does not send it; it only logs the pause.
-type Paused struct {
-	Gap time.Duration
-}
-
-// EventName implements Event.
-func (Paused) EventName() string { return "paused" }
--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -120,6 +120,11 @@
 func (n *node) start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.startLocked()
+}
+
+// startLocked is start for callers that hold mu.
+func (n *node) startLocked() error {
 	process := exec.Command(n.binary, "--settings", n.settingsFile)
 	process.Stdout, process.Stderr = n.log, n.log
 	if err := process.Start(); err != nil {
@@ -196,17 +201,22 @@
 func (n *node) restart(ended chan struct{}) {
 	<-ended
 	time.Sleep(restartDelay)
-	n.mu.Lock()
-	restarted := n.ended != ended
-	n.mu.Unlock()
-	if restarted {
-		return
-	}
-	if err := n.start(); err != nil {
+	if err := n.startUnlessReplaced(ended); err != nil {
 		n.problem("start: %v", err)
 	}
 }
 
+// startUnlessReplaced starts the successor of the process that ended, unless it has
+// one. Two faults may wait for the end of the same process.
+func (n *node) startUnlessReplaced(ended chan struct{}) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ended != ended {
+		return nil
+	}
+	return n.startLocked()
+}
+
 // startUpstream starts the next upstream and its periodic reports.
 func (n *node) startUpstream() error {
 	id := fmt.Sprintf("i-%d-%d", n.number, len(n.upstreams))
