Poll the store's tables less often as the fleet grows

Cause: every daemon polled both tables each 40 s, 110 calls a second at 2,200. Change: the interval is 0.5 s for each daemon if that is longer, so that all daemons together make at most 2 polls a second of each table; fleets up to 80 are unchanged. Conclusion: daemons of other data centres that a new one does not connect to learn of it later in a large fleet; its own data centre learns by the handshake.

--- a/internal/daemon/loop_test.go
+++ b/internal/daemon/loop_test.go
@@ -200,3 +200,15 @@
 	s.eras.Observe(s.eras.Latest() + 1)
 	return s.next()
 }
+
+// TestPollsGrowSlowerThanTheFleet covers the store calls of fleets of all sizes in
+// calm time.
+func TestPollsGrowSlowerThanTheFleet(t *testing.T) {
+	for _, daemons := range []int{1, 9, 75, 195, 2200} {
+		interval := pollInterval(daemons)
+		rate := float64(daemons) / interval.Seconds()
+		if interval < minPollInterval || rate > pollsPerSecond {
+			t.Errorf("%d daemons poll every %s, %.1f polls a second", daemons, interval, rate)
+		}
+	}
+}
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -24,14 +24,14 @@
 	// watcherSettleTime is how long a daemon that has just read its first
 	// configuration waits to learn that its peers already are store watchers.
 	watcherSettleTime = 600 * time.Millisecond
-	// configPollInterval is the interval at which a daemon that is not a store
-	// watcher reads the configuration. It can be long because such a daemon
-	// learns of new versions from its peers.
-	configPollInterval = 40 * time.Second
-	// membersPollInterval is the interval at which the member table is read.
-	// Daemons learn of new ones from handshakes, so this only finds those that
-	// they missed.
-	membersPollInterval = 40 * time.Second
+	// minPollInterval is the shortest interval at which a daemon that is not a store
+	// watcher reads the configuration, and at which all read the member table. It can
+	// be long because daemons learn of new versions and of each other from their
+	// peers; polls only find what they missed.
+	minPollInterval = 40 * time.Second
+	// pollsPerSecond is the number of polls of one table per second, of all daemons
+	// together, from which the interval grows with the fleet.
+	pollsPerSecond = 2
 	// minBackoff and maxBackoff bound the delay after a failed store call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
@@ -133,7 +133,7 @@
 
 // watchConfig tracks the row that holds the configuration until ctx ends. A
 // store watcher watches the store; other daemons read the row at
-// configPollInterval and when the reducer requests it.
+// pollInterval and when the reducer requests it.
 func (d *Daemon) watchConfig(ctx context.Context) {
 	p := d.cfg.Platform
 	t := &tableReader{store: p.Store, name: p.ConfigTable, log: d.log, backoff: minBackoff, notify: d.setStoreUnavailable, apply: func(rows store.Rows, _ bool) {
@@ -159,7 +159,7 @@
 			t.poll(ctx, configWatchTimeout)
 			continue
 		}
-		timer := time.NewTimer(jittered(configPollInterval))
+		timer := time.NewTimer(jittered(pollInterval(d.peers.Count() + 1)))
 		select {
 		case <-ctx.Done():
 		case storeWatcher = <-d.storeWatcher:
@@ -172,6 +172,12 @@
 	}
 }
 
+// pollInterval returns the interval between two polls of a table by one of the given
+// number of daemons.
+func pollInterval(daemons int) time.Duration {
+	return max(minPollInterval, time.Duration(daemons)*time.Second/pollsPerSecond)
+}
+
 // awaitWatcherRole waits up to watcherSettleTime for the reducer to find that
 // other daemons are the store watchers. It returns whether this daemon is one.
 func (d *Daemon) awaitWatcherRole(ctx context.Context, storeWatcher bool) bool {
@@ -198,7 +204,7 @@
 }
 
 // watchMembers polls the member table until ctx ends: first at
-// initialMembersPolls, then every membersPollInterval and when the reducer
+// initialMembersPolls, then every pollInterval and when the reducer
 // requests it. If the first read returns this daemon's own entry, it was restarted, and
 // the entries of the others have long been there, too.
 func (d *Daemon) watchMembers(ctx context.Context) {
@@ -214,7 +220,7 @@
 		if !t.poll(ctx, 0) {
 			continue
 		}
-		interval := membersPollInterval
+		interval := pollInterval(d.peers.Count() + 1)
 		if polls < len(initialMembersPolls) && !restarted {
 			interval = initialMembersPolls[polls]
 		}
