--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -132,8 +132,8 @@
 }
 
 // watchConfig tracks the row that holds the configuration until ctx ends. A
-// store watcher watches the store; other daemons read the row at
-// pollInterval and when the reducer requests it.
+// store watcher watches the store; other daemons read the row at pollInterval and when
+// the reducer requests it.
 func (d *Daemon) watchConfig(ctx context.Context) {
 	p := d.cfg.Platform
 	t := &tableReader{store: p.Store, name: p.ConfigTable, log: d.log, backoff: minBackoff, notify: d.setStoreUnavailable, apply: func(rows store.Rows, _ bool) {
--- a/internal/hop/frame.go
+++ b/internal/hop/frame.go
@@ -1,8 +1,9 @@
 // Package hop carries requests between daemons. Each daemon opens one TCP
 // connection to every other daemon, and the hop protocol multiplexes its requests
-// as frames on it. The daemon closes the connection as dead if it receives nothing
-// while a request is pending, even if no reset arrives: within half a second on a
-// fast network, and within about two seconds on a saturated link.
+// as frames on it; large frames are sent in parts. If nothing arrives while a request
+// is pending, the peer counts as silent within half a second on a fast network, or
+// within about two seconds on a slow one, and the connection as dead silenceLimit
+// later, even if no reset arrives.
 package hop
 
 import (
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -276,14 +276,13 @@
 	if u := p.upstream.Load(); u.Service == service {
 		load := p.admissionController.Load()
 		all = append(all, routing.Candidate{
-			Instance:    p.cfg.Instance,
-			Self:        true,
-			Local:       true,
-			Available:   load.Open,
-			Load:        float64(load.Running + load.Waiting),
-			Slots:       p.advertisedSlots(load.Slots),
-			ServiceTime: load.ServiceTime,
-
+			Instance:     p.cfg.Instance,
+			Self:         true,
+			Local:        true,
+			Available:    load.Open,
+			Load:         float64(load.Running + load.Waiting),
+			Slots:        p.advertisedSlots(load.Slots),
+			ServiceTime:  load.ServiceTime,
 			FailureShare: p.failureShare(),
 		})
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -216,20 +216,19 @@
 	load := p.admissionController.Load()
 	u := p.upstream.Load()
 	state := &hopv1.State{
-		Running:       uint32(load.Running),
-		Waiting:       uint32(load.Waiting),
-		Slots:         uint32(p.advertisedSlots(load.Slots)),
-		ServiceTimeUs: uint32(load.ServiceTime.Microseconds()),
-		TakesWork:     load.Open && !p.deps.Peers.Draining(),
-		Upstream:      u.ID,
-		Service:       u.Service,
-		Stopping:      p.stopping.Load(),
-		StoreLost:     p.storeUnavailable.Load(),
-		StoreEra:      p.storeEra.Load(),
-		Leaving:       u.Draining(),
-		Born:          u.StartTime,
-		LineDelayUs:   uint32(p.expectedRTT().Microseconds()),
-
+		Running:          uint32(load.Running),
+		Waiting:          uint32(load.Waiting),
+		Slots:            uint32(p.advertisedSlots(load.Slots)),
+		ServiceTimeUs:    uint32(load.ServiceTime.Microseconds()),
+		TakesWork:        load.Open && !p.deps.Peers.Draining(),
+		Upstream:         u.ID,
+		Service:          u.Service,
+		Stopping:         p.stopping.Load(),
+		StoreLost:        p.storeUnavailable.Load(),
+		StoreEra:         p.storeEra.Load(),
+		Leaving:          u.Draining(),
+		Born:             u.StartTime,
+		LineDelayUs:      uint32(p.expectedRTT().Microseconds()),
 		FailuresPerMille: uint32(p.failureShare() * perMille),
 		LinkBacklogUs:    uint32(p.deps.Peers.LinkBacklog().Microseconds()),
 	}
