Let large frames go on while small ones use up the link

Cause: small frames could take the credit of the link without bound, so that no part of a large frame was sent while they did, until its request's deadline. Change: the debt of small frames is bounded, and a part is sent each 200 ms. Figures: TestSmallFramesDoNotStarveLargeOnes failed before (no part in ten seconds).

--- a/internal/shaping/shaper.go
+++ b/internal/shaping/shaper.go
@@ -17,6 +17,11 @@
 	usableShare = 0.9
 	// burstTime is the time of unused rate that can be used later.
 	burstTime = 20 * time.Millisecond
+	// maxDebtTime is the time of rate that small frames can use in advance.
+	maxDebtTime = 100 * time.Millisecond
+	// maxPartWait is the longest time for which small frames keep all large ones
+	// waiting.
+	maxPartWait = 200 * time.Millisecond
 )
 
 // Turn is a part of a large frame that waits until the link has room.
@@ -35,9 +40,11 @@
 	rate float64
 	// credit is the number of bytes that may be sent as of at; negative while small
 	// frames have used more than there was.
-	credit  float64
-	at      time.Duration
-	waiting []*Turn
+	credit float64
+	at     time.Duration
+	// lastGrant is when a part was last granted, or Grant found none waiting.
+	lastGrant time.Duration
+	waiting   []*Turn
 	// backlog is the number of bytes of large frames that are not sent yet, also of
 	// those parts that are not in waiting yet.
 	backlog int
@@ -61,7 +68,7 @@
 // Consume counts a small frame, which does not wait.
 func (s *Shaper) Consume(now time.Duration, bytes int) {
 	s.refill(now)
-	s.credit -= float64(bytes)
+	s.credit = max(s.credit-float64(bytes), -s.rate*maxDebtTime.Seconds())
 }
 
 // Queue adds a part of a frame that was queued at the time order.
@@ -88,16 +95,19 @@
 // until the next one may be; 0 if none waits.
 func (s *Shaper) Grant(now time.Duration) (granted []*Turn, next time.Duration) {
 	s.refill(now)
-	for len(s.waiting) > 0 && s.credit >= 0 {
+	for len(s.waiting) > 0 && (s.credit >= 0 || now-s.lastGrant >= maxPartWait) {
 		turn := s.waiting[0]
 		s.waiting = s.waiting[1:]
 		s.credit -= float64(turn.bytes)
+		s.lastGrant = now
 		granted = append(granted, turn)
 	}
 	if len(s.waiting) == 0 {
+		s.lastGrant = now
 		return granted, 0
 	}
-	return granted, max(time.Duration(-s.credit/s.rate*float64(time.Second)), time.Millisecond)
+	next = min(time.Duration(-s.credit/s.rate*float64(time.Second)), s.lastGrant+maxPartWait-now)
+	return granted, max(next, time.Millisecond)
 }
 
 // refill adds the credit for the time since the last call.
--- a/internal/shaping/shaper_test.go
+++ b/internal/shaping/shaper_test.go
@@ -112,3 +112,23 @@
 		t.Errorf("granted %d parts after an idle hour, want %d; next after %s", len(granted), want, next)
 	}
 }
+
+// TestSmallFramesDoNotStarveLargeOnes covers a link that small frames alone use up for
+// a while. Large frames still go on, if slowly.
+func TestSmallFramesDoNotStarveLargeOnes(t *testing.T) {
+	s := NewShaper(8_000_000)
+	sent := 0
+	s.Queue(0, 8192)
+	for now := time.Duration(0); now < 10*time.Second; now += 10 * ms {
+		s.Consume(now, 20_000)
+		granted, _ := s.Grant(now)
+		for range granted {
+			sent++
+			s.Queue(now, 8192)
+		}
+	}
+	s.Grant(10*time.Second + maxDebtTime + 20*ms)
+	if len(s.waiting) > 0 || sent == 0 {
+		t.Errorf("%d parts sent in ten busy seconds, %d wait after them", sent, len(s.waiting))
+	}
+}
