Report the suspects of a crash together

Cause: each request that ran when an upstream crashed was reported to all peers by itself, each peer reported each of them to all of its own, and each ping carried all suspects: traffic with the square of the fleet, on links of 10 Mbit/s. Change: new suspects go to all peers at most each 500 ms, all together; pings carry none, handshakes and these reports do. Conclusion: a crashing request is known to all daemons up to 0.5 s later per relay.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -182,7 +182,7 @@
 		return fmt.Errorf("create data path: %w", err)
 	}
 	d.proxy = dataPath
-	d.peers.SetState(dataPath.StateWithSuspects)
+	d.peers.SetState(dataPath.StateWithSuspects, dataPath.State)
 	d.server = hop.NewServer(proxy.Hello(self), hopHandler{d}, link)
 	return nil
 }
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -63,8 +63,9 @@
 	// DrainRecord returns this daemon's drain record of the peer's upstream, or
 	// nil.
 	DrainRecord func() *hopv1.Left
-	// State returns the state to send to the peer.
-	State func() *hopv1.State
+	// HelloState returns the state to send in the handshake, State that in pings.
+	HelloState func() *hopv1.State
+	State      func() *hopv1.State
 	// AdaptiveTimeout is the read timeout shared by all clients of the daemon.
 	AdaptiveTimeout *AdaptiveTimeout
 	// Link is the machine's network link; nil for no limit.
@@ -178,7 +179,7 @@
 	if !c.use(pc) {
 		return 0, errConnClosed
 	}
-	if err := c.send(pc, &hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: withState(c.hello, c.hooks.State(), c.hooks.DrainRecord())}}); err != nil {
+	if err := c.send(pc, &hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: withState(c.hello, c.hooks.HelloState(), c.hooks.DrainRecord())}}); err != nil {
 		return 0, err
 	}
 	c.endSilence()
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -155,6 +155,7 @@
 				t.Errorf("drain record is %v", record)
 			}
 		},
+		HelloState:      func() *hopv1.State { return &hopv1.State{} },
 		State:           func() *hopv1.State { return &hopv1.State{} },
 		AdaptiveTimeout: &AdaptiveTimeout{},
 		Now:             func() time.Duration { return time.Since(start) },
@@ -317,6 +318,7 @@
 		StateReceived:       func(*hopv1.State) {},
 		DrainRecord:         func() *hopv1.Left { return nil },
 		DrainRecordReceived: func(*hopv1.Left) {},
+		HelloState:          handler.State,
 		State:               handler.State,
 		AdaptiveTimeout:     &AdaptiveTimeout{},
 		Now:                 func() time.Duration { return 0 },
--- a/internal/hop/robust_test.go
+++ b/internal/hop/robust_test.go
@@ -54,7 +54,8 @@
 	hooks.Down = func(error) {}
 	hooks.DrainRecord = func() *hopv1.Left { return nil }
 	hooks.DrainRecordReceived = func(*hopv1.Left) {}
-	hooks.State = func() *hopv1.State { return &hopv1.State{} }
+	hooks.HelloState = func() *hopv1.State { return &hopv1.State{} }
+	hooks.State = hooks.HelloState
 	hooks.AdaptiveTimeout = &AdaptiveTimeout{}
 	hooks.Now = func() time.Duration { return time.Since(start) }
 	client := NewClient(listener.Addr().String(), &hopv1.Hello{Instance: "client"}, hooks)
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -41,8 +41,9 @@
 	readTimeout *hop.AdaptiveTimeout
 	// link is the machine's network link; nil for no limit.
 	link *shaping.Link
-	// state returns the state that this daemon reports to peers.
-	state func() *hopv1.State
+	// helloState and state return the states that this daemon reports to peers in
+	// handshakes and in pings.
+	helloState, state func() *hopv1.State
 
 	mu sync.RWMutex
 	// all holds the peers that this daemon connects to, by instance.
@@ -123,9 +124,11 @@
 // now returns the monotonic time since epoch.
 func (ps *Peers) now() time.Duration { return time.Since(ps.epoch) }
 
-// SetState sets the function that returns this daemon's state. It must be called
-// before SetMembers.
-func (ps *Peers) SetState(state func() *hopv1.State) { ps.state = state }
+// SetState sets the functions that return this daemon's state for handshakes and for
+// pings. It must be called before SetMembers.
+func (ps *Peers) SetState(helloState, state func() *hopv1.State) {
+	ps.helloState, ps.state = helloState, state
+}
 
 // StartDraining marks this daemon as draining: from then on its state reports
 // that it accepts no requests.
@@ -206,6 +209,7 @@
 		StateReceived:       func(state *hopv1.State) { ps.handleState(p, state) },
 		DrainRecordReceived: ps.listener.DrainRecordReceived,
 		DrainRecord:         p.drainingUpstream.Load,
+		HelloState:          ps.helloState,
 		State:               ps.state,
 		AdaptiveTimeout:     ps.readTimeout,
 		Link:                ps.link,
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -118,6 +118,10 @@
 	rttEstimator routing.RTTEstimator
 	// failures estimates the share of requests that the upstream fails.
 	failures routing.FailureEstimator
+	// nextSuspectReport is the earliest time of the next report of suspects to all
+	// peers; suspectReportPending is set while one is to be sent.
+	nextSuspectReport    time.Duration
+	suspectReportPending bool
 	// budgets holds retry budgets by service, ruleBudgets by rule name.
 	budgets     map[string]*routing.RetryBudget
 	ruleBudgets map[string]*ruleBudget
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
@@ -43,10 +44,33 @@
 	if p.suspects.Add(quarantine.Suspect{Fingerprint: f, Crashes: []quarantine.Crash{crash}}, p.now()) {
 		p.deps.Log.Request(event.RequestCrashed, true, zap.String("id", request.Id), zap.Uint64("fingerprint", uint64(f)),
 			zap.String("upstream", u.ID), zap.Bool("refused", p.suspects.Quarantined(f, p.now())))
-		p.deps.BroadcastState()
+		p.reportSuspects()
 	}
 }
 
+// suspectReportInterval is the shortest time between two reports of suspects to all
+// peers. A crash has a suspect for each request that was running, and each peer that
+// learns of a new one reports it to all of its own.
+const suspectReportInterval = 500 * time.Millisecond
+
+// reportSuspects sends this daemon's state with its suspects to all peers: at once, or
+// after the rest of suspectReportInterval together with those recorded meanwhile.
+func (p *Proxy) reportSuspects() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.suspectReportPending {
+		return
+	}
+	p.suspectReportPending = true
+	time.AfterFunc(p.nextSuspectReport-p.now(), func() {
+		p.mu.Lock()
+		p.suspectReportPending = false
+		p.nextSuspectReport = p.now() + suspectReportInterval
+		p.mu.Unlock()
+		p.deps.BroadcastState()
+	})
+}
+
 // MergeSuspects adds the crash suspects that a peer reports to those of this
 // daemon. If any crash is new, it sends this daemon's state to all peers, because
 // some of them are not connected to the daemon where the crash was.
@@ -60,6 +84,6 @@
 		anyNew = p.suspects.Add(converted, p.now()) || anyNew
 	}
 	if anyNew {
-		p.deps.BroadcastState()
+		p.reportSuspects()
 	}
 }
