--- a/internal/proxy/budgets.go
+++ b/internal/proxy/budgets.go
@@ -46,9 +46,10 @@
 func (p *Proxy) recordRequest(c *call) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.budget(c.service).RecordRequest(p.now())
+	service := p.budget(c.service)
+	service.RecordRequest(p.now())
 	if c.isRetry() {
-		p.budget(c.service).RecordRetry(p.now())
+		service.RecordRetry(p.now())
 	}
 	if c.route.Rule != nil {
 		p.ruleBudget(c.route.Rule).RecordRequest(p.now())
