Log failed store calls and ended connections of peers

Cause: the logs cannot tell the hypotheses of the late configuration apart: only the first failed call leaves a line, and none names the connection or the time it took. Change: store-lost says both; store-call-failed for each further failure, at most one in the backoff; store-recovered says how long the call took; peer-disconnected says which inbound connection between daemons ended, why, and with how many running requests.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -378,6 +378,11 @@
 // DrainRecord implements hop.Handler.
 func (h hopHandler) DrainRecord(instance string) *hopv1.Left { return h.d.peers.DrainRecord(instance) }
 
+// Disconnected implements hop.Handler.
+func (h hopHandler) Disconnected(instance string, running int, cause error) {
+	h.d.log.Event(event.PeerDisconnected, zap.String("peer", instance), zap.Int("running", running), zap.Error(cause))
+}
+
 // Panicked implements hop.Handler.
 func (h hopHandler) Panicked(cause any) {
 	h.d.log.Warn(event.RequestPanicked, zap.Any("cause", cause), zap.ByteString("stack", debug.Stack()))
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -70,15 +70,16 @@
 // wait. It reports whether the call succeeded; after a failure it first sleeps
 // for the backoff.
 func (t *tableReader) poll(ctx context.Context, wait time.Duration) bool {
+	began := time.Now()
 	rows, err := t.readOrWatch(ctx, wait)
 	if err != nil {
 		t.synced = t.synced && !errors.Is(err, store.ErrHistoryGone)
-		t.failed(ctx, err)
+		t.failed(ctx, err, time.Since(began))
 		sleep(ctx, t.backoff)
 		t.backoff = min(2*t.backoff, maxBackoff)
 		return false
 	}
-	t.recovered()
+	t.recovered(time.Since(began))
 	t.backoff = minBackoff
 	if len(rows.Rows) > 0 || !t.synced {
 		t.apply(rows, !t.synced)
@@ -104,7 +105,9 @@
 	return t.store.Read(ctx, t.name)
 }
 
-func (t *tableReader) failed(ctx context.Context, err error) {
+// failed logs a failed call that took the given time, and reports the store as
+// unavailable at the first one.
+func (t *tableReader) failed(ctx context.Context, err error, took time.Duration) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -116,18 +119,23 @@
 		t.log.Event(event.StoreHistoryGone, zap.String("table", t.name))
 		return
 	}
-	if !t.unavailable {
-		t.unavailable = true
-		t.notify(true)
-		t.log.Warn(event.StoreLost, zap.String("table", t.name), zap.Error(err))
+	fields := []zap.Field{zap.String("table", t.name), zap.Duration("took", took), zap.Error(err)}
+	if t.unavailable {
+		t.log.Event(event.StoreCallFailed, fields...)
+		return
 	}
+	t.unavailable = true
+	t.notify(true)
+	t.log.Warn(event.StoreLost, fields...)
 }
 
-func (t *tableReader) recovered() {
+// recovered logs the first answered call after failed ones, which took the given
+// time, and reports the store as available again.
+func (t *tableReader) recovered(took time.Duration) {
 	if t.unavailable {
 		t.unavailable = false
 		t.notify(false)
-		t.log.Event(event.StoreRecovered, zap.String("table", t.name))
+		t.log.Event(event.StoreRecovered, zap.String("table", t.name), zap.Duration("took", took))
 	}
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -38,6 +38,7 @@
 	UpstreamIgnored  Number = 3009
 	ReportRefused    Number = 3010
 	MemberRestored   Number = 3011
+	PeerDisconnected Number = 3012
 
 	CallRouted   Number = 4001
 	CallExecuted Number = 4002
@@ -53,6 +54,7 @@
 	StoreHistoryGone Number = 7003
 	StoreEraAdvanced Number = 7004
 	StoreEraMissing  Number = 7005
+	StoreCallFailed  Number = 7006
 )
 
 // Info describes one event.
@@ -91,6 +93,7 @@
 	{UpstreamIgnored, "upstream-ignored", "A report was ignored because it was outdated or came from another upstream."},
 	{ReportRefused, "report-refused", "A report of an upstream could not be decoded or was not applied in time; the line says which."},
 	{MemberRestored, "member-restored", "A member that had left is in the older copy that the store came back from; it is not used."},
+	{PeerDisconnected, "peer-disconnected", "A connection that another daemon had opened to this one ended; the line says why and how many requests it had."},
 
 	{CallRouted, "call-routed", "A request was sent to an upstream; the line says why this one was chosen."},
 	{CallExecuted, "call-executed", "The executing daemon ran or refused a request."},
@@ -105,6 +108,7 @@
 	{StoreHistoryGone, "store-history-gone", "The store no longer has the requested changes; the whole table is read again."},
 	{StoreEraAdvanced, "store-era-advanced", "The store came back from an older copy; the member table is read again."},
 	{StoreEraMissing, "store-era-missing", "The store's answers carry no valid era; it counts as era 0."},
+	{StoreCallFailed, "store-call-failed", "A call to the store failed while it is unavailable; the line says how, after how long and on which connection."},
 }
 
 var byNumber = indexByNumber()
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -54,6 +54,8 @@
 
 func (h *testHandler) Panicked(any) {}
 
+func (h *testHandler) Disconnected(string, int, error) {}
+
 func (h *testHandler) HelloReceived(*hopv1.Hello) {}
 
 func (h *testHandler) StateReceived(string, *hopv1.State) { h.states.Add(1) }
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -26,6 +26,9 @@
 	// DrainRecord returns this daemon's drain record of the peer instance's
 	// upstream, or nil.
 	DrainRecord(instance string) *hopv1.Left
+	// Disconnected is called when a connection on which a peer said Hello has ended,
+	// with the number of its requests that still ran.
+	Disconnected(instance string, running int, cause error)
 	// Panicked is called with the cause when Execute has panicked.
 	Panicked(cause any)
 	// HelloReceived is called with the Hello of a peer that connected.
@@ -107,8 +110,11 @@
 	s.mu.Unlock()
 	defer s.removeConn(pc)
 	session := &session{server: s, peerConn: pc, ctx: ctx, epoch: time.Now(), running: map[uint64]context.CancelFunc{}}
-	// The error needs no handling: the peer connects again.
-	_ = pc.read(session.handleFrame)
+	// The error is only reported: the peer connects again.
+	err := pc.read(session.handleFrame)
+	if session.peer != "" {
+		s.handler.Disconnected(session.peer, session.runningCount(), err)
+	}
 }
 
 func (s *Server) removeConn(pc *peerConn) {
@@ -177,6 +183,13 @@
 	return &hopv1.Frame_Failure{Failure: &hopv1.Failure{Code: uint32(code.CallAnswerBroken)}}
 }
 
+// runningCount returns the number of requests that run for the peer.
+func (s *session) runningCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.running)
+}
+
 // cancel cancels the request of a stream, if it still runs.
 func (s *session) cancel(stream uint64) {
 	s.mu.Lock()
