Move the forwarder that simulates network faults to a package of its own

Cause: connections that fall silent without a reset can only be simulated by the soak's forwarder, which the tests of other packages cannot use. Conclusion: the soak injects the same faults as before.

--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"godwitmount/internal/faultlink"
 	"godwitmount/internal/status"
 	"godwitmount/platform/platformtest"
 )
@@ -44,7 +45,7 @@
 	log          *os.File
 	service      string
 	// peerLink is the network link on which other daemons reach this one.
-	peerLink *link
+	peerLink *faultlink.Link
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -76,7 +77,7 @@
 	n := &node{number: number, binary: binary, service: service,
 		host: host()}
 	var err error
-	if n.peerLink, err = newLink(n.host+":7480", n.host+":7482"); err != nil {
+	if n.peerLink, err = faultlink.New(n.host+":7480", n.host+":7482"); err != nil {
 		return nil, err
 	}
 	name := fmt.Sprintf("%s-%d", dataCentre, number)
@@ -291,6 +292,6 @@
 	n.signal(syscall.SIGKILL, true)
 	n.cancel()
 	n.upstream.Kill()
-	_ = n.peerLink.listener.Close()
+	n.peerLink.Close()
 	_ = n.log.Close()
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"godwitmount/internal/faultlink"
 	"godwitmount/platform/platformtest"
 )
 
@@ -165,9 +166,9 @@
 	case stopDaemon:
 		n.stop()
 	case slowLink, blockedLink, oneWayLink, resetLink:
-		n.peerLink.setFault(map[kind]linkFault{slowLink: linkSlow, blockedLink: linkBlocked, oneWayLink: linkOneWay, resetLink: linkReset}[f.kind])
+		n.peerLink.SetFault(map[kind]faultlink.Fault{slowLink: faultlink.Slow, blockedLink: faultlink.Blocked, oneWayLink: faultlink.OneWay, resetLink: faultlink.Reset}[f.kind])
 		time.Sleep(f.duration)
-		n.peerLink.setFault(linkHealthy)
+		n.peerLink.SetFault(faultlink.None)
 	case busyStore, unresponsiveStore, lostWriteResponses:
 		s.store.SetFault(map[kind]platformtest.Fault{busyStore: platformtest.Unavailable, unresponsiveStore: platformtest.Unresponsive, lostWriteResponses: platformtest.LostWriteReplies}[f.kind])
 		time.Sleep(f.duration)
