Notice a silent connection to the store within the limit of a configuration

Cause: a daemon notices a silent connection to the store only when the call on it runs out, 2.7 s for the watch of a configuration. The next call then took a pooled connection that had been idle since the start and was as silent; so did the daemons that took over the watch. The kernel's keep-alive ended those after 4 s: it counts whole seconds, and its interval of 500 ms was one. Change: a watch lasts 1 s, so that it, the client's allowance and the next call fit into 2 s.

--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -18,9 +18,11 @@
 const (
 	// MembersTable is the store table that lists the daemons.
 	MembersTable = "godwitmount-members"
-	// configWatchTimeout bounds one Watch call for a new configuration. It is
-	// short so that a call that the store has lost is detected soon.
-	configWatchTimeout = 2 * time.Second
+	// configWatchTimeout bounds one Watch call for a new configuration. A call whose
+	// connection has fallen silent ends only then, and a version that is published
+	// meanwhile has 2 s to be in force: the call, the client's allowance for a slow
+	// store, and the next call must fit.
+	configWatchTimeout = time.Second
 	// watcherSettleTime is how long a daemon that has just read its first
 	// configuration waits to learn that its peers already are store watchers.
 	watcherSettleTime = 600 * time.Millisecond
