Check idle connections between daemons when another one falls silent

Cause: connections fall silent together, but each is judged by itself: an idle one is pinged after 2 to 3 s and given up a second later, longer than a version may take. Change: when a peer falls silent, the daemon pings all others at once, at most each second. Calm connections are pinged as before, so that calm bytes do not grow. Conclusion: the time to notice a silence is that of the busiest connection.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -97,6 +97,8 @@
 	wake chan struct{}
 	// instanceMismatch is set when another instance answered the Hello.
 	instanceMismatch atomic.Bool
+	// suspect is set by Check until data arrives.
+	suspect atomic.Bool
 	// polling is set while monitor checks often.
 	polling atomic.Bool
 	// pingSentAt is when the unanswered ping was sent, in nanoseconds of
@@ -183,6 +185,7 @@
 		return 0, err
 	}
 	c.endSilence()
+	c.suspect.Store(false)
 	c.polling.Store(false)
 	monitorResult := make(chan time.Duration, 1)
 	go func() { monitorResult <- c.monitor(pc) }()
--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -18,8 +18,8 @@
 
 // monitor pings an idle peer, marks it as silent when no data arrives within the read
 // timeout, and resets the connection silenceLimit later, or at once before the
-// handshake. It checks at busyCheckInterval while requests are pending or a ping is
-// unanswered, otherwise at idlePingAfter/2. The first check after a ping without
+// handshake. It checks at busyCheckInterval while requests are pending, after Check, or
+// while a ping is unanswered, otherwise at idlePingAfter/2. The first check after a ping without
 // pending requests still follows the longer interval. When the connection has ended,
 // monitor returns the idle time after which it reset the connection, or 0 if the
 // connection ended otherwise.
@@ -36,10 +36,11 @@
 		}
 		pingAfter, interval := idlePingAfter, idlePingAfter/2
 		busy := c.busy()
-		if busy {
+		often := busy || c.suspect.Load()
+		if often {
 			pingAfter, interval = busyPingAfter, busyCheckInterval
 		}
-		c.polling.Store(busy)
+		c.polling.Store(often)
 		if c.pingSentAt.Load() > 0 || !busy && c.busy() {
 			// A ping is unanswered, or a request came in since busy was set.
 			interval = busyCheckInterval
@@ -74,6 +75,7 @@
 	case pingSentAt > 0 && pc.idleTime() < now-pingSentAt:
 		c.hooks.AdaptiveTimeout.RecordPingDelay(now, now-pc.idleTime()-pingSentAt)
 		c.pingSentAt.Store(0)
+		c.suspect.Store(false)
 		c.dataArrived()
 	case pingSentAt == 0 && idleTime >= pingAfter:
 		c.pingSentAt.Store(int64(now))
@@ -87,6 +89,14 @@
 	return 0
 }
 
+// Check makes monitor ping the peer at once if it has been idle for busyPingAfter, and
+// find soon whether it is silent. It is for connections that may have fallen silent
+// together with another one.
+func (c *Client) Check() {
+	c.suspect.Store(true)
+	c.wakeMonitor()
+}
+
 // UnansweredPingAge returns how long a ping has been unanswered, less the time
 // for which no peer has sent anything. It returns 0 if no ping is unanswered.
 func (c *Client) UnansweredPingAge() time.Duration {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,8 @@
 	// failureBackoff is how long a peer gets no requests after its connection
 	// failed one.
 	failureBackoff = 150 * time.Millisecond
+	// silenceCheckInterval is the shortest time between two checks of all connections.
+	silenceCheckInterval = time.Second
 )
 
 // Peers holds the other daemons, the connections to them and their last reported
@@ -37,6 +40,9 @@
 	listener Listener
 	log      *asynclog.Logger
 	draining atomic.Bool
+	// nextSilenceCheck is the earliest time of the next check of all connections, in
+	// nanoseconds since epoch.
+	nextSilenceCheck atomic.Int64
 	// readTimeout is the adaptive read timeout of all connections.
 	readTimeout *hop.AdaptiveTimeout
 	// link is the machine's network link; nil for no limit.
@@ -205,6 +211,9 @@
 				ps.listener.ReachabilityChanged(m.Instance, false)
 				ps.log.Event(event.PeerDown, zap.String("peer", m.Instance), zap.Error(err))
 			}
+			if errors.Is(err, hop.ErrPeerSilent) {
+				ps.checkOthers(p)
+			}
 		},
 		StateReceived:       func(state *hopv1.State) { ps.handleState(p, state) },
 		DrainRecordReceived: ps.listener.DrainRecordReceived,
@@ -218,6 +227,24 @@
 	return p
 }
 
+// checkOthers checks the connections to all peers but the one that has fallen silent:
+// the cause may have silenced them, too, and an idle one would show it only at its next
+// ping. It does so at most each silenceCheckInterval.
+func (ps *Peers) checkOthers(silent *peer) {
+	now := int64(ps.now())
+	next := ps.nextSilenceCheck.Load()
+	if now < next || !ps.nextSilenceCheck.CompareAndSwap(next, now+int64(silenceCheckInterval)) {
+		return
+	}
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	for _, p := range ps.all {
+		if p != silent {
+			p.client.Check()
+		}
+	}
+}
+
 // recordDraining remembers that the peer's upstream is draining, until the peer
 // reports another incarnation. A state without an upstream changes nothing: the
 // peer may have been restarted and not yet have a report of its upstream.
