Cancel the requests of a peer that vanished without closing its connection

Cause: a daemon that runs requests for a peer learns that nobody waits for them from a cancel frame or from the end of the connection. On one that has fallen silent neither arrives, and nothing else ended an inbound connection. Evidence: TestRequestOfVanishedPeerIsCancelled: the request runs 10 s later. After 10 s the connection is reset. A peer that wakes does not tell its caller that the caller has disconnected. New: TestAbandonedConnectionIsReset, TestPeerThatGaveUpIsNoDisconnectedCaller.

--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -21,6 +21,8 @@
 // until it is cancelled.
 type testHandler struct {
 	cancelled chan string
+	// disconnected receives the instance of each peer whose connection has ended.
+	disconnected chan string
 	states    atomic.Int64
 	// remainingMs is the RemainingMs of the last request.
 	remainingMs atomic.Int64
@@ -54,7 +56,7 @@
 
 func (h *testHandler) Panicked(any) {}
 
-func (h *testHandler) Disconnected(string, int, error) {}
+func (h *testHandler) Disconnected(instance string, _ int, _ error) { h.disconnected <- instance }
 
 func (h *testHandler) HelloReceived(*hopv1.Hello) {}
 
@@ -131,7 +133,7 @@
 // startPairOn is startPair with a network link of the server's machine.
 func startPairOn(t *testing.T, link *shaping.Link) (*testHandler, *proxy, *Client, chan error) {
 	t.Helper()
-	handler := &testHandler{cancelled: make(chan string, 10)}
+	handler := &testHandler{cancelled: make(chan string, 10), disconnected: make(chan string, 10)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/hop/peerconn.go
+++ b/internal/hop/peerconn.go
@@ -40,8 +40,10 @@
 	cancel    context.CancelFunc
 	closeOnce sync.Once
 	epoch     time.Time
-	// lastReceived is when data last arrived, in nanoseconds since epoch.
+	// lastReceived is when data last arrived, lastWritten when a batch was last written,
+	// in nanoseconds since epoch.
 	lastReceived atomic.Int64
+	lastWritten  atomic.Int64
 }
 
 func newPeerConn(conn net.Conn, link *shaping.Link) *peerConn {
@@ -102,6 +104,7 @@
 			if _, err := batch.WriteTo(pc.conn); err != nil {
 				return
 			}
+			pc.lastWritten.Store(int64(time.Since(pc.epoch)))
 		}
 	}
 }
@@ -146,6 +149,12 @@
 	return time.Since(pc.epoch) - time.Duration(pc.lastReceived.Load())
 }
 
+// quietTime returns the time since data last arrived or was written.
+func (pc *peerConn) quietTime() time.Duration {
+	last := max(pc.lastReceived.Load(), pc.lastWritten.Load())
+	return time.Since(pc.epoch) - time.Duration(last)
+}
+
 // close closes the connection. Data that was already written is still sent.
 func (pc *peerConn) close() {
 	pc.closeOnce.Do(func() {
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -110,6 +110,7 @@
 	s.mu.Unlock()
 	defer s.removeConn(pc)
 	session := &session{server: s, peerConn: pc, ctx: ctx, epoch: time.Now(), running: map[uint64]context.CancelFunc{}}
+	time.AfterFunc(vanishedAfter, session.watchQuiet)
 	// The error is only reported: the peer connects again.
 	err := pc.read(session.handleFrame)
 	if session.peer != "" {
--- a/internal/hop/silence_test.go
+++ b/internal/hop/silence_test.go
@@ -22,3 +22,16 @@
 		t.Error("the request still runs 10 s after its peer has vanished")
 	}
 }
+
+// TestAbandonedConnectionIsReset covers the inbound connection of a vanished peer on
+// which nothing runs: it must not stay open for good.
+func TestAbandonedConnectionIsReset(t *testing.T) {
+	handler, p, client, _ := startPair(t)
+	p.close()
+	client.Close()
+	select {
+	case <-handler.disconnected:
+	case <-time.After(abandonedAfter + 10*time.Second):
+		t.Error("the connection of a vanished peer is still open")
+	}
+}
--- /dev/null
+++ b/internal/hop/vanished.go
@@ -0,0 +1,44 @@
+package hop
+
+import "time"
+
+const (
+	// vanishedAfter is the quiet time of an inbound connection after which nobody waits
+	// for the requests on it. The peer pings while it waits, and closes its end of a
+	// silent connection within the longest read timeout and silenceLimit.
+	vanishedAfter = maxTimeout + silenceLimit
+	// abandonedAfter is the quiet time after which an inbound connection is reset. It is
+	// longer than the pause between pings of an idle one, and than a short suspension
+	// of the peer, which may still get the answers of requests that are not cancelled.
+	abandonedAfter = 10 * time.Second
+)
+
+// watchQuiet cancels the requests of a peer that has vanished without closing its
+// connection, and later resets the connection. It calls itself again until the
+// connection ends.
+func (s *session) watchQuiet() {
+	if isClosed(s.peerConn.done) {
+		return
+	}
+	next := vanishedAfter
+	switch quiet := s.peerConn.quietTime(); {
+	case quiet >= abandonedAfter:
+		s.peerConn.reset()
+		return
+	case quiet >= vanishedAfter:
+		s.cancelAll()
+	default:
+		next -= quiet
+	}
+	time.AfterFunc(next, s.watchQuiet)
+}
+
+// cancelAll cancels all running requests. A request that must not run twice goes on at
+// the upstream, and its answer is still sent.
+func (s *session) cancelAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, cancel := range s.running {
+		cancel()
+	}
+}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -228,7 +228,7 @@
 	frame, err := p.send(ctx, f.call.request, f.moveFromSilentPeer)
 	switch {
 	case err == nil:
-		return frame
+		return notCancelled(frame)
 	case errors.Is(err, hop.ErrNotSent):
 		p.backOff(peers.now())
 		return failureFrame(code.CallConnectRefused, true, 0, nil)
@@ -240,6 +240,19 @@
 	}
 }
 
+// notCancelled replaces a peer's failure that says that the caller has disconnected: the
+// peer took this daemon for vanished, while the caller still waits.
+func notCancelled(frame *hopv1.Frame) *hopv1.Frame {
+	failed := frame.GetFailure()
+	if failed == nil || code.Code(failed.Code) != code.CallCancelled {
+		return frame
+	}
+	if failed.NotRun {
+		return failureFrame(code.CallConnectRefused, true, 0, failed.State)
+	}
+	return failureFrame(code.CallPeerLost, false, 0, failed.State)
+}
+
 // recordOutcome counts an attempt's outcome and classifies it. A frame that is
 // neither an answer nor a failure is replaced by a failure: the request may have run.
 func (f *forwarder) recordOutcome(frame *hopv1.Frame) (*hopv1.Frame, result) {
--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -31,3 +31,18 @@
 		}
 	}
 }
+
+// TestPeerThatGaveUpIsNoDisconnectedCaller covers a peer that cancelled a request because
+// it took this daemon for vanished: the caller still waits and must not be told that it
+// has disconnected.
+func TestPeerThatGaveUpIsNoDisconnectedCaller(t *testing.T) {
+	for _, c := range []struct {
+		notRun bool
+		want   code.Code
+	}{{true, code.CallConnectRefused}, {false, code.CallPeerLost}} {
+		failed := notCancelled(failureFrame(code.CallCancelled, c.notRun, 0, nil)).GetFailure()
+		if code.Code(failed.Code) != c.want || failed.NotRun != c.notRun {
+			t.Errorf("not run %t: got %s, not run %t", c.notRun, code.Code(failed.Code), failed.NotRun)
+		}
+	}
+}
