--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -39,6 +39,7 @@
 	ReportRefused    Number = 3010
 	MemberRestored   Number = 3011
 	PeerDisconnected Number = 3012
+	UpstreamNotice   Number = 3013
 
 	CallRouted   Number = 4001
 	CallExecuted Number = 4002
@@ -94,6 +95,7 @@
 	{ReportRefused, "report-refused", "A report of an upstream could not be decoded or was not applied in time; the line says which."},
 	{MemberRestored, "member-restored", "A member that had left is in the older copy that the store came back from; it is not used."},
 	{PeerDisconnected, "peer-disconnected", "A connection that another daemon had opened to this one ended; the line says why and how many requests it had."},
+	{UpstreamNotice, "upstream-notice", "The upstream's answers say something new about it: a limit of requests a second, or that it is leaving."},
 
 	{CallRouted, "call-routed", "A request was sent to an upstream; the line says why this one was chosen."},
 	{CallExecuted, "call-executed", "The executing daemon ran or refused a request."},
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -23,7 +23,7 @@
 	cancelled chan string
 	// disconnected receives the instance of each peer whose connection has ended.
 	disconnected chan string
-	states    atomic.Int64
+	states       atomic.Int64
 	// remainingMs is the RemainingMs of the last request.
 	remainingMs atomic.Int64
 }
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -147,6 +147,7 @@
 		zap.String("route", request.Route), zap.Uint64("status", uint64(answer.Status)),
 		zap.Bool("not_run", answer.NotRun), zap.Duration("waited", started-arrived), zap.Duration("took", took))
 	p.consecutiveTimeouts.Store(0)
+	p.recordNotice(u, answer)
 	p.routes.recordSize(request.Route, len(answer.Body)+len(request.Body))
 	answer.RanUs = uint32(took.Microseconds())
 	answer.State = p.State()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -39,6 +39,11 @@
 	NotRun string
 	// CallerService is the service on the machine that the request comes from.
 	CallerService string
+	// RateLimit is how many requests a second the upstream takes from all daemons
+	// together, on each of its answers while that holds.
+	RateLimit string
+	// Leaving marks the answers of an upstream that is about to end.
+	Leaving string
 }
 
 // Config is the static configuration of the data path.
@@ -110,6 +115,9 @@
 	// of the upstream or the last call of ReportStalled.
 	consecutiveTimeouts atomic.Int64
 
+	// notice is what the upstream's last answer said about the upstream.
+	notice atomic.Pointer[notice]
+
 	recentRefusals *refusals
 	suspects       *quarantine.Set
 
@@ -159,6 +167,7 @@
 		NotRun:    cfg.Headers.NotRun,
 	})
 	p.upstream.Store(&control.Upstream{})
+	p.notice.Store(&notice{})
 	p.SetService(cfg.Service)
 	m, err := newMetrics(deps.Registerer, p)
 	p.metrics = m
