Keep the limit of requests that an upstream names

Cause: no code read the limit. Answers passed it on, arrivals did not change. The daemon advertises the slots that the rate fills, so that others send less and their requests go elsewhere. A limit ends with the first answer without one; below 0.5 a second requests still start at that rate, because only an answer shows the end. Conclusion: no daemon shares a quota with another, so none can be out of date.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -9,7 +9,8 @@
 // Load is a snapshot of the upstream's load.
 type Load struct {
 	// Running is the number of requests that have a slot, Waiting the number in
-	// the queue, and Slots the number of slots set by Controller.Open.
+	// the queue, and Slots the number of slots that the upstream can keep busy: those
+	// set by Controller.Open, or fewer while its rate is limited.
 	Running, Waiting, Slots int
 	// ServiceTime is the recent mean service time: the time for which a request
 	// holds its slot.
@@ -26,6 +27,9 @@
 
 	mu    sync.Mutex
 	queue *Queue
+	// nextDispatch starts waiting requests when the rate allows it; nil if none waits
+	// for that.
+	nextDispatch *time.Timer
 }
 
 // NewController returns an admission controller that is closed. Its monotonic
@@ -57,6 +61,7 @@
 	ticket, reason, retryAfter := c.queue.Submit(now, request)
 	if ticket != nil {
 		ticket.ready = make(chan Reason, 1)
+		c.scheduleDispatch()
 	}
 	c.mu.Unlock()
 	switch {
@@ -138,14 +143,26 @@
 	for _, t := range late {
 		t.ready <- TooLate
 	}
+	c.scheduleDispatch()
 }
 
-// Open admits requests to an upstream with the given number of slots and
-// assigns free slots to waiting requests. For limit, see Queue.Open.
-func (c *Controller) Open(slots, limit int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.queue.Open(slots, limit)
+// scheduleDispatch dispatches again when the rate allows the next waiting request to
+// start. The caller holds c.mu.
+func (c *Controller) scheduleDispatch() {
+	after := c.queue.DispatchAfter(c.now())
+	if after == 0 || c.nextDispatch != nil {
+		return
+	}
+	c.nextDispatch = time.AfterFunc(after, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.nextDispatch = nil
+		c.dispatchAll()
+	})
+}
+
+// dispatchAll starts all waiting requests that may start. The caller holds c.mu.
+func (c *Controller) dispatchAll() {
 	for {
 		next, late := c.queue.Dispatch(c.now())
 		c.notify(next, late)
@@ -155,6 +172,23 @@
 	}
 }
 
+// SetRate limits how many requests start in a second, or ends the limit.
+func (c *Controller) SetRate(limited bool, perSecond float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue.SetRate(c.now(), limited, perSecond)
+	c.dispatchAll()
+}
+
+// Open admits requests to an upstream with the given number of slots and
+// assigns free slots to waiting requests. For limit, see Queue.Open.
+func (c *Controller) Open(slots, limit int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue.Open(slots, limit)
+	c.dispatchAll()
+}
+
 // Close refuses new requests and those that wait, with reason Closed. Running
 // requests continue.
 func (c *Controller) Close() {
@@ -171,5 +205,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	q := c.queue
-	return Load{Running: q.running, Waiting: len(q.waiting), Slots: q.slots, ServiceTime: q.ServiceTime(), Open: q.open}
+	return Load{Running: q.running, Waiting: len(q.waiting), Slots: q.UsableSlots(), ServiceTime: q.ServiceTime(), Open: q.open}
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -100,6 +100,8 @@
 	limit   int
 	running int
 	open    bool
+	// rate limits how often requests start.
+	rate rateLimit
 	// waiting is in the order of service.
 	waiting []*Ticket
 	// order is the number of requests that were queued so far.
@@ -124,7 +126,7 @@
 	if now >= request.Deadline {
 		return nil, TooLate, 0
 	}
-	if q.running < q.slots && len(q.waiting) == 0 {
+	if q.running < q.slots && len(q.waiting) == 0 && q.rate.take(now) {
 		q.running++
 		return nil, 0, 0
 	}
@@ -133,7 +135,7 @@
 	}
 	ticket := &Ticket{Request: request, order: q.order, since: now}
 	position := q.position(ticket)
-	start := now + q.wait(position)
+	start := now + q.wait(now, position)
 	limit := request.limit()
 	if request.PastGoal {
 		limit = min(limit, now+pastGoalMaxWait+needs)
@@ -190,11 +192,37 @@
 	return len(q.waiting)
 }
 
-// wait estimates how long a request at a position of the queue waits for a
-// slot.
-func (q *Queue) wait(position int) time.Duration {
+// wait estimates how long a request at a position of the queue waits for a slot and
+// for the rate to allow its start.
+func (q *Queue) wait(now time.Duration, position int) time.Duration {
 	slots := max(q.slots, 1)
-	return q.ServiceTime() * time.Duration(position+1) / time.Duration(slots)
+	forSlot := q.ServiceTime() * time.Duration(position+1) / time.Duration(slots)
+	return max(forSlot, q.rate.wait(now, position+1))
+}
+
+// SetRate limits how many requests start in a second, or ends the limit.
+func (q *Queue) SetRate(now time.Duration, limited bool, perSecond float64) {
+	q.rate.set(now, limited, perSecond)
+}
+
+// DispatchAfter returns the time after which Dispatch may start a waiting request
+// although no slot was released since: when the rate allows it. It returns 0 if there
+// is none to wait for.
+func (q *Queue) DispatchAfter(now time.Duration) time.Duration {
+	if len(q.waiting) == 0 || q.running >= q.slots {
+		return 0
+	}
+	return q.rate.wait(now, 1)
+}
+
+// UsableSlots returns the number of slots that the upstream can keep busy: all, or as
+// many as its rate of requests fills.
+func (q *Queue) UsableSlots() int {
+	if !q.rate.limited {
+		return q.slots
+	}
+	filled := math.Ceil(q.rate.perSecond * q.ServiceTime().Seconds())
+	return min(q.slots, max(int(filled), 1))
 }
 
 // ServiceTime returns the recent mean service time of all requests, or
@@ -233,11 +261,15 @@
 func (q *Queue) Dispatch(now time.Duration) (next *Ticket, late []*Ticket) {
 	for len(q.waiting) > 0 && q.running < q.slots {
 		t := q.waiting[0]
-		q.waiting = q.waiting[1:]
 		if now >= t.waitUntil() {
+			q.waiting = q.waiting[1:]
 			late = append(late, t)
 			continue
 		}
+		if !q.rate.take(now) {
+			return nil, late
+		}
+		q.waiting = q.waiting[1:]
 		q.running++
 		return t, late
 	}
--- a/internal/proxy/notice.go
+++ b/internal/proxy/notice.go
@@ -67,9 +67,25 @@
 		return
 	}
 	n := p.noticeOf(answer)
-	if before := p.notice.Swap(&n); before.resembles(n) {
+	before := p.swapNotice(n)
+	if before.resembles(n) {
 		return
 	}
 	p.deps.Log.Event(event.UpstreamNotice, zap.String("upstream", u.ID), zap.Bool("limited", n.limited),
 		zap.Float64("rate", n.ratePerSecond), zap.Bool("leaving", n.leaving), zap.String("problem", n.problem))
 }
+
+// swapNotice puts a notice in force and returns the one before.
+func (p *Proxy) swapNotice(n notice) notice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.notice
+	if before != n {
+		p.notice = n
+		p.admissionController.SetRate(n.limited, n.ratePerSecond)
+	}
+	return before
+}
+
+// forgetNotice forgets what an earlier incarnation of the upstream said.
+func (p *Proxy) forgetNotice() { p.swapNotice(notice{}) }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -115,9 +115,6 @@
 	// of the upstream or the last call of ReportStalled.
 	consecutiveTimeouts atomic.Int64
 
-	// notice is what the upstream's last answer said about the upstream.
-	notice atomic.Pointer[notice]
-
 	recentRefusals *refusals
 	suspects       *quarantine.Set
 
@@ -133,6 +130,8 @@
 	// budgets holds retry budgets by service, ruleBudgets by rule name.
 	budgets     map[string]*routing.RetryBudget
 	ruleBudgets map[string]*ruleBudget
+	// notice is what the upstream's last answer said about the upstream.
+	notice notice
 	// routes holds what the requests of each route have needed.
 	routes *routeProfiles
 }
@@ -167,7 +166,6 @@
 		NotRun:    cfg.Headers.NotRun,
 	})
 	p.upstream.Store(&control.Upstream{})
-	p.notice.Store(&notice{})
 	p.SetService(cfg.Service)
 	m, err := newMetrics(deps.Registerer, p)
 	p.metrics = m
@@ -196,6 +194,7 @@
 		p.client.CloseIdleConnections()
 		p.upstreamSince.Store(int64(p.now()))
 		p.forgetOutcomes()
+		p.forgetNotice()
 	}
 	p.client.SetAddress(u.Address)
 	p.updateAdmission()
