Stop sending requests to an upstream that announces its end in an answer

Cause: only reports and deregistrations made an upstream draining. Change: the daemon beside the upstream treats the announcement like a report of draining of that incarnation: admission closes, peers are told, later ready reports are outdated. The daemon of the caller remembers it from the answer itself, since the daemon beside the upstream may be restarted before it has told its peers; it then neither chooses the upstream nor lets the restarted daemon forget (the drain record of the handshake). Conclusion: an announcement binds like an acknowledged report.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -139,6 +139,8 @@
 		c.upstreamWasDraining(ev)
 	case UpstreamStalled:
 		c.upstreamStalled(ev)
+	case UpstreamLeaving:
+		c.upstreamLeaving(ev)
 	case MemberWritten:
 		c.selfWritten = ev.Err == nil
 	case StopRequested:
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -102,6 +102,8 @@
 		return UpstreamUnreachable{ID: text("id")}
 	case "reminded":
 		return DrainRecordReceived{ID: text("id"), StartTime: int64(number("born"))}
+	case "announced":
+		return UpstreamLeaving{ID: text("id"), StartTime: int64(number("born"))}
 	case "stalled":
 		return UpstreamStalled{ID: text("id")}
 	case "stop":
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -101,6 +101,14 @@
 	ID string
 }
 
+// UpstreamLeaving reports that an incarnation of the local upstream has announced its
+// end in an answer. Its reports may not say so.
+type UpstreamLeaving struct {
+	ID string
+	// StartTime is the incarnation's start time, in Unix milliseconds.
+	StartTime int64
+}
+
 // StopRequested starts a planned stop.
 type StopRequested struct{}
 
@@ -146,6 +154,9 @@
 // EventName implements step.Event.
 func (UpstreamStalled) EventName() string { return "upstream-stalled" }
 
+// EventName implements step.Event.
+func (UpstreamLeaving) EventName() string { return "upstream-leaving" }
+
 // EventName implements step.Event.
 func (StopRequested) EventName() string { return "stop-requested" }
 
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -191,6 +191,17 @@
 	c.publishUpstream()
 }
 
+// upstreamLeaving stops sending requests to an upstream that has announced its end. An
+// announcement of an earlier incarnation changes nothing.
+func (c *Core) upstreamLeaving(ev UpstreamLeaving) {
+	known := &c.upstream
+	if known.ID != ev.ID || known.StartTime != ev.StartTime || known.State == UpstreamUnknown || known.Draining() {
+		return
+	}
+	known.State = UpstreamDraining
+	c.publishUpstream()
+}
+
 // upstreamUnreachable stops sending requests to an upstream that accepted no
 // connection, for unreachablePause.
 func (c *Core) upstreamUnreachable(ev UpstreamUnreachable) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -174,9 +174,12 @@
 		Peers:             d.peers,
 		ReportUnreachable: func(upstream string) { d.loop.post(control.UpstreamUnreachable{ID: upstream}) },
 		ReportStalled:     func(upstream string) { d.loop.post(control.UpstreamStalled{ID: upstream}) },
-		BroadcastState:    d.broadcastState,
-		Log:               d.log,
-		Registerer:        d.registry,
+		ReportLeaving: func(upstream string, startTime int64) {
+			d.loop.post(control.UpstreamLeaving{ID: upstream, StartTime: startTime})
+		},
+		BroadcastState: d.broadcastState,
+		Log:            d.log,
+		Registerer:     d.registry,
 	})
 	if err != nil {
 		return fmt.Errorf("create data path: %w", err)
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -228,6 +228,9 @@
 	frame, err := p.send(ctx, f.call.request, f.moveFromSilentPeer)
 	switch {
 	case err == nil:
+		if answer := frame.GetAnswer(); f.proxy.noticeOf(answer).leaving {
+			p.recordLeaving(answer.GetState())
+		}
 		return notCancelled(frame)
 	case errors.Is(err, hop.ErrNotSent):
 		p.backOff(peers.now())
--- a/internal/proxy/notice.go
+++ b/internal/proxy/notice.go
@@ -27,10 +27,10 @@
 // logRatio is the ratio of two limits from which the change is logged.
 const logRatio = 1.25
 
-// noticeOf reads the notice in an answer.
+// noticeOf reads the notice in an answer, which may be nil.
 func (p *Proxy) noticeOf(answer *hopv1.Answer) notice {
 	var n notice
-	for _, h := range answer.Headers {
+	for _, h := range answer.GetHeaders() {
 		switch h.Name {
 		case p.cfg.Headers.RateLimit:
 			rate, err := parseRate(h.Value)
@@ -68,6 +68,9 @@
 	}
 	n := p.noticeOf(answer)
 	before := p.swapNotice(n)
+	if n.leaving {
+		p.deps.ReportLeaving(u.ID, u.StartTime)
+	}
 	if before.resembles(n) {
 		return
 	}
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -251,12 +251,28 @@
 func (p *peer) recordDraining(state *hopv1.State) {
 	switch {
 	case state.GetLeaving():
-		p.drainingUpstream.Store(&hopv1.Left{Upstream: state.GetUpstream(), Born: state.GetBorn()})
+		p.recordLeaving(state)
 	case state.GetUpstream() != "" && state.GetBorn() != p.drainingUpstream.Load().GetBorn():
 		p.drainingUpstream.Store(nil)
 	}
 }
 
+// recordLeaving remembers that the peer's upstream is draining, given the state in an
+// answer in which the upstream announced its end. The peer reports it a moment later,
+// unless it is restarted before.
+func (p *peer) recordLeaving(state *hopv1.State) {
+	if state.GetUpstream() != "" {
+		p.drainingUpstream.Store(&hopv1.Left{Upstream: state.GetUpstream(), Born: state.GetBorn()})
+	}
+}
+
+// isDraining reports whether the upstream in a state of the peer is known to be
+// draining. A peer that was restarted may not know it.
+func (p *peer) isDraining(state *peerState) bool {
+	record := p.drainingUpstream.Load()
+	return record != nil && record.GetUpstream() == state.GetUpstream() && record.GetBorn() == state.GetBorn()
+}
+
 // DrainRecord returns the record of a peer's draining upstream, or nil if there
 // is none.
 func (ps *Peers) DrainRecord(instance string) *hopv1.Left {
@@ -333,7 +349,7 @@
 	return routing.Candidate{
 		Instance:       p.Instance,
 		Local:          local,
-		Available:      p.up.Load() && state.GetTakesWork() && int64(now) >= p.backoffUntil.Load(),
+		Available:      p.up.Load() && state.GetTakesWork() && !p.isDraining(state) && int64(now) >= p.backoffUntil.Load(),
 		Outstanding:    float64(p.outstanding.Load()),
 		OtherLoad:      state.otherLoad,
 		ReportAge:      now - state.at,
--- a/internal/proxy/peers_test.go
+++ b/internal/proxy/peers_test.go
@@ -23,3 +23,25 @@
 		t.Error("not available after the backoff")
 	}
 }
+
+// TestUpstreamThatAnnouncedItsEndIsNotChosen covers a peer that was restarted after an
+// answer of its leaving upstream, and reports the same incarnation as ready.
+func TestUpstreamThatAnnouncedItsEndIsNotChosen(t *testing.T) {
+	p := &peer{client: &hop.Client{}}
+	p.up.Store(true)
+	state := &hopv1.State{TakesWork: true, Upstream: "u-1", Born: 5}
+	available := func(state *hopv1.State) bool {
+		p.recordDraining(state)
+		return p.candidate(&peerState{State: state}, time.Second, true).Available
+	}
+	if !available(state) {
+		t.Error("a ready upstream is not available")
+	}
+	p.recordLeaving(state)
+	if available(state) {
+		t.Error("available after the upstream has announced its end")
+	}
+	if !available(&hopv1.State{TakesWork: true, Upstream: "u-1", Born: 6}) {
+		t.Error("the next incarnation is not available")
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -74,6 +74,9 @@
 	// ReportStalled is called when stallTimeouts consecutive requests to the
 	// upstream with the id timed out. It must not block.
 	ReportStalled func(upstream string)
+	// ReportLeaving is called when the upstream with the id and the start time announces
+	// its end in an answer. It must not block.
+	ReportLeaving func(upstream string, startTime int64)
 	// BroadcastState sends this daemon's state to all peers immediately.
 	BroadcastState func()
 	Log            *asynclog.Logger
