Cut off a response whose head does not end

What callers saw: nothing reported. Cause: the head of a response was read without a limit, and informational responses before it without a number, so that a daemon took in all that arrived until the request's deadline. Change: the head, informational responses included, ends with an error after 128 KB, and the connection is reset. Conclusion: the request is answered at once as one that may have run.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -209,8 +209,11 @@
 	return nil, false, fmt.Errorf("%w: only responses to other requests", ErrInvalidResponse)
 }
 
-// readFinalResponse reads a response and skips informational (1xx) ones.
+// readFinalResponse reads the head of a response and skips informational (1xx) ones. It
+// returns errHeadTooLarge if they exceed maxHead.
 func readFinalResponse(connection *conn, request *http.Request) (*http.Response, error) {
+	connection.beginHead()
+	defer connection.endHead()
 	for {
 		response, err := http.ReadResponse(connection.reader, request)
 		if err != nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"net"
 	"strconv"
 	"strings"
@@ -19,6 +20,13 @@
 	writeBuffer = 8 << 10
 )
 
+// maxHead is the largest head of a response in bytes, informational responses before it
+// and what is read ahead of its body included.
+const maxHead = 128 << 10
+
+// errHeadTooLarge is returned for a response whose head exceeds maxHead.
+var errHeadTooLarge = fmt.Errorf("head of the response exceeds %d bytes", maxHead)
+
 // conn is one connection to the upstream.
 type conn struct {
 	net.Conn
@@ -26,6 +34,10 @@
 	address string
 	reader  *bufio.Reader
 	writer  *bufio.Writer
+	// headLeft is how many more bytes may be read until a head is complete; inHead is
+	// set until then.
+	headLeft int
+	inHead   bool
 	// idleSince is when the last request on the connection ended.
 	idleSince time.Time
 	// keepAliveTimeout is how long the upstream keeps the connection open while
@@ -34,7 +46,27 @@
 }
 
 func newConn(c net.Conn, address string) *conn {
-	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBuffer), writer: bufio.NewWriterSize(c, writeBuffer)}
+	result := &conn{Conn: c, address: address, writer: bufio.NewWriterSize(c, writeBuffer)}
+	result.reader = bufio.NewReaderSize(result, readBuffer)
+	return result
+}
+
+// beginHead limits what is read until endHead to maxHead.
+func (c *conn) beginHead() { c.headLeft, c.inHead = maxHead, true }
+
+func (c *conn) endHead() { c.inHead = false }
+
+// Read implements io.Reader. It fails once a head exceeds maxHead.
+func (c *conn) Read(buffer []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(buffer)
+	}
+	if c.headLeft <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := c.Conn.Read(buffer[:min(len(buffer), c.headLeft)])
+	c.headLeft -= n
+	return n, err
 }
 
 // abort resets the connection and discards unsent data, so that an abandoned
