Bound the bodies that are read at the same time

What callers saw: nothing reported; as before, bytes without end in a body. Cause: each body of an answer was bounded by 64 MB, but up to slots of them were read at once, several times the memory of a machine; a body was allocated by its announced length before a byte had come. Change: beyond 64 MB of all incomplete bodies, those larger than 1 MB fail and their connections are reset; only the first MB is allocated by the announced length. readBody moves to a file of its own. Conclusion: an upstream in trouble does not end its daemon.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -10,14 +10,13 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 )
 
 const (
-	// maxResponseBody is the largest response body in bytes.
-	maxResponseBody = 64 << 20
 	// maxResponses is how many responses are read from a connection in search
 	// of the one with the request's id, before the connection is closed.
 	maxResponses = 3
@@ -56,6 +55,8 @@
 type Client struct {
 	headers Headers
 	pool    pool
+	// incomplete is the number of bytes of all response bodies that are being read.
+	incomplete atomic.Int64
 }
 
 // NewClient returns a client without an address; see SetAddress.
@@ -185,7 +186,7 @@
 		if err != nil {
 			return nil, false, fmt.Errorf("%w: %w", ErrInvalidResponse, err)
 		}
-		body, err := readBody(response)
+		body, err := c.readBody(response)
 		if err != nil {
 			return nil, false, fmt.Errorf("%w: %w", ErrInvalidResponse, err)
 		}
@@ -225,28 +226,6 @@
 	}
 }
 
-// readBody returns the complete body, none for HEAD, or an error if it is truncated or exceeds
-// maxResponseBody.
-func readBody(response *http.Response) ([]byte, error) {
-	defer func() { _ = response.Body.Close() }()
-	if response.Request.Method == http.MethodHead {
-		return nil, nil
-	}
-	if response.ContentLength > maxResponseBody {
-		return nil, fmt.Errorf("body of %d bytes exceeds the limit", response.ContentLength)
-	}
-	if response.ContentLength >= 0 {
-		body := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBody+1))
-	if err == nil && len(body) > maxResponseBody {
-		return nil, fmt.Errorf("body exceeds the limit of %d bytes", maxResponseBody)
-	}
-	return body, err
-}
-
 // checkResponse rejects a success (2xx) response without the upstream's
 // signature, and any response with a Content-Encoding: bodies must be unencoded.
 func (c *Client) checkResponse(response *http.Response) error {
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -231,9 +231,10 @@
 // TestHeadAllocatesNoBody covers the answer to a HEAD request, whose Content-Length is
 // that of a body that is not sent.
 func TestHeadAllocatesNoBody(t *testing.T) {
+	client := &Client{}
 	response := &http.Response{Request: &http.Request{Method: http.MethodHead}, ContentLength: maxResponseBody, Body: http.NoBody}
 	allocated := testing.AllocsPerRun(1, func() {
-		if body, err := readBody(response); body != nil || err != nil {
+		if body, err := client.readBody(response); body != nil || err != nil {
 			t.Errorf("body of %d bytes, error %v", len(body), err)
 		}
 	})
@@ -241,7 +242,7 @@
 		t.Errorf("%.0f allocations", allocated)
 	}
 	response.ContentLength = maxResponseBody + 1
-	if _, err := readBody(response); err != nil {
+	if _, err := client.readBody(response); err != nil {
 		t.Errorf("a body that is not sent exceeds the limit: %v", err)
 	}
 }
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 )
@@ -61,3 +62,53 @@
 		})
 	}
 }
+
+// TestEndlessBodiesAreBoundedTogether covers an upstream in trouble whose bodies do not
+// end, several at a time. Small answers are still read meanwhile.
+func TestEndlessBodiesAreBoundedTogether(t *testing.T) {
+	const requests = 8
+	const piece = 64 << 10
+	var most atomic.Int64
+	var client *Client
+	pieces := strings.Repeat("x", piece)
+	_, client = startRawUpstream(t, func(conn net.Conn, request *http.Request, _ int) bool {
+		id := request.Header.Get("Request-Id")
+		if id == "small" {
+			_, err := io.WriteString(conn, responseText(id, "small"))
+			return err == nil
+		}
+		if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\nSignature: s\r\nConnection: close\r\n\r\n"); err != nil {
+			return false
+		}
+		for sent := 0; sent < 2*maxResponseBody; sent += len(pieces) {
+			if _, err := io.WriteString(conn, pieces); err != nil {
+				return false
+			}
+			if incomplete := client.incomplete.Load(); incomplete > most.Load() {
+				most.Store(incomplete)
+			}
+		}
+		return false
+	})
+	var failed sync.WaitGroup
+	for range requests {
+		failed.Add(1)
+		go func() {
+			defer failed.Done()
+			if _, err := do(client, "endless", true); err == nil {
+				t.Error("got an answer")
+			}
+		}()
+	}
+	if answer, err := do(client, "small", true); err != nil || string(answer.Body) != "small" {
+		t.Errorf("a small answer: error %v", err)
+	}
+	failed.Wait()
+	// Each body may exceed the bound by what it reads at once.
+	if n := most.Load(); n > maxIncomplete+requests*smallBody {
+		t.Errorf("%d bytes of incomplete bodies at once", n)
+	}
+	if n := client.incomplete.Load(); n != 0 {
+		t.Errorf("%d bytes are counted after all bodies have ended", n)
+	}
+}
