Play silent connections and named limits in the soak

Change: each plan has one silence of all open connections between daemons and to the store, and one upstream that names a limit, whose arrivals are checked; drawn from streams of their own, so that the seeds keep their other faults. Conclusion: CONFIG in time and GONE are still not checked by the soak.

--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -250,6 +250,39 @@
 	}
 }
 
+const (
+	// namedRate is the limit of requests a second that an upstream names, limitNotice
+	// how long daemons may take to keep it, and limitedTime how long it is checked.
+	namedRate   = 5
+	limitNotice = time.Second
+	limitedTime = 4 * time.Second
+	// limitFactor and limitExtra are the users' bound on what it may get.
+	limitFactor = 1.5
+	limitExtra  = 5
+)
+
+// limitUpstream makes the upstream name a limit for a while and checks that it gets no
+// more, unless it or its daemon's process was replaced or paused meanwhile.
+func (n *node) limitUpstream() {
+	n.replacing.Lock()
+	defer n.replacing.Unlock()
+	n.mu.Lock()
+	process := n.process
+	n.mu.Unlock()
+	n.upstream.NameLimit(fmt.Sprint(namedRate))
+	defer n.upstream.NameLimit("")
+	time.Sleep(limitNotice)
+	before := len(n.upstream.Runs())
+	time.Sleep(limitedTime)
+	got := len(n.upstream.Runs()) - before
+	n.mu.Lock()
+	excused := n.process != process || n.disturbed
+	n.mu.Unlock()
+	if allowed := int(limitFactor*namedRate*limitedTime.Seconds()) + limitExtra; got > allowed && !excused {
+		n.problem("an upstream that named a limit of %d a second got %d requests in %s, allowed %d", namedRate, got, limitedTime, allowed)
+	}
+}
+
 // drainUpstream reports that the upstream is draining, and checks that no
 // request reaches it once the daemon has acknowledged the report.
 func (n *node) drainUpstream() {
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -28,22 +28,24 @@
 	// numDrawn is the number of the kinds above. Each plan draws from all of them,
 	// so that their number must stay for a seed to keep its plan.
 	numDrawn
-	// restoredStore is in each plan once.
-	restoredStore = numDrawn
-	numKinds      = numDrawn + 1
+	// The kinds below are in each plan once.
+	restoredStore     = numDrawn
+	silentConnections = numDrawn + 1
+	namedLimit        = numDrawn + 2
+	numKinds          = numDrawn + 3
 )
 
 var kindNames = [numKinds]string{"kill-daemon", "pause-daemon", "stop-daemon", "slow-link", "blocked-link", "one-way-link",
 	"reset-link", "busy-store", "unresponsive-store", "lost-write-responses", "truncated-history", "publish", "draining-upstream", "crashed-upstream",
-	"restored-store"}
+	"restored-store", "silent-connections", "named-limit"}
 
 // fault is one entry of a plan.
 type fault struct {
 	// start is when the fault begins, measured from the start of the plan.
 	start time.Duration
 	kind  kind
-	// node is the index of the affected node. Faults of the store and publish
-	// ignore it.
+	// node is the index of the affected node. Faults of the store, silent connections
+	// and publish ignore it.
 	node int
 	// duration is how long a fault of a link or the store, or a pause, lasts, and
 	// how old the copy is that the store comes back from. The other kinds ignore
@@ -75,12 +77,15 @@
 			duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))),
 		})
 	}
-	drill := rand.New(rand.NewPCG(seed, 2))
-	plan = append(plan, fault{
-		start:    time.Duration(drill.Int64N(int64(planLength))),
-		kind:     restoredStore,
-		duration: minFaultDuration + time.Duration(drill.Int64N(int64(maxFaultDuration-minFaultDuration))),
-	})
+	for i, once := range []kind{restoredStore, silentConnections, namedLimit} {
+		random := rand.New(rand.NewPCG(seed, uint64(2+i)))
+		plan = append(plan, fault{
+			start:    time.Duration(random.Int64N(int64(planLength))),
+			kind:     once,
+			duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))),
+			node:     random.IntN(nodes),
+		})
+	}
 	slices.SortFunc(plan, func(a, b fault) int { return int(a.start - b.start) })
 	return plan
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -53,8 +53,10 @@
 type soak struct {
 	t     *testing.T
 	store *platformtest.Store
-	nodes []*node
-	load  *load
+	// storeLink is the network link on which the daemons reach the store.
+	storeLink *faultlink.Link
+	nodes     []*node
+	load      *load
 	// version is the last published version; mu guards it.
 	version uint64
 	mu      sync.Mutex
@@ -87,13 +89,18 @@
 	server := httptest.NewServer(s.store.Handler())
 	defer server.Close()
 	defer server.CloseClientConnections()
+	var err error
+	if s.storeLink, err = faultlink.New("127.0.0.1:0", strings.TrimPrefix(server.URL, "http://")); err != nil {
+		t.Fatal(err)
+	}
+	defer s.storeLink.Close()
 	configs := []platformtest.NodeConfig{
 		{DataCentre: "dc-a", Service: "desk"}, {DataCentre: "dc-a", Service: "desk"}, {DataCentre: "dc-a", Service: "back"},
 		{DataCentre: "dc-b", Service: "desk"}, {DataCentre: "dc-b", Service: "back"},
 	}
 	s.publish()
 	for i, config := range configs {
-		n, err := startNode(dir, binary, strings.TrimPrefix(server.URL, "http://"), i, config.DataCentre, config.Service)
+		n, err := startNode(dir, binary, s.storeLink.Address(), i, config.DataCentre, config.Service)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -181,6 +188,13 @@
 		s.store.Restore(older)
 		time.Sleep(rewriteDelay)
 		s.republish()
+	case silentConnections:
+		s.storeLink.Silence()
+		for _, n := range s.nodes {
+			n.peerLink.Silence()
+		}
+	case namedLimit:
+		n.limitUpstream()
 	case publish:
 		s.publish()
 	case drainingUpstream, crashedUpstream:
