Close idle connections to an upstream when one has shown no answer for long

Cause: an idle connection that has fallen silent looks healthy. Change: a request without an answer for three mean service times closes the idle connections that have carried nothing since it was sent.

--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -140,6 +140,9 @@
 	took := p.now() - started
 	p.metrics.recordRun(took, started-arrived)
 	if err != nil {
+		if took > longRuns*mean {
+			p.client.CloseUnusedSince(p.epoch.Add(started))
+		}
 		failed = bounded.Err() == nil || errors.Is(bounded.Err(), context.DeadlineExceeded) && took > longRuns*mean
 		return p.runFailure(bounded, request, u, err, took), failed
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -69,6 +69,11 @@
 // the upstream.
 func (c *Client) CloseIdleConnections() { c.pool.closeIdle() }
 
+// CloseUnusedSince closes the idle connections that were last used before t. It is for
+// use when a request that was sent at t got no answer for long: its connection may have
+// fallen silent, and with it all that have carried nothing since.
+func (c *Client) CloseUnusedSince(t time.Time) { c.pool.closeUnusedSince(t) }
+
 // Unreachable reports whether the upstream does not accept a new connection
 // within dialTimeout, as after a crash. It returns false if ctx ends before that
 // is known.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -51,6 +52,19 @@
 	p.clear()
 }
 
+// closeUnusedSince closes the idle connections that were last used before t.
+func (p *pool) closeUnusedSince(t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		unused := c.idleSince.Before(t)
+		if unused {
+			c.abort()
+		}
+		return unused
+	})
+}
+
 // clear closes all idle connections; p.mu must be held.
 func (p *pool) clear() {
 	for _, c := range p.idle {
