Ignore what another upstream at the same address says of itself

Cause: an answer that says that the request was meant for another upstream (421) comes from the next user of the address; its limit or leaving was taken for the local one's. Change: such an answer gives no notice. A comment is wrapped. Conclusion: no behaviour changes but for 421.

--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -19,9 +19,9 @@
 // monitor pings an idle peer, marks it as silent when no data arrives within the read
 // timeout, and resets the connection silenceLimit later, or at once before the
 // handshake. It checks at busyCheckInterval while requests are pending, after Check, or
-// while a ping is unanswered, otherwise at idlePingAfter/2. The first check after a ping without
-// pending requests still follows the longer interval. When the connection has ended,
-// monitor returns the idle time after which it reset the connection, or 0 if the
+// while a ping is unanswered, otherwise at idlePingAfter/2. The first check after a ping
+// without pending requests still follows the longer interval. When the connection has
+// ended, monitor returns the idle time after which it reset the connection, or 0 if the
 // connection ended otherwise.
 func (c *Client) monitor(pc *peerConn) time.Duration {
 	timer := time.NewTimer(idlePingAfter)
--- a/internal/proxy/notice.go
+++ b/internal/proxy/notice.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"net/http"
 	"strconv"
 
 	"go.uber.org/zap"
@@ -61,9 +62,10 @@
 }
 
 // recordNotice applies the notice in an answer of the upstream u. An answer of an
-// earlier incarnation says nothing about the present one.
+// earlier incarnation says nothing about the present one, and neither does one of another
+// upstream at the same address, which answers that it is not the one that was meant.
 func (p *Proxy) recordNotice(u *control.Upstream, answer *hopv1.Answer) {
-	if current := p.upstream.Load(); current.ID != u.ID || current.StartTime != u.StartTime {
+	if current := p.upstream.Load(); current.ID != u.ID || current.StartTime != u.StartTime || answer.Status == http.StatusMisdirectedRequest {
 		return
 	}
 	n := p.noticeOf(answer)
