Do not take every incarnation without a start time for a leaving one

Cause: the record of a draining upstream without a known start time matched the next incarnation of the same name, which would have got no requests from peers. Found by reading the diff. Change: such a record excludes no candidate, as it already is no drain record for a restarted daemon.

--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -267,10 +267,11 @@
 }
 
 // isDraining reports whether the upstream in a state of the peer is known to be
-// draining. A peer that was restarted may not know it.
+// draining. A peer that was restarted may not know it. Incarnations without a start time
+// cannot be told apart, so that a record of one says nothing.
 func (p *peer) isDraining(state *peerState) bool {
 	record := p.drainingUpstream.Load()
-	return record != nil && record.GetUpstream() == state.GetUpstream() && record.GetBorn() == state.GetBorn()
+	return record.GetBorn() != 0 && record.GetBorn() == state.GetBorn() && record.GetUpstream() == state.GetUpstream()
 }
 
 // DrainRecord returns the record of a peer's draining upstream, or nil if there
