Let a data centre with limited upstreams use busy ones elsewhere

Cause: a request to another data centre counts as spillover while a local upstream accepts requests, and is refused unless a slot is free. A limited one accepts some, so that the rest of the load was refused although it could have waited elsewhere within its goal. Change: daemons report that their upstream's rate is limited; such an upstream does not make requests to other data centres spillover. Others are treated as before. New: TestLimitedDataCentreUsesBusyUpstreamsElsewhere, which does not compile before.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -17,6 +17,8 @@
 	ServiceTime time.Duration
 	// Open reports whether new requests are admitted.
 	Open bool
+	// RateLimited is set while the rate of requests is limited.
+	RateLimited bool
 }
 
 // Controller admits requests to one upstream: it lets goroutines wait on a
@@ -205,5 +207,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	q := c.queue
-	return Load{Running: q.running, Waiting: len(q.waiting), Slots: q.UsableSlots(), ServiceTime: q.ServiceTime(), Open: q.open}
+	return Load{Running: q.running, Waiting: len(q.waiting), Slots: q.UsableSlots(), ServiceTime: q.ServiceTime(), Open: q.open, RateLimited: q.rate.limited}
 }
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -298,6 +298,7 @@
 			Available:    load.Open,
 			Load:         float64(load.Running + load.Waiting),
 			Slots:        p.advertisedSlots(load.Slots),
+			RateLimited:  load.RateLimited,
 			ServiceTime:  load.ServiceTime,
 			FailureShare: p.failureShare(),
 		})
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -355,6 +355,7 @@
 		OtherLoad:      state.otherLoad,
 		ReportAge:      now - state.at,
 		Slots:          int(state.GetSlots()),
+		RateLimited:    state.GetRateLimited(),
 		ServiceTime:    serviceTime,
 		FailureShare:   float64(state.GetFailuresPerMille()) / perMille,
 		RTT:            microseconds(state.GetLineDelayUs()),
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -234,6 +234,7 @@
 		Running:          uint32(load.Running),
 		Waiting:          uint32(load.Waiting),
 		Slots:            uint32(p.advertisedSlots(load.Slots)),
+		RateLimited:      load.RateLimited,
 		ServiceTimeUs:    uint32(load.ServiceTime.Microseconds()),
 		TakesWork:        load.Open && !p.deps.Peers.Draining(),
 		Upstream:         u.ID,
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -36,6 +36,9 @@
 	// Slots is the number of requests that the upstream runs at a time, or the
 	// part of it that is advertised during a slow start.
 	Slots int
+	// RateLimited is set while the upstream takes a limited number of requests a
+	// second, so that it cannot handle its data centre's load.
+	RateLimited bool
 	// ServiceTime is the mean service time: the time for which a request holds
 	// a slot.
 	ServiceTime time.Duration
@@ -173,10 +176,11 @@
 	return best
 }
 
-// HasLocal reports whether a local upstream accepts requests.
+// HasLocal reports whether a local upstream accepts requests without a limit of their
+// rate. Otherwise requests to other data centres are no spillover.
 func HasLocal(candidates []Candidate) bool {
 	for i := range candidates {
-		if candidates[i].Local && candidates[i].Available {
+		if candidates[i].Local && candidates[i].Available && !candidates[i].RateLimited {
 			return true
 		}
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -104,6 +104,28 @@
 	}
 }
 
+// TestLimitedDataCentreUsesBusyUpstreamsElsewhere covers a data centre whose only upstream
+// takes a limited number of requests a second: what it refuses may wait for a slot in
+// another data centre, which a spillover request may not.
+func TestLimitedDataCentreUsesBusyUpstreamsElsewhere(t *testing.T) {
+	limited, busy := candidate("limited", true, 2, 90*ms), candidate("busy", false, 10, 90*ms)
+	limited.Slots = 2
+	for _, c := range []struct {
+		rateLimited bool
+		want        int
+	}{{true, 1}, {false, -1}} {
+		limited.RateLimited = c.rateLimited
+		candidates := []Candidate{limited, busy}
+		request := PlacementRequest{Bytes: 1500, Goal: 300 * ms, Tried: []string{"limited"}, Rand: func() float64 { return 0.5 }}
+		if got := Choose(candidates, request); got != c.want {
+			t.Errorf("limited %t: chose %d, want %d", c.rateLimited, got, c.want)
+		}
+		if got := HasLocal(candidates); got == c.rateLimited {
+			t.Errorf("limited %t: requests elsewhere are spillover: %t", c.rateLimited, got)
+		}
+	}
+}
+
 func TestRetryBudgetHoldsInEveryWindow(t *testing.T) {
 	b := NewRetryBudget(RetryBudgetConfig{Share: 0.1, Extra: 2, Window: 10 * time.Second})
 	spent := map[int]int{}
