--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -24,6 +24,8 @@
 	// disconnected receives the instance of each peer whose connection has ended.
 	disconnected chan string
 	states       atomic.Int64
+	// packed holds the configuration, as []byte, if it is not the default.
+	packed atomic.Value
 	// remainingMs is the RemainingMs of the last request.
 	remainingMs atomic.Int64
 }
@@ -47,6 +49,9 @@
 }
 
 func (h *testHandler) Config() *hopv1.ConfigAnswer {
+	if packed, set := h.packed.Load().([]byte); set {
+		return &hopv1.ConfigAnswer{Version: 3, Packed: packed}
+	}
 	return &hopv1.ConfigAnswer{Version: 3, Packed: []byte("source")}
 }
 
--- a/internal/hop/parts_test.go
+++ b/internal/hop/parts_test.go
@@ -29,7 +29,7 @@
 	if !sender.takes(encoded) || sender.takes(encoded[:partBytes]) {
 		t.Error("the wrong frames are sent in parts")
 	}
-	sender.start(7, withoutLength(encoded))
+	sender.start(7, withoutLength(encoded), false)
 	receiver := newPartReceiver()
 	for {
 		part, err := decode(withoutLength(<-out))
@@ -58,10 +58,10 @@
 // the peer has of it is discarded.
 func TestNoPartFollowsACancel(t *testing.T) {
 	sender, out := collect(shaping.NewLink(800_000))
-	sender.start(3, make([]byte, 10*partBytes))
+	sender.start(3, make([]byte, 10*partBytes), false)
 	first := <-out
 	sender.cancel(3)
-	sender.start(4, make([]byte, partBytes))
+	sender.start(4, make([]byte, partBytes), false)
 	for frame := range out {
 		part, err := decode(withoutLength(frame))
 		if err != nil {
@@ -128,3 +128,31 @@
 		t.Error(err)
 	}
 }
+
+// TestConfigurationOvertakesQueuedAnswers covers a configuration that is fetched from a
+// daemon whose network link is full of large answers.
+func TestConfigurationOvertakesQueuedAnswers(t *testing.T) {
+	handler, _, client, _ := startPairOn(t, shaping.NewLink(2_000_000))
+	handler.packed.Store(bytes.Repeat([]byte("c"), 5*partBytes))
+	const answers = 3
+	large := make(chan error, answers)
+	for range answers {
+		go func() {
+			_, err := client.Do(context.Background(), &hopv1.Request{Id: "large"}, always)
+			large <- err
+		}()
+	}
+	time.Sleep(50 * time.Millisecond)
+	config, err := client.FetchConfig(context.Background())
+	if err != nil || len(config.Packed) != 5*partBytes {
+		t.Errorf("got a configuration of %d bytes, error %v", len(config.GetPacked()), err)
+	}
+	if arrived := len(large); arrived > 0 {
+		t.Errorf("%d large answers arrived first", arrived)
+	}
+	for range answers {
+		if err := <-large; err != nil {
+			t.Error(err)
+		}
+	}
+}
