Give a request its own read timeout beside an earlier ping

Cause: a ping had been unanswered when the request was sent, and the verdict on the ping was taken for the request. Pings of idle connections made that possible before; the check of all connections after a silence made it frequent. Change: a peer is silent only if the connection was idle for the read timeout, counted from the request where one is pending.

--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -70,6 +70,7 @@
 		// No data was expected before the first pending request.
 		idleTime = min(idleTime, now-time.Duration(c.pendingSince.Load()))
 	}
+	timeout := c.hooks.AdaptiveTimeout.Timeout(now)
 	pingSentAt := time.Duration(c.pingSentAt.Load())
 	switch {
 	case pingSentAt > 0 && pc.idleTime() < now-pingSentAt:
@@ -81,9 +82,10 @@
 		c.pingSentAt.Store(int64(now))
 		// If the outbox is full, send resets the connection, which ends monitor.
 		_ = c.send(pc, &hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: c.hooks.State()}}})
-	case pingSentAt > 0 && now-pingSentAt >= c.hooks.AdaptiveTimeout.Timeout(now)-busyPingAfter:
+	case pingSentAt > 0 && now-pingSentAt >= timeout-busyPingAfter && idleTime >= timeout:
 		// While requests are pending, the connection was idle for busyPingAfter
-		// before the ping. That time is part of the timeout.
+		// before the ping. That time is part of the timeout. A request that was sent
+		// after the ping has a timeout of its own.
 		return idleTime
 	}
 	return 0
--- a/internal/hop/silence_test.go
+++ b/internal/hop/silence_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/faultlink"
 )
 
 // TestRequestOfVanishedPeerIsCancelled covers a peer whose connection has fallen
@@ -35,3 +36,20 @@
 		t.Error("the connection of a vanished peer is still open")
 	}
 }
+
+// TestRequestIsNotGivenUpForAnEarlierPing covers a request that is sent while a ping of
+// Check is unanswered: the peer has the whole read timeout to answer it.
+func TestRequestIsNotGivenUpForAnEarlierPing(t *testing.T) {
+	_, network, client, _ := startPair(t)
+	time.Sleep(2 * busyPingAfter)
+	network.SetFault(faultlink.Blocked)
+	client.Check()
+	time.Sleep(minTimeout - 2*busyPingAfter)
+	sent := time.Now()
+	if _, err := client.Do(context.Background(), &hopv1.Request{Id: "a"}, always); err == nil {
+		t.Fatal("got an answer on a blocked link")
+	}
+	if took := time.Since(sent); took < minTimeout {
+		t.Errorf("the request was given up after %s, before the read timeout", took)
+	}
+}
