Keep the bound on a limited upstream in one place

Cause: the users' bound, one and a half times the limit and five requests, stood in the mesh test and in the soak. Conclusion: no check changes.

--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -256,9 +256,6 @@
 	namedRate   = 5
 	limitNotice = time.Second
 	limitedTime = 4 * time.Second
-	// limitFactor and limitExtra are the users' bound on what it may get.
-	limitFactor = 1.5
-	limitExtra  = 5
 )
 
 // limitUpstream makes the upstream name a limit for a while and checks that it gets no
@@ -278,7 +275,7 @@
 	n.mu.Lock()
 	excused := n.process != process || n.disturbed
 	n.mu.Unlock()
-	if allowed := int(limitFactor*namedRate*limitedTime.Seconds()) + limitExtra; got > allowed && !excused {
+	if allowed := platformtest.AllowedUnderLimit(namedRate, limitedTime); got > allowed && !excused {
 		n.problem("an upstream that named a limit of %d a second got %d requests in %s, allowed %d", namedRate, got, limitedTime, allowed)
 	}
 }
