--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -97,7 +97,7 @@
 	wake chan struct{}
 	// instanceMismatch is set when another instance answered the Hello.
 	instanceMismatch atomic.Bool
-	// suspect is set by Check until data arrives.
+	// suspect is set by Check until a ping is answered.
 	suspect atomic.Bool
 	// polling is set while monitor checks often.
 	polling atomic.Bool
