Let a peer that is dropped answer its requests in flight

Cause: a change of the member table may replace a connected daemon of another data centre by one of lower rank. The connection was closed at once, and the requests in flight on it were cancelled at the upstream and answered 502. Change: a dropped peer gets no new requests, and its connection is closed once the last request in flight has ended. Peers.Close disconnects at once, for the end of the daemon.

--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -78,6 +78,8 @@
 	// backoffUntil is the time until which the peer gets no requests, in
 	// nanoseconds since the epoch of Peers.
 	backoffUntil atomic.Int64
+	// dropped is set once the peer is no longer among the members.
+	dropped atomic.Bool
 }
 
 // peerState is the last state that a peer reported.
@@ -169,8 +171,8 @@
 }
 
 // SetMembers connects to new members and to those with a new address, and
-// disconnects from peers that are not among the members. total is the number of
-// all other daemons.
+// disconnects from peers that are not among the members, once their requests in
+// flight have ended. total is the number of all other daemons.
 func (ps *Peers) SetMembers(members []control.Member, total int) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
@@ -183,18 +185,44 @@
 			continue
 		}
 		if before != nil {
-			before.client.Close()
+			before.drop()
 		}
 		ps.all[m.Instance] = ps.connect(m)
 	}
 	for instance, p := range ps.all {
 		if !wanted[instance] {
-			p.client.Close()
+			p.drop()
 			delete(ps.all, instance)
 		}
 	}
 }
 
+// Close disconnects from all peers at once and fails the requests in flight there.
+func (ps *Peers) Close() {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for instance, p := range ps.all {
+		p.client.Close()
+		delete(ps.all, instance)
+	}
+}
+
+// drop disconnects from the peer once it has answered the requests in flight: a change
+// of the members must not cut them off.
+func (p *peer) drop() {
+	p.dropped.Store(true)
+	if p.outstanding.Load() == 0 {
+		p.client.Close()
+	}
+}
+
+// requestEnded counts a request that is no longer in flight.
+func (p *peer) requestEnded() {
+	if p.outstanding.Add(-1) == 0 && p.dropped.Load() {
+		p.client.Close()
+	}
+}
+
 // connect returns a peer whose client keeps a connection to the member.
 func (ps *Peers) connect(m control.Member) *peer {
 	p := &peer{Member: m}
@@ -370,7 +398,7 @@
 // GiveUp and the errors are those of hop.Client.Do.
 func (p *peer) send(ctx context.Context, request *hopv1.Request, giveUp func() bool) (*hopv1.Frame, error) {
 	p.outstanding.Add(1)
-	defer p.outstanding.Add(-1)
+	defer p.requestEnded()
 	request.LineDelayUs = uint32(time.Duration(p.lastRTT.Load()).Microseconds())
 	sent := time.Now()
 	frame, err := p.client.Do(ctx, request, giveUp)
--- a/internal/proxy/peers_test.go
+++ b/internal/proxy/peers_test.go
@@ -1,10 +1,17 @@
 package proxy
 
 import (
+	"context"
+	"errors"
+	"io"
 	"testing"
 	"time"
 
+	"go.uber.org/zap/zapcore"
+
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/asynclog"
+	"godwitmount/internal/control"
 	"godwitmount/internal/hop"
 )
 
@@ -45,3 +52,48 @@
 		t.Error("the next incarnation is not available")
 	}
 }
+
+// TestDroppedPeerAnswersRequestsInFlight covers a change of the members that replaces a
+// peer by another one while it runs a request: the request was cut off.
+func TestDroppedPeerAnswersRequestsInFlight(t *testing.T) {
+	up := make(chan struct{}, 1)
+	log := asynclog.New(io.Discard, "i", zapcore.InfoLevel, 100)
+	peers := NewPeers(control.Member{Instance: "i", DataCentre: "a"}, Listener{
+		StateReceived:            func(string, *hopv1.State) {},
+		StoreAvailabilityChanged: func(string, bool) {},
+		DrainRecordReceived:      func(*hopv1.Left) {},
+		ReachabilityChanged:      func(string, bool) { up <- struct{}{} },
+	}, nil, log)
+	state := func() *hopv1.State { return &hopv1.State{} }
+	peers.SetState(state, state)
+	member, _ := startPeer(t, "p")
+	peers.SetMembers([]control.Member{member}, 1)
+	t.Cleanup(peers.Close)
+	<-up
+	p := peers.get("p")
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := p.send(ctx, &hopv1.Request{Id: "r"}, func() bool { return true })
+		ended <- err
+	}()
+	for p.outstanding.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	peers.SetMembers(nil, 1)
+	if peers.get("p") != nil {
+		t.Error("the dropped peer can still be chosen")
+	}
+	select {
+	case err := <-ended:
+		t.Fatalf("the request ended with %v", err)
+	case <-time.After(200 * time.Millisecond):
+	}
+	cancel()
+	if err := <-ended; !errors.Is(err, context.Canceled) {
+		t.Errorf("the request ended with %v; want that of its caller", err)
+	}
+	if _, err := p.send(context.Background(), &hopv1.Request{Id: "s"}, func() bool { return true }); !errors.Is(err, hop.ErrNotSent) {
+		t.Errorf("a later request ended with %v; want ErrNotSent", err)
+	}
+}
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -72,7 +72,7 @@
 	busy, busyLink := startPeer(t, "busy")
 	idle, idleLink := startPeer(t, "idle")
 	peers.SetMembers([]control.Member{busy, idle}, 2)
-	t.Cleanup(func() { peers.SetMembers(nil, 0) })
+	t.Cleanup(peers.Close)
 	<-changes
 	<-changes
 	busyLink.Silence()
