--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -386,6 +386,11 @@
 	h.d.log.Event(event.PeerDisconnected, zap.String("peer", instance), zap.Int("running", running), zap.Error(cause))
 }
 
+// Resumed implements hop.Handler.
+func (h hopHandler) Resumed(instance string, running, cancelled int) {
+	h.d.log.Event(event.SessionMoved, zap.String("peer", instance), zap.Int("running", running), zap.Int("cancelled", cancelled))
+}
+
 // Panicked implements hop.Handler.
 func (h hopHandler) Panicked(cause any) {
 	h.d.log.Warn(event.RequestPanicked, zap.Any("cause", cause), zap.ByteString("stack", debug.Stack()))
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -40,6 +40,8 @@
 	MemberRestored   Number = 3011
 	PeerDisconnected Number = 3012
 	UpstreamNotice   Number = 3013
+	SessionResumed   Number = 3014
+	SessionMoved     Number = 3015
 
 	CallRouted   Number = 4001
 	CallExecuted Number = 4002
@@ -96,6 +98,8 @@
 	{MemberRestored, "member-restored", "A member that had left is in the older copy that the store came back from; it is not used."},
 	{PeerDisconnected, "peer-disconnected", "A connection that another daemon had opened to this one ended; the line says why and how many requests it had."},
 	{UpstreamNotice, "upstream-notice", "The upstream's answers say something new about it: a limit of requests a second, or that it is leaving."},
+	{SessionResumed, "session-resumed", "The requests on a lost or silent connection to a peer were resumed on a new one; the line says what became of them."},
+	{SessionMoved, "session-moved", "A peer has moved its requests to a new connection; the line says how many run on and how many were cancelled."},
 
 	{CallRouted, "call-routed", "A request was sent to an upstream; the line says why this one was chosen."},
 	{CallExecuted, "call-executed", "The executing daemon ran or refused a request."},
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -20,6 +20,9 @@
 	// to connect.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// resumePause is the pause before a new attempt to connect while requests wait to be
+	// resumed.
+	resumePause = 10 * time.Millisecond
 	// falsePositiveWindow is the time after the end of a connection that was closed
 	// as dead. If the peer accepts a new connection within it, closing the old one
 	// was a false positive.
@@ -41,6 +44,14 @@
 	ErrInstanceMismatch = errors.New("another instance answers at the peer's address")
 )
 
+// Resumption counts what became of the requests in flight on a connection that was lost
+// or replaced.
+type Resumption struct {
+	// SentAgain counts those that the peer had not received, Moved those whose reply
+	// comes on the new connection, and Lost those that may have run.
+	SentAgain, Moved, Lost int
+}
+
 // Hooks connect a Client to the rest of the daemon. The functions must not
 // block.
 type Hooks struct {
@@ -68,6 +79,10 @@
 	State      func() *hopv1.State
 	// AdaptiveTimeout is the read timeout shared by all clients of the daemon.
 	AdaptiveTimeout *AdaptiveTimeout
+	// Resumed is called when the peer has told what became of the requests of a lost or
+	// silent connection; nil if nobody needs to know. Silent is set if the connection
+	// had fallen silent and was replaced while it was open.
+	Resumed func(result Resumption, silent bool)
 	// Link is the machine's network link; nil for no limit.
 	Link *shaping.Link
 	// Now reads the monotonic clock that AdaptiveTimeout uses.
@@ -80,46 +95,56 @@
 	hello   *hopv1.Hello
 	hooks   Hooks
 
+	// conn is the connection for requests: the last one whose handshake is complete, or
+	// nil. It is written while mu is held.
+	conn atomic.Pointer[clientConn]
+
 	mu sync.Mutex
-	// current is the open connection, and peerConn the same once its handshake is
-	// complete; nil if there is none.
-	current  *peerConn
-	peerConn *peerConn
-	// pending holds, by stream, the channel that awaits the reply. It is closed
-	// when the connection is lost.
-	pending    map[uint64]chan *hopv1.Frame
+	// open holds the open connections.
+	open map[*clientConn]bool
+	// replacing is set while a second connection is opened beside conn, and
+	// nextReplacement is the earliest time of the next attempt.
+	replacing       bool
+	nextReplacement time.Duration
+	// pending holds, by stream, the requests that await a reply.
+	pending    map[uint64]*pendingRequest
 	lastStream uint64
+	// cancelled holds the streams of cancelled requests whose end the peer has not
+	// confirmed with a reply: a Cancel may be lost with its connection.
+	cancelled map[uint64]bool
+	// unresolved holds the sessions on which requests may have been sent whose fate is
+	// not known. They are named in the next Resume.
+	unresolved []uint64
 	// silence is closed while the peer is silent, and replaced when data arrives.
 	silence chan struct{}
 	closed  bool
 	stop    chan struct{}
 	// wake makes monitor check immediately.
 	wake chan struct{}
-	// instanceMismatch is set when another instance answered the Hello.
-	instanceMismatch atomic.Bool
 	// suspect is set by Check until a ping is answered.
 	suspect atomic.Bool
 	// polling is set while monitor checks often.
 	polling atomic.Bool
-	// pingSentAt is when the unanswered ping was sent, in nanoseconds of
-	// Hooks.Now, or 0.
-	pingSentAt atomic.Int64
-	// pendingSince is when a request was last added to an empty pending, in
-	// nanoseconds of Hooks.Now.
+	// pendingSince is when the client last became busy, in nanoseconds of Hooks.Now.
 	pendingSince atomic.Int64
+	// resumptions counts the connections that were lost or replaced while requests were
+	// in flight.
+	resumptions atomic.Int64
 }
 
 // NewClient returns a client that connects to address, host:port, in the
 // background.
 func NewClient(address string, hello *hopv1.Hello, hooks Hooks) *Client {
 	c := &Client{
-		address: address,
-		hello:   hello,
-		hooks:   hooks,
-		pending: map[uint64]chan *hopv1.Frame{},
-		silence: make(chan struct{}),
-		stop:    make(chan struct{}),
-		wake:    make(chan struct{}, 1),
+		address:   address,
+		hello:     hello,
+		hooks:     hooks,
+		open:      map[*clientConn]bool{},
+		pending:   map[uint64]*pendingRequest{},
+		cancelled: map[uint64]bool{},
+		silence:   make(chan struct{}),
+		stop:      make(chan struct{}),
+		wake:      make(chan struct{}, 1),
 	}
 	go c.run()
 	return c
@@ -135,25 +160,30 @@
 	}
 	c.closed = true
 	close(c.stop)
-	if c.current != nil {
-		c.current.close()
+	for conn := range c.open {
+		conn.close()
 	}
+	c.failPending()
 }
 
-// run connects, serves the connection until it ends, and repeats this until Close.
+// run connects, serves the connection and those that replace it until the last one
+// ends, and repeats this until Close. It connects again at once while requests wait to
+// be resumed.
 func (c *Client) run() {
 	backoff := minBackoff
 	var idleTime time.Duration
 	lostAt := c.now()
 	for {
-		conn, err := net.DialTimeout("tcp", c.address, dialTimeout)
+		opened, err := net.DialTimeout("tcp", c.address, dialTimeout)
 		if err == nil {
 			if idleTime > 0 && c.now()-lostAt < falsePositiveWindow {
 				c.hooks.AdaptiveTimeout.RecordFalsePositive(c.now(), idleTime)
 			}
 			backoff = minBackoff
-			idleTime, err = c.serve(conn)
+			idleTime, err = c.serve(opened)
 			lostAt = c.now()
+		} else {
+			c.stopResuming()
 		}
 		select {
 		case <-c.stop:
@@ -161,137 +191,37 @@
 		default:
 		}
 		c.hooks.Down(err)
+		pause := resumePause
+		if !c.resuming() {
+			pause = backoff
+			backoff = min(2*backoff, maxBackoff)
+		}
 		select {
 		case <-c.stop:
 			return
-		case <-time.After(backoff):
+		case <-time.After(pause):
 		}
-		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
 func (c *Client) now() time.Duration { return c.hooks.Now() }
 
-// serve runs the hop protocol on a connection until it ends. It returns the idle
-// time if monitor reset the connection because the read timeout expired, or 0, and
-// the error that ended the connection.
-func (c *Client) serve(conn net.Conn) (time.Duration, error) {
-	pc := newPeerConn(conn, c.hooks.Link)
-	defer pc.close()
-	if !c.use(pc) {
-		return 0, errConnClosed
-	}
-	if err := c.send(pc, &hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: withState(c.hello, c.hooks.HelloState(), c.hooks.DrainRecord())}}); err != nil {
-		return 0, err
-	}
-	c.endSilence()
-	c.suspect.Store(false)
-	c.polling.Store(false)
-	monitorResult := make(chan time.Duration, 1)
-	go func() { monitorResult <- c.monitor(pc) }()
-	err := pc.read(func(frame *hopv1.Frame) { c.handleFrame(pc, frame) })
-	c.failPending(pc)
-	if c.instanceMismatch.Swap(false) {
-		err = ErrInstanceMismatch
-	}
-	return <-monitorResult, err
-}
-
-// use makes pc the open connection. It returns false after Close.
-func (c *Client) use(pc *peerConn) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.current = pc
-	return !c.closed
-}
-
-// send stamps a frame with the current time and queues it.
-func (c *Client) send(pc *peerConn, frame *hopv1.Frame) error {
-	frame.SentUs = uint64(c.now().Microseconds())
-	return pc.send(frame)
-}
-
-// handleFrame handles one frame from the peer. Requests use the connection only
-// after the peer's Hello.
-func (c *Client) handleFrame(pc *peerConn, frame *hopv1.Frame) {
-	c.hooks.AdaptiveTimeout.RecordReceive(c.now())
-	c.dataArrived()
-	if frame.GetHello() == nil && !c.established(pc) {
-		// Another instance may have taken over the peer's address.
-		return
-	}
-	switch body := frame.Body.(type) {
-	case *hopv1.Frame_Hello:
-		if body.Hello.GetInstance() != c.hooks.Instance {
-			c.instanceMismatch.Store(true)
-			pc.reset()
-			return
-		}
-		if !c.establish(pc) {
-			return
-		}
-		c.hooks.StateReceived(body.Hello.GetState())
-		c.hooks.DrainRecordReceived(body.Hello.GetLeft())
-		c.hooks.Up()
-	case *hopv1.Frame_Pong:
-		c.hooks.StateReceived(body.Pong.GetState())
-	case *hopv1.Frame_Ping:
-		c.hooks.StateReceived(body.Ping.GetState())
-	case *hopv1.Frame_Answer:
-		c.hooks.StateReceived(body.Answer.GetState())
-		c.deliver(frame)
-	case *hopv1.Frame_Failure:
-		c.hooks.StateReceived(body.Failure.GetState())
-		c.deliver(frame)
-	case *hopv1.Frame_ConfigAnswer:
-		c.deliver(frame)
-	}
-}
-
-// establish makes requests use the connection. It returns false after Close.
-func (c *Client) establish(pc *peerConn) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return false
-	}
-	c.peerConn = pc
-	return true
-}
-
-// deliver passes a reply to the request that awaits it, if that is still
-// pending.
-func (c *Client) deliver(frame *hopv1.Frame) {
-	c.mu.Lock()
-	result := c.pending[frame.Stream]
-	delete(c.pending, frame.Stream)
-	c.mu.Unlock()
-	if result != nil {
-		result <- frame
-	}
-}
-
-// failPending fails all pending requests after the connection has ended.
-func (c *Client) failPending(pc *peerConn) {
-	c.mu.Lock()
-	if c.peerConn == pc {
-		c.peerConn = nil
-	}
-	pending := c.pending
-	c.pending = map[uint64]chan *hopv1.Frame{}
-	c.mu.Unlock()
-	for _, result := range pending {
-		close(result)
-	}
-}
+// Resumptions returns how often a connection was lost or replaced while requests were
+// in flight. If it changes during Do, the time that Do took says nothing about the
+// network.
+func (c *Client) Resumptions() int64 { return c.resumptions.Load() }
 
 // Do sends a request and returns the peer's Answer or Failure frame. Otherwise it
 // returns an error that wraps ErrNotSent, ErrConnectionLost or ErrPeerSilent. If ctx
 // ends first, it sends the peer a Cancel frame and returns ctx.Err().
 //
-// If the peer falls silent, giveUp is called once. If it returns true, Do cancels the
-// request and returns ErrPeerSilent; otherwise it goes on waiting, because a peer that
-// is only slow still answers.
+// If the connection is lost or replaced, the request moves to the next one. If the peer
+// had not received it, it is sent again with the time that is left, which Do writes to
+// request.
+//
+// If the peer falls silent and no other connection to it can be opened, giveUp is called
+// once. If it returns true, Do cancels the request and returns ErrPeerSilent; otherwise
+// it goes on waiting, because a peer that is only slow still answers.
 func (c *Client) Do(ctx context.Context, request *hopv1.Request, giveUp func() bool) (*hopv1.Frame, error) {
 	return c.roundTrip(ctx, &hopv1.Frame{Body: &hopv1.Frame_Request{Request: request}}, giveUp)
 }
@@ -314,55 +244,32 @@
 
 // roundTrip sends a frame on a new stream and returns the reply. For giveUp, see Do.
 func (c *Client) roundTrip(ctx context.Context, frame *hopv1.Frame, giveUp func() bool) (*hopv1.Frame, error) {
-	result := make(chan *hopv1.Frame, 1)
-	c.mu.Lock()
-	pc, silence := c.peerConn, c.silence
-	if pc == nil || isClosed(silence) {
-		c.mu.Unlock()
+	p, conn, silence := c.register(frame)
+	if p == nil {
 		return nil, ErrNotSent
 	}
-	c.lastStream++
-	frame.Stream = c.lastStream
-	c.pending[frame.Stream] = result
-	first := len(c.pending) == 1
-	c.mu.Unlock()
-	if first {
-		c.pendingSince.Store(int64(c.now()))
-		c.wakeMonitor()
-	}
-	if err := c.send(pc, frame); err != nil {
+	if err := c.send(conn, frame); err != nil {
 		c.removePending(frame.Stream)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	for {
 		select {
-		case reply, ok := <-result:
-			if !ok {
+		case reply := <-p.reply:
+			if reply == nil {
 				return nil, ErrConnectionLost
 			}
 			return reply, nil
+		case <-p.again:
+			c.sendAgain(p)
 		case <-silence:
 			silence = nil
 			if giveUp() {
-				c.cancelRequest(pc, frame.Stream)
+				c.cancelRequest(frame.Stream)
 				return nil, ErrPeerSilent
 			}
 		case <-ctx.Done():
-			c.cancelRequest(pc, frame.Stream)
+			c.cancelRequest(frame.Stream)
 			return nil, ctx.Err()
 		}
 	}
 }
-
-// cancelRequest stops waiting for the reply on a stream and tells the peer.
-func (c *Client) cancelRequest(pc *peerConn, stream uint64) {
-	c.removePending(stream)
-	// If this fails, the connection ends, and with it the request.
-	_ = c.send(pc, &hopv1.Frame{Stream: stream, Body: &hopv1.Frame_Cancel{Cancel: &hopv1.Cancel{}}})
-}
-
-func (c *Client) removePending(stream uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.pending, stream)
-}
--- /dev/null
+++ b/internal/hop/connection.go
@@ -0,0 +1,213 @@
+package hop
+
+import (
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+)
+
+// clientConn is one connection of a Client.
+type clientConn struct {
+	*peerConn
+	// session is the connection's id in the Hello, and resumable is set before the
+	// handshake completes if the peer has repeated it there.
+	session   uint64
+	resumable bool
+	// replaces is the connection beside which this one was opened, or nil, and openedAt
+	// when that began.
+	replaces *clientConn
+	openedAt time.Duration
+	// wanted is the number of requests that the Resume on this connection names.
+	wanted int
+	// next is the connection that has replaced this one; retired is closed then. The
+	// Client's mu guards next.
+	next    *clientConn
+	retired chan struct{}
+	// pingSentAt is when the unanswered ping was sent, in nanoseconds of Hooks.Now, or 0.
+	pingSentAt atomic.Int64
+	// resetAfter is the idle time in nanoseconds after which monitor reset the connection;
+	// 0 if it ended otherwise.
+	resetAfter atomic.Int64
+	// mismatch is set when another instance answered the Hello.
+	mismatch bool
+	// ended is closed when the connection has ended with err.
+	ended chan struct{}
+	err   error
+}
+
+// begin makes an opened connection one of the client's and sends the Hello on it. It
+// returns an error after Close.
+func (c *Client) begin(opened net.Conn, replaces *clientConn, openedAt time.Duration) (*clientConn, error) {
+	conn := &clientConn{
+		peerConn: newPeerConn(opened, c.hooks.Link),
+		session:  rand.Uint64() | 1, // 0 is none
+		replaces: replaces,
+		openedAt: openedAt,
+		retired:  make(chan struct{}),
+		ended:    make(chan struct{}),
+	}
+	c.mu.Lock()
+	closed := c.closed
+	if !closed {
+		c.open[conn] = true
+	}
+	c.mu.Unlock()
+	if closed {
+		conn.close()
+		return nil, errConnClosed
+	}
+	hello := withState(c.hello, c.hooks.HelloState(), c.hooks.DrainRecord())
+	hello.Session = conn.session
+	if err := c.send(conn, &hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: hello}}); err != nil {
+		conn.close()
+	}
+	return conn, nil
+}
+
+// serve runs the hop protocol on a connection, and on those that replace it, until the
+// last one ends. It returns the idle time if monitor reset that one because the read
+// timeout expired, or 0, and the error that ended it.
+func (c *Client) serve(opened net.Conn) (time.Duration, error) {
+	conn, err := c.begin(opened, nil, c.now())
+	if err != nil {
+		return 0, err
+	}
+	c.endSilence()
+	c.suspect.Store(false)
+	c.polling.Store(false)
+	go c.monitor(conn)
+	c.read(conn)
+	for next := c.successor(conn); next != nil; next = c.successor(conn) {
+		conn = next
+		<-conn.ended
+	}
+	return time.Duration(conn.resetAfter.Load()), conn.err
+}
+
+// successor returns the connection that has replaced one, or nil.
+func (c *Client) successor(conn *clientConn) *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return conn.next
+}
+
+// read handles the frames of a connection until it ends.
+func (c *Client) read(conn *clientConn) {
+	conn.err = conn.peerConn.read(func(frame *hopv1.Frame) { c.handleFrame(conn, frame) })
+	if conn.mismatch {
+		conn.err = ErrInstanceMismatch
+	}
+	c.connectionEnded(conn)
+}
+
+// send stamps a frame with the current time and queues it.
+func (c *Client) send(conn *clientConn, frame *hopv1.Frame) error {
+	frame.SentUs = uint64(c.now().Microseconds())
+	return conn.send(frame)
+}
+
+// handleFrame handles one frame from the peer. Requests use a connection only after the
+// peer's Hello.
+func (c *Client) handleFrame(conn *clientConn, frame *hopv1.Frame) {
+	c.hooks.AdaptiveTimeout.RecordReceive(c.now())
+	if hello := frame.GetHello(); hello != nil {
+		c.handleHello(conn, hello)
+		return
+	}
+	if c.established(conn) {
+		c.dataArrived()
+	} else if !isClosed(conn.retired) {
+		// Another instance may have taken over the peer's address.
+		return
+	}
+	switch body := frame.Body.(type) {
+	case *hopv1.Frame_Pong:
+		c.hooks.StateReceived(body.Pong.GetState())
+	case *hopv1.Frame_Ping:
+		c.hooks.StateReceived(body.Ping.GetState())
+	case *hopv1.Frame_Answer:
+		c.hooks.StateReceived(body.Answer.GetState())
+		c.deliver(frame)
+	case *hopv1.Frame_Failure:
+		c.hooks.StateReceived(body.Failure.GetState())
+		c.deliver(frame)
+	case *hopv1.Frame_ConfigAnswer:
+		c.deliver(frame)
+	case *hopv1.Frame_Resumed:
+		c.handleResumed(conn, body.Resumed)
+	}
+}
+
+// handleHello completes the handshake.
+func (c *Client) handleHello(conn *clientConn, hello *hopv1.Hello) {
+	if hello.GetInstance() != c.hooks.Instance {
+		conn.mismatch = true
+		conn.reset()
+		return
+	}
+	if !c.establish(conn, hello.GetSession() == conn.session) {
+		conn.close()
+		return
+	}
+	c.hooks.StateReceived(hello.GetState())
+	c.hooks.DrainRecordReceived(hello.GetLeft())
+	c.hooks.Up()
+}
+
+// established reports whether the connection is the one for requests.
+func (c *Client) established(conn *clientConn) bool { return c.conn.Load() == conn }
+
+// establish makes requests use the connection and resumes those of earlier ones.
+// Resumable says that the peer supports this. It returns false after Close, and if the
+// connection does not replace the other one after all.
+func (c *Client) establish(conn *clientConn, resumable bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.established(conn) {
+		return !c.closed
+	}
+	conn.resumable = resumable
+	if conn.replaces != nil {
+		if !resumable || !c.retire(conn) {
+			return false
+		}
+	}
+	c.conn.Store(conn)
+	if len(c.unresolved) == 0 {
+		return true
+	}
+	if resumable {
+		c.sendResume(conn)
+	} else {
+		c.forgetUnresolved()
+	}
+	return true
+}
+
+// connectionEnded handles the end of a connection. If it was the one for requests, they
+// are resumed on the next one, unless the peer has been silent for too long. If it ended
+// before its handshake, they are failed.
+func (c *Client) connectionEnded(conn *clientConn) {
+	defer close(conn.ended)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, conn)
+	switch {
+	case isClosed(conn.retired):
+	case c.established(conn):
+		c.conn.Store(nil)
+		if conn.resumable && c.hasWork() {
+			c.unresolve(conn)
+		}
+		if !conn.resumable || conn.resetAfter.Load() > 0 || c.closed {
+			c.failPending()
+		}
+	case conn.replaces != nil:
+		c.replacing = false
+	default:
+		c.failPending()
+	}
+}
--- a/internal/hop/frame.go
+++ b/internal/hop/frame.go
@@ -1,9 +1,10 @@
 // Package hop carries requests between daemons. Each daemon opens one TCP
 // connection to every other daemon, and the hop protocol multiplexes its requests
 // as frames on it; large frames are sent in parts. If nothing arrives while a request
-// is pending, the peer counts as silent within half a second on a fast network, or
-// within about two seconds on a slow one, and the connection as dead silenceLimit
-// later, even if no reset arrives.
+// is pending, a second connection is opened, which replaces the first if the peer
+// answers on it first; the requests are resumed on it. If it cannot be opened, the peer
+// counts as silent within half a second on a fast network, or within about two seconds
+// on a slow one, and the connection as dead silenceLimit later, even if no reset arrives.
 package hop
 
 import (
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -18,7 +18,7 @@
 const largeBody = 200 << 10
 
 // testHandler answers each request with its id. A request with id "slow" runs
-// until it is cancelled.
+// until it is cancelled, one with id "held" until it is released or cancelled.
 type testHandler struct {
 	cancelled chan string
 	// disconnected receives the instance of each peer whose connection has ended.
@@ -28,10 +28,27 @@
 	packed atomic.Value
 	// remainingMs is the RemainingMs of the last request.
 	remainingMs atomic.Int64
+	// started receives the id of each request that starts, if there is room.
+	started chan string
+	// release ends a request with id "held".
+	release chan struct{}
+	runs    atomic.Int64
 }
 
 func (h *testHandler) Execute(ctx context.Context, request *hopv1.Request) *hopv1.Frame {
 	h.remainingMs.Store(int64(request.RemainingMs))
+	h.runs.Add(1)
+	select {
+	case h.started <- request.Id:
+	default:
+	}
+	if request.Id == "held" {
+		select {
+		case <-h.release:
+		case <-ctx.Done():
+			h.cancelled <- request.Id
+		}
+	}
 	if request.Id == "slow" {
 		<-ctx.Done()
 		h.cancelled <- request.Id
@@ -63,6 +80,8 @@
 
 func (h *testHandler) Disconnected(instance string, _ int, _ error) { h.disconnected <- instance }
 
+func (h *testHandler) Resumed(string, int, int) {}
+
 func (h *testHandler) HelloReceived(*hopv1.Hello) {}
 
 func (h *testHandler) StateReceived(string, *hopv1.State) { h.states.Add(1) }
@@ -77,7 +96,8 @@
 // startPairOn is startPair with a network link of the server's machine.
 func startPairOn(t *testing.T, link *shaping.Link) (*testHandler, *faultlink.Link, *Client, chan error) {
 	t.Helper()
-	handler := &testHandler{cancelled: make(chan string, 10), disconnected: make(chan string, 10)}
+	handler := &testHandler{cancelled: make(chan string, 10), disconnected: make(chan string, 10),
+		started: make(chan string, 10), release: make(chan struct{}, 10)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -16,21 +16,26 @@
 	idlePingAfter = 2 * time.Second
 )
 
-// monitor pings an idle peer, marks it as silent when no data arrives within the read
-// timeout, and resets the connection silenceLimit later, or at once before the
-// handshake. It checks at busyCheckInterval while requests are pending, after Check, or
+// monitor pings an idle peer, opens a second connection when the ping is not answered,
+// marks the peer as silent when no data arrives within the read timeout, and resets the
+// connection silenceLimit later, or at once before the handshake. It checks at busyCheckInterval while requests are pending, after Check, or
 // while a ping is unanswered, otherwise at idlePingAfter/2. The first check after a ping
-// without pending requests still follows the longer interval. When the connection has
-// ended, monitor returns the idle time after which it reset the connection, or 0 if the
-// connection ended otherwise.
-func (c *Client) monitor(pc *peerConn) time.Duration {
-	timer := time.NewTimer(idlePingAfter)
+// without pending requests still follows the longer interval. It returns when the
+// connection has ended or was replaced.
+func (c *Client) monitor(conn *clientConn) {
+	first := idlePingAfter
+	if c.busy() {
+		// Requests of another connection wait to be resumed.
+		first = busyCheckInterval
+	}
+	timer := time.NewTimer(first)
 	defer timer.Stop()
-	defer c.pingSentAt.Store(0)
 	for {
 		select {
-		case <-pc.done:
-			return 0
+		case <-conn.done:
+			return
+		case <-conn.retired:
+			return
 		case <-c.wake:
 		case <-timer.C:
 		}
@@ -41,20 +46,21 @@
 			pingAfter, interval = busyPingAfter, busyCheckInterval
 		}
 		c.polling.Store(often)
-		if c.pingSentAt.Load() > 0 || !busy && c.busy() {
+		if conn.pingSentAt.Load() > 0 || !busy && c.busy() {
 			// A ping is unanswered, or a request came in since busy was set.
 			interval = busyCheckInterval
 		}
 		timer.Reset(interval)
-		idleTime := c.checkIdle(pc, pingAfter, busy)
+		idleTime := c.checkIdle(conn, pingAfter, busy)
 		if idleTime == 0 {
 			continue
 		}
-		if !c.established(pc) || idleTime >= c.hooks.AdaptiveTimeout.Timeout(c.now())+silenceLimit {
-			pc.reset()
-			return idleTime
+		if !c.established(conn) || idleTime >= c.hooks.AdaptiveTimeout.Timeout(c.now())+silenceLimit {
+			conn.resetAfter.Store(int64(idleTime))
+			conn.reset()
+			return
 		}
-		if c.beginSilence() {
+		if c.beginSilence(conn) {
 			c.hooks.Down(ErrPeerSilent)
 		}
 	}
@@ -63,30 +69,33 @@
 // checkIdle sends a ping once the connection has been idle for pingAfter, and
 // records the delay when a ping was answered. It returns the idle time if the read
 // timeout has expired, and 0 otherwise.
-func (c *Client) checkIdle(pc *peerConn, pingAfter time.Duration, busy bool) time.Duration {
+func (c *Client) checkIdle(conn *clientConn, pingAfter time.Duration, busy bool) time.Duration {
 	now := c.now()
-	idleTime := pc.idleTime()
+	idleTime := conn.idleTime()
 	if busy {
 		// No data was expected before the first pending request.
 		idleTime = min(idleTime, now-time.Duration(c.pendingSince.Load()))
 	}
 	timeout := c.hooks.AdaptiveTimeout.Timeout(now)
-	pingSentAt := time.Duration(c.pingSentAt.Load())
+	pingSentAt := time.Duration(conn.pingSentAt.Load())
 	switch {
-	case pingSentAt > 0 && pc.idleTime() < now-pingSentAt:
-		c.hooks.AdaptiveTimeout.RecordPingDelay(now, now-pc.idleTime()-pingSentAt)
-		c.pingSentAt.Store(0)
+	case pingSentAt > 0 && conn.idleTime() < now-pingSentAt:
+		c.hooks.AdaptiveTimeout.RecordPingDelay(now, now-conn.idleTime()-pingSentAt)
+		conn.pingSentAt.Store(0)
 		c.suspect.Store(false)
 		c.dataArrived()
 	case pingSentAt == 0 && idleTime >= pingAfter:
-		c.pingSentAt.Store(int64(now))
+		conn.pingSentAt.Store(int64(now))
 		// If the outbox is full, send resets the connection, which ends monitor.
-		_ = c.send(pc, &hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: c.hooks.State()}}})
-	case pingSentAt > 0 && now-pingSentAt >= timeout-busyPingAfter && idleTime >= timeout:
+		_ = c.send(conn, &hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: c.hooks.State()}}})
+	case pingSentAt > 0 && now-pingSentAt >= replaceAfter(timeout):
+		c.replace(conn)
 		// While requests are pending, the connection was idle for busyPingAfter
 		// before the ping. That time is part of the timeout. A request that was sent
 		// after the ping has a timeout of its own.
-		return idleTime
+		if now-pingSentAt >= timeout-busyPingAfter && idleTime >= timeout {
+			return idleTime
+		}
 	}
 	return 0
 }
@@ -102,21 +111,15 @@
 // UnansweredPingAge returns how long a ping has been unanswered, less the time
 // for which no peer has sent anything. It returns 0 if no ping is unanswered.
 func (c *Client) UnansweredPingAge() time.Duration {
-	pingSentAt := time.Duration(c.pingSentAt.Load())
-	if pingSentAt == 0 {
+	conn := c.conn.Load()
+	if conn == nil || conn.pingSentAt.Load() == 0 {
 		return 0
 	}
 	now := c.now()
+	pingSentAt := time.Duration(conn.pingSentAt.Load())
 	return c.hooks.AdaptiveTimeout.PeerIdleTime(now, now-pingSentAt)
 }
 
-// busy reports whether requests are pending.
-func (c *Client) busy() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.pending) > 0
-}
-
 // wakeMonitor makes monitor check immediately, unless it checks often already.
 func (c *Client) wakeMonitor() {
 	if c.polling.Swap(true) {
--- a/internal/hop/parts.go
+++ b/internal/hop/parts.go
@@ -26,12 +26,20 @@
 	allowed atomic.Bool
 
 	mu sync.Mutex
-	// sending holds, by stream, the function that ends the sending of its parts.
-	sending map[uint64]context.CancelFunc
+	// sending holds, by stream, the frames whose parts are not all sent.
+	sending map[uint64]*partedFrame
+}
+
+// partedFrame is a frame that is sent in parts.
+type partedFrame struct {
+	// encoded is the result of encode.
+	encoded []byte
+	// cancel ends the sending.
+	cancel context.CancelFunc
 }
 
 func newPartSender(ctx context.Context, link *shaping.Link, put func([]byte) error) *partSender {
-	return &partSender{ctx: ctx, link: link, put: put, sending: map[uint64]context.CancelFunc{}}
+	return &partSender{ctx: ctx, link: link, put: put, sending: map[uint64]*partedFrame{}}
 }
 
 // takes reports whether an encoded frame is to be sent in parts.
@@ -43,8 +51,8 @@
 // before all frames that are not, and in the order of arrival among urgent ones.
 const urgentLead = time.Hour
 
-// start sends an encoded frame, without its length, in parts in the background. The
-// parts of an urgent frame go before those of others on the machine's network link.
+// start sends an encoded frame in parts in the background. The parts of an urgent frame
+// go before those of others on the machine's network link.
 func (s *partSender) start(stream uint64, encoded []byte, urgent bool) {
 	order := s.link.Now()
 	if urgent {
@@ -52,14 +60,39 @@
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.mu.Lock()
-	s.sending[stream] = cancel
+	frame := &partedFrame{encoded, cancel}
+	s.sending[stream] = frame
 	s.mu.Unlock()
 	go func() {
-		defer s.cancel(stream)
-		s.send(ctx, stream, encoded, order)
+		defer s.end(stream, frame)
+		s.send(ctx, stream, withoutLength(encoded), order)
 	}()
 }
 
+// end records that all parts of a frame were sent, or that none follows.
+func (s *partSender) end(stream uint64, frame *partedFrame) {
+	frame.cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sending[stream] == frame {
+		delete(s.sending, stream)
+	}
+}
+
+// takeUnsent ends the sending of all parts and returns, by stream, the encoded frames
+// of which some parts were not sent.
+func (s *partSender) takeUnsent() map[uint64][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	unsent := make(map[uint64][]byte, len(s.sending))
+	for stream, frame := range s.sending {
+		frame.cancel()
+		unsent[stream] = frame.encoded
+	}
+	s.sending = map[uint64]*partedFrame{}
+	return unsent
+}
+
 // send sends the parts of a frame that was queued at the time order until ctx ends.
 func (s *partSender) send(ctx context.Context, stream uint64, encoded []byte, order time.Duration) {
 	s.link.AddBacklog(len(encoded))
@@ -91,8 +124,8 @@
 func (s *partSender) cancel(stream uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if cancel := s.sending[stream]; cancel != nil {
-		cancel()
+	if frame := s.sending[stream]; frame != nil {
+		frame.cancel()
 		delete(s.sending, stream)
 	}
 }
--- a/internal/hop/parts_test.go
+++ b/internal/hop/parts_test.go
@@ -29,7 +29,7 @@
 	if !sender.takes(encoded) || sender.takes(encoded[:partBytes]) {
 		t.Error("the wrong frames are sent in parts")
 	}
-	sender.start(7, withoutLength(encoded), false)
+	sender.start(7, encoded, false)
 	receiver := newPartReceiver()
 	for {
 		part, err := decode(withoutLength(<-out))
--- a/internal/hop/peerconn.go
+++ b/internal/hop/peerconn.go
@@ -65,12 +65,18 @@
 	if err != nil {
 		return err
 	}
+	// A late configuration harms all requests; a late answer harms one.
+	return pc.sendEncoded(frame.Stream, buffer, frame.GetConfigAnswer() != nil)
+}
+
+// sendEncoded is send for the result of encode. If the frame is sent in parts, those of
+// an urgent one go before others.
+func (pc *peerConn) sendEncoded(stream uint64, buffer []byte, urgent bool) error {
 	if isClosed(pc.done) {
 		return errConnClosed
 	}
 	if pc.parts.takes(buffer) {
-		// A late configuration harms all requests; a late answer harms one.
-		pc.parts.start(frame.Stream, withoutLength(buffer), frame.GetConfigAnswer() != nil)
+		pc.parts.start(stream, buffer, urgent)
 		return nil
 	}
 	pc.link.Consume(len(buffer))
--- /dev/null
+++ b/internal/hop/pending.go
@@ -0,0 +1,124 @@
+package hop
+
+import (
+	"time"
+
+	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+)
+
+// pendingRequest is a request, or a fetch of the configuration, that awaits its reply.
+type pendingRequest struct {
+	frame *hopv1.Frame
+	// sentAt is when the frame was last sent. Only the goroutine that sends it uses it.
+	sentAt time.Duration
+	// reply receives the reply, or nil if it is lost.
+	reply chan *hopv1.Frame
+	// again receives a value when the frame is to be sent on the current connection.
+	again chan struct{}
+}
+
+// isFetch reports whether it is a fetch of the configuration.
+func (p *pendingRequest) isFetch() bool { return p.frame.GetConfigRequest() != nil }
+
+// requestSend makes the request be sent again.
+func (p *pendingRequest) requestSend() {
+	select {
+	case p.again <- struct{}{}:
+	default:
+	}
+}
+
+// register adds a frame to the pending requests, on a new stream. It returns nil if there
+// is no connection on which to send it. The channel is closed when the peer falls silent.
+func (c *Client) register(frame *hopv1.Frame) (*pendingRequest, *clientConn, <-chan struct{}) {
+	p := &pendingRequest{frame: frame, sentAt: c.now(), reply: make(chan *hopv1.Frame, 1), again: make(chan struct{}, 1)}
+	c.mu.Lock()
+	conn, silence := c.conn.Load(), c.silence
+	if conn == nil || c.closed || isClosed(silence) {
+		c.mu.Unlock()
+		return nil, nil, nil
+	}
+	first := !c.hasWork()
+	c.lastStream++
+	frame.Stream = c.lastStream
+	c.pending[frame.Stream] = p
+	c.mu.Unlock()
+	if first {
+		c.pendingSince.Store(int64(c.now()))
+		c.wakeMonitor()
+	}
+	return p, conn, silence
+}
+
+// sendAgain sends a request that the peer has not received on the current connection. If
+// there is none, the request waits for the next one.
+func (c *Client) sendAgain(p *pendingRequest) {
+	now := c.now()
+	if request := p.frame.GetRequest(); request != nil {
+		request.RemainingMs = subtractDelay(request.RemainingMs, now-p.sentAt)
+		request.GoalMs = subtractDelay(request.GoalMs, now-p.sentAt)
+		request.Patient = request.GoalMs == 0
+	}
+	p.sentAt = now
+	if conn := c.conn.Load(); conn != nil {
+		// If this fails, the connection ends, and the request is resumed on the next one.
+		_ = c.send(conn, p.frame)
+	}
+}
+
+// deliver passes a reply to the request that awaits it, if that is still
+// pending.
+func (c *Client) deliver(frame *hopv1.Frame) {
+	c.mu.Lock()
+	p := c.pending[frame.Stream]
+	delete(c.pending, frame.Stream)
+	delete(c.cancelled, frame.Stream)
+	c.mu.Unlock()
+	if p != nil {
+		p.reply <- frame
+	}
+}
+
+// failPending fails all pending requests. The caller holds mu.
+func (c *Client) failPending() {
+	for stream, p := range c.pending {
+		delete(c.pending, stream)
+		p.reply <- nil
+	}
+}
+
+// cancelRequest stops waiting for the reply on a stream and tells the peer. Until the
+// peer confirms the end, the connection counts as busy, so that its silence is noticed:
+// the next Resume then cancels the request.
+func (c *Client) cancelRequest(stream uint64) {
+	c.mu.Lock()
+	conn := c.conn.Load()
+	p := c.pending[stream]
+	delete(c.pending, stream)
+	if p != nil && !p.isFetch() && conn != nil && conn.resumable {
+		c.cancelled[stream] = true
+	}
+	c.mu.Unlock()
+	if conn != nil {
+		// If this fails, the connection ends, and with it the request.
+		_ = c.send(conn, &hopv1.Frame{Stream: stream, Body: &hopv1.Frame_Cancel{Cancel: &hopv1.Cancel{}}})
+	}
+}
+
+func (c *Client) removePending(stream uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.pending, stream)
+}
+
+// hasWork reports whether anything is expected from the peer. The caller holds mu.
+func (c *Client) hasWork() bool {
+	return len(c.pending)+len(c.cancelled)+len(c.unresolved) > 0
+}
+
+// busy is hasWork for a caller that does not hold mu.
+func (c *Client) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hasWork()
+}
--- /dev/null
+++ b/internal/hop/session.go
@@ -0,0 +1,270 @@
+package hop
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/code"
+)
+
+const (
+	// resumeGrace is how long requests run on after their connection was reset, for the
+	// peer to move them to another one. A caller that has left with its entry daemon
+	// must not keep an upstream busy for longer than 0.5 s.
+	resumeGrace = 250 * time.Millisecond
+	// sessionRetention is how long a session is known after the end of its connection.
+	// A peer that tries to resume it later learns nothing about its requests.
+	sessionRetention = 10 * time.Second
+)
+
+// session is one connection that a peer opened, with the requests on it. The fields
+// from id on are guarded by Server.sessionsMu.
+type session struct {
+	server   *Server
+	peerConn *peerConn
+	// peer is the peer's instance from its Hello. Other goroutines read it only while
+	// they hold Server.sessionsMu.
+	peer string
+	// epoch is the origin of the arrival times given to queueDelay and ledger.
+	epoch      time.Time
+	queueDelay queueDelay
+
+	// id is the session's id from the peer's Hello; 0 for a daemon of an earlier
+	// release, which cannot resume it.
+	id     uint64
+	ledger ledger
+	// cancels holds, by stream, the function that cancels the running request.
+	cancels map[uint64]context.CancelFunc
+	// replacedBy is the session to which the requests have moved, or nil.
+	replacedBy *session
+}
+
+func newSession(server *Server, pc *peerConn) *session {
+	return &session{
+		server:   server,
+		peerConn: pc,
+		epoch:    server.epoch,
+		ledger:   ledger{running: map[uint64]bool{}},
+		cancels:  map[uint64]context.CancelFunc{},
+	}
+}
+
+func (s *session) handleFrame(frame *hopv1.Frame) {
+	handler := s.server.handler
+	delay := s.queueDelay.delay(time.Since(s.epoch), time.Duration(frame.SentUs)*time.Microsecond)
+	switch body := frame.Body.(type) {
+	case *hopv1.Frame_Hello:
+		s.register(body.Hello)
+		hello := withState(s.server.hello, handler.State(), handler.DrainRecord(s.peer))
+		hello.Session = body.Hello.GetSession()
+		_ = s.peerConn.send(&hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: hello}})
+		handler.HelloReceived(body.Hello)
+	case *hopv1.Frame_Ping:
+		_ = s.peerConn.send(&hopv1.Frame{Body: &hopv1.Frame_Pong{Pong: &hopv1.Pong{State: handler.State()}}})
+		handler.StateReceived(s.peer, body.Ping.GetState())
+	case *hopv1.Frame_Request:
+		// The sender computed the time left until the deadline and the latency goal
+		// when it sent the frame. The queueing delay has used up part of it.
+		body.Request.RemainingMs = subtractDelay(body.Request.RemainingMs, delay)
+		body.Request.GoalMs = subtractDelay(body.Request.GoalMs, delay)
+		s.start(frame.Stream, body.Request)
+	case *hopv1.Frame_Cancel:
+		s.cancel(frame.Stream)
+	case *hopv1.Frame_ConfigRequest:
+		config := handler.Config()
+		_ = s.peerConn.send(&hopv1.Frame{Stream: frame.Stream, Body: &hopv1.Frame_ConfigAnswer{ConfigAnswer: config}})
+	case *hopv1.Frame_Resume:
+		s.resume(body.Resume)
+	}
+}
+
+// register makes the session known under the id of its Hello.
+func (s *session) register(hello *hopv1.Hello) {
+	s.server.sessionsMu.Lock()
+	defer s.server.sessionsMu.Unlock()
+	s.peer = hello.GetInstance()
+	if s.id = hello.GetSession(); s.id != 0 {
+		s.server.sessions[s.id] = s
+	}
+}
+
+// start runs a request in a goroutine and sends the reply on its stream.
+func (s *session) start(stream uint64, request *hopv1.Request) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.server.sessionsMu.Lock()
+	begins := s.ledger.begin(stream)
+	if begins {
+		s.cancels[stream] = cancel
+	}
+	s.server.sessionsMu.Unlock()
+	if !begins {
+		cancel()
+		return
+	}
+	go func() {
+		defer cancel()
+		reply := s.execute(ctx, request)
+		reply.Stream = stream
+		s.reply(reply)
+	}()
+}
+
+// execute runs a request. If that panics, the reply says that the request may have
+// run: one request must not end the process and with it all others.
+func (s *session) execute(ctx context.Context, request *hopv1.Request) (reply *hopv1.Frame) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.server.handler.Panicked(cause)
+			reply = &hopv1.Frame{Body: brokenAnswer()}
+		}
+	}()
+	return s.server.handler.Execute(ctx, request)
+}
+
+// brokenAnswer returns the failure of a request that may have run and has no answer
+// that can be sent.
+func brokenAnswer() *hopv1.Frame_Failure {
+	return &hopv1.Frame_Failure{Failure: &hopv1.Failure{Code: uint32(code.CallAnswerBroken)}}
+}
+
+// reply sends the reply of a request on the connection to which it has moved.
+func (s *session) reply(reply *hopv1.Frame) {
+	encoded, err := encode(reply)
+	if err != nil {
+		// A failure without a text can always be encoded.
+		encoded, _ = encode(&hopv1.Frame{Stream: reply.Stream, Body: brokenAnswer()})
+	}
+	s.server.sessionsMu.Lock()
+	defer s.server.sessionsMu.Unlock()
+	latest := s.latest()
+	delete(latest.cancels, reply.Stream)
+	latest.ledger.end(time.Since(s.epoch), reply.Stream, encoded)
+	// If the connection has ended, the peer may still resume the session.
+	_ = latest.peerConn.sendEncoded(reply.Stream, encoded, false)
+}
+
+// latest returns the session to which the requests of this one have moved, or itself.
+// The caller holds Server.sessionsMu.
+func (s *session) latest() *session {
+	for s.replacedBy != nil {
+		s = s.replacedBy
+	}
+	return s
+}
+
+// resume moves the requests of earlier sessions to this one and tells the peer what
+// has become of them.
+func (s *session) resume(resume *hopv1.Resume) {
+	s.server.sessionsMu.Lock()
+	if s.ledger.fenced {
+		s.server.sessionsMu.Unlock()
+		return
+	}
+	unsent := map[uint64][]byte{}
+	complete := true
+	for _, id := range resume.GetSessions() {
+		complete = s.absorb(id, unsent) && complete
+	}
+	sending := map[uint64]bool{}
+	for stream := range unsent {
+		sending[stream] = true
+	}
+	result := s.ledger.resume(resume.GetWanted(), complete, sending)
+	for _, stream := range result.unwanted {
+		s.cancels[stream]()
+	}
+	_ = s.peerConn.send(&hopv1.Frame{Body: &hopv1.Frame_Resumed{Resumed: &hopv1.Resumed{
+		NotReceived: result.notReceived, Lost: result.lost,
+	}}})
+	for _, reply := range result.resend {
+		_ = s.peerConn.sendEncoded(reply.stream, reply.encoded, false)
+		delete(unsent, reply.stream)
+	}
+	for _, stream := range resume.GetWanted() {
+		if encoded := unsent[stream]; encoded != nil {
+			_ = s.peerConn.sendEncoded(stream, encoded, false)
+		}
+	}
+	running := len(s.ledger.running) - len(result.unwanted)
+	s.server.sessionsMu.Unlock()
+	s.server.handler.Resumed(s.peer, running, len(result.unwanted))
+}
+
+// absorb moves the requests of an earlier session to this one, and to unsent the large
+// replies whose parts it has not all sent. It returns false if the session is unknown.
+// The caller holds Server.sessionsMu.
+func (s *session) absorb(id uint64, unsent map[uint64][]byte) bool {
+	earlier := s.server.sessions[id]
+	if earlier == nil || earlier.peer != s.peer {
+		return false
+	}
+	earlier = earlier.latest()
+	if earlier == s {
+		return true
+	}
+	s.ledger.absorb(&earlier.ledger)
+	for stream, cancel := range earlier.cancels {
+		s.cancels[stream] = cancel
+	}
+	earlier.cancels = map[uint64]context.CancelFunc{}
+	for stream, encoded := range earlier.peerConn.parts.takeUnsent() {
+		unsent[stream] = encoded
+	}
+	earlier.replacedBy = s
+	return true
+}
+
+// connectionEnded cancels the requests of the session after its connection has ended
+// with err: at once if the peer has closed it, otherwise unless the peer moves them to
+// another connection within resumeGrace. It returns their number.
+func (s *session) connectionEnded(err error) int {
+	s.server.sessionsMu.Lock()
+	defer s.server.sessionsMu.Unlock()
+	running := len(s.cancels)
+	if s.id == 0 || errors.Is(err, io.EOF) || s.server.isClosing() {
+		s.cancelRunning()
+	} else if running > 0 {
+		time.AfterFunc(resumeGrace, s.cancelAll)
+	}
+	if s.id != 0 {
+		time.AfterFunc(sessionRetention, s.forget)
+	}
+	return running
+}
+
+// forget removes the session from those that can be resumed.
+func (s *session) forget() {
+	s.server.sessionsMu.Lock()
+	defer s.server.sessionsMu.Unlock()
+	if s.server.sessions[s.id] == s {
+		delete(s.server.sessions, s.id)
+	}
+}
+
+// cancel cancels the request of a stream, if it still runs.
+func (s *session) cancel(stream uint64) {
+	s.server.sessionsMu.Lock()
+	defer s.server.sessionsMu.Unlock()
+	s.ledger.cancel(stream)
+	if cancel := s.cancels[stream]; cancel != nil {
+		cancel()
+	}
+}
+
+// cancelAll cancels all running requests that have not moved to another session. A
+// request that must not run twice goes on at the upstream, and its answer is still sent.
+func (s *session) cancelAll() {
+	s.server.sessionsMu.Lock()
+	defer s.server.sessionsMu.Unlock()
+	s.cancelRunning()
+}
+
+// cancelRunning is cancelAll for a caller that holds Server.sessionsMu.
+func (s *session) cancelRunning() {
+	for _, cancel := range s.cancels {
+		cancel()
+	}
+}
--- a/internal/hop/silence.go
+++ b/internal/hop/silence.go
@@ -7,12 +7,12 @@
 // it runs.
 const silenceLimit = 1200 * time.Millisecond
 
-// beginSilence marks the peer as silent and reports whether it was not. Requests in
-// flight are asked whether they give up; new ones are not sent.
-func (c *Client) beginSilence() bool {
+// beginSilence marks the peer as silent and reports whether it was not, unless conn has
+// been replaced. Requests in flight are asked whether they give up; new ones are not sent.
+func (c *Client) beginSilence(conn *clientConn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if isClosed(c.silence) {
+	if isClosed(c.silence) || !c.established(conn) {
 		return false
 	}
 	close(c.silence)
@@ -37,13 +37,6 @@
 	}
 }
 
-// established reports whether the handshake on the connection is complete.
-func (c *Client) established(pc *peerConn) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.peerConn == pc
-}
-
 // isClosed reports whether the channel, on which nothing is sent, is closed.
 func isClosed(channel <-chan struct{}) bool {
 	select {
--- a/internal/hop/vanished.go
+++ b/internal/hop/vanished.go
@@ -32,13 +32,3 @@
 	}
 	time.AfterFunc(next, s.watchQuiet)
 }
-
-// cancelAll cancels all running requests. A request that must not run twice goes on at
-// the upstream, and its answer is still sent.
-func (s *session) cancelAll() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, cancel := range s.running {
-		cancel()
-	}
-}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -63,6 +64,9 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "godwitmount_peers", Help: "Other daemons that are known.",
 		}, func() float64 { return float64(p.deps.Peers.Count()) }),
+		resumedCounter("sent-again", &p.deps.Peers.resumed.sentAgain),
+		resumedCounter("moved", &p.deps.Peers.resumed.moved),
+		resumedCounter("lost", &p.deps.Peers.resumed.lost),
 	}
 	for _, c := range append(gauges, m.answers, m.refusals, m.latency, m.waits, m.serviceTimes) {
 		if err := registerer.Register(c); err != nil {
@@ -72,6 +76,15 @@
 	return m, nil
 }
 
+// resumedCounter returns the counter of requests in flight on a lost connection for one
+// result.
+func resumedCounter(result string, count *atomic.Int64) prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "godwitmount_resumed_requests_total", Help: "Requests in flight on a lost or silent connection to a peer, by what became of them.",
+		ConstLabels: prometheus.Labels{"result": result},
+	}, func() float64 { return float64(count.Load()) })
+}
+
 // recordAnswer records the answer to a caller; result is the HTTP status or the
 // result code.
 func (m *metrics) recordAnswer(c *call, result string) {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -43,6 +43,8 @@
 	// nextSilenceCheck is the earliest time of the next check of all connections, in
 	// nanoseconds since epoch.
 	nextSilenceCheck atomic.Int64
+	// resumed counts the requests in flight on lost connections by what became of them.
+	resumed struct{ sentAgain, moved, lost atomic.Int64 }
 	// readTimeout is the adaptive read timeout of all connections.
 	readTimeout *hop.AdaptiveTimeout
 	// link is the machine's network link; nil for no limit.
@@ -215,6 +217,7 @@
 				ps.checkOthers(p)
 			}
 		},
+		Resumed:             func(result hop.Resumption, silent bool) { ps.requestsResumed(p, result, silent) },
 		StateReceived:       func(state *hopv1.State) { ps.handleState(p, state) },
 		DrainRecordReceived: ps.listener.DrainRecordReceived,
 		DrainRecord:         p.drainingUpstream.Load,
@@ -227,6 +230,19 @@
 	return p
 }
 
+// requestsResumed records what became of the requests on a connection to the peer that
+// was lost or, if silent is set, replaced.
+func (ps *Peers) requestsResumed(p *peer, result hop.Resumption, silent bool) {
+	ps.resumed.sentAgain.Add(int64(result.SentAgain))
+	ps.resumed.moved.Add(int64(result.Moved))
+	ps.resumed.lost.Add(int64(result.Lost))
+	ps.log.Event(event.SessionResumed, zap.String("peer", p.Instance), zap.Bool("silent", silent),
+		zap.Int("sent_again", result.SentAgain), zap.Int("moved", result.Moved), zap.Int("lost", result.Lost))
+	if silent {
+		ps.checkOthers(p)
+	}
+}
+
 // checkOthers checks the connections to all peers but the one that has fallen silent:
 // the cause may have silenced them, too, and an idle one would show it only at its next
 // ping. It does so at most each silenceCheckInterval.
@@ -366,17 +382,21 @@
 
 // send sends a request to the peer and waits for its answer. It measures the
 // network round-trip time, which is the time until the answer without the time
-// at the peer, and reports the last measured one to the peer in the request.
+// at the peer, and reports the last measured one to the peer in the request. It does not
+// measure while the connection is replaced.
 // GiveUp and the errors are those of hop.Client.Do.
 func (p *peer) send(ctx context.Context, request *hopv1.Request, giveUp func() bool) (*hopv1.Frame, error) {
 	p.outstanding.Add(1)
 	defer p.outstanding.Add(-1)
 	request.LineDelayUs = uint32(time.Duration(p.lastRTT.Load()).Microseconds())
-	sent := time.Now()
+	sent, resumptions := time.Now(), p.client.Resumptions()
 	frame, err := p.client.Do(ctx, request, giveUp)
 	if err != nil {
 		return nil, err
 	}
+	if p.client.Resumptions() != resumptions {
+		return frame, nil
+	}
 	spent := max(frame.GetAnswer().GetSpentUs(), frame.GetFailure().GetSpentUs())
 	p.lastRTT.Store(int64(max(time.Since(sent)-microseconds(spent), 0)))
 	return frame, nil
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -17,32 +17,38 @@
 )
 
 // restoreLimit is how long connections that fell silent together may take to be
-// replaced. Without a check, the idle one takes 3 s or more.
-const restoreLimit = 2500 * time.Millisecond
+// replaced. Without a check, the idle one takes 2.1 s or more.
+const restoreLimit = 1500 * time.Millisecond
 
-// silentHandler runs each request until it is cancelled.
-type silentHandler struct{}
+// silentHandler runs each request until it is cancelled. It passes on that a peer has
+// connected.
+type silentHandler struct {
+	instance  string
+	connected chan<- string
+}
 
 func (silentHandler) Execute(ctx context.Context, _ *hopv1.Request) *hopv1.Frame {
 	<-ctx.Done()
 	return &hopv1.Frame{Body: &hopv1.Frame_Failure{Failure: &hopv1.Failure{}}}
 }
 func (silentHandler) Config() *hopv1.ConfigAnswer        { return &hopv1.ConfigAnswer{} }
-func (silentHandler) State() *hopv1.State                { return &hopv1.State{} }
+func (silentHandler) State() *hopv1.State                { return &hopv1.State{TakesWork: true} }
 func (silentHandler) DrainRecord(string) *hopv1.Left     { return nil }
 func (silentHandler) Panicked(any)                       {}
 func (silentHandler) Disconnected(string, int, error)    {}
-func (silentHandler) HelloReceived(*hopv1.Hello)         {}
+func (silentHandler) Resumed(string, int, int)           {}
+func (h silentHandler) HelloReceived(*hopv1.Hello)       { h.connected <- h.instance }
 func (silentHandler) StateReceived(string, *hopv1.State) {}
 
-// startPeer starts a peer behind a network link.
-func startPeer(t *testing.T, instance string) (control.Member, *faultlink.Link) {
+// startPeer starts a peer behind a network link. Each connection to it sends its instance
+// to connected.
+func startPeer(t *testing.T, instance string, connected chan<- string) (control.Member, *faultlink.Link) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := hop.NewServer(&hopv1.Hello{Instance: instance}, silentHandler{}, nil)
+	server := hop.NewServer(&hopv1.Hello{Instance: instance}, silentHandler{instance, connected}, nil)
 	go func() { _ = server.Serve(listener) }()
 	link, err := faultlink.New("127.0.0.1:0", listener.Addr().String())
 	if err != nil {
@@ -55,38 +61,37 @@
 // TestSilenceOfOnePeerChecksIdleConnections covers connections that fall silent
 // together: the one in use shows it, and the idle one must not wait for its next ping.
 func TestSilenceOfOnePeerChecksIdleConnections(t *testing.T) {
-	type change struct {
-		instance  string
-		reachable bool
-	}
-	changes := make(chan change, 10)
+	connected := make(chan string, 10)
 	log := asynclog.New(io.Discard, "i", zapcore.InfoLevel, 100)
 	peers := NewPeers(control.Member{Instance: "i", DataCentre: "a"}, Listener{
 		StateReceived:            func(string, *hopv1.State) {},
 		StoreAvailabilityChanged: func(string, bool) {},
 		DrainRecordReceived:      func(*hopv1.Left) {},
-		ReachabilityChanged:      func(instance string, reachable bool) { changes <- change{instance, reachable} },
+		ReachabilityChanged:      func(string, bool) {},
 	}, nil, log)
 	state := func() *hopv1.State { return &hopv1.State{} }
 	peers.SetState(state, state)
-	busy, busyLink := startPeer(t, "busy")
-	idle, idleLink := startPeer(t, "idle")
+	busy, busyLink := startPeer(t, "busy", connected)
+	idle, idleLink := startPeer(t, "idle", connected)
 	peers.SetMembers([]control.Member{busy, idle}, 2)
 	t.Cleanup(func() { peers.SetMembers(nil, 0) })
-	<-changes
-	<-changes
+	<-connected
+	<-connected
+	for peers.UsablePeers() < 2 {
+		time.Sleep(time.Millisecond)
+	}
 	busyLink.Silence()
 	idleLink.Silence()
 	ctx, cancel := context.WithTimeout(context.Background(), restoreLimit)
 	defer cancel()
 	go func() { _, _ = peers.get("busy").send(ctx, &hopv1.Request{Id: "r"}, func() bool { return true }) }()
-	back := map[string]bool{}
-	for !back["busy"] || !back["idle"] {
+	replaced := map[string]bool{}
+	for !replaced["busy"] || !replaced["idle"] {
 		select {
-		case c := <-changes:
-			back[c.instance] = c.reachable
+		case instance := <-connected:
+			replaced[instance] = true
 		case <-ctx.Done():
-			t.Fatalf("reachable again: %v", back)
+			t.Fatalf("connected again: %v", replaced)
 		}
 	}
 }
