Announce configurations on connections that may be silent

Cause: an idle connection between daemons shows that it is silent only at its next ping, 2 s later. In a data centre without traffic the daemons that do not watch the store got a new version later than 2 s after connections had fallen silent. Change: a daemon that applies a version from the store pings all peers on the connections that it has opened; a fetch of the configuration pings as well; connections are checked when a peer has replaced its own and when a watch of the store is 150 ms late.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -33,5 +33,8 @@
 		d.loop.post(control.ConfigRejected{Err: err, From: from})
 		return
 	}
+	if from == control.FromStore {
+		d.storeVersion.Store(version)
+	}
 	d.loop.post(control.ConfigRead{Version: version, Manifest: m, Packed: packed, From: from})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,6 +113,8 @@
 	// follows its removal; memberCallsLeft counts those that have not ended.
 	memberCalls     sync.Mutex
 	memberCallsLeft sync.WaitGroup
+	// storeVersion is the version of the configuration that the store returned last.
+	storeVersion atomic.Uint64
 	// removed is set once the entry is to be removed.
 	removed atomic.Bool
 	// lastRequest is when the last request of a caller began, in nanoseconds
@@ -387,7 +389,9 @@
 }
 
 // Resumed implements hop.Handler.
+// It checks this daemon's own connections, which may have been lost with the peer's.
 func (h hopHandler) Resumed(instance string, running, cancelled int) {
+	h.d.peers.Check("")
 	h.d.log.Event(event.SessionMoved, zap.String("peer", instance), zap.Int("running", running), zap.Int("cancelled", cancelled))
 }
 
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -27,6 +27,10 @@
 	case control.PublishTable:
 		d.proxy.SetTable(&proxy.Table{Table: e.Table, Version: e.Version, Packed: e.Packed})
 		d.broadcastState()
+		if e.Version == d.storeVersion.Load() {
+			// Most peers learn of a version only from those that watch the store.
+			d.peers.Announce()
+		}
 	case control.PublishMembers:
 		d.peers.SetMembers(e.Members, e.Known)
 	case control.SetUpstream:
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -23,6 +23,9 @@
 	// meanwhile has 2 s to be in force: the call, the client's allowance for a slow
 	// store, and the next call must fit.
 	configWatchTimeout = time.Second
+	// watchLateAfter is how long after its end a watch is late. Answers of a store that
+	// works take less.
+	watchLateAfter = 150 * time.Millisecond
 	// watcherSettleTime is how long a daemon that has just read its first
 	// configuration waits to learn that its peers already are store watchers.
 	watcherSettleTime = 600 * time.Millisecond
@@ -166,7 +169,7 @@
 			continue
 		}
 		if storeWatcher {
-			t.poll(ctx, configWatchTimeout)
+			d.pollWatching(ctx, t)
 			continue
 		}
 		timer := time.NewTimer(jittered(pollInterval(d.peers.Count() + 1)))
@@ -182,6 +185,15 @@
 	}
 }
 
+// pollWatching watches the store for a change. If the call takes longer than that, its
+// connection may have fallen silent, and those between daemons with it: they are checked,
+// so that they work once the store answers.
+func (d *Daemon) pollWatching(ctx context.Context, t *tableReader) {
+	late := time.AfterFunc(configWatchTimeout+watchLateAfter, func() { d.peers.Check("") })
+	defer late.Stop()
+	t.poll(ctx, configWatchTimeout)
+}
+
 // pollInterval returns the interval between two polls of a table by one of the given
 // number of daemons.
 func pollInterval(daemons int) time.Duration {
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -227,8 +227,10 @@
 }
 
 // FetchConfig returns the configuration in force at the peer. Its errors are
-// those of Do, and one for a reply of another type.
+// those of Do, and one for a reply of another type. It pings the peer as well: an idle
+// connection that has fallen silent is then replaced before the fetch would be late.
 func (c *Client) FetchConfig(ctx context.Context) (*hopv1.ConfigAnswer, error) {
+	c.PingNow()
 	frame, err := c.roundTrip(ctx, &hopv1.Frame{Body: &hopv1.Frame_ConfigRequest{ConfigRequest: &hopv1.ConfigRequest{}}}, always)
 	if err != nil {
 		return nil, err
--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -86,8 +86,7 @@
 		c.dataArrived()
 	case pingSentAt == 0 && idleTime >= pingAfter:
 		conn.pingSentAt.Store(int64(now))
-		// If the outbox is full, send resets the connection, which ends monitor.
-		_ = c.send(conn, &hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: c.hooks.State()}}})
+		c.sendPing(conn)
 	case pingSentAt > 0 && now-pingSentAt >= replaceAfter(timeout):
 		c.replace(conn)
 		// While requests are pending, the connection was idle for busyPingAfter
@@ -100,6 +99,25 @@
 	return 0
 }
 
+// PingNow sends a ping with this daemon's state at once, unless one is unanswered, and
+// makes monitor find soon whether the connection is silent. It is for news that must
+// arrive in time.
+func (c *Client) PingNow() {
+	conn := c.conn.Load()
+	if conn == nil {
+		return
+	}
+	if conn.pingSentAt.CompareAndSwap(0, int64(c.now())) {
+		c.sendPing(conn)
+	}
+	c.Check()
+}
+
+// sendPing sends a ping. If the outbox is full, that resets the connection.
+func (c *Client) sendPing(conn *clientConn) {
+	_ = c.send(conn, &hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: c.hooks.State()}}})
+}
+
 // Check makes monitor ping the peer at once if it has been idle for busyPingAfter, and
 // find soon whether it is silent. It is for connections that may have fallen silent
 // together with another one.
--- a/internal/hop/resume_test.go
+++ b/internal/hop/resume_test.go
@@ -292,3 +292,27 @@
 		t.Errorf("got %v, want stream 1 as lost", got)
 	}
 }
+
+// TestSilenceOnASlowLinkIsFoundBeforeTheReadTimeout covers a connection whose pings take
+// long, so that the read timeout is longer than a configuration may take.
+func TestSilenceOnASlowLinkIsFoundBeforeTheReadTimeout(t *testing.T) {
+	handler, network, client, down := startPair(t)
+	network.SetDelay(minReplaceAfter)
+	result := start(context.Background(), client, &hopv1.Request{Id: "held"})
+	for client.hooks.AdaptiveTimeout.Timeout(client.now()) < 2*delayFactor*minReplaceAfter*9/10 {
+		time.Sleep(busyCheckInterval)
+	}
+	for len(down) > 0 {
+		// The timeout has grown because the first pings were late.
+		<-down
+	}
+	network.Silence()
+	if config, err := client.FetchConfig(context.Background()); err != nil || config.Version != 3 {
+		t.Errorf("got configuration %v, error %v", config, err)
+	}
+	handler.release <- struct{}{}
+	expectAnswer(t, result, "held")
+	if len(down) > 0 {
+		t.Errorf("the peer counted as lost: %v", <-down)
+	}
+}
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -214,7 +214,7 @@
 				ps.log.Event(event.PeerDown, zap.String("peer", m.Instance), zap.Error(err))
 			}
 			if errors.Is(err, hop.ErrPeerSilent) {
-				ps.checkOthers(p)
+				ps.Check(m.Instance)
 			}
 		},
 		Resumed:             func(result hop.Resumption, silent bool) { ps.requestsResumed(p, result, silent) },
@@ -239,14 +239,25 @@
 	ps.log.Event(event.SessionResumed, zap.String("peer", p.Instance), zap.Bool("silent", silent),
 		zap.Int("sent_again", result.SentAgain), zap.Int("moved", result.Moved), zap.Int("lost", result.Lost))
 	if silent {
-		ps.checkOthers(p)
+		ps.Check(p.Instance)
 	}
 }
 
-// checkOthers checks the connections to all peers but the one that has fallen silent:
-// the cause may have silenced them, too, and an idle one would show it only at its next
-// ping. It does so at most each silenceCheckInterval.
-func (ps *Peers) checkOthers(silent *peer) {
+// Announce sends this daemon's state to all peers on the connections to them, and finds
+// soon which of these are silent. Peers also get the state on the connections that they
+// have opened, which may be silent.
+func (ps *Peers) Announce() {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	for _, p := range ps.all {
+		p.client.PingNow()
+	}
+}
+
+// Check checks the connections to all peers but one, after another connection of this
+// daemon has fallen silent: the cause may have silenced them, too, and an idle one would
+// show it only at its next ping. It does so at most each silenceCheckInterval.
+func (ps *Peers) Check(except string) {
 	now := int64(ps.now())
 	next := ps.nextSilenceCheck.Load()
 	if now < next || !ps.nextSilenceCheck.CompareAndSwap(next, now+int64(silenceCheckInterval)) {
@@ -255,7 +266,7 @@
 	ps.mu.RLock()
 	defer ps.mu.RUnlock()
 	for _, p := range ps.all {
-		if p != silent {
+		if p.Instance != except {
 			p.client.Check()
 		}
 	}
