--- a/internal/proxy/peers_test.go
+++ b/internal/proxy/peers_test.go
@@ -66,7 +66,7 @@
 	}, nil, log)
 	state := func() *hopv1.State { return &hopv1.State{} }
 	peers.SetState(state, state)
-	member, _ := startPeer(t, "p")
+	member, _ := startPeer(t, "p", make(chan string, 10))
 	peers.SetMembers([]control.Member{member}, 1)
 	t.Cleanup(peers.Close)
 	<-up
