Decide rollouts in a module of their own, and write rows conditionally

Nothing of it existed; the client of the store wrote without conditions. Conclusion: nothing uses the module yet; integration follows.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -7,7 +7,7 @@
 
 // Number identifies a log event. The thousands are groups: 1xxx process, 2xxx
 // configuration, 3xxx daemons and upstreams, 4xxx requests, 6xxx quarantine, 7xxx
-// store.
+// store, 8xxx rollouts.
 type Number uint16
 
 // The log events.
@@ -56,6 +56,15 @@
 	StoreEraAdvanced Number = 7004
 	StoreEraMissing  Number = 7005
 	StoreCallFailed  Number = 7006
+
+	RolloutSeen           Number = 8001
+	RolloutRejected       Number = 8002
+	RolloutPhase          Number = 8003
+	RolloutEvidence       Number = 8004
+	RolloutCoordinator    Number = 8005
+	RolloutWritten        Number = 8006
+	RolloutUpstreamClosed Number = 8007
+	RolloutWaiting        Number = 8008
 )
 
 // Info describes one event.
@@ -111,6 +120,15 @@
 	{StoreEraAdvanced, "store-era-advanced", "The store came back from an older copy; the member table is read again."},
 	{StoreEraMissing, "store-era-missing", "The store's answers carry no valid era; it counts as era 0."},
 	{StoreCallFailed, "store-call-failed", "A call to the store failed while it is unavailable; the line says how, after how long and on which connection."},
+
+	{RolloutSeen, "rollout-seen", "A new rollout request is known; the line says from whom."},
+	{RolloutRejected, "rollout-rejected", "A rollout request is invalid or names an unknown service; no requests are moved."},
+	{RolloutPhase, "rollout-phase", "A rollout entered a phase; the line says why and who decided."},
+	{RolloutEvidence, "rollout-evidence", "The coordinator compared the new version with the old one."},
+	{RolloutCoordinator, "rollout-coordinator", "This daemon began or ceased to coordinate a rollout."},
+	{RolloutWritten, "rollout-written", "A phase of a rollout was written to the store, or the write failed; the line says why."},
+	{RolloutUpstreamClosed, "rollout-upstream-closed", "The local upstream of the new version fails beyond doubt; it gets no requests in the rollout."},
+	{RolloutWaiting, "rollout-waiting", "The next phase of a rollout waits for something; the line says for what."},
 }
 
 var byNumber = indexByNumber()
--- /dev/null
+++ b/internal/rollout/core.go
@@ -0,0 +1,513 @@
+package rollout
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"godwitmount/internal/event"
+	"godwitmount/internal/step"
+	"godwitmount/internal/store"
+)
+
+// Config holds the parameters of a Core.
+type Config struct {
+	// Instance, DataCentre and Service are those of this daemon.
+	Instance   string
+	DataCentre string
+	Service    string
+}
+
+const (
+	// newReportInterval and oldReportInterval are the times between two reports of a
+	// daemon beside a new and beside an old upstream. New ones are few and decide how
+	// soon a bad version is found.
+	newReportInterval = 250 * time.Millisecond
+	oldReportInterval = 600 * time.Millisecond
+	// keepAliveInterval is the time after which a report is repeated without a change.
+	keepAliveInterval = time.Second
+	// reportReceivers is the number of daemons that get the reports: the coordinator,
+	// and the one that follows it.
+	reportReceivers = 2
+	// isolatedAfter is how long a daemon that reaches no other one of its data centre
+	// goes on giving requests to its upstream during a rollout. It is well below
+	// goneAfter, after which the others no longer wait for it.
+	isolatedAfter = 2 * time.Second
+	// goneAfter is the time for which a member must be unreachable from all of its data
+	// centre before completion does not wait for it any more. Requests that it had
+	// accepted have passed their deadlines by then.
+	goneAfter = 4 * time.Second
+	// breakerBase and breakerScore decide when an upstream fails beyond doubt: its share
+	// of failures is above breakerBase with odds of exp(breakerScore).
+	breakerBase  = 0.1
+	breakerScore = 9
+)
+
+// Core is the reducer of a daemon's knowledge about rollouts. It is not safe for
+// concurrent use.
+type Core struct {
+	cfg     Config
+	now     time.Duration
+	effects []step.Effect
+
+	services map[string]*service
+	// peers holds the other daemons by instance.
+	peers map[string]*peer
+	// upstream is the local upstream.
+	upstream UpstreamChanged
+	// configured holds the configured services; nil before the first configuration.
+	configured map[string]bool
+	// requestsRead is set once the store's rollout requests were read.
+	requestsRead     bool
+	storeUnavailable bool
+	// rowsReadAt is when the store's rows about rollouts were last requested.
+	rowsReadAt time.Duration
+	// published is the text form of what was last published, told that of what peers
+	// were told.
+	published, told string
+	// lastReport is the last report that was sent, at sentAt.
+	lastReport Report
+	sentAt     time.Duration
+	// isolatedSince is when this daemon lost the last other one of its data centre; 0 if
+	// it reaches one.
+	isolatedSince time.Duration
+}
+
+// peer is another daemon.
+type peer struct {
+	Member
+	// rank is that of the instance.
+	rank      uint64
+	state     PeerState
+	reachable bool
+	// reached is set once it was reachable. unreachableSince is when it ceased to be, or
+	// when it became known.
+	reached          bool
+	unreachableSince time.Duration
+}
+
+// service is what is known of one service's rollout.
+type service struct {
+	Progress
+	// knownAt is when the first daemon learned of the request, on this daemon's clock.
+	knownAt time.Duration
+	// phaseAt is when this daemon entered the phase.
+	phaseAt time.Duration
+	// unresolved is set while the store's phase of the request is not known after a
+	// start of the process.
+	unresolved bool
+	// hadBefore is set if the local upstream had the new version when the request
+	// became known.
+	hadBefore bool
+	// broken is set once the local upstream, of the new version, was found to fail.
+	broken bool
+	// unknownService is set once the service was reported as not configured.
+	unknownService bool
+	history        map[string]*history
+	coordination
+}
+
+// New returns the core of a daemon that has just started.
+func New(cfg Config) *Core {
+	return &Core{cfg: cfg, services: map[string]*service{}, peers: map[string]*peer{}}
+}
+
+// Step processes one event and returns the resulting effects in the order in which to
+// perform them.
+func (c *Core) Step(env step.Env, ev step.Event) []step.Effect {
+	c.now = env.Now
+	c.effects = nil
+	switch ev := ev.(type) {
+	case step.Tick:
+		c.tick()
+	case RequestsRead:
+		c.applyRequests(ev)
+	case RowsRead:
+		c.applyRows(ev)
+	case ProgressHeard:
+		for _, heard := range ev.Progress {
+			c.applyProgress(heard, ev.Instance)
+		}
+	case ReportReceived:
+		c.applyReport(ev)
+	case MembersChanged:
+		c.applyMembers(ev)
+	case PeerReachability:
+		c.applyReachability(ev)
+	case PeerState:
+		c.peer(ev.Instance).state = ev
+	case StoreAvailability:
+		c.storeUnavailable = ev.Unavailable
+	case UpstreamChanged:
+		c.upstream = ev
+	case ConfigServices:
+		c.configured = ev.Names
+		for _, s := range c.services {
+			c.warnUnknownService(s)
+		}
+	case WriteDone:
+		c.applyWrite(ev)
+	}
+	if received, ok := ev.(ReportReceived); ok && received.Instance != c.cfg.Instance {
+		// It concerns only the next decision of the coordinator.
+		return c.effects
+	}
+	c.learnVersions()
+	c.publish()
+	return c.effects
+}
+
+func (c *Core) emit(effect step.Effect) { c.effects = append(c.effects, effect) }
+
+func (c *Core) log(number event.Number, warn bool, fields ...step.Field) {
+	c.emit(step.Log{Event: number, Warn: warn, Fields: fields})
+}
+
+// tick performs the changes that depend on time alone.
+func (c *Core) tick() {
+	for _, name := range c.serviceNames() {
+		s := c.services[name]
+		if s.unresolved {
+			c.readRows()
+		}
+		c.coordinate(s)
+	}
+}
+
+// serviceNames returns the services with a rollout in order.
+func (c *Core) serviceNames() []string {
+	names := make([]string, 0, len(c.services))
+	for name := range c.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// ownService returns the service of the local upstream, or that of the settings before
+// the upstream has reported.
+func (c *Core) ownService() string { return cmp.Or(c.upstream.Service, c.cfg.Service) }
+
+// peer returns the peer with the instance.
+func (c *Core) peer(instance string) *peer {
+	p := c.peers[instance]
+	if p == nil {
+		p = &peer{Member: Member{Instance: instance}, rank: Rank(instance), unreachableSince: c.now}
+		c.peers[instance] = p
+	}
+	return p
+}
+
+// service returns the service of the peer's upstream as it last reported, or as the
+// member table has it.
+func (p *peer) service() string { return cmp.Or(p.state.Service, p.Member.Service) }
+
+func (c *Core) applyMembers(ev MembersChanged) {
+	kept := map[string]bool{}
+	for _, m := range ev.Members {
+		kept[m.Instance] = true
+		c.peer(m.Instance).Member = m
+	}
+	for instance := range c.peers {
+		if !kept[instance] {
+			delete(c.peers, instance)
+		}
+	}
+}
+
+func (c *Core) applyReachability(ev PeerReachability) {
+	p := c.peer(ev.Instance)
+	p.reachable = ev.Reachable
+	p.reached = p.reached || ev.Reachable
+	if !ev.Reachable {
+		p.unreachableSince = c.now
+	}
+}
+
+// applyRequests applies the rollout requests in the store.
+func (c *Core) applyRequests(ev RequestsRead) {
+	first := !c.requestsRead
+	c.requestsRead = true
+	for _, rejected := range ev.Rejected {
+		c.log(event.RolloutRejected, true, step.F("key", rejected.Key), step.F("error", rejected.Err))
+	}
+	for _, request := range ev.Requests {
+		s := c.services[request.Service]
+		if s != nil && !request.Position.After(s.Position) {
+			continue
+		}
+		var before Progress
+		if s != nil {
+			before = c.current(s)
+		}
+		s = c.begin(Begin(request, before), "store")
+		// Later requests are seen as they are written, and cannot have a phase yet.
+		s.unresolved = first && before.Phase == 0
+		c.rowsUnknown(s)
+	}
+	if first && len(ev.Requests) > 0 {
+		c.readRows()
+	}
+}
+
+// begin makes p the rollout of its service and returns its state.
+func (c *Core) begin(p Progress, from string) *service {
+	before := c.services[p.Service]
+	s := &service{Progress: p, knownAt: c.now - p.Age, phaseAt: c.now, history: map[string]*history{}}
+	s.hadBefore = c.upstream.Service == p.Service && c.upstream.Version == p.To
+	if before != nil {
+		s.coordination = before.coordination.carryOver()
+	}
+	continued := before != nil && p.continues(before.Progress)
+	if continued {
+		s.history, s.phaseAt, s.hadBefore, s.broken = before.history, before.phaseAt, before.hadBefore, before.broken
+	}
+	c.services[p.Service] = s
+	c.log(event.RolloutSeen, false, step.F("service", p.Service), step.F("to", p.To), step.F("period", p.Period),
+		step.F("phase", p.Phase), step.F("continued", continued), step.F("from", from))
+	c.warnUnknownService(s)
+	return s
+}
+
+// warnUnknownService logs a request for a service that is not configured, once. No
+// daemon has an upstream of it, so nothing else follows.
+func (c *Core) warnUnknownService(s *service) {
+	if c.configured == nil || c.configured[s.Service] || s.unknownService || !s.Phase.Active() {
+		return
+	}
+	s.unknownService = true
+	c.log(event.RolloutRejected, true, step.F("service", s.Service), step.F("error", "the service is not configured"))
+}
+
+// current returns the progress with its present age.
+func (c *Core) current(s *service) Progress {
+	p := s.Progress
+	p.Age = max(c.now-s.knownAt, 0)
+	return p
+}
+
+// applyProgress merges what another daemon or the store says about a rollout.
+func (c *Core) applyProgress(heard Progress, from string) {
+	if heard.Service == "" || heard.To == "" || heard.Phase < Trial || heard.Phase > Completed {
+		return
+	}
+	s := c.services[heard.Service]
+	if s == nil {
+		c.begin(heard, from)
+		return
+	}
+	own := c.current(s)
+	if heard.Position.After(own.Position) {
+		s = c.begin(Merge(heard, Begin(heard.Request, own)), from)
+		c.rowsUnknown(s)
+		return
+	}
+	merged := Merge(own, heard)
+	if heard.Position == own.Position {
+		s.unresolved = false
+	}
+	s.knownAt = c.now - merged.Age
+	if merged.Phase != s.Phase {
+		c.enter(s, merged.Phase, merged.Reason, from)
+	}
+	s.Progress = merged
+}
+
+// enter logs a new phase and makes it the present one.
+func (c *Core) enter(s *service, phase Phase, reason, from string) {
+	c.log(event.RolloutPhase, phase == Reverted, step.F("service", s.Service), step.F("to", s.To), step.F("phase", phase),
+		step.F("before", s.Phase), step.F("reason", reason), step.F("from", from), step.F("age", max(c.now-s.knownAt, 0)))
+	s.Phase, s.Reason, s.phaseAt = phase, reason, c.now
+}
+
+// learnVersions adds the versions that upstreams of the services have to those that
+// the rollouts replace.
+func (c *Core) learnVersions() {
+	for _, s := range c.services {
+		if !s.Phase.Active() {
+			continue
+		}
+		if c.upstream.Service == s.Service {
+			s.learn(c.upstream.Version)
+		}
+		for _, p := range c.peers {
+			if p.state.Service == s.Service {
+				s.learn(p.state.Version)
+			}
+		}
+	}
+}
+
+// learn adds a version to those that are replaced.
+func (s *service) learn(version string) {
+	if version == "" || version == s.To || slices.Contains(s.Denied, version) || slices.Contains(s.From, version) {
+		return
+	}
+	s.From = union(s.From, []string{version})
+}
+
+// applyReport records a report for the coordinator. From this daemon's own one follows
+// whether its upstream fails, and it is sent on.
+func (c *Core) applyReport(ev ReportReceived) {
+	for _, s := range c.services {
+		if s.Position != ev.Report.Position {
+			continue
+		}
+		if s.Phase.Final() {
+			return
+		}
+		if ev.Instance == c.cfg.Instance {
+			ev.Report.Unreachable = c.unreachable(s)
+		}
+		h := s.history[ev.Instance]
+		if h == nil {
+			h = &history{}
+			s.history[ev.Instance] = h
+		}
+		h.record(c.now, ev.Report)
+		if ev.Instance == c.cfg.Instance {
+			c.checkOwnUpstream(s, h)
+			c.sendReport(s, ev.Report)
+		}
+		return
+	}
+}
+
+// checkOwnUpstream closes the local upstream if it has the new version and fails
+// beyond doubt while there is an old version to run its requests.
+func (c *Core) checkOwnUpstream(s *service, h *history) {
+	if s.broken || h.latest.Version != s.To || s.Phase >= Full {
+		return
+	}
+	for _, length := range []time.Duration{0, shortWindow} {
+		sample := Sample(h.window(c.now, length))
+		count := failures([]Sample{sample}, "")
+		if score := count.score(breakerBase, failureSteps); score >= breakerScore {
+			s.broken = true
+			c.log(event.RolloutUpstreamClosed, true, step.F("service", s.Service), step.F("version", s.To), step.F("failures", count))
+			return
+		}
+	}
+}
+
+// sendReport sends a report to the daemons that may coordinate, if one is due.
+func (c *Core) sendReport(s *service, report Report) {
+	interval := oldReportInterval
+	if report.Version == s.To {
+		interval = newReportInterval
+	}
+	last := &c.lastReport
+	urgent := last.Position != report.Position || last.Phase != report.Phase || last.Drained != report.Drained || last.Version != report.Version
+	if last.answers() == report.answers() {
+		interval = keepAliveInterval
+	}
+	if !urgent && c.now-c.sentAt < interval {
+		return
+	}
+	var to []string
+	for _, instance := range c.coordinators(s) {
+		if instance != c.cfg.Instance {
+			to = append(to, instance)
+		}
+	}
+	if len(to) == 0 {
+		return
+	}
+	c.lastReport, c.sentAt = report, c.now
+	c.emit(SendReport{To: to[:min(len(to), reportReceivers)], Report: report})
+}
+
+// unreachable returns the members of the service in this daemon's data centre that it
+// has not reached for goneAfter.
+func (c *Core) unreachable(s *service) []string {
+	var all []string
+	for instance, p := range c.peers {
+		if p.service() == s.Service && p.DataCentre == c.cfg.DataCentre && !p.reachable && c.now-p.unreachableSince >= goneAfter {
+			all = append(all, instance)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// cutOff reports whether this daemon reaches fewer than half of the members of the
+// service that it has reached before, itself included.
+func (c *Core) cutOff(s *service) bool {
+	reached, reachable := 1, 1
+	for _, p := range c.peers {
+		if p.service() != s.Service || !p.reached {
+			continue
+		}
+		reached++
+		if p.reachable {
+			reachable++
+		}
+	}
+	return 2*reachable < reached
+}
+
+// isolated reports whether this daemon has for isolatedAfter reached none of several
+// other daemons in its data centre. The others may then count it as gone.
+func (c *Core) isolated() bool {
+	others, reachable := 0, 0
+	for _, p := range c.peers {
+		if p.DataCentre != c.cfg.DataCentre || !p.reached {
+			continue
+		}
+		others++
+		if p.reachable {
+			reachable++
+		}
+	}
+	if others < 2 || reachable > 0 {
+		c.isolatedSince = 0
+		return false
+	}
+	if c.isolatedSince == 0 {
+		c.isolatedSince = c.now
+	}
+	return c.now-c.isolatedSince >= isolatedAfter
+}
+
+// view returns what the data path gets to know of a rollout.
+func (c *Core) view(s *service) View {
+	v := View{Progress: c.current(s)}
+	if s.Service != c.ownService() {
+		v.Gated = len(s.From) > 0
+		return v
+	}
+	v.Gated = len(s.From) > 0 || !s.hadBefore
+	v.Closed = s.unresolved || s.Phase.Active() && c.isolated()
+	v.NewClosed = s.broken || s.Phase == Trial && c.cutOff(s)
+	return v
+}
+
+// publish publishes the rollouts if anything but their age has changed, and tells
+// peers if they do not know it.
+func (c *Core) publish() {
+	all := Publish{}
+	published, told := "", ""
+	for _, name := range c.serviceNames() {
+		s := c.services[name]
+		v := c.view(s)
+		all.Views = append(all.Views, v)
+		v.Age = 0
+		told += fmt.Sprintf("%+v\n", v.Progress)
+		published += fmt.Sprintf("%+v %+v\n", v, s.summaryKey())
+	}
+	if published == c.published {
+		return
+	}
+	for _, name := range c.serviceNames() {
+		all.Summaries = append(all.Summaries, c.summary(c.services[name]))
+	}
+	all.Tell = told != c.told
+	c.published, c.told = published, told
+	c.emit(all)
+}
+
+// storePosition returns the position of a saved rollout's request.
+func (s *Saved) storePosition() store.Position {
+	return store.Position{Era: store.Era(s.Era), Version: s.Version}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -40,8 +40,27 @@
 	// ErrEarlierEra means that the answer describes rows that the store has lost
 	// since, because it came back from an older copy.
 	ErrEarlierEra = errors.New("store answered from an earlier era")
+	// ErrConflict means that a row of a conditional write had another version than
+	// expected, and nothing was written.
+	ErrConflict = errors.New("store has another version of a row")
 )
 
+// Write is a row to be written. Expect is the version that the row must have, 0 for
+// one that does not exist; CheckOnly leaves the row as it is.
+type Write struct {
+	Table     string
+	Key       string
+	Value     []byte
+	Expect    uint64
+	CheckOnly bool
+}
+
+// TableRow is a row and its table.
+type TableRow struct {
+	Table string
+	Row
+}
+
 // Store reads, writes and watches tables. All methods are safe for concurrent
 // use.
 type Store interface {
@@ -54,6 +73,10 @@
 	Watch(ctx context.Context, table string, after Position, wait time.Duration) (Rows, error)
 	// Put creates or overwrites a row.
 	Put(ctx context.Context, table, key string, value []byte) error
+	// PutIf writes all rows, or none if one has another version than expected. It
+	// returns the position of the write, or with ErrConflict the rows that the store
+	// names, which may be only some of those that differ.
+	PutIf(ctx context.Context, writes []Write) (Position, []TableRow, error)
 	// Eras returns the tracker of the era of the store's answers.
 	Eras() *EraTracker
 	// SetAddress sets the store's address, host:port, for subsequent calls.
