--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -67,6 +67,8 @@
 	CallAnswerBroken    Code = 517
 	CallHeadersTooLarge Code = 518
 	CallUpstreamRefused Code = 519
+	CallNotExposed      Code = 524
+	CallVersionClosed   Code = 525
 )
 
 // Info describes one code.
@@ -127,6 +129,8 @@
 	{CallAnswerBroken, "call-answer-broken", "The upstream's answer was incomplete or invalid.", Unknown, http.StatusBadGateway, false},
 	{CallHeadersTooLarge, "call-headers-too-large", "The request headers exceed the limit.", NotRun, http.StatusRequestHeaderFieldsTooLarge, false},
 	{CallUpstreamRefused, "call-upstream-refused", "The upstream refused the request without running it.", NotRun, http.StatusServiceUnavailable, true},
+	{CallNotExposed, "call-not-exposed", "The upstream has a new version on trial, and the request does not belong to the trial.", NotRun, http.StatusServiceUnavailable, true},
+	{CallVersionClosed, "call-version-closed", "A rollout gives no requests to the version of the upstream.", NotRun, http.StatusServiceUnavailable, true},
 }
 
 var byCode = indexByCode()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -85,6 +85,8 @@
 	// storeUnavailable is the set of the peers that the store does not answer, by
 	// instance.
 	storeUnavailable map[string]bool
+	// rollouts holds the services with a rollout in progress.
+	rollouts map[string]bool
 	// era is what is known of the store's era.
 	era eraState
 	// storeWatcher is set while this daemon watches the store for new
@@ -143,6 +145,9 @@
 		c.upstreamLeaving(ev)
 	case MemberWritten:
 		c.selfWritten = ev.Err == nil
+	case RolloutsChanged:
+		c.rollouts = ev.Services
+		c.publishMembers()
 	case StopRequested:
 		c.stop()
 	}
--- a/internal/control/mesh.go
+++ b/internal/control/mesh.go
@@ -26,8 +26,9 @@
 )
 
 // publishMembers publishes the daemons to stay connected to: all of the local
-// data centre, and a few in other data centres for each service. It then decides
-// again whether this daemon is a store watcher.
+// data centre, all of the own service while that has a rollout in progress, and a
+// few in other data centres for each other service. It then decides again whether
+// this daemon is a store watcher.
 func (c *Core) publishMembers() {
 	c.publishPending = false
 	var connected []Member
@@ -42,6 +43,10 @@
 			connected = append(connected, row.Member)
 			continue
 		}
+		if row.Service == c.cfg.Self.Service && c.rollouts[row.Service] {
+			connected = append(connected, row.Member)
+			continue
+		}
 		remote[row.Service] = append(remote[row.Service], row.Member)
 	}
 	for _, members := range remote {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -109,6 +109,12 @@
 	StartTime int64
 }
 
+// RolloutsChanged carries the services with a rollout in progress. A daemon of such a
+// service connects to all others of it.
+type RolloutsChanged struct {
+	Services map[string]bool
+}
+
 // StopRequested starts a planned stop.
 type StopRequested struct{}
 
@@ -157,6 +163,9 @@
 // EventName implements step.Event.
 func (UpstreamLeaving) EventName() string { return "upstream-leaving" }
 
+// EventName implements step.Event.
+func (RolloutsChanged) EventName() string { return "rollouts-changed" }
+
 // EventName implements step.Event.
 func (StopRequested) EventName() string { return "stop-requested" }
 
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -40,6 +40,8 @@
 	// StartTime is its start time in Unix milliseconds; 0 for unknown.
 	StartTime int64
 	Service   string
+	// Version is that of its program; empty if unknown.
+	Version string
 	// Address is host:port.
 	Address string
 	// Slots is the number of requests that it runs at a time.
@@ -75,6 +77,8 @@
 	// unknown.
 	StartTime int64
 	Service   string
+	// Version is that of its program; empty if unknown.
+	Version string
 	// Address is host:port.
 	Address string
 	Slots   int
@@ -106,7 +110,7 @@
 	before := c.upstream
 	c.lastHeartbeat = c.now
 	c.upstream = Upstream{
-		ID: ev.Upstream, StartTime: ev.StartTime, Service: ev.Service, Address: ev.Address,
+		ID: ev.Upstream, StartTime: ev.StartTime, Service: ev.Service, Version: ev.Version, Address: ev.Address,
 		Slots: ev.Slots, State: ev.State, sequence: ev.Sequence,
 	}
 	if sameIncarnation {
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -73,6 +73,9 @@
 	fmt.Fprintf(w, "version   %d\n", r.ConfigVersion)
 	fmt.Fprintf(w, "store era %d\n", r.StoreEra)
 	fmt.Fprintf(w, "upstream  %s of %s is %s: %d running, %d waiting, %d slots\n", u.ID, u.Service, u.State, u.Running, u.Waiting, u.Slots)
+	for _, rollout := range r.Rollouts {
+		writeRollout(w, rollout)
+	}
 	for _, p := range r.Peers {
 		state := "cannot be reached"
 		switch {
@@ -85,3 +88,15 @@
 			p.Instance, p.DataCentre, p.Service, state, p.ConfigVersion, p.StoreEra)
 	}
 }
+
+func writeRollout(w io.Writer, r status.Rollout) {
+	const perSecond = 1000
+	fmt.Fprintf(w, "rollout   %s from %v to %s is %s (%s): %.1f s of %.1f s, share %.2f, coordinator %s\n",
+		r.Service, r.From, r.To, r.Phase, r.Reason, float64(r.ElapsedMS)/perSecond, float64(r.PeriodMS)/perSecond, r.Share, r.Coordinator)
+	if r.Evidence != "" {
+		fmt.Fprintf(w, "evidence  %d answers, %d failures, score %.1f: %s\n", r.Answers, r.Failures, r.Score, r.Evidence)
+	}
+	if r.Waiting != "" {
+		fmt.Fprintf(w, "waits for %s\n", r.Waiting)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"godwitmount/internal/hop"
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/proxy"
+	"godwitmount/internal/rollout"
 	"godwitmount/internal/settings"
 	"godwitmount/internal/shaping"
 	"godwitmount/internal/status"
@@ -45,6 +46,8 @@
 	reportTimeout = 900 * time.Millisecond
 	// bitsPerKilobit converts the unit of the link's rate in the settings.
 	bitsPerKilobit = 1000
+	// perMille converts thousandths to a share.
+	perMille = 1000
 )
 
 // Platform holds what the daemon needs from the platform that it runs on.
@@ -65,6 +68,9 @@
 	// NewReportHandler returns the HTTP handler for the local upstream's
 	// reports. The handler calls apply with each valid report, and rejected with
 	// the error of each report that is invalid or for which apply failed.
+	// Rollouts names the rows about rollouts. They are used only if the settings enable
+	// rollouts.
+	Rollouts         RolloutRows
 	NewReportHandler func(apply func(control.UpstreamReport) error, rejected func(error)) http.Handler
 }
 
@@ -98,6 +104,8 @@
 	// closers close the listeners and the servers on them.
 	closers  []func() error
 	registry *prometheus.Registry
+	// rollouts follows rollouts; nil if the settings disable them.
+	rollouts *rolloutControl
 	// storeMetrics are those that the control loop updates.
 	storeMetrics *storeMetrics
 	// ready is set once a readiness check has succeeded, so that only the first
@@ -137,6 +145,7 @@
 		return nil, err
 	}
 	go d.loop.run(d.background)
+	go d.rollouts.run(d.background)
 	go d.watchConfig(d.background)
 	go d.watchMembers(d.background)
 	s := cfg.Settings
@@ -152,6 +161,10 @@
 	self := control.Member{Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerAddress(), Service: s.Service}
 	core := control.New(control.Config{Self: self, HeartbeatInterval: s.HeartbeatInterval.Std(), UpstreamAddress: s.UpstreamAddress})
 	d.loop = newLoop(core, d.perform, d.log)
+	d.rollouts = newRolloutControl(d)
+	if err := registerRolloutMetrics(d.registry, d.rollouts); err != nil {
+		return err
+	}
 	eras := d.cfg.Platform.Store.Eras()
 	eras.SetListener(d.eraListener())
 	storeMetrics, err := newStoreMetrics(d.registry, eras)
@@ -170,6 +183,7 @@
 		RetryPercent: s.RetryPercent,
 		RetryExtra:   s.RetryExtra,
 		RetryWindow:  s.RetryWindow.Std(),
+		ExposeShare:  float64(s.ExposePerMille) / perMille,
 	}, proxy.Deps{
 		Peers:             d.peers,
 		ReportUnreachable: func(upstream string) { d.loop.post(control.UpstreamUnreachable{ID: upstream}) },
@@ -185,7 +199,7 @@
 		return fmt.Errorf("create data path: %w", err)
 	}
 	d.proxy = dataPath
-	d.peers.SetState(dataPath.StateWithSuspects, dataPath.State)
+	d.peers.SetState(d.stateForNews, d.stateForPings)
 	d.server = hop.NewServer(proxy.Hello(self), hopHandler{d}, link)
 	return nil
 }
@@ -197,6 +211,7 @@
 		StateReceived: d.handlePeerState,
 		ReachabilityChanged: func(instance string, reachable bool) {
 			d.loop.post(control.PeerReachability{Instance: instance, Reachable: reachable})
+			d.rollouts.post(rollout.PeerReachability{Instance: instance, Reachable: reachable})
 		},
 		StoreAvailabilityChanged: func(instance string, unavailable bool) {
 			d.loop.post(control.PeerStoreAvailability{Instance: instance, Unavailable: unavailable})
@@ -227,6 +242,7 @@
 // version and the store's era, if newer than the known ones, and its crash
 // suspects, that is, requests that were running when an upstream crashed.
 func (d *Daemon) handlePeerState(instance string, state *hopv1.State) {
+	d.rollouts.peerState(instance, state)
 	version := state.GetConfigVersion()
 	if t := d.proxy.ActiveTable(); version > 0 && (t == nil || version > t.Version) {
 		d.loop.post(control.PeerConfigVersion{Instance: instance, Version: version})
@@ -240,7 +256,15 @@
 }
 
 // broadcastState sends this daemon's state to all connected peers.
-func (d *Daemon) broadcastState() { d.server.Broadcast(d.proxy.StateWithSuspects()) }
+func (d *Daemon) broadcastState() { d.server.Broadcast(d.stateForNews()) }
+
+// stateForNews returns the state for handshakes and broadcasts: with the crash suspects
+// and all rollouts. stateForPings has only the rollouts in progress.
+func (d *Daemon) stateForNews() *hopv1.State {
+	return d.rollouts.addTo(d.proxy.StateWithSuspects(), true)
+}
+
+func (d *Daemon) stateForPings() *hopv1.State { return d.rollouts.addTo(d.proxy.State(), false) }
 
 // listen opens all listeners and starts serving on them.
 func (d *Daemon) listen() error {
@@ -349,6 +373,7 @@
 	s.Release = version.Get().String()
 	s.Stopping = d.stopping.Load()
 	s.StoreEra = uint64(d.cfg.Platform.Store.Eras().Latest())
+	s.Rollouts = d.rollouts.status()
 	s.Peers = d.peers.Status()
 	return s
 }
@@ -376,7 +401,17 @@
 }
 
 // State implements hop.Handler.
-func (h hopHandler) State() *hopv1.State { return h.d.proxy.State() }
+func (h hopHandler) State() *hopv1.State { return h.d.stateForPings() }
+
+// HelloState implements hop.Handler.
+func (h hopHandler) HelloState() *hopv1.State {
+	return h.d.rollouts.addTo(h.d.proxy.State(), true)
+}
+
+// RolloutReportReceived implements hop.Handler.
+func (h hopHandler) RolloutReportReceived(instance string, report *hopv1.RolloutReport) {
+	h.d.rollouts.reportReceived(instance, report)
+}
 
 // DrainRecord implements hop.Handler.
 func (h hopHandler) DrainRecord(instance string) *hopv1.Left { return h.d.peers.DrainRecord(instance) }
@@ -405,5 +440,7 @@
 
 // StateReceived implements hop.Handler.
 func (h hopHandler) StateReceived(instance string, state *hopv1.State) {
+	// A daemon that this one does not connect to may know of a rollout first.
+	h.d.rollouts.peerState(instance, state)
 	h.d.peers.StateReceived(instance, state)
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"godwitmount/internal/rollout"
 	"godwitmount/internal/store"
 )
 
@@ -28,3 +29,29 @@
 	}
 	return m, nil
 }
+
+// registerRolloutMetrics registers the metrics of the rollout of this daemon's service.
+// They are 0 while there is none.
+func registerRolloutMetrics(registerer prometheus.Registerer, rollouts *rolloutControl) error {
+	gauge := func(name, help string, value func(v rollout.View, score float64) float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 {
+			if v, score, found := rollouts.own(); found {
+				return value(v, score)
+			}
+			return 0
+		})
+	}
+	for _, c := range []prometheus.Collector{
+		gauge("godwitmount_rollout_phase", "Phase of the rollout of the instance's service; 0 for none.",
+			func(v rollout.View, _ float64) float64 { return float64(v.Phase) }),
+		gauge("godwitmount_rollout_share", "Share of the service's requests that goes to the new version.",
+			func(v rollout.View, _ float64) float64 { return rollouts.daemon.proxy.RolloutShare(v.Service) }),
+		gauge("godwitmount_rollout_score", "Result of the test that speaks most against the new version, at the coordinator.",
+			func(_ rollout.View, score float64) float64 { return score }),
+	} {
+		if err := registerer.Register(c); err != nil {
+			return fmt.Errorf("register metric: %w", err)
+		}
+	}
+	return nil
+}
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -8,7 +8,9 @@
 
 	"godwitmount/internal/control"
 	"godwitmount/internal/event"
+	"godwitmount/internal/manifest"
 	"godwitmount/internal/proxy"
+	"godwitmount/internal/rollout"
 	"godwitmount/internal/step"
 )
 
@@ -25,11 +27,14 @@
 	case step.Log:
 		d.writeLog(e)
 	case control.PublishTable:
+		d.rollouts.post(rollout.ConfigServices{Names: serviceNames(e.Table)})
 		d.proxy.SetTable(&proxy.Table{Table: e.Table, Version: e.Version, Packed: e.Packed})
 		d.broadcastState()
 	case control.PublishMembers:
 		d.peers.SetMembers(e.Members, e.Known)
+		d.rollouts.post(rolloutMembers(e.Members))
 	case control.SetUpstream:
+		d.rollouts.post(rollout.UpstreamChanged{Service: e.Upstream.Service, Version: e.Upstream.Version})
 		d.proxy.SetUpstream(e.Upstream)
 		d.broadcastState()
 	case control.WriteMember:
@@ -50,6 +55,24 @@
 	}
 }
 
+// serviceNames returns the names of the services of a configuration.
+func serviceNames(table *manifest.Table) map[string]bool {
+	names := map[string]bool{}
+	for _, service := range table.Manifest().Services {
+		names[service.Name] = true
+	}
+	return names
+}
+
+// rolloutMembers returns the members as the reducer of rollouts takes them.
+func rolloutMembers(members []control.Member) rollout.MembersChanged {
+	ev := rollout.MembersChanged{}
+	for _, m := range members {
+		ev.Members = append(ev.Members, rollout.Member{Instance: m.Instance, DataCentre: m.DataCentre, Service: m.Service})
+	}
+	return ev
+}
+
 // writeLog writes a log line that the reducer requested.
 func (d *Daemon) writeLog(line step.Log) {
 	fields := make([]zap.Field, len(line.Fields))
--- /dev/null
+++ b/internal/daemon/rollouts.go
@@ -0,0 +1,383 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/control"
+	"godwitmount/internal/event"
+	"godwitmount/internal/rollout"
+	"godwitmount/internal/status"
+	"godwitmount/internal/step"
+	"godwitmount/internal/store"
+)
+
+const (
+	// RolloutsTable is the store table in which the daemons keep the phases of rollouts,
+	// by service.
+	RolloutsTable = "godwitmount-rollouts"
+	// reportInterval is the time between two looks at what the local upstream has done.
+	reportInterval = 100 * time.Millisecond
+	// newsTimeout bounds the wait until news about a rollout are in force. The state of a
+	// peer is applied before its configuration is fetched.
+	newsTimeout = 300 * time.Millisecond
+)
+
+// RolloutRows holds what the daemon needs from the platform to follow rollouts.
+type RolloutRows struct {
+	// ParseRequest decodes a row of ConfigTable into a rollout request without its
+	// position. It returns false for a row that is none.
+	ParseRequest func(key string, value []byte) (rollout.Request, bool, error)
+	// RequestKey returns the key of a service's request in ConfigTable.
+	RequestKey func(service string) string
+	// StatusTable and StatusKey name the row that tells the platform how far a service's
+	// rollout is, and Status returns its value. ServiceOf returns the service of a key.
+	StatusTable string
+	StatusKey   func(service string) string
+	ServiceOf   func(key string) string
+	Status      func(phase rollout.Phase, to string) []byte
+}
+
+// rolloutControl drives the reducer of rollouts and performs its effects. A nil one does
+// nothing: rollouts are disabled.
+type rolloutControl struct {
+	daemon *Daemon
+	loop   *loop
+
+	mu sync.Mutex
+	// published is what the reducer last published, at publishedAt.
+	published   rollout.Publish
+	publishedAt time.Time
+	// heard holds the last news of each peer, and states what its last state said, by
+	// instance.
+	heard  map[string][]rollout.Progress
+	states map[string]rollout.PeerState
+	// active is the set of services with a rollout in progress.
+	active map[string]bool
+}
+
+func newRolloutControl(d *Daemon) *rolloutControl {
+	s := d.cfg.Settings
+	if s.ExposePerMille == 0 {
+		return nil
+	}
+	r := &rolloutControl{daemon: d, heard: map[string][]rollout.Progress{}, states: map[string]rollout.PeerState{}, active: map[string]bool{}}
+	core := rollout.New(rollout.Config{Instance: s.Instance, DataCentre: s.DataCentre, Service: s.Service, Rollback: s.Rollback.Std()})
+	r.loop = newLoop(core, r.perform, d.log)
+	return r
+}
+
+// run drives the reducer until ctx ends.
+func (r *rolloutControl) run(ctx context.Context) {
+	if r == nil {
+		return
+	}
+	go r.loop.run(ctx)
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		r.daemon.proxy.RefreshRollouts()
+		if report, active := r.daemon.proxy.RolloutReport(); active {
+			r.loop.post(rollout.ReportReceived{Instance: r.daemon.cfg.Settings.Instance, Report: report})
+		}
+	}
+}
+
+// post queues an event for the reducer.
+func (r *rolloutControl) post(ev step.Event) {
+	if r != nil {
+		r.loop.post(ev)
+	}
+}
+
+// apply passes an event to the reducer and waits until its effects are in force, at most
+// newsTimeout.
+func (r *rolloutControl) apply(ev step.Event) {
+	ctx, cancel := context.WithTimeout(r.daemon.background, newsTimeout)
+	defer cancel()
+	if err := r.loop.do(ctx, ev); err != nil && r.daemon.background.Err() == nil {
+		r.daemon.log.Warn(event.EventQueueOverflow, zap.String("late", ev.EventName()), zap.Error(err))
+	}
+}
+
+// requestsRead applies the rows of ConfigTable that are rollout requests. Complete is
+// set when rows is the complete table.
+func (r *rolloutControl) requestsRead(rows []store.Row, complete bool) {
+	if r == nil {
+		return
+	}
+	ev := rollout.RequestsRead{}
+	for _, row := range rows {
+		if row.Removed {
+			continue
+		}
+		request, is, err := r.daemon.cfg.Platform.Rollouts.ParseRequest(row.Key, row.Value)
+		switch {
+		case err != nil:
+			ev.Rejected = append(ev.Rejected, rollout.RejectedRequest{Key: row.Key, Err: err})
+		case is:
+			request.Position = row.Position
+			ev.Requests = append(ev.Requests, request)
+		}
+	}
+	if complete || len(ev.Requests)+len(ev.Rejected) > 0 {
+		r.apply(ev)
+	}
+}
+
+// peerState applies what a peer's state says about rollouts, its upstream and the store.
+func (r *rolloutControl) peerState(instance string, state *hopv1.State) {
+	if r == nil || state == nil || instance == "" {
+		return
+	}
+	r.heardFrom(instance, state.GetRollouts())
+	changed := rollout.PeerState{
+		Instance: instance, Service: state.GetService(), Version: state.GetUpstreamVersion(), StoreUnavailable: state.GetStoreLost(),
+	}
+	r.mu.Lock()
+	same := r.states[instance] == changed
+	r.states[instance] = changed
+	r.mu.Unlock()
+	if !same {
+		r.loop.post(changed)
+	}
+}
+
+// heardFrom applies what a peer knows of rollouts, if that is new.
+func (r *rolloutControl) heardFrom(instance string, rollouts []*hopv1.Rollout) {
+	if len(rollouts) == 0 {
+		return
+	}
+	progress := make([]rollout.Progress, len(rollouts))
+	for i, raw := range rollouts {
+		progress[i] = decodeProgress(raw)
+	}
+	r.mu.Lock()
+	same := sameNews(r.heard[instance], progress)
+	r.heard[instance] = progress
+	r.mu.Unlock()
+	if !same {
+		r.apply(rollout.ProgressHeard{Instance: instance, Progress: progress})
+	}
+}
+
+// sameNews reports whether two lists are equal but for the ages.
+func sameNews(a, b []rollout.Progress) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		earlier := a[i]
+		earlier.Age = b[i].Age
+		if !reflect.DeepEqual(earlier, b[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// reportReceived applies a peer's report.
+func (r *rolloutControl) reportReceived(instance string, report *hopv1.RolloutReport) {
+	r.post(rollout.ReportReceived{Instance: instance, Report: decodeReport(report)})
+}
+
+// addTo adds the rollouts to a state: all of them or those in progress.
+func (r *rolloutControl) addTo(state *hopv1.State, all bool) *hopv1.State {
+	if r == nil {
+		return state
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	elapsed := time.Since(r.publishedAt)
+	for _, v := range r.published.Views {
+		if !v.Unresolved && (all || v.Phase.Active()) {
+			p := v.Progress
+			p.Age += elapsed
+			state.Rollouts = append(state.Rollouts, encodeProgress(p))
+		}
+	}
+	return state
+}
+
+// status returns what operators see.
+func (r *rolloutControl) status() []status.Rollout {
+	if r == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []status.Rollout
+	for i, v := range r.published.Views {
+		s := r.published.Summaries[i]
+		one := status.Rollout{
+			Service: v.Service, To: v.To, From: v.From, Phase: v.Phase.String(), Reason: v.Reason,
+			Share:     r.daemon.proxy.RolloutShare(v.Service),
+			ElapsedMS: (s.Elapsed + time.Since(r.publishedAt)).Milliseconds(), PeriodMS: v.Period.Milliseconds(),
+			Coordinator: s.Coordinator, Waiting: s.Waiting,
+		}
+		if s.Verdict.Answers > 0 {
+			one.Answers, one.Failures, one.Score, one.Evidence = s.Verdict.Answers, s.Verdict.Failures, s.Verdict.Score, s.Verdict.Reason
+		}
+		all = append(all, one)
+	}
+	return all
+}
+
+// own returns the rollout of this daemon's service and its score, or false.
+func (r *rolloutControl) own() (v rollout.View, score float64, found bool) {
+	if r == nil {
+		return rollout.View{}, 0, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, v := range r.published.Views {
+		if v.Service == r.daemon.cfg.Settings.Service {
+			return v, r.published.Summaries[i].Verdict.Score, true
+		}
+	}
+	return rollout.View{}, 0, false
+}
+
+// perform performs one effect of the reducer. It does not block.
+func (r *rolloutControl) perform(effect step.Effect) {
+	d := r.daemon
+	switch e := effect.(type) {
+	case step.Log:
+		d.writeLog(e)
+	case rollout.Publish:
+		r.publish(e)
+	case rollout.SendReport:
+		d.peers.SendReport(e.To, encodeReport(e.Report))
+	case rollout.ReadRows:
+		go r.readRows()
+	case rollout.ReadRequests:
+		setLatest(d.readOnce, struct{}{})
+	case rollout.Write:
+		go r.write(e)
+	}
+}
+
+// publish puts what is known in force and tells peers.
+func (r *rolloutControl) publish(e rollout.Publish) {
+	active := map[string]bool{}
+	for _, v := range e.Views {
+		if v.Phase.Active() {
+			active[v.Service] = true
+		}
+	}
+	r.mu.Lock()
+	r.published, r.publishedAt = e, time.Now()
+	changed := !reflect.DeepEqual(active, r.active)
+	r.active = active
+	r.mu.Unlock()
+	r.daemon.proxy.SetRollouts(e.Views)
+	if e.Tell {
+		r.daemon.broadcastState()
+	}
+	if changed {
+		r.daemon.loop.post(control.RolloutsChanged{Services: active})
+	}
+}
+
+// readRows reads the rows about rollouts and posts them.
+func (r *rolloutControl) readRows() {
+	ctx, cancel := context.WithTimeout(r.daemon.background, writeTimeout)
+	defer cancel()
+	ev, err := r.rows(ctx)
+	if err != nil {
+		r.daemon.log.Event(event.StoreCallFailed, zap.String("table", RolloutsTable), zap.Error(err))
+	}
+	ev.Err = err
+	r.loop.post(ev)
+}
+
+func (r *rolloutControl) rows(ctx context.Context) (rollout.RowsRead, error) {
+	p := r.daemon.cfg.Platform
+	ev := rollout.RowsRead{Statuses: map[string]rollout.StatusRow{}, Phases: map[string]rollout.PhaseRow{}}
+	statuses, err := p.Store.Read(ctx, p.Rollouts.StatusTable)
+	if err != nil {
+		return ev, err
+	}
+	for _, row := range statuses.Rows {
+		ev.Statuses[p.Rollouts.ServiceOf(row.Key)] = rollout.StatusRow{Version: row.Position.Version}
+	}
+	phases, err := p.Store.Read(ctx, RolloutsTable)
+	if err != nil {
+		return ev, err
+	}
+	for _, row := range phases.Rows {
+		ev.Phases[row.Key] = phaseRow(row)
+	}
+	return ev, nil
+}
+
+// phaseRow decodes a row of RolloutsTable. The content of a malformed one is left out.
+func phaseRow(row store.Row) rollout.PhaseRow {
+	decoded := rollout.PhaseRow{Version: row.Position.Version}
+	if row.Removed {
+		return rollout.PhaseRow{}
+	}
+	if json.Unmarshal(row.Value, &decoded.Saved) != nil {
+		decoded.Saved = rollout.Saved{}
+	}
+	return decoded
+}
+
+// write performs a conditional write and posts its result.
+func (r *rolloutControl) write(e rollout.Write) {
+	ctx, cancel := context.WithTimeout(r.daemon.background, writeTimeout)
+	defer cancel()
+	p := r.daemon.cfg.Platform
+	phase, _ := rollout.ParsePhase(e.Saved.Phase)
+	done := rollout.WriteDone{Service: e.Request.Service, Position: e.Request.Position, Phase: phase}
+	saved, err := json.Marshal(e.Saved)
+	if err != nil {
+		// Marshalling a struct of strings and numbers cannot fail.
+		panic(fmt.Sprintf("daemon: encode phase: %v", err))
+	}
+	position, rows, err := p.Store.PutIf(ctx, []store.Write{
+		{Table: p.ConfigTable, Key: p.Rollouts.RequestKey(e.Request.Service), Expect: e.Request.Position.Version, CheckOnly: true},
+		{Table: p.Rollouts.StatusTable, Key: p.Rollouts.StatusKey(e.Request.Service), Expect: e.StatusVersion, Value: p.Rollouts.Status(phase, e.Request.To)},
+		{Table: RolloutsTable, Key: e.Request.Service, Expect: e.PhaseVersion, Value: saved},
+	})
+	done.Version, done.Err = position.Version, err
+	if errors.Is(err, store.ErrConflict) {
+		done.Current = r.current(e.Request.Service, rows)
+	}
+	r.loop.post(done)
+}
+
+// current sorts the rows that the store names with a conflict.
+func (r *rolloutControl) current(service string, rows []store.TableRow) rollout.Current {
+	p := r.daemon.cfg.Platform
+	var current rollout.Current
+	for _, row := range rows {
+		version := row.Position.Version
+		if row.Removed {
+			version = 0
+		}
+		switch {
+		case row.Table == p.ConfigTable && row.Key == p.Rollouts.RequestKey(service):
+			current.Request = &version
+		case row.Table == p.Rollouts.StatusTable && row.Key == p.Rollouts.StatusKey(service):
+			current.Status = &rollout.StatusRow{Version: version}
+		case row.Table == RolloutsTable && row.Key == service:
+			phase := phaseRow(row.Row)
+			current.Phase = &phase
+		}
+	}
+	return current
+}
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -12,6 +12,7 @@
 	"godwitmount/internal/asynclog"
 	"godwitmount/internal/control"
 	"godwitmount/internal/event"
+	"godwitmount/internal/rollout"
 	"godwitmount/internal/store"
 )
 
@@ -146,7 +147,9 @@
 // the reducer requests it.
 func (d *Daemon) watchConfig(ctx context.Context) {
 	p := d.cfg.Platform
-	t := &tableReader{store: p.Store, name: p.ConfigTable, log: d.log, backoff: minBackoff, notify: d.setStoreUnavailable, apply: func(rows store.Rows, _ bool) {
+	t := &tableReader{store: p.Store, name: p.ConfigTable, log: d.log, backoff: minBackoff, notify: d.setStoreUnavailable, apply: func(rows store.Rows, complete bool) {
+		// Before a configuration, with which the upstream gets its first requests.
+		d.rollouts.requestsRead(rows.Rows, complete)
 		for _, row := range rows.Rows {
 			if row.Key == p.ConfigKey && !row.Removed {
 				d.readConfig(row.Value, control.FromStore)
@@ -208,6 +211,7 @@
 // setStoreUnavailable reports to peers whether the store answers this daemon, so
 // that another one can become a store watcher.
 func (d *Daemon) setStoreUnavailable(unavailable bool) {
+	d.rollouts.post(rollout.StoreAvailability{Unavailable: unavailable})
 	if d.proxy.SetStoreUnavailable(unavailable) {
 		d.broadcastState()
 	}
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -310,6 +310,16 @@
 	return config, nil
 }
 
+// SendReport sends a rollout report. It is lost if the peer is not reachable.
+func (c *Client) SendReport(report *hopv1.RolloutReport) {
+	c.mu.Lock()
+	pc := c.peerConn
+	c.mu.Unlock()
+	if pc != nil {
+		_ = c.send(pc, &hopv1.Frame{Body: &hopv1.Frame_RolloutReport{RolloutReport: report}})
+	}
+}
+
 func always() bool { return true }
 
 // roundTrip sends a frame on a new stream and returns the reply. For giveUp, see Do.
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -57,6 +57,8 @@
 
 func (h *testHandler) State() *hopv1.State { return &hopv1.State{ConfigVersion: 3} }
 
+func (h *testHandler) HelloState() *hopv1.State { return h.State() }
+
 func (h *testHandler) DrainRecord(string) *hopv1.Left { return &hopv1.Left{Upstream: "u-1", Born: 5} }
 
 func (h *testHandler) Panicked(any) {}
@@ -65,6 +67,8 @@
 
 func (h *testHandler) HelloReceived(*hopv1.Hello) {}
 
+func (h *testHandler) RolloutReportReceived(string, *hopv1.RolloutReport) {}
+
 func (h *testHandler) StateReceived(string, *hopv1.State) { h.states.Add(1) }
 
 // startPair starts a server and a client that connects to it on a network link,
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -21,7 +21,8 @@
 	Execute(ctx context.Context, request *hopv1.Request) *hopv1.Frame
 	// Config returns the configuration in force.
 	Config() *hopv1.ConfigAnswer
-	// State returns the state to send to peers.
+	// HelloState returns the state to send in the handshake, State that in pongs.
+	HelloState() *hopv1.State
 	State() *hopv1.State
 	// DrainRecord returns this daemon's drain record of the peer instance's
 	// upstream, or nil.
@@ -36,6 +37,8 @@
 	// StateReceived is called with the state that a peer sent in a Ping. The state
 	// may be nil.
 	StateReceived(instance string, state *hopv1.State)
+	// RolloutReportReceived is called with a report that a peer sent.
+	RolloutReportReceived(instance string, report *hopv1.RolloutReport)
 }
 
 // Server serves the connections that peers open.
@@ -130,7 +133,7 @@
 	switch body := frame.Body.(type) {
 	case *hopv1.Frame_Hello:
 		s.peer = body.Hello.GetInstance()
-		hello := withState(s.server.hello, handler.State(), handler.DrainRecord(s.peer))
+		hello := withState(s.server.hello, handler.HelloState(), handler.DrainRecord(s.peer))
 		_ = s.peerConn.send(&hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: hello}})
 		handler.HelloReceived(body.Hello)
 	case *hopv1.Frame_Ping:
@@ -144,6 +147,8 @@
 		s.start(frame.Stream, body.Request)
 	case *hopv1.Frame_Cancel:
 		s.cancel(frame.Stream)
+	case *hopv1.Frame_RolloutReport:
+		handler.RolloutReportReceived(s.peer, body.RolloutReport)
 	case *hopv1.Frame_ConfigRequest:
 		config := handler.Config()
 		_ = s.peerConn.send(&hopv1.Frame{Stream: frame.Stream, Body: &hopv1.Frame_ConfigAnswer{ConfigAnswer: config}})
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -62,6 +62,8 @@
 	lastInstance string
 	// retryTaken is set while the next retry is already counted in the budget.
 	retryTaken bool
+	// rollout is what the attempts have to do with a rollout of the service.
+	rollout rolloutAttempt
 }
 
 // forward makes attempts until the call has an answer or must not be sent again.
@@ -152,7 +154,7 @@
 // upstream left to try, the frame is nil and the result notSent.
 func (f *forwarder) attempt(ctx context.Context) (*hopv1.Frame, result) {
 	p, c := f.proxy, f.call
-	candidates := p.candidates(c.service)
+	candidates := f.limitToRollout(p.candidates(c.service))
 	chosen := routing.Choose(candidates, routing.PlacementRequest{
 		Bytes: p.routes.size(c.route.Name),
 		Work:  p.routes.work(c.route.Name),
@@ -161,9 +163,11 @@
 		Rand:  rand.Float64,
 	})
 	if chosen < 0 {
+		f.settleRollout(notSent)
 		return nil, notSent
 	}
 	candidate := &candidates[chosen]
+	f.chooseVersion(candidate.Version)
 	f.lastInstance = candidate.Instance
 	f.tried = append(f.tried, candidate.Instance)
 	p.deps.Log.Request(event.CallRouted, false, zap.String("id", c.id), zap.String("to", candidate.Instance),
@@ -174,10 +178,15 @@
 	c.request.Patient = c.request.GoalMs == 0
 	c.request.Retry = f.deliveries > 0 || c.isRetry()
 	c.request.Visiting = !candidate.Local && routing.HasLocal(candidates)
+	var frame *hopv1.Frame
 	if candidate.Self {
-		return f.recordOutcome(p.Execute(ctx, c.request))
+		frame = p.Execute(ctx, c.request)
+	} else {
+		frame = f.sendTo(ctx, candidate.Instance)
 	}
-	return f.recordOutcome(f.sendTo(ctx, candidate.Instance))
+	frame, r := f.recordOutcome(frame)
+	f.settleRollout(r)
+	return frame, r
 }
 
 // moveFromSilentPeer reports whether the request is to be sent elsewhere while the
@@ -195,14 +204,16 @@
 
 // hasUntried reports whether an available upstream is left to try.
 func (f *forwarder) hasUntried() bool {
-	for _, candidate := range f.proxy.candidates(f.call.service) {
-		if candidate.Available && !slices.Contains(f.tried, candidate.Instance) {
+	for _, candidate := range f.allowedByRollout(f.proxy.candidates(f.call.service)) {
+		if candidate.Available && !f.hasTried(candidate.Instance) {
 			return true
 		}
 	}
 	return false
 }
 
+func (f *forwarder) hasTried(instance string) bool { return slices.Contains(f.tried, instance) }
+
 // takeRetry reports whether the budget allows a retry, and counts it there unless
 // moveFromSilentPeer has done so.
 func (f *forwarder) takeRetry() bool {
@@ -293,6 +304,7 @@
 		load := p.admissionController.Load()
 		all = append(all, routing.Candidate{
 			Instance:     p.cfg.Instance,
+			Version:      u.Version,
 			Self:         true,
 			Local:        true,
 			Available:    load.Open,
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -48,6 +48,9 @@
 	if !u.AcceptsRequests() || u.Service != request.Service {
 		return p.refuse(request, code.CallDraining, 0)
 	}
+	if refusal := p.rollouts.refusal(u, request, p.now()); refusal != code.OK {
+		return p.refuse(request, refusal, 0)
+	}
 	if p.isQuarantined(request) {
 		return p.refuse(request, code.CallQuarantined, 0)
 	}
@@ -73,9 +76,14 @@
 	if !u.AcceptsRequests() || u.Service != request.Service {
 		return p.refuse(request, code.CallDraining, 0)
 	}
+	if refusal := p.rollouts.refusal(u, request, p.now()); refusal != code.OK {
+		return p.refuse(request, refusal, 0)
+	}
 	var frame *hopv1.Frame
+	began := p.now()
 	frame, upstreamFailed = p.run(ctx, request, u, arrived, deadline)
 	p.recordOutcome(upstreamFailed)
+	p.recordRolloutOutcome(u, request, frame, upstreamFailed, p.now()-began)
 	return frame
 }
 
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -23,7 +23,7 @@
 // requests, within the limits of the configuration, and closes it otherwise.
 func (p *Proxy) updateAdmission() {
 	u := p.upstream.Load()
-	if !u.AcceptsRequests() {
+	if !u.AcceptsRequests() || !p.rollouts.opens(u) {
 		p.admissionController.Close()
 		return
 	}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -13,6 +13,7 @@
 type metrics struct {
 	answers      *prometheus.CounterVec
 	refusals     *prometheus.CounterVec
+	rollouts     *prometheus.CounterVec
 	latency      prometheus.Histogram
 	waits        prometheus.Histogram
 	serviceTimes prometheus.Histogram
@@ -32,6 +33,9 @@
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "godwitmount_execution_refusals_total", Help: "Requests that the executing daemon refused, by result.",
 		}, []string{"result"}),
+		rollouts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "godwitmount_rollout_requests_total", Help: "Requests at the upstream during a rollout of its service.",
+		}, []string{"version", "outcome"}),
 		latency: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "godwitmount_answer_seconds", Help: "Time from a caller's request to its answer.", Buckets: latencyBuckets,
 		}),
@@ -42,6 +46,11 @@
 			Name: "godwitmount_slot_hold_seconds", Help: "Time for which requests held a slot.", Buckets: latencyBuckets,
 		}),
 	}
+	for _, version := range []string{"old", "new"} {
+		for _, outcome := range []string{"answered", "failed"} {
+			m.rollouts.WithLabelValues(version, outcome)
+		}
+	}
 	gauges := []prometheus.Collector{
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "godwitmount_config_version", Help: "Version of the configuration in force; 0 for none.",
@@ -64,7 +73,7 @@
 			Name: "godwitmount_peers", Help: "Other daemons that are known.",
 		}, func() float64 { return float64(p.deps.Peers.Count()) }),
 	}
-	for _, c := range append(gauges, m.answers, m.refusals, m.latency, m.waits, m.serviceTimes) {
+	for _, c := range append(gauges, m.answers, m.refusals, m.rollouts, m.latency, m.waits, m.serviceTimes) {
 		if err := registerer.Register(c); err != nil {
 			return nil, fmt.Errorf("register metric: %w", err)
 		}
@@ -82,6 +91,18 @@
 // recordRefusal counts a request that this daemon refused to run.
 func (m *metrics) recordRefusal(c code.Code) { m.refusals.WithLabelValues(c.String()).Inc() }
 
+// recordRollout counts a request at the upstream during a rollout of its service.
+func (m *metrics) recordRollout(newVersion, failed bool) {
+	version, outcome := "old", "answered"
+	if newVersion {
+		version = "new"
+	}
+	if failed {
+		outcome = "failed"
+	}
+	m.rollouts.WithLabelValues(version, outcome).Inc()
+}
+
 // recordRun records the time that a request held its slot and the time that it
 // waited for it.
 func (m *metrics) recordRun(serviceTime, wait time.Duration) {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -307,6 +307,15 @@
 	}
 }
 
+// SendReport sends a rollout report to peers. It is lost where one is not reachable.
+func (ps *Peers) SendReport(instances []string, report *hopv1.RolloutReport) {
+	for _, instance := range instances {
+		if p := ps.get(instance); p != nil {
+			p.client.SendReport(report)
+		}
+	}
+}
+
 // get returns the peer with the instance, or nil.
 func (ps *Peers) get(instance string) *peer {
 	ps.mu.RLock()
@@ -349,6 +358,7 @@
 	}
 	return routing.Candidate{
 		Instance:       p.Instance,
+		Version:        state.GetUpstreamVersion(),
 		Local:          local,
 		Available:      p.up.Load() && state.GetTakesWork() && !p.isDraining(state) && int64(now) >= p.backoffUntil.Load(),
 		Outstanding:    float64(p.outstanding.Load()),
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -62,6 +62,9 @@
 	RetryPercent int
 	RetryExtra   int
 	RetryWindow  time.Duration
+	// ExposeShare is the share of a service's requests that may go to a new version of
+	// its upstreams on trial; 0 disables rollouts.
+	ExposeShare float64
 }
 
 // Deps holds the dependencies of the data path.
@@ -137,6 +140,8 @@
 	notice notice
 	// routes holds what the requests of each route have needed.
 	routes *routeProfiles
+	// rollouts holds what the data path knows of rollouts.
+	rollouts *rollouts
 }
 
 // Table is the compiled routes of one version of the configuration.
@@ -162,6 +167,7 @@
 		budgets:             map[string]*routing.RetryBudget{},
 		ruleBudgets:         map[string]*ruleBudget{},
 		routes:              newRouteProfiles(),
+		rollouts:            newRollouts(),
 	}
 	p.client = upstream.NewClient(upstream.Headers{
 		RequestID: cfg.Headers.RequestID,
@@ -198,6 +204,7 @@
 		p.upstreamSince.Store(int64(p.now()))
 		p.forgetOutcomes()
 		p.forgetNotice()
+		p.rollouts.upstreamReplaced()
 	}
 	p.client.SetAddress(u.Address)
 	p.updateAdmission()
@@ -251,6 +258,9 @@
 	if t := p.table.Load(); t != nil {
 		state.ConfigVersion = t.Version
 	}
+	if p.cfg.ExposeShare > 0 {
+		state.UpstreamVersion = u.Version
+	}
 	return state
 }
 
--- /dev/null
+++ b/internal/proxy/rollout.go
@@ -0,0 +1,323 @@
+package proxy
+
+import (
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/code"
+	"godwitmount/internal/control"
+	"godwitmount/internal/rollout"
+	"godwitmount/internal/routing"
+)
+
+const (
+	// slowStartOfVersion is how long a new upstream may be slow. Its times do not count
+	// as evidence before.
+	slowStartOfVersion = 3 * time.Second
+	// maxViewAge is the age of what this daemon knows from which an upstream gets no
+	// requests during a rollout: the process did not run, and the rollout may have gone
+	// on without it.
+	maxViewAge = 1500 * time.Millisecond
+	// maxRolloutRoutes bounds the routes that are counted apart. The counts of others are
+	// under the empty name.
+	maxRolloutRoutes = 16
+)
+
+// rollouts is what the data path knows of rollouts, and what it counts for them. All
+// methods may be called from any goroutine.
+type rollouts struct {
+	// views holds the rollouts by service; nil while there are none.
+	views atomic.Pointer[map[string]*rollout.View]
+	// refreshed is when the views were last known to be current, in nanoseconds since
+	// the proxy's epoch.
+	refreshed atomic.Int64
+
+	mu sync.Mutex
+	// exposures holds the exposure of entered requests by service.
+	exposures map[string]*rollout.Exposure
+	// counted is the version of the rollout request's row for which counts are kept.
+	counted uint64
+	counts  map[string]rollout.Counts
+}
+
+func newRollouts() *rollouts { return &rollouts{exposures: map[string]*rollout.Exposure{}} }
+
+// view returns the rollout of a service, or nil.
+func (r *rollouts) view(service string) *rollout.View {
+	views := r.views.Load()
+	if views == nil {
+		return nil
+	}
+	return (*views)[service]
+}
+
+// opens reports whether the admission controller of the local upstream may be open.
+func (r *rollouts) opens(u *control.Upstream) bool {
+	v := r.view(u.Service)
+	return v == nil || v.Opens(u.Version)
+}
+
+// refusal returns why the local upstream must not get the request, or code.OK.
+func (r *rollouts) refusal(u *control.Upstream, request *hopv1.Request, now time.Duration) code.Code {
+	v := r.view(u.Service)
+	switch {
+	case v == nil:
+		return code.OK
+	case !v.Opens(u.Version), v.Phase.Active() && now-time.Duration(r.refreshed.Load()) > maxViewAge:
+		return code.CallVersionClosed
+	case !v.Admits(u.Version, request.Exposed):
+		return code.CallNotExposed
+	default:
+		return code.OK
+	}
+}
+
+// upstreamReplaced forgets the counts of an earlier incarnation of the upstream.
+func (r *rollouts) upstreamReplaced() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts = nil
+}
+
+// exposure returns the exposure for a service's rollout request. The caller holds r.mu.
+func (r *rollouts) exposure(v *rollout.View, share float64) *rollout.Exposure {
+	e := r.exposures[v.Service]
+	if e == nil || e.Request() != v.Position.Version {
+		e = rollout.NewExposure(share, v.Position.Version)
+		r.exposures[v.Service] = e
+	}
+	return e
+}
+
+// SetRollouts sets what is known of rollouts and opens or closes the admission
+// controller accordingly.
+func (p *Proxy) SetRollouts(views []rollout.View) {
+	byService := make(map[string]*rollout.View, len(views))
+	for i := range views {
+		byService[views[i].Service] = &views[i]
+	}
+	p.RefreshRollouts()
+	p.rollouts.views.Store(&byService)
+	p.updateAdmission()
+}
+
+// RefreshRollouts records that what is known of rollouts is current.
+func (p *Proxy) RefreshRollouts() { p.rollouts.refreshed.Store(int64(p.now())) }
+
+// RolloutShare returns the share of a service's requests that goes to the new version.
+func (p *Proxy) RolloutShare(service string) float64 {
+	if v := p.rollouts.view(service); v != nil {
+		return v.Share(p.cfg.ExposeShare)
+	}
+	return 0
+}
+
+// RolloutReport returns the report about the local upstream, or false if its service
+// has no rollout in progress.
+func (p *Proxy) RolloutReport() (rollout.Report, bool) {
+	u := p.upstream.Load()
+	v := p.rollouts.view(p.callerService())
+	if v == nil || !v.Phase.Active() {
+		return rollout.Report{}, false
+	}
+	load := p.admissionController.Load()
+	report := rollout.Report{
+		Position:  v.Position,
+		Phase:     v.Phase,
+		Version:   u.Version,
+		TakesWork: load.Open && !p.deps.Peers.Draining(),
+		Slots:     load.Slots,
+		Drained:   !load.Open && load.Running == 0 && load.Waiting == 0,
+		Routes:    map[string]rollout.Counts{},
+	}
+	p.rollouts.mu.Lock()
+	defer p.rollouts.mu.Unlock()
+	if p.rollouts.counted == v.Position.Version {
+		report.Routes = maps.Clone(p.rollouts.counts)
+	}
+	return report, true
+}
+
+// recordRolloutOutcome counts a run as evidence about the upstream's version. A request
+// that did not reach the upstream is no evidence.
+func (p *Proxy) recordRolloutOutcome(u *control.Upstream, request *hopv1.Request, frame *hopv1.Frame, failed bool, took time.Duration) {
+	v := p.rollouts.view(u.Service)
+	if v == nil || !v.Phase.Active() || frame.GetFailure().GetNotRun() {
+		return
+	}
+	age := p.now() - time.Duration(p.upstreamSince.Load())
+	p.metrics.recordRollout(u.Version == v.To, failed)
+	r := p.rollouts
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.counts == nil || r.counted != v.Position.Version {
+		r.counted, r.counts = v.Position.Version, map[string]rollout.Counts{}
+	}
+	route := request.Route
+	if _, known := r.counts[route]; !known && len(r.counts) >= maxRolloutRoutes {
+		route = ""
+	}
+	counts := r.counts[route]
+	counts.Record(failed, took, u.Version != v.To || age >= slowStartOfVersion)
+	r.counts[route] = counts
+}
+
+// rolloutAttempt is what the attempts of a request have to do with a rollout.
+type rolloutAttempt struct {
+	// view is the rollout during the present attempt, or nil.
+	view *rollout.View
+	// exposed is set while the attempt uses exposure.
+	exposed bool
+	// triedNew is set once an attempt was made at an upstream of the new version.
+	triedNew bool
+}
+
+// allowedByRollout returns the candidates that a request may be sent to in any attempt.
+func (f *forwarder) allowedByRollout(candidates []routing.Candidate) []routing.Candidate {
+	v := f.proxy.rollouts.view(f.call.service)
+	if v == nil {
+		return candidates
+	}
+	side := rollout.SideAny
+	if v.Phase == rollout.Trial && v.Gated {
+		side = rollout.SideOld
+	}
+	return onSide(candidates, v, side)
+}
+
+// onSide returns the candidates on a side of a rollout.
+func onSide(candidates []routing.Candidate, v *rollout.View, side rollout.Side) []routing.Candidate {
+	left := make([]routing.Candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if v.Allows(c.Version, side) {
+			left = append(left, c)
+		}
+	}
+	return left
+}
+
+// hasAvailable reports whether a candidate that was not tried accepts requests.
+func (f *forwarder) hasAvailable(candidates []routing.Candidate) bool {
+	for i := range candidates {
+		if candidates[i].Available && !f.hasTried(candidates[i].Instance) {
+			return true
+		}
+	}
+	return false
+}
+
+// limitToRollout returns the candidates for the next attempt: those of the old or those
+// of the new version while the service is moved. In the trial a request goes to the new
+// version only if there is exposure for it, and after a failure there to the old one.
+func (f *forwarder) limitToRollout(candidates []routing.Candidate) []routing.Candidate {
+	p, a := f.proxy, &f.rollout
+	f.call.request.Exposed = 0
+	a.view = p.rollouts.view(f.call.service)
+	if a.view == nil {
+		return candidates
+	}
+	switch a.view.Phase {
+	case rollout.Trial:
+		if !a.view.Gated {
+			return onSide(candidates, a.view, rollout.SideAny)
+		}
+		if trial := f.trialCandidates(candidates); f.takeExposure(trial) {
+			return trial
+		}
+		return onSide(candidates, a.view, rollout.SideOld)
+	case rollout.StepOne, rollout.StepTwo:
+		return f.stepCandidates(candidates)
+	case rollout.Full:
+		return onSide(candidates, a.view, rollout.SideNew)
+	default:
+		return onSide(candidates, a.view, rollout.SideAny)
+	}
+}
+
+// stepCandidates returns the candidates of a randomly drawn version, or of the other one
+// if that has none left.
+func (f *forwarder) stepCandidates(candidates []routing.Candidate) []routing.Candidate {
+	v := f.rollout.view
+	sides := [2]rollout.Side{rollout.SideOld, rollout.SideNew}
+	if !f.rollout.triedNew && rand.Float64() < v.Share(0) {
+		sides[0], sides[1] = sides[1], sides[0]
+	}
+	first := onSide(candidates, v, sides[0])
+	if f.hasAvailable(first) {
+		return first
+	}
+	return onSide(candidates, v, sides[1])
+}
+
+// trialCandidates returns the upstreams that take part in the trial. They are few and
+// in any data centre, and get equal parts of the requests; only large requests stay
+// in their data centre.
+func (f *forwarder) trialCandidates(candidates []routing.Candidate) []routing.Candidate {
+	all := onSide(candidates, f.rollout.view, rollout.SideNew)
+	var upstreams []rollout.Participant
+	for i := range all {
+		if all[i].Available {
+			upstreams = append(upstreams, rollout.Participant{Instance: all[i].Instance, Load: all[i].Load, Slots: all[i].Slots})
+		}
+	}
+	chosen := rollout.Participants(upstreams, f.proxy.cfg.ExposeShare)
+	large := f.proxy.routes.size(f.call.route.Name) >= routing.LargeRequestBytes
+	left := all[:0]
+	for _, c := range all {
+		if !chosen[c.Instance] || large && !c.Local {
+			continue
+		}
+		c.Local = true
+		left = append(left, c)
+	}
+	return left
+}
+
+// takeExposure takes exposure for an attempt at one of the candidates, and reports
+// whether there was some.
+func (f *forwarder) takeExposure(candidates []routing.Candidate) bool {
+	if f.rollout.triedNew || !f.hasAvailable(candidates) {
+		return false
+	}
+	r, v := f.proxy.rollouts, f.rollout.view
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.exposure(v, f.proxy.cfg.ExposeShare).Take(f.call.route.Name, rand.Float64()) {
+		return false
+	}
+	f.rollout.exposed = true
+	f.call.request.Exposed = v.Position.Version
+	return true
+}
+
+// chooseVersion records the version of the upstream that was chosen.
+func (f *forwarder) chooseVersion(version string) {
+	if v := f.rollout.view; v != nil && version == v.To {
+		f.rollout.triedNew = true
+	}
+}
+
+// settleRollout counts an attempt with the result: an answer of an upstream earns
+// exposure, and exposure that was not used is given back.
+func (f *forwarder) settleRollout(result result) {
+	a := &f.rollout
+	if a.view == nil || a.view.Phase.Final() {
+		return
+	}
+	r := f.proxy.rollouts
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.exposure(a.view, f.proxy.cfg.ExposeShare)
+	if a.exposed && result == notSent && f.call.request.Exposed == e.Request() {
+		e.Return()
+	}
+	a.exposed = false
+	switch result {
+	case answered, serverError, rejected:
+		e.Answered(f.call.route.Name)
+	}
+}
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -27,13 +27,15 @@
 	<-ctx.Done()
 	return &hopv1.Frame{Body: &hopv1.Frame_Failure{Failure: &hopv1.Failure{}}}
 }
-func (silentHandler) Config() *hopv1.ConfigAnswer        { return &hopv1.ConfigAnswer{} }
-func (silentHandler) State() *hopv1.State                { return &hopv1.State{} }
-func (silentHandler) DrainRecord(string) *hopv1.Left     { return nil }
-func (silentHandler) Panicked(any)                       {}
-func (silentHandler) Disconnected(string, int, error)    {}
-func (silentHandler) HelloReceived(*hopv1.Hello)         {}
-func (silentHandler) StateReceived(string, *hopv1.State) {}
+func (silentHandler) Config() *hopv1.ConfigAnswer                        { return &hopv1.ConfigAnswer{} }
+func (silentHandler) State() *hopv1.State                                { return &hopv1.State{} }
+func (silentHandler) DrainRecord(string) *hopv1.Left                     { return nil }
+func (silentHandler) Panicked(any)                                       {}
+func (silentHandler) Disconnected(string, int, error)                    {}
+func (silentHandler) RolloutReportReceived(string, *hopv1.RolloutReport) {}
+func (h silentHandler) HelloState() *hopv1.State                         { return h.State() }
+func (silentHandler) HelloReceived(*hopv1.Hello)                         {}
+func (silentHandler) StateReceived(string, *hopv1.State)                 {}
 
 // startPeer starts a peer behind a network link.
 func startPeer(t *testing.T, instance string) (control.Member, *faultlink.Link) {
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -35,6 +35,10 @@
 	// soleWait is how long a rollout waits to learn of an upstream of another version
 	// before it concludes that there is none.
 	soleWait = 2 * time.Second
+	// suspicionShare is the share of Config.Rollback after which a version that has been
+	// under suspicion all the time is reverted. It is longer than the recent times that
+	// are judged, so that a chance result has left them.
+	suspicionShare = 0.85
 	// freshReport is the age up to which a report counts as the present state. Reports
 	// are repeated after keepAliveInterval.
 	freshReport = 3 * time.Second
@@ -62,10 +66,12 @@
 	// completing is set from a write of the completion until its outcome is known.
 	completing bool
 
-	verdict    Verdict
-	judgedAt   time.Duration
-	evidenceAt time.Duration
-	waitingAt  time.Duration
+	// suspectSince is when the version came under suspicion; 0 if it is under none.
+	suspectSince time.Duration
+	verdict      Verdict
+	judgedAt     time.Duration
+	evidenceAt   time.Duration
+	waitingAt    time.Duration
 	// waiting says what the next phase waits for.
 	waiting string
 }
@@ -258,7 +264,7 @@
 	if !s.Phase.Active() {
 		return
 	}
-	if s.verdict.Bad && !s.completing {
+	if (s.verdict.Bad || c.suspectTooLong(s)) && !s.completing {
 		c.logEvidence(s)
 		c.enter(s, Reverted, s.verdict.Reason, c.cfg.Instance)
 		return
@@ -273,6 +279,19 @@
 	}
 }
 
+// suspectTooLong reports whether the version has been under suspicion for so long that
+// a decision must not wait for more evidence.
+func (c *Core) suspectTooLong(s *service) bool {
+	if !s.verdict.Suspect {
+		s.suspectSince = 0
+		return false
+	}
+	if s.suspectSince == 0 {
+		s.suspectSince = c.now
+	}
+	return c.now-s.suspectSince >= time.Duration(suspicionShare*float64(c.cfg.Rollback))
+}
+
 // moveAt returns the time since the request at which the move begins.
 func moveAt(period time.Duration) time.Duration {
 	return max(time.Duration(moveShare*float64(period)), period-moveTime)
@@ -386,7 +405,7 @@
 	}
 	left, first := 0, ""
 	for instance, p := range c.peers {
-		if p.service() != s.Service || p.state.Version == s.To || c.gone(s, p) {
+		if !p.member || p.service() != s.Service || p.state.Version == s.To || c.gone(s, p) {
 			continue
 		}
 		h := s.history[instance]
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -17,6 +17,9 @@
 	Instance   string
 	DataCentre string
 	Service    string
+	// Rollback is the time after a bad version's 50th bad answer from which it must not
+	// get requests.
+	Rollback time.Duration
 }
 
 const (
@@ -38,6 +41,9 @@
 	// centre before completion does not wait for it any more. Requests that it had
 	// accepted have passed their deadlines by then.
 	goneAfter = 4 * time.Second
+	// resolveWait is how long a daemon that has just started waits for a peer that knows
+	// the phase of a rollout before it reads it from the store.
+	resolveWait = 400 * time.Millisecond
 	// breakerBase and breakerScore decide when an upstream fails beyond doubt: its share
 	// of failures is above breakerBase with odds of exp(breakerScore).
 	breakerBase  = 0.1
@@ -77,6 +83,8 @@
 // peer is another daemon.
 type peer struct {
 	Member
+	// member is set while this daemon connects to it.
+	member bool
 	// rank is that of the instance.
 	rank      uint64
 	state     PeerState
@@ -168,7 +176,7 @@
 func (c *Core) tick() {
 	for _, name := range c.serviceNames() {
 		s := c.services[name]
-		if s.unresolved {
+		if s.unresolved && c.now-s.phaseAt >= resolveWait {
 			c.readRows()
 		}
 		c.coordinate(s)
@@ -207,11 +215,13 @@
 	kept := map[string]bool{}
 	for _, m := range ev.Members {
 		kept[m.Instance] = true
-		c.peer(m.Instance).Member = m
+		p := c.peer(m.Instance)
+		p.Member, p.member = m, true
 	}
-	for instance := range c.peers {
+	for instance, p := range c.peers {
 		if !kept[instance] {
-			delete(c.peers, instance)
+			// Its state stays: it is told only when it changes.
+			p.member, p.reachable, p.reached, p.unreachableSince = false, false, false, c.now
 		}
 	}
 }
@@ -246,9 +256,6 @@
 		s.unresolved = first && before.Phase == 0
 		c.rowsUnknown(s)
 	}
-	if first && len(ev.Requests) > 0 {
-		c.readRows()
-	}
 }
 
 // begin makes p the rollout of its service and returns its state.
@@ -423,7 +430,7 @@
 func (c *Core) unreachable(s *service) []string {
 	var all []string
 	for instance, p := range c.peers {
-		if p.service() == s.Service && p.DataCentre == c.cfg.DataCentre && !p.reachable && c.now-p.unreachableSince >= goneAfter {
+		if p.member && p.service() == s.Service && p.DataCentre == c.cfg.DataCentre && !p.reachable && c.now-p.unreachableSince >= goneAfter {
 			all = append(all, instance)
 		}
 	}
@@ -436,7 +443,7 @@
 func (c *Core) cutOff(s *service) bool {
 	reached, reachable := 1, 1
 	for _, p := range c.peers {
-		if p.service() != s.Service || !p.reached {
+		if !p.member || p.service() != s.Service || !p.reached {
 			continue
 		}
 		reached++
@@ -452,7 +459,7 @@
 func (c *Core) isolated() bool {
 	others, reachable := 0, 0
 	for _, p := range c.peers {
-		if p.DataCentre != c.cfg.DataCentre || !p.reached {
+		if !p.member || p.DataCentre != c.cfg.DataCentre || !p.reached {
 			continue
 		}
 		others++
@@ -472,7 +479,7 @@
 
 // view returns what the data path gets to know of a rollout.
 func (c *Core) view(s *service) View {
-	v := View{Progress: c.current(s)}
+	v := View{Progress: c.current(s), Unresolved: s.unresolved}
 	if s.Service != c.ownService() {
 		v.Gated = len(s.From) > 0
 		return v
@@ -493,7 +500,9 @@
 		v := c.view(s)
 		all.Views = append(all.Views, v)
 		v.Age = 0
-		told += fmt.Sprintf("%+v\n", v.Progress)
+		if !v.Unresolved {
+			told += fmt.Sprintf("%+v\n", v.Progress)
+		}
 		published += fmt.Sprintf("%+v %+v\n", v, s.summaryKey())
 	}
 	if published == c.published {
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -50,6 +50,17 @@
 // firstBucket.
 func logTime(bucket int) float64 { return (float64(bucket) - 0.5) * bucketWidth }
 
+// UsedBuckets returns the range of buckets of Times outside of which there are no times.
+func (c *Counts) UsedBuckets() (first, last int) {
+	for last = timeBuckets; last > 0 && c.Times[last-1] == 0; last-- {
+		continue
+	}
+	for first < last && c.Times[first] == 0 {
+		first++
+	}
+	return first, last
+}
+
 // add adds other.
 func (c *Counts) add(other Counts) {
 	c.Answers += other.Answers
--- a/internal/rollout/replay_test.go
+++ b/internal/rollout/replay_test.go
@@ -83,7 +83,7 @@
 func newFleet(seed uint64, upstreams int) *fleet {
 	f := &fleet{
 		random: rand.New(rand.NewPCG(seed, 1)), period: time.Duration(12+seed%5) * time.Second, burst: 1,
-		core: New(Config{Instance: "coordinator", DataCentre: "a", Service: "desk"}),
+		core: New(Config{Instance: "coordinator", DataCentre: "a", Service: "desk", Rollback: 5 * time.Second}),
 	}
 	ownShare := 0.001 + 0.003*f.random.Float64()
 	members := MembersChanged{}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -163,8 +163,12 @@
 	// new version before the request.
 	Gated bool
 	// Closed is set while this daemon's upstream gets no requests whatever its
-	// version: the phase is not known yet.
+	// version: the phase is not known yet, or the daemon is isolated.
 	Closed bool
+	// Unresolved is set while the phase is not known yet. Peers are not told of the
+	// rollout: they may have started, too, and would take the first phase for the present
+	// one.
+	Unresolved bool
 	// NewClosed is set while an upstream of the new version beside this daemon gets
 	// no requests: it fails, or this daemon is cut off from most of the service in
 	// the trial.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -61,6 +61,9 @@
 	c.durationRange("/retry_window", d.RetryWindow, time.Second, MaxRetryWindow)
 	c.intRange("/retry_extra", int64(d.RetryExtra), 0, MaxRetryExtra)
 	c.intRange("/memory_limit_bytes", d.MemoryLimitBytes, MinMemoryLimitBytes, MaxMemoryLimitBytes)
+	c.intRange("/expose_per_mille", int64(d.ExposePerMille), 0, MaxExposePerMille)
+	c.intRange("/expose_slack", int64(d.ExposeSlack), 0, MaxExposeSlack)
+	c.durationRange("/rollback", d.Rollback, MinRollback, MaxRollback)
 	c.intRange("/link_kbps", d.LinkKbps, 0, MaxLinkKbps)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,8 @@
 	DefaultRetryWindow       = 10 * time.Second
 	DefaultRetryExtra        = 50
 	DefaultMemoryLimitBytes  = 64 << 20
+	DefaultExposeSlack       = 50
+	DefaultRollback          = 5 * time.Second
 )
 
 // The limits of a settings file's size and values.
@@ -64,6 +66,13 @@
 	MaxRetryWindow = 10 * time.Minute
 	// MaxRetryExtra is the largest RetryExtra.
 	MaxRetryExtra = 100_000
+	// MaxExposePerMille is the largest ExposePerMille.
+	MaxExposePerMille = 1000
+	// MaxExposeSlack is the largest ExposeSlack.
+	MaxExposeSlack = 100_000
+	// MinRollback and MaxRollback bound Rollback.
+	MinRollback = 100 * time.Millisecond
+	MaxRollback = 10 * time.Minute
 	// MaxLogLinesPerSecond is the largest LogLinesPerSecond.
 	MaxLogLinesPerSecond = 100_000
 	// MinMemoryLimitBytes is the smallest memory limit in bytes.
@@ -134,6 +143,16 @@
 	// addition to RetryPercent. It is divided among all daemons, but each may use
 	// at least one.
 	RetryExtra int `json:"retry_extra"`
+	// ExposePerMille is the share of a service's requests, in thousandths, that may go
+	// to a new version of its upstreams on trial. 0 disables rollouts.
+	ExposePerMille int `json:"expose_per_mille"`
+	// ExposeSlack is the number of requests by which that share may be exceeded. The
+	// daemons do not use it: it covers requests that are sent before they know of the
+	// rollout request.
+	ExposeSlack int `json:"expose_slack"`
+	// Rollback is the time after the 50th bad answer of a new version from which it must
+	// not get any more requests.
+	Rollback Duration `json:"rollback"`
 	// MemoryLimitBytes is the Go runtime's soft memory limit in bytes.
 	MemoryLimitBytes int64 `json:"memory_limit_bytes"`
 	// LinkKbps is the rate of the machine's network link in kilobits per second, by
@@ -162,6 +181,8 @@
 	d.RetryWindow = Duration(DefaultRetryWindow)
 	d.RetryExtra = DefaultRetryExtra
 	d.MemoryLimitBytes = DefaultMemoryLimitBytes
+	d.ExposeSlack = DefaultExposeSlack
+	d.Rollback = Duration(DefaultRollback)
 }
 
 // codes are the result codes of settings files.
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -16,6 +16,8 @@
 	// store: how often the store has come back from an older copy.
 	StoreEra uint64   `json:"store_era"`
 	Upstream Upstream `json:"upstream"`
+	// Rollouts holds the rollouts that the daemon knows.
+	Rollouts []Rollout `json:"rollouts,omitempty"`
 	// Peers holds the daemons to which this one stays connected.
 	Peers []Peer `json:"peers"`
 }
@@ -33,6 +35,32 @@
 	Slots   int `json:"slots"`
 }
 
+// Rollout is the move of a service to another version of its upstreams.
+type Rollout struct {
+	Service string `json:"service"`
+	To      string `json:"to"`
+	// From holds the versions that are replaced.
+	From []string `json:"from"`
+	// Phase is the name of a rollout.Phase, and Reason why it was entered.
+	Phase  string `json:"phase"`
+	Reason string `json:"reason"`
+	// Share is the share of the requests that goes to the new version.
+	Share float64 `json:"share"`
+	// ElapsedMS is the time since the request in milliseconds, PeriodMS its period.
+	ElapsedMS int64 `json:"elapsed_ms"`
+	PeriodMS  int64 `json:"period_ms"`
+	// Coordinator is the daemon that decides. The fields after it are set only there.
+	Coordinator string `json:"coordinator"`
+	// Answers and Failures are those of the new version. Score is the result of the test
+	// that speaks most against it, which Evidence names; from 10 on the version is bad.
+	Answers  int     `json:"answers,omitempty"`
+	Failures int     `json:"failures,omitempty"`
+	Score    float64 `json:"score,omitempty"`
+	Evidence string  `json:"evidence,omitempty"`
+	// Waiting says what the next phase waits for.
+	Waiting string `json:"waiting,omitempty"`
+}
+
 // Peer is another daemon as known to the reporting daemon.
 type Peer struct {
 	Instance   string `json:"instance"`
