Cut off no request at the end of a rollout, and spread the move

Cause: a trial with 30 + 30 upstreams (scratch test, not committed) showed three faults. In the steps and in phase full all daemons chose the same few new upstreams, of which they knew no load: 660 answers a second fell to 109. After a revert daemons closed connections with requests in flight, which were answered 502. The version of upstreams was in each state also without a rollout. Change: during the move a request chooses between two random new upstreams of each side of the data centre's border. Connections to peers that are no longer wanted are closed once idle. The version is sent only while a rollout of the service is known.

--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -26,6 +26,9 @@
 	RolloutsTable = "godwitmount-rollouts"
 	// reportInterval is the time between two looks at what the local upstream has done.
 	reportInterval = 100 * time.Millisecond
+	// afterPause is how long after a pause of the process the upstream gets no requests
+	// during a rollout: the peers' news of the rollout arrive within that time.
+	afterPause = 500 * time.Millisecond
 	// newsTimeout bounds the wait until news about a rollout are in force. The state of a
 	// peer is applied before its configuration is fetched.
 	newsTimeout = 300 * time.Millisecond
@@ -83,13 +86,21 @@
 	go r.loop.run(ctx)
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
+	last, holdUntil := time.Now(), time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		r.daemon.proxy.RefreshRollouts()
+		now := time.Now()
+		if now.Sub(last) > pauseThreshold {
+			holdUntil = now.Add(afterPause)
+		}
+		last = now
+		if now.After(holdUntil) {
+			r.daemon.proxy.RefreshRollouts()
+		}
 		if report, active := r.daemon.proxy.RolloutReport(); active {
 			r.loop.post(rollout.ReportReceived{Instance: r.daemon.cfg.Settings.Instance, Report: report})
 		}
@@ -108,9 +119,8 @@
 func (r *rolloutControl) apply(ev step.Event) {
 	ctx, cancel := context.WithTimeout(r.daemon.background, newsTimeout)
 	defer cancel()
-	if err := r.loop.do(ctx, ev); err != nil && r.daemon.background.Err() == nil {
-		r.daemon.log.Warn(event.EventQueueOverflow, zap.String("late", ev.EventName()), zap.Error(err))
-	}
+	// An event that takes longer stays in the queue.
+	_ = r.loop.do(ctx, ev)
 }
 
 // requestsRead applies the rows of ConfigTable that are rollout requests. Complete is
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -54,6 +54,8 @@
 	mu sync.RWMutex
 	// all holds the peers that this daemon connects to, by instance.
 	all map[string]*peer
+	// leaving holds the peers that are no longer wanted and may still answer requests.
+	leaving map[*peer]bool
 	// total is the number of all other daemons, whether or not this daemon
 	// connects to them.
 	total int
@@ -119,6 +121,7 @@
 		log:         log,
 		readTimeout: &hop.AdaptiveTimeout{},
 		all:         map[string]*peer{},
+		leaving:     map[*peer]bool{},
 	}
 }
 
@@ -169,8 +172,8 @@
 }
 
 // SetMembers connects to new members and to those with a new address, and
-// disconnects from peers that are not among the members. total is the number of
-// all other daemons.
+// disconnects from peers that are not among the members once these have answered its
+// requests. total is the number of all other daemons.
 func (ps *Peers) SetMembers(members []control.Member, total int) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
@@ -189,12 +192,47 @@
 	}
 	for instance, p := range ps.all {
 		if !wanted[instance] {
-			p.client.Close()
+			ps.leaving[p] = true
+			go ps.closeWhenIdle(p)
 			delete(ps.all, instance)
 		}
 	}
 }
 
+const (
+	// leaveGrace is how long the connection to a peer is kept at least that is no longer
+	// wanted: a request may just be on its way there. maxLeaveTime bounds the wait for
+	// its answers, and leavePollInterval is the time between two looks.
+	leaveGrace        = time.Second
+	maxLeaveTime      = time.Minute
+	leavePollInterval = 100 * time.Millisecond
+)
+
+// closeWhenIdle disconnects from a peer once it has answered this daemon's requests.
+func (ps *Peers) closeWhenIdle(p *peer) {
+	time.Sleep(leaveGrace)
+	for end := ps.now() + maxLeaveTime; p.outstanding.Load() > 0 && ps.now() < end; {
+		time.Sleep(leavePollInterval)
+	}
+	p.client.Close()
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	delete(ps.leaving, p)
+}
+
+// Close disconnects from all peers at once.
+func (ps *Peers) Close() {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, p := range ps.all {
+		p.client.Close()
+	}
+	for p := range ps.leaving {
+		p.client.Close()
+	}
+	ps.all, ps.total = map[string]*peer{}, 0
+}
+
 // connect returns a peer whose client keeps a connection to the member.
 func (ps *Peers) connect(m control.Member) *peer {
 	p := &peer{Member: m}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -258,7 +258,7 @@
 	if t := p.table.Load(); t != nil {
 		state.ConfigVersion = t.Version
 	}
-	if p.cfg.ExposeShare > 0 {
+	if p.rollouts.view(u.Service) != nil {
 		state.UpstreamVersion = u.Version
 	}
 	return state
--- a/internal/proxy/rollout.go
+++ b/internal/proxy/rollout.go
@@ -232,7 +232,7 @@
 	case rollout.StepOne, rollout.StepTwo:
 		return f.stepCandidates(candidates)
 	case rollout.Full:
-		return onSide(candidates, a.view, rollout.SideNew)
+		return f.sample(onSide(candidates, a.view, rollout.SideNew))
 	default:
 		return onSide(candidates, a.view, rollout.SideAny)
 	}
@@ -242,15 +242,32 @@
 // if that has none left.
 func (f *forwarder) stepCandidates(candidates []routing.Candidate) []routing.Candidate {
 	v := f.rollout.view
-	sides := [2]rollout.Side{rollout.SideOld, rollout.SideNew}
-	if !f.rollout.triedNew && rand.Float64() < v.Share(0) {
-		sides[0], sides[1] = sides[1], sides[0]
+	oldOnes, newOnes := onSide(candidates, v, rollout.SideOld), onSide(candidates, v, rollout.SideNew)
+	toNew := !f.rollout.triedNew && rand.Float64() < v.Share(0)
+	if toNew && f.hasAvailable(newOnes) || !f.hasAvailable(oldOnes) {
+		return f.sample(newOnes)
 	}
-	first := onSide(candidates, v, sides[0])
-	if f.hasAvailable(first) {
-		return first
+	return oldOnes
+}
+
+// sampleSize is the number of candidates of one data centre among which a request to the
+// new version chooses during the move.
+const sampleSize = 2
+
+// sample returns sampleSize random available candidates of the own data centre, and as
+// many of others. All daemons turn to the new upstreams at the same moment and know little
+// of their load and speed; without the sample they would all choose the same one.
+func (f *forwarder) sample(candidates []routing.Candidate) []routing.Candidate {
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	left := candidates[:0]
+	taken := map[bool]int{}
+	for _, c := range candidates {
+		if c.Available && !f.hasTried(c.Instance) && taken[c.Local] < sampleSize {
+			taken[c.Local]++
+			left = append(left, c)
+		}
 	}
-	return onSide(candidates, v, sides[1])
+	return left
 }
 
 // trialCandidates returns the upstreams that take part in the trial. They are few and
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -21,6 +21,9 @@
 	// patience is how much longer, as a share of the period, the move waits for
 	// evidence that excludes faults on rare routes.
 	patience = 0.1
+	// lastMoveShare is the share of moveTime before the end of the period at which the move
+	// begins even if the evidence is small.
+	lastMoveShare = 0.6
 	// stepShareOfPeriod and maxStep bound the time between two steps. Two steps of
 	// 0.8 s use 0.6 s of all requests, the exposure of the 6 s left.
 	stepShareOfPeriod = 1.0 / 15
@@ -154,7 +157,7 @@
 		all = append(all, candidate{c.cfg.Instance, Rank(c.cfg.Instance), c.storeUnavailable})
 	}
 	for instance, p := range c.peers {
-		if p.reachable && p.service() == s.Service {
+		if p.member && p.reachable && p.service() == s.Service {
 			all = append(all, candidate{instance, p.rank, p.state.StoreUnavailable})
 		}
 	}
@@ -302,7 +305,7 @@
 func (c *Core) decideMove(s *service) {
 	newSlots, oldSlots := c.slots(s)
 	age, begin := c.now-s.knownAt, moveAt(s.Period)
-	latest := begin + time.Duration(patience*float64(s.Period))
+	enough := s.enough(age, begin)
 	switch {
 	case len(s.From) == 0:
 		s.waiting = "no upstream has another version"
@@ -312,7 +315,7 @@
 		s.waiting = "time of the move"
 	case s.verdict.Suspect:
 		s.waiting = s.verdict.Reason
-	case !s.verdict.Good && (age < latest || s.verdict.Answers < minAnswers):
+	case !enough:
 		s.waiting = s.verdict.Reason
 	case float64(newSlots) < minCapacity*float64(oldSlots):
 		s.waiting = fmt.Sprintf("%d slots of the new version, %d of the old", newSlots, oldSlots)
@@ -324,6 +327,16 @@
 	}
 }
 
+// enough reports whether the evidence allows the move at an age. Later, less of it is
+// asked for: first not that faults on rare routes are excluded, and shortly before it
+// would be too late for the period only some answers.
+func (s *service) enough(age, begin time.Duration) bool {
+	v := &s.verdict
+	fair := begin + time.Duration(patience*float64(s.Period))
+	last := max(fair, s.Period-time.Duration(lastMoveShare*float64(moveTime)))
+	return v.Good || v.Fair && age >= fair || v.Answers >= minAnswers && age >= last
+}
+
 // stepDone reports whether the present step may be followed by the next one.
 func (c *Core) stepDone(s *service) bool {
 	length := min(time.Duration(stepShareOfPeriod*float64(s.Period)), maxStep)
@@ -370,7 +383,7 @@
 // wanted returns the phase that the store is to have.
 func (c *Core) wanted(s *service) (phase Phase, reason string) {
 	switch {
-	case s.Phase == Trial && len(s.From) == 0 && c.hasMemberOf(s, s.To) && c.now-s.knownAt >= soleWait:
+	case s.Phase == Trial && len(s.From) == 0 && c.hasMemberOf(s, s.To) && c.now-s.knownAt >= soleWait && c.versionsKnown(s):
 		return Full, "no upstream has another version"
 	case s.Phase == StepTwo && c.stepDone(s):
 		return Full, "no fault found"
@@ -383,6 +396,17 @@
 	}
 }
 
+// versionsKnown reports whether all reachable members of the service have said which
+// version their upstreams have.
+func (c *Core) versionsKnown(s *service) bool {
+	for _, p := range c.peers {
+		if p.member && p.reachable && p.service() == s.Service && p.state.Version == "" {
+			return false
+		}
+	}
+	return true
+}
+
 // hasMemberOf reports whether an upstream of the version is known.
 func (c *Core) hasMemberOf(s *service, version string) bool {
 	if c.upstream.Service == s.Service && c.upstream.Version == version {
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -69,8 +69,8 @@
 	storeUnavailable bool
 	// rowsReadAt is when the store's rows about rollouts were last requested.
 	rowsReadAt time.Duration
-	// published is the text form of what was last published, told that of what peers
-	// were told.
+	// published is the text form of what was last published, told that of the part of
+	// which peers are told at once. They learn of further versions with the next ping.
 	published, told string
 	// lastReport is the last report that was sent, at sentAt.
 	lastReport Report
@@ -501,7 +501,7 @@
 		all.Views = append(all.Views, v)
 		v.Age = 0
 		if !v.Unresolved {
-			told += fmt.Sprintf("%+v\n", v.Progress)
+			told += fmt.Sprintf("%+v %v %s %t %v\n", v.Request, v.Phase, v.Reason, len(v.From) > 0, v.Denied)
 		}
 		published += fmt.Sprintf("%+v %+v\n", v, s.summaryKey())
 	}
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -20,6 +20,8 @@
 type Verdict struct {
 	// Bad and Good are both clear while the evidence does not suffice.
 	Bad, Good bool
+	// Fair is set if the evidence excludes faults on all routes together.
+	Fair bool
 	// Suspect is set while a test is near its threshold.
 	Suspect bool
 	// Score is the largest result of the tests, a logarithm of a likelihood ratio.
@@ -108,7 +110,7 @@
 	if v.Bad || v.Suspect {
 		return v
 	}
-	v.Good, v.Reason = excludesFaults(whole, usual)
+	v.Good, v.Fair, v.Reason = excludesFaults(whole, usual)
 	return v
 }
 
@@ -145,20 +147,20 @@
 	}
 }
 
-// excludesFaults reports whether the evidence excludes faults that matter, or what it
-// does not exclude.
-func excludesFaults(e Evidence, usual map[string]float64) (excluded bool, missing string) {
+// excludesFaults reports whether the evidence excludes faults that matter, on each route
+// or at least on all together, or what it does not exclude.
+func excludesFaults(e Evidence, usual map[string]float64) (onEach, together bool, missing string) {
 	if n := countAnswers(e.New); n < minAnswers {
-		return false, fmt.Sprintf("%d answers, %d needed", n, minAnswers)
+		return false, false, fmt.Sprintf("%d answers, %d needed", n, minAnswers)
 	}
 	all, base := failures(e.New, ""), baseFactor*failures(e.Old, "").share()+baseMargin
 	if all.ratio(base, base+excludedShare) > goodScore {
-		return false, fmt.Sprintf("failures on all routes: %s do not exclude %.3f", all, base+excludedShare)
+		return false, false, fmt.Sprintf("failures on all routes: %s do not exclude %.3f", all, base+excludedShare)
 	}
 	oldSlow := slowAnswers(relativeTimes(e.Old, usual), "", len(e.Old))
 	slow, base := slowAnswers(relativeTimes(e.New, usual), "", len(e.New)), slowFactor*oldSlow.share()+slowMargin
 	if slow.ratio(base, base+excludedSlowShare) > goodScore {
-		return false, fmt.Sprintf("slow answers on all routes: %s do not exclude %.3f", slow, base+excludedSlowShare)
+		return false, false, fmt.Sprintf("slow answers on all routes: %s do not exclude %.3f", slow, base+excludedSlowShare)
 	}
 	for _, route := range routesOf(e.Old) {
 		old := failures(e.Old, route)
@@ -167,10 +169,10 @@
 		}
 		base := baseFactor*old.share() + baseMargin
 		if count := failures(e.New, route); count.ratio(base, base+excludedRouteShare) > goodScore {
-			return false, fmt.Sprintf("failures on route %s: %s do not exclude %.3f", route, count, base+excludedRouteShare)
+			return false, true, fmt.Sprintf("failures on route %s: %s do not exclude %.3f", route, count, base+excludedRouteShare)
 		}
 	}
-	return true, "no fault found"
+	return true, true, "no fault found"
 }
 
 // proportion is a number of answers and how many of them have a property.
