Load new upstreams in the steps as later, and connect step by step

Cause: in the steps the requests went to all new upstreams, each with a half or quarter of its later load, so that a fault under load did not show there. Change: a step uses its share of the upstreams of each data centre. Daemons connect at once to the 16 of the service that decide, and over 3 s to the others. A smaller margin for slow answers: 1.2 times the old share plus 1%.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -85,8 +85,11 @@
 	// storeUnavailable is the set of the peers that the store does not answer, by
 	// instance.
 	storeUnavailable map[string]bool
-	// rollouts holds the services with a rollout in progress.
-	rollouts map[string]bool
+	// rollouts holds the services with a rollout in progress, rolloutSince when that of
+	// the own service became known. publishedAt is when members were last published.
+	rollouts     map[string]bool
+	rolloutSince time.Duration
+	publishedAt  time.Duration
 	// era is what is known of the store's era.
 	era eraState
 	// storeWatcher is set while this daemon watches the store for new
@@ -146,8 +149,7 @@
 	case MemberWritten:
 		c.selfWritten = ev.Err == nil
 	case RolloutsChanged:
-		c.rollouts = ev.Services
-		c.publishMembers()
+		c.applyRollouts(ev.Services)
 	case StopRequested:
 		c.stop()
 	}
@@ -218,6 +220,7 @@
 	if c.publishPending {
 		c.publishMembers()
 	}
+	c.growRolloutMesh()
 	c.readMembersWhenDue()
 	c.readRemoteVersion()
 	sinceHeartbeat := c.now - c.lastHeartbeat
--- a/internal/control/mesh.go
+++ b/internal/control/mesh.go
@@ -2,11 +2,14 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"godwitmount/internal/event"
+	"godwitmount/internal/rollout"
 	"godwitmount/internal/step"
 )
 
@@ -43,15 +46,16 @@
 			connected = append(connected, row.Member)
 			continue
 		}
-		if row.Service == c.cfg.Self.Service && c.rollouts[row.Service] {
-			connected = append(connected, row.Member)
-			continue
-		}
 		remote[row.Service] = append(remote[row.Service], row.Member)
 	}
-	for _, members := range remote {
-		connected = append(connected, c.chooseRemote(members, len(remote))...)
+	for service, members := range remote {
+		chosen := c.chooseRemote(members, len(remote))
+		if service == c.cfg.Self.Service && c.rollouts[service] {
+			chosen = c.chooseForRollout(members, chosen)
+		}
+		connected = append(connected, chosen...)
 	}
+	c.publishedAt = c.now
 	c.emit(PublishMembers{Members: connected, Known: known})
 	c.updateStoreWatcher()
 	c.log(event.MembersChanged, false, step.F("members", known), step.F("connected", len(connected)))
@@ -74,6 +78,54 @@
 	return members[:limit]
 }
 
+const (
+	// rolloutMeshFirst is the number of members of a service in a rollout to which all
+	// others of it connect at once: the coordinator, its successors, and upstreams that
+	// take part in the trial are among them.
+	rolloutMeshFirst = 16
+	// rolloutMeshSpread is the time over which the others follow, and
+	// rolloutMeshInterval that between two steps: a hundred handshakes at once would
+	// hold up requests on a small machine.
+	rolloutMeshSpread   = 3 * time.Second
+	rolloutMeshInterval = 250 * time.Millisecond
+)
+
+// applyRollouts applies which services have a rollout in progress.
+func (c *Core) applyRollouts(services map[string]bool) {
+	if own := c.cfg.Self.Service; services[own] && !c.rollouts[own] {
+		c.rolloutSince = c.now
+	}
+	c.rollouts = services
+	c.publishMembers()
+}
+
+// growRolloutMesh publishes the members again while those of a service in a rollout are
+// added.
+func (c *Core) growRolloutMesh() {
+	growing := c.rollouts[c.cfg.Self.Service] && c.now-c.rolloutSince <= rolloutMeshSpread+rolloutMeshInterval
+	if growing && c.now-c.publishedAt >= rolloutMeshInterval {
+		c.publishMembers()
+	}
+}
+
+// chooseForRollout returns the chosen members and those to which this daemon connects by
+// now for the rollout of its service: the first in the order of the rollout, and a part
+// of the others that grows to all of them.
+func (c *Core) chooseForRollout(members, chosen []Member) []Member {
+	all := slices.Clone(chosen)
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Compare(rollout.Rank(a.Instance), rollout.Rank(b.Instance))
+	})
+	grown := float64(c.now-c.rolloutSince) / float64(rolloutMeshSpread)
+	for i, m := range members {
+		due := i < rolloutMeshFirst || float64(c.pairRank(m)) <= grown*math.MaxUint64
+		if due && !slices.Contains(all, m) {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
 // pairRank returns the rendezvous hash of this daemon and m.
 func (c *Core) pairRank(m Member) uint64 {
 	return xxhash.Sum64String(c.cfg.Self.Instance + "\x00" + m.Instance)
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -73,6 +73,49 @@
 	}
 }
 
+// TestRolloutConnectsAllOfTheService covers a daemon during a rollout of its service: it
+// connects at once to those that decide, step by step to all others of the service, and
+// to the usual ones afterwards. A daemon of another service keeps its connections.
+func TestRolloutConnectsAllOfTheService(t *testing.T) {
+	var all []Member
+	for i := range 98 {
+		all = append(all, Member{Instance: fmt.Sprint("i-", i), DataCentre: fmt.Sprint("dc-", i%3), Address: "10.0.0.1:1", Service: "desk"})
+	}
+	other := Member{Instance: "o", DataCentre: "dc-0", Address: "10.0.0.1:1", Service: "back"}
+	for _, self := range []Member{all[0], other} {
+		core := New(Config{Self: self, HeartbeatInterval: time.Second})
+		for _, m := range append(all, other) {
+			core.members[m.Instance] = memberRow{Member: m, position: store.Position{Version: 1}}
+		}
+		count := 0
+		run := func(now time.Duration, ev step.Event) int {
+			for _, effect := range core.Step(step.Env{Now: now}, ev) {
+				if published, ok := effect.(PublishMembers); ok {
+					count = len(published.Members)
+				}
+			}
+			return count
+		}
+		usual := run(time.Second, RolloutsChanged{})
+		first := run(time.Second, RolloutsChanged{Services: map[string]bool{"desk": true}})
+		middle := run(time.Second+rolloutMeshSpread/2, step.Tick{})
+		last := run(time.Second+rolloutMeshSpread, step.Tick{})
+		after := run(10*time.Second, RolloutsChanged{})
+		if after != usual {
+			t.Errorf("%s: %d connections after the rollout, %d before", self.Instance, after, usual)
+		}
+		if self.Service != "desk" {
+			if first != usual || last != usual {
+				t.Errorf("%s: %d and %d connections during the rollout of another service, want %d", self.Instance, first, last, usual)
+			}
+			continue
+		}
+		if first <= usual || first > usual+rolloutMeshFirst || middle <= first || last <= middle || last != len(all) {
+			t.Errorf("%s: %d connections before, then %d, %d and %d of %d", self.Instance, usual, first, middle, last, len(all))
+		}
+	}
+}
+
 // TestSmallFleetsAreFullyConnected checks that all daemons are connected when each
 // service has only a few upstreams.
 func TestSmallFleetsAreFullyConnected(t *testing.T) {
--- a/internal/proxy/rollout.go
+++ b/internal/proxy/rollout.go
@@ -244,10 +244,35 @@
 	v := f.rollout.view
 	oldOnes, newOnes := onSide(candidates, v, rollout.SideOld), onSide(candidates, v, rollout.SideNew)
 	toNew := !f.rollout.triedNew && rand.Float64() < v.Share(0)
-	if toNew && f.hasAvailable(newOnes) || !f.hasAvailable(oldOnes) {
-		return f.sample(newOnes)
+	if !toNew && f.hasAvailable(oldOnes) {
+		return oldOnes
 	}
-	return oldOnes
+	if !f.hasAvailable(newOnes) {
+		return oldOnes
+	}
+	if some := inStep(newOnes, v.Share(0)); f.hasAvailable(some) {
+		return f.sample(some)
+	}
+	return f.sample(newOnes)
+}
+
+// inStep returns the available upstreams of the own data centre that get requests in a
+// step with the share.
+func inStep(candidates []routing.Candidate, share float64) []routing.Candidate {
+	var instances []string
+	for i := range candidates {
+		if candidates[i].Local && candidates[i].Available {
+			instances = append(instances, candidates[i].Instance)
+		}
+	}
+	chosen := rollout.InStep(instances, share)
+	var left []routing.Candidate
+	for _, c := range candidates {
+		if chosen[c.Instance] {
+			left = append(left, c)
+		}
+	}
+	return left
 }
 
 // sampleSize is the number of candidates of one data centre among which a request to the
--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -116,5 +117,17 @@
 	return chosen
 }
 
+// InStep returns the instances that get requests in a step in which a share of the
+// requests goes to the new version: that share of the instances, so that each is loaded
+// as it will be in phase full.
+func InStep(instances []string, share float64) map[string]bool {
+	slices.SortFunc(instances, func(a, b string) int { return cmp.Compare(Rank(a), Rank(b)) })
+	chosen := map[string]bool{}
+	for _, instance := range instances[:int(math.Ceil(share*float64(len(instances))))] {
+		chosen[instance] = true
+	}
+	return chosen
+}
+
 // Rank orders the daemons; all of them compute the same order.
 func Rank(instance string) uint64 { return xxhash.Sum64String("rollout\x00" + instance) }
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -46,8 +46,8 @@
 	baseMargin = 0.005
 	// slowFactor and slowMargin are the same for the share of slow answers, which
 	// varies more, as upstreams differ in speed.
-	slowFactor = 1.3
-	slowMargin = 0.02
+	slowFactor = 1.2
+	slowMargin = 0.01
 	// priorAnswers and priorFailures are added to the counts of the old version, so
 	// that a few failures among few answers do not make the share large.
 	priorAnswers  = 100
--- a/internal/rollout/replay_test.go
+++ b/internal/rollout/replay_test.go
@@ -162,6 +162,9 @@
 			}
 		}
 	}
+	if f.view.Phase == StepOne || f.view.Phase == StepTwo {
+		takers = f.new[:int(share*float64(len(f.new)))]
+	}
 	total := rate * replayStep.Seconds()
 	f.requests += total
 	f.exposed += total * share
@@ -266,6 +269,7 @@
 	{name: "all slow at once", bad: true, fault: fault{slows: 1, slowness: 4}},
 	{name: "all 3 times slower", bad: true, fault: fault{slows: 1, slowness: 3}},
 	{name: "few failures from the third second", bad: true, fault: fault{from: 3 * time.Second, fails: 0.05}},
+	{name: "failures under load from the seventh second", bad: true, fault: fault{from: 6500 * time.Millisecond, fails: 0.3, minLoad: 5.5}},
 	{name: "some slow later", bad: true, fault: fault{from: 4 * time.Second, slows: 0.4, slowness: 4}},
 	{name: "failures under load", bad: true, fault: fault{fails: 0.3, minLoad: 5.5}},
 	{name: "failures on the rarest route", bad: true, fault: fault{route: "d", fails: 0.5}},
