Count only recent losses as a cut, and test the entry daemon's choice

Change: members count from 5 s before the rollout on; isolation closes old versions only; lasting suspicion needs a score of 6; only a daemon without a configuration waits for news; a write without an answer makes the daemon read the store, and peers are told when the upstream opens or closes. Tests of the choice of versions and of refusals beside the upstream.

--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -29,8 +29,7 @@
 	// afterPause is how long after a pause of the process the upstream gets no requests
 	// during a rollout: the peers' news of the rollout arrive within that time.
 	afterPause = 500 * time.Millisecond
-	// newsTimeout bounds the wait until news about a rollout are in force. The state of a
-	// peer is applied before its configuration is fetched.
+	// newsTimeout bounds the wait until news about a rollout are in force.
 	newsTimeout = 300 * time.Millisecond
 )
 
@@ -179,9 +178,17 @@
 	same := sameNews(r.heard[instance], progress)
 	r.heard[instance] = progress
 	r.mu.Unlock()
-	if !same {
-		r.apply(rollout.ProgressHeard{Instance: instance, Progress: progress})
+	if same {
+		return
+	}
+	ev := rollout.ProgressHeard{Instance: instance, Progress: progress}
+	if r.daemon.proxy.ActiveTable() != nil {
+		r.loop.post(ev)
+		return
 	}
+	// The upstream gets its first requests with the first configuration, which this peer
+	// may be about to send.
+	r.apply(ev)
 }
 
 // sameNews reports whether two lists are equal but for the ages.
@@ -201,6 +208,10 @@
 
 // reportReceived applies a peer's report.
 func (r *rolloutControl) reportReceived(instance string, report *hopv1.RolloutReport) {
+	if instance == "" {
+		// There was no handshake.
+		return
+	}
 	r.post(rollout.ReportReceived{Instance: instance, Report: decodeReport(report)})
 }
 
@@ -293,12 +304,14 @@
 	changed := !reflect.DeepEqual(active, r.active)
 	r.active = active
 	r.mu.Unlock()
-	r.daemon.proxy.SetRollouts(e.Views)
-	if e.Tell {
-		r.daemon.broadcastState()
+	d := r.daemon
+	tookWork := d.proxy.State().TakesWork
+	d.proxy.SetRollouts(e.Views)
+	if e.Tell || d.proxy.State().TakesWork != tookWork {
+		d.broadcastState()
 	}
 	if changed {
-		r.daemon.loop.post(control.RolloutsChanged{Services: active})
+		d.loop.post(control.RolloutsChanged{Services: active})
 	}
 }
 
--- /dev/null
+++ b/internal/proxy/rollout_test.go
@@ -0,0 +1,116 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/code"
+	"godwitmount/internal/control"
+	"godwitmount/internal/manifest"
+	"godwitmount/internal/rollout"
+	"godwitmount/internal/routing"
+	"godwitmount/internal/store"
+)
+
+// rolloutForwarder returns a forwarder of a call to service desk, of which a rollout from
+// v1 to v2 is in the phase.
+func rolloutForwarder(phase rollout.Phase) (*forwarder, []routing.Candidate) {
+	p := &Proxy{cfg: Config{ExposeShare: 0.5}, routes: newRouteProfiles(), rollouts: newRollouts(), epoch: time.Now()}
+	views := map[string]*rollout.View{"desk": {Gated: true, Progress: rollout.Progress{
+		Request: rollout.Request{Service: "desk", To: "v2", Position: store.Position{Version: 5}}, Phase: phase, From: []string{"v1"},
+	}}}
+	p.rollouts.views.Store(&views)
+	f := &forwarder{proxy: p, call: &call{service: "desk", route: &manifest.CompiledRoute{Route: manifest.Route{Name: "r"}}, request: &hopv1.Request{}}}
+	return f, []routing.Candidate{
+		{Instance: "old", Version: "v1", Available: true, Local: true, Slots: 4},
+		{Instance: "new", Version: "v2", Available: true, Slots: 4},
+	}
+}
+
+// attemptAt replays one attempt with a result and returns the version that it was made
+// at, and the exposure on the request.
+func attemptAt(f *forwarder, candidates []routing.Candidate, r result) (version string, exposed uint64) {
+	left := f.limitToRollout(candidates)
+	if len(left) == 0 {
+		return "", 0
+	}
+	f.chooseVersion(left[0].Version)
+	exposed = f.call.request.Exposed
+	f.settleRollout(r)
+	return left[0].Version, exposed
+}
+
+// TestTrialUsesExposureOnce covers an entry daemon in the trial: answers earn exposure, a
+// refusal gives it back, and after a failure on the new version the request goes to the old
+// one.
+func TestTrialUsesExposureOnce(t *testing.T) {
+	f, candidates := rolloutForwarder(rollout.Trial)
+	fresh := func() { f.rollout = rolloutAttempt{} }
+	for i, c := range []struct {
+		result result
+		fresh  bool
+		want   string
+	}{
+		{answered, true, "v1"},
+		{answered, true, "v1"},
+		{notSent, true, "v2"},
+		{answered, false, "v1"},
+		{serverError, true, "v2"},
+		{answered, false, "v1"},
+		{unknown, true, "v2"},
+		{answered, true, "v1"},
+	} {
+		if c.fresh {
+			fresh()
+		}
+		version, exposed := attemptAt(f, candidates, c.result)
+		if version != c.want || (exposed == 5) != (c.want == "v2") {
+			t.Fatalf("attempt %d: version %s, exposed %d; want %s", i+1, version, exposed, c.want)
+		}
+	}
+}
+
+// TestPhasesChooseTheVersion covers the other phases, with no upstream of one version
+// left.
+func TestPhasesChooseTheVersion(t *testing.T) {
+	for phase, want := range map[rollout.Phase][2]string{
+		rollout.Full:     {"v2", ""},
+		rollout.Reverted: {"v1", "v1"},
+		rollout.StepTwo:  {"", "v1"},
+	} {
+		f, candidates := rolloutForwarder(phase)
+		if version, _ := attemptAt(f, candidates, answered); want[0] != "" && version != want[0] {
+			t.Errorf("%s: version %q, want %q", phase, version, want[0])
+		}
+		if version, _ := attemptAt(f, candidates[:1], answered); version != want[1] {
+			t.Errorf("%s, old upstreams only: version %q, want %q", phase, version, want[1])
+		}
+	}
+}
+
+// TestUpstreamRefusesWithoutExposure covers the daemon beside an upstream, also after its
+// process did not run for a while.
+func TestUpstreamRefusesWithoutExposure(t *testing.T) {
+	f, _ := rolloutForwarder(rollout.Trial)
+	r := f.proxy.rollouts
+	newOne, oldOne := &control.Upstream{Service: "desk", Version: "v2"}, &control.Upstream{Service: "desk", Version: "v1"}
+	for name, c := range map[string]struct {
+		upstream *control.Upstream
+		exposed  uint64
+		now      time.Duration
+		want     code.Code
+	}{
+		"new, without exposure":     {newOne, 0, 0, code.CallNotExposed},
+		"new, exposure of another":  {newOne, 4, 0, code.CallNotExposed},
+		"new, with exposure":        {newOne, 5, 0, code.OK},
+		"old":                       {oldOne, 0, 0, code.OK},
+		"old, after a pause":        {oldOne, 0, maxViewAge + 1, code.CallVersionClosed},
+		"another service":           {&control.Upstream{Service: "back"}, 0, maxViewAge + 1, code.OK},
+		"new, exposed, after pause": {newOne, 5, maxViewAge + 1, code.CallVersionClosed},
+	} {
+		if got := r.refusal(c.upstream, &hopv1.Request{Exposed: c.exposed}, c.now); got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+}
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -38,10 +38,13 @@
 	// soleWait is how long a rollout waits to learn of an upstream of another version
 	// before it concludes that there is none.
 	soleWait = 2 * time.Second
-	// suspicionShare is the share of Config.Rollback after which a version that has been
-	// under suspicion all the time is reverted. It is longer than the recent times that
-	// are judged, so that a chance result has left them.
+	// suspicionShare is the share of Config.Rollback after which a version is reverted
+	// that has had a score of lastingScore all the time. It is longer than the recent
+	// times that are judged, so that a chance result has left them. With few requests a
+	// chance result stays in the whole time, so that the score must be well above
+	// suspectScore.
 	suspicionShare = 0.85
+	lastingScore   = 6
 	// freshReport is the age up to which a report counts as the present state. Reports
 	// are repeated after keepAliveInterval.
 	freshReport = 3 * time.Second
@@ -285,7 +288,7 @@
 // suspectTooLong reports whether the version has been under suspicion for so long that
 // a decision must not wait for more evidence.
 func (c *Core) suspectTooLong(s *service) bool {
-	if !s.verdict.Suspect {
+	if s.verdict.Score < lastingScore {
 		s.suspectSince = 0
 		return false
 	}
@@ -520,6 +523,8 @@
 	default:
 		c.rowsUnknown(s)
 		s.nextWrite = c.now + writeDelay
+		// If the store does not answer this read either, another daemon coordinates.
+		c.emit(ReadRequests{})
 	}
 }
 
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -37,6 +37,9 @@
 	// goes on giving requests to its upstream during a rollout. It is well below
 	// goneAfter, after which the others no longer wait for it.
 	isolatedAfter = 2 * time.Second
+	// lossMemory is how long before a rollout a member may have become unreachable and
+	// still count as lost by a cut.
+	lossMemory = 5 * time.Second
 	// goneAfter is the time for which a member must be unreachable from all of its data
 	// centre before completion does not wait for it any more. Requests that it had
 	// accepted have passed their deadlines by then.
@@ -438,12 +441,18 @@
 	return all
 }
 
+// counts reports whether a member says something about this daemon's own connection:
+// it is reachable, or was until shortly before the rollout. Others may be gone for good.
+func (c *Core) counts(s *service, p *peer) bool {
+	return p.member && p.reached && (p.reachable || p.unreachableSince >= s.knownAt-lossMemory)
+}
+
 // cutOff reports whether this daemon reaches fewer than half of the members of the
-// service that it has reached before, itself included.
+// service that count, itself included.
 func (c *Core) cutOff(s *service) bool {
 	reached, reachable := 1, 1
 	for _, p := range c.peers {
-		if !p.member || p.service() != s.Service || !p.reached {
+		if p.service() != s.Service || !c.counts(s, p) {
 			continue
 		}
 		reached++
@@ -456,10 +465,10 @@
 
 // isolated reports whether this daemon has for isolatedAfter reached none of several
 // other daemons in its data centre. The others may then count it as gone.
-func (c *Core) isolated() bool {
+func (c *Core) isolated(s *service) bool {
 	others, reachable := 0, 0
 	for _, p := range c.peers {
-		if !p.member || p.DataCentre != c.cfg.DataCentre || !p.reached {
+		if p.DataCentre != c.cfg.DataCentre || !c.counts(s, p) {
 			continue
 		}
 		others++
@@ -485,7 +494,7 @@
 		return v
 	}
 	v.Gated = len(s.From) > 0 || !s.hadBefore
-	v.Closed = s.unresolved || s.Phase.Active() && c.isolated()
+	v.Isolated = s.Phase.Active() && c.isolated(s)
 	v.NewClosed = s.broken || s.Phase == Trial && c.cutOff(s)
 	return v
 }
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -166,9 +165,9 @@
 			}
 		case Publish:
 			for i, v := range e.Views {
-				if !slices.Contains([]bool{e.Tell}, false) || v.Closed || v.NewClosed {
-					fmt.Fprintf(out, "publish %s to=%s from=%v denied=%v gated=%t closed=%t new-closed=%t coordinator=%s\n",
-						v.Phase, v.To, v.From, v.Denied, v.Gated, v.Closed, v.NewClosed, e.Summaries[i].Coordinator)
+				if e.Tell || v.Unresolved || v.Isolated || v.NewClosed {
+					fmt.Fprintf(out, "publish %s to=%s from=%v denied=%v gated=%t unresolved=%t isolated=%t new-closed=%t coordinator=%s\n",
+						v.Phase, v.To, v.From, v.Denied, v.Gated, v.Unresolved, v.Isolated, v.NewClosed, e.Summaries[i].Coordinator)
 				}
 			}
 		case SendReport:
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -162,13 +162,13 @@
 	// It is clear if no other version is known and this daemon's upstream had the
 	// new version before the request.
 	Gated bool
-	// Closed is set while this daemon's upstream gets no requests whatever its
-	// version: the phase is not known yet, or the daemon is isolated.
-	Closed bool
-	// Unresolved is set while the phase is not known yet. Peers are not told of the
-	// rollout: they may have started, too, and would take the first phase for the present
-	// one.
+	// Unresolved is set while the phase is not known yet. The local upstream gets no
+	// requests, and peers are not told of the rollout: they may have started, too, and
+	// would take the first phase for the present one.
 	Unresolved bool
+	// Isolated is set while this daemon reaches no other one. A local upstream of an old
+	// version gets no requests, because the rollout may go on without it.
+	Isolated bool
 	// NewClosed is set while an upstream of the new version beside this daemon gets
 	// no requests: it fails, or this daemon is cut off from most of the service in
 	// the trial.
@@ -178,10 +178,10 @@
 // Opens reports whether the admission controller of the local upstream of the given
 // version is open.
 func (v *View) Opens(version string) bool {
-	if v.Closed || slices.Contains(v.Denied, version) {
+	isNew := version == v.To
+	if v.Unresolved || v.Isolated && !isNew || slices.Contains(v.Denied, version) {
 		return false
 	}
-	isNew := version == v.To
 	switch v.Phase {
 	case Full:
 		return isNew && !v.NewClosed
