--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -65,12 +65,12 @@
 	ParentID func(id string) string
 	// ReadyPath is the HTTP path of the readiness check.
 	ReadyPath string
+	// Rollouts names the rows about rollouts. They are used only if the settings enable
+	// rollouts.
+	Rollouts RolloutRows
 	// NewReportHandler returns the HTTP handler for the local upstream's
 	// reports. The handler calls apply with each valid report, and rejected with
 	// the error of each report that is invalid or for which apply failed.
-	// Rollouts names the rows about rollouts. They are used only if the settings enable
-	// rollouts.
-	Rollouts         RolloutRows
 	NewReportHandler func(apply func(control.UpstreamReport) error, rejected func(error)) http.Handler
 }
 
--- /dev/null
+++ b/internal/rollout/completion.go
@@ -0,0 +1,101 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+)
+
+// wanted returns the phase that the store is to have.
+func (c *Core) wanted(s *service) (phase Phase, reason string) {
+	switch {
+	case s.Phase == Trial && len(s.From) == 0 && c.hasMemberOf(s, s.To) && c.now-s.knownAt >= soleWait && c.versionsKnown(s):
+		return Full, "no upstream has another version"
+	case s.Phase == StepTwo && c.stepDone(s):
+		return Full, "no fault found"
+	case s.Phase == Full && s.savedAs(Full) && c.drained(s):
+		return Completed, "all old upstreams are closed and idle"
+	case s.Phase >= Full:
+		return s.Phase, s.Reason
+	default:
+		return Trial, s.Reason
+	}
+}
+
+// versionsKnown reports whether all reachable members of the service have said which
+// version their upstreams have.
+func (c *Core) versionsKnown(s *service) bool {
+	for _, p := range c.peers {
+		if p.member && p.reachable && p.service() == s.Service && p.state.Version == "" {
+			return false
+		}
+	}
+	return true
+}
+
+// hasMemberOf reports whether an upstream of the version is known.
+func (c *Core) hasMemberOf(s *service, version string) bool {
+	if c.upstream.Service == s.Service && c.upstream.Version == version {
+		return true
+	}
+	for _, p := range c.peers {
+		if p.state.Service == s.Service && p.state.Version == version {
+			return true
+		}
+	}
+	return false
+}
+
+// drained reports whether no old upstream has a request or can get one. Otherwise it
+// sets what this waits for.
+func (c *Core) drained(s *service) bool {
+	if own := s.history[c.cfg.Instance]; c.ownService() == s.Service && (own == nil || !own.confirms(s)) {
+		s.waiting = "requests of " + c.cfg.Instance
+		return false
+	}
+	left, first := 0, ""
+	for instance, p := range c.peers {
+		if !p.member || p.service() != s.Service || p.state.Version == s.To || c.gone(s, p) {
+			continue
+		}
+		h := s.history[instance]
+		if h != nil && p.reachable && c.now-h.at <= freshReport && h.confirms(s) {
+			continue
+		}
+		left++
+		if first == "" || instance < first {
+			first = instance
+		}
+	}
+	if left > 0 {
+		s.waiting = fmt.Sprintf("%d old upstreams, %s among them", left, first)
+	}
+	return left == 0
+}
+
+// confirms reports whether the upstream has the new version or is closed and idle.
+func (h *history) confirms(s *service) bool {
+	r := &h.latest
+	return r.Version == s.To || r.Position == s.Position && r.Phase == Full && r.Drained
+}
+
+// gone reports whether a member of the service is unreachable from this daemon and from
+// all daemons of its data centre that report, of which there must be one.
+func (c *Core) gone(s *service, p *peer) bool {
+	if p.reachable || c.now-p.unreachableSince < goneAfter {
+		return false
+	}
+	witnesses := 0
+	for instance, h := range s.history {
+		witness := c.peers[instance]
+		local := instance == c.cfg.Instance && c.cfg.DataCentre == p.DataCentre ||
+			witness != nil && witness.reachable && witness.DataCentre == p.DataCentre
+		if !local || c.now-h.at > freshReport {
+			continue
+		}
+		if !slices.Contains(h.latest.Unreachable, p.Instance) {
+			return false
+		}
+		witnesses++
+	}
+	return witnesses > 0
+}
--- /dev/null
+++ b/internal/rollout/peers.go
@@ -0,0 +1,102 @@
+package rollout
+
+import (
+	"cmp"
+	"slices"
+)
+
+// peer returns the peer with the instance.
+func (c *Core) peer(instance string) *peer {
+	p := c.peers[instance]
+	if p == nil {
+		p = &peer{Member: Member{Instance: instance}, rank: Rank(instance), unreachableSince: c.now}
+		c.peers[instance] = p
+	}
+	return p
+}
+
+// service returns the service of the peer's upstream as it last reported, or as the
+// member table has it.
+func (p *peer) service() string { return cmp.Or(p.state.Service, p.Member.Service) }
+
+func (c *Core) applyMembers(ev MembersChanged) {
+	kept := map[string]bool{}
+	for _, m := range ev.Members {
+		kept[m.Instance] = true
+		p := c.peer(m.Instance)
+		p.Member, p.member = m, true
+	}
+	for instance, p := range c.peers {
+		if !kept[instance] {
+			// Its state stays: it is told only when it changes.
+			p.member, p.reachable, p.reached, p.unreachableSince = false, false, false, c.now
+		}
+	}
+}
+
+func (c *Core) applyReachability(ev PeerReachability) {
+	p := c.peer(ev.Instance)
+	p.reachable = ev.Reachable
+	p.reached = p.reached || ev.Reachable
+	if !ev.Reachable {
+		p.unreachableSince = c.now
+	}
+}
+
+// unreachable returns the members of the service in this daemon's data centre that it
+// has not reached for goneAfter.
+func (c *Core) unreachable(s *service) []string {
+	var all []string
+	for instance, p := range c.peers {
+		if p.member && p.service() == s.Service && p.DataCentre == c.cfg.DataCentre && !p.reachable && c.now-p.unreachableSince >= goneAfter {
+			all = append(all, instance)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// counts reports whether a member says something about this daemon's own connection:
+// it is reachable, or was until shortly before the rollout. Others may be gone for good.
+func (c *Core) counts(s *service, p *peer) bool {
+	return p.member && p.reached && (p.reachable || p.unreachableSince >= s.knownAt-lossMemory)
+}
+
+// cutOff reports whether this daemon reaches fewer than half of the members of the
+// service that count, itself included.
+func (c *Core) cutOff(s *service) bool {
+	reached, reachable := 1, 1
+	for _, p := range c.peers {
+		if p.service() != s.Service || !c.counts(s, p) {
+			continue
+		}
+		reached++
+		if p.reachable {
+			reachable++
+		}
+	}
+	return 2*reachable < reached
+}
+
+// isolated reports whether this daemon has for isolatedAfter reached none of several
+// other daemons in its data centre. The others may then count it as gone.
+func (c *Core) isolated(s *service) bool {
+	others, reachable := 0, 0
+	for _, p := range c.peers {
+		if p.DataCentre != c.cfg.DataCentre || !c.counts(s, p) {
+			continue
+		}
+		others++
+		if p.reachable {
+			reachable++
+		}
+	}
+	if others < 2 || reachable > 0 {
+		c.isolatedSince = 0
+		return false
+	}
+	if c.isolatedSince == 0 {
+		c.isolatedSince = c.now
+	}
+	return c.now-c.isolatedSince >= isolatedAfter
+}
