--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -85,6 +85,11 @@
 	// storeUnavailable is the set of the peers that the store does not answer, by
 	// instance.
 	storeUnavailable map[string]bool
+	// rollouts holds the services with a rollout in progress, rolloutSince when that of
+	// the own service became known. publishedAt is when members were last published.
+	rollouts     map[string]bool
+	rolloutSince time.Duration
+	publishedAt  time.Duration
 	// era is what is known of the store's era.
 	era eraState
 	// storeWatcher is set while this daemon watches the store for new
@@ -143,6 +148,8 @@
 		c.upstreamLeaving(ev)
 	case MemberWritten:
 		c.selfWritten = ev.Err == nil
+	case RolloutsChanged:
+		c.applyRollouts(ev.Services)
 	case StopRequested:
 		c.stop()
 	}
@@ -213,6 +220,7 @@
 	if c.publishPending {
 		c.publishMembers()
 	}
+	c.growRolloutMesh()
 	c.readMembersWhenDue()
 	c.readRemoteVersion()
 	sinceHeartbeat := c.now - c.lastHeartbeat
--- a/internal/daemon/watch_test.go
+++ b/internal/daemon/watch_test.go
@@ -23,6 +23,7 @@
 	hellos, pings chan struct{}
 }
 
+func (p pingedPeer) HelloState() *hopv1.State           { return p.State() }
 func (p pingedPeer) State() *hopv1.State                { return &hopv1.State{} }
 func (p pingedPeer) DrainRecord(string) *hopv1.Left     { return nil }
 func (p pingedPeer) HelloReceived(*hopv1.Hello)         { p.hellos <- struct{}{} }
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -19,7 +19,8 @@
 	Execute(ctx context.Context, request *hopv1.Request) *hopv1.Frame
 	// Config returns the configuration in force.
 	Config() *hopv1.ConfigAnswer
-	// State returns the state to send to peers.
+	// HelloState returns the state to send in the handshake, State that in pongs.
+	HelloState() *hopv1.State
 	State() *hopv1.State
 	// DrainRecord returns this daemon's drain record of the peer instance's
 	// upstream, or nil.
@@ -37,6 +38,8 @@
 	// StateReceived is called with the state that a peer sent in a Ping. The state
 	// may be nil.
 	StateReceived(instance string, state *hopv1.State)
+	// RolloutReportReceived is called with a report that a peer sent.
+	RolloutReportReceived(instance string, report *hopv1.RolloutReport)
 }
 
 // Server serves the connections that peers open.
--- a/internal/hop/session.go
+++ b/internal/hop/session.go
@@ -58,7 +58,7 @@
 	switch body := frame.Body.(type) {
 	case *hopv1.Frame_Hello:
 		s.register(body.Hello)
-		hello := withState(s.server.hello, handler.State(), handler.DrainRecord(s.peer))
+		hello := withState(s.server.hello, handler.HelloState(), handler.DrainRecord(s.peer))
 		hello.Session = body.Hello.GetSession()
 		_ = s.peerConn.send(&hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: hello}})
 		handler.HelloReceived(body.Hello)
@@ -73,6 +73,8 @@
 		s.start(frame.Stream, body.Request)
 	case *hopv1.Frame_Cancel:
 		s.cancel(frame.Stream)
+	case *hopv1.Frame_RolloutReport:
+		handler.RolloutReportReceived(s.peer, body.RolloutReport)
 	case *hopv1.Frame_ConfigRequest:
 		config := handler.Config()
 		_ = s.peerConn.send(&hopv1.Frame{Stream: frame.Stream, Body: &hopv1.Frame_ConfigAnswer{ConfigAnswer: config}})
