Add customers with keys to configurations and requests

Change: Manifests have customers (name, keys, priority, rate, burst) and public routes, with checks in Parse and, for the daemon, in Compile. Manifests without these fields keep their canonical form and digest. The entry daemon identifies the customer, answers 401 (520) or, to a request without a key whose id names a parent that does not run here, 503 (521), removes the key and the caller's claim of a customer, and passes the customer's name and priority on (fields 24 and 25 of Request). The executing daemon sets the name. On a public route a known key still names the customer; any other is ignored. Code 522 is not used yet.

Conclusion: Admission does not order by the customer's priority yet; metrics, log lines and the page of the design follow.

--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -67,6 +67,9 @@
 	CallAnswerBroken    Code = 517
 	CallHeadersTooLarge Code = 518
 	CallUpstreamRefused Code = 519
+	CallUnauthorized    Code = 520
+	CallParentUnknown   Code = 521
+	CallUnproven        Code = 522
 )
 
 // Info describes one code.
@@ -127,6 +130,9 @@
 	{CallAnswerBroken, "call-answer-broken", "The upstream's answer was incomplete or invalid.", Unknown, http.StatusBadGateway, false},
 	{CallHeadersTooLarge, "call-headers-too-large", "The request headers exceed the limit.", NotRun, http.StatusRequestHeaderFieldsTooLarge, false},
 	{CallUpstreamRefused, "call-upstream-refused", "The upstream refused the request without running it.", NotRun, http.StatusServiceUnavailable, true},
+	{CallUnauthorized, "call-unauthorized", "The request has no key of a customer, or an unknown one.", NotRun, http.StatusUnauthorized, false},
+	{CallParentUnknown, "call-parent-unknown", "The request has no key, and its id names a request that does not run here.", NotRun, http.StatusServiceUnavailable, true},
+	{CallUnproven, "call-unproven", "The daemon does not know whether its configuration, and so the customer's key, is still in force.", NotRun, http.StatusServiceUnavailable, true},
 }
 
 var byCode = indexByCode()
--- a/internal/manifest/canonical.go
+++ b/internal/manifest/canonical.go
@@ -12,7 +12,7 @@
 
 // Canonical returns the deterministic JSON form of the manifest. Its SHA-256 is
 // the manifest's digest, and parsing it returns the same manifest. Each service,
-// route and retry rule is on a separate line; lists without a meaningful order
+// route, retry rule and customer is on a separate line; lists without a meaningful order
 // are sorted. The manifest must be valid.
 func (m *Manifest) Canonical() []byte {
 	c := m.clone()
@@ -25,6 +25,10 @@
 	writeEntries(&out, "services", c.Services)
 	writeEntries(&out, "routes", c.Routes)
 	writeEntries(&out, "retry_rules", c.RetryRules)
+	if len(c.Customers) > 0 {
+		// Left out if empty: manifests without customers keep their digests.
+		writeEntries(&out, "customers", c.Customers)
+	}
 	if c.Limits != (Limits{}) {
 		out.WriteString(",\n\"limits\":")
 		writeJSON(&out, c.Limits)
@@ -78,6 +82,10 @@
 	for i := range c.RetryRules {
 		c.RetryRules[i].On = slices.Clone(c.RetryRules[i].On)
 	}
+	c.Customers = slices.Clone(m.Customers)
+	for i := range c.Customers {
+		c.Customers[i].Keys = slices.Clone(c.Customers[i].Keys)
+	}
 	return &c
 }
 
@@ -94,6 +102,10 @@
 	for i := range m.RetryRules {
 		slices.Sort(m.RetryRules[i].On)
 	}
+	slices.SortFunc(m.Customers, func(a, b Customer) int { return cmp.Compare(a.Name, b.Name) })
+	for i := range m.Customers {
+		m.Customers[i].normalizeKeys()
+	}
 	for i := range m.Routes {
 		m.Routes[i].Match.normalize()
 	}
--- a/internal/manifest/check.go
+++ b/internal/manifest/check.go
@@ -31,6 +31,7 @@
 	c.checkServices()
 	c.checkRules()
 	c.checkRoutes()
+	c.customers()
 }
 
 func (c *checker) limits() {
--- a/internal/manifest/compile.go
+++ b/internal/manifest/compile.go
@@ -5,10 +5,11 @@
 // Table is a compiled manifest: an index of its routes, each with its services
 // and retry rule resolved. It is immutable and safe for concurrent use.
 type Table struct {
-	manifest *Manifest
-	routes   []CompiledRoute
-	index    *routeIndex
-	services map[string]*Service
+	manifest  *Manifest
+	routes    []CompiledRoute
+	index     *routeIndex
+	services  map[string]*Service
+	customers customerIndex
 }
 
 // CompiledRoute is a route with its references resolved.
@@ -50,6 +51,9 @@
 	effective := m.clone()
 	effective.normalize()
 	effective.fillZeros()
+	if err := customersError(m.Customers); err != nil {
+		return nil, err
+	}
 	services := make(map[string]*Service, len(effective.Services))
 	for i := range effective.Services {
 		services[effective.Services[i].Name] = &effective.Services[i]
@@ -70,7 +74,13 @@
 		}
 		routes[i] = CompiledRoute{Route: route, Targets: targets, Rule: rule}
 	}
-	return &Table{manifest: effective, routes: routes, services: services, index: indexRoutes(effective.Routes)}, nil
+	return &Table{
+		manifest:  effective,
+		routes:    routes,
+		services:  services,
+		index:     indexRoutes(effective.Routes),
+		customers: indexCustomers(effective.Customers),
+	}, nil
 }
 
 // targetsOf resolves the services of a route. It returns an error if one does
--- /dev/null
+++ b/internal/manifest/customer.go
@@ -0,0 +1,179 @@
+package manifest
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+
+	"godwitmount/internal/code"
+	"godwitmount/internal/strictjson"
+)
+
+// Customer is a party whose callers identify themselves by a key.
+type Customer struct {
+	Name string `json:"name" strict:"required"`
+	// Keys identify the customer's callers; each of them is sufficient. A customer
+	// without keys can make no requests.
+	Keys []Key `json:"keys"`
+	// Priority orders requests that wait for the same upstream, before the priority
+	// of their routes; 0 is served first.
+	Priority int `json:"priority"`
+	// RatePerSecond and Burst are the customer's allowance over all daemons
+	// together, in requests; a RatePerSecond of 0 sets no limit.
+	RatePerSecond float64 `json:"rate_per_second,omitempty"`
+	Burst         float64 `json:"burst,omitempty"`
+}
+
+// Key is a customer's secret. Printed with fmt it shows only its fingerprint, so
+// that no message or log line contains it; JSON has the key itself.
+type Key string
+
+// fingerprintBytes is the number of bytes of a key's hash in its fingerprint.
+const fingerprintBytes = 4
+
+// Fingerprint identifies a key without revealing it.
+func (k Key) Fingerprint() string {
+	hash := hashKey(string(k))
+	return "key-" + hex.EncodeToString(hash[:fingerprintBytes])
+}
+
+// String returns the fingerprint.
+func (k Key) String() string { return k.Fingerprint() }
+
+// GoString returns the fingerprint.
+func (k Key) GoString() string { return k.Fingerprint() }
+
+// keyHash is the SHA-256 of a key. Keys are found by their hash: the time of the
+// lookup says nothing about how much of a wrong key is right.
+type keyHash [sha256.Size]byte
+
+func hashKey(key string) keyHash { return sha256.Sum256([]byte(key)) }
+
+// customerIndex finds customers by key and by name.
+type customerIndex struct {
+	byKey  map[keyHash]*Customer
+	byName map[string]*Customer
+}
+
+func indexCustomers(customers []Customer) customerIndex {
+	index := customerIndex{byKey: map[keyHash]*Customer{}, byName: make(map[string]*Customer, len(customers))}
+	for i := range customers {
+		customer := &customers[i]
+		index.byName[customer.Name] = customer
+		for _, key := range customer.Keys {
+			index.byKey[hashKey(string(key))] = customer
+		}
+	}
+	return index
+}
+
+// HasCustomers reports whether the manifest has customers, so that requests need a
+// key.
+func (t *Table) HasCustomers() bool { return len(t.customers.byName) > 0 }
+
+// CustomerByKey returns the customer with the key, or nil if there is none.
+func (t *Table) CustomerByKey(key string) *Customer { return t.customers.byKey[hashKey(key)] }
+
+// Customer returns the customer with the name, or nil if there is none.
+func (t *Table) Customer(name string) *Customer { return t.customers.byName[name] }
+
+// checkCustomers calls report for each fault of the customers with which the
+// manifest can't be applied. Path is that of the value within the manifest.
+func checkCustomers(customers []Customer, report func(path string, c code.Code, format string, args ...any)) {
+	if len(customers) > MaxCustomers {
+		report(strictjson.Path("customers"), code.ManifestOutOfRange, "%d entries; want at most %d", len(customers), MaxCustomers)
+	}
+	names := map[string]bool{}
+	owners := map[keyHash]int{}
+	for i := range customers {
+		customer := &customers[i]
+		path := strictjson.Path("customers", i)
+		if !validHeaderText(customer.Name, MaxNameLength) {
+			report(path+"/name", code.ManifestOutOfRange, "customer name %q must be a header value of 1 to %d bytes without leading or trailing spaces", customer.Name, MaxNameLength)
+		}
+		if names[customer.Name] {
+			report(path+"/name", code.ManifestDuplicate, "customer %q is given twice", customer.Name)
+		}
+		names[customer.Name] = true
+		customer.checkKeys(path, i, owners, report)
+		customer.checkNumbers(path, report)
+	}
+}
+
+// checkKeys checks the keys of the customer at a position of the list. Owners holds
+// the positions of the customers with the keys seen before. The messages name the
+// positions of keys and not the keys.
+func (c *Customer) checkKeys(path string, position int, owners map[keyHash]int, report func(string, code.Code, string, ...any)) {
+	if len(c.Keys) > MaxKeys {
+		report(path+"/keys", code.ManifestOutOfRange, "%d entries; want at most %d", len(c.Keys), MaxKeys)
+	}
+	for i, key := range c.Keys {
+		entry := path + strictjson.Path("keys", i)
+		if !validHeaderText(string(key), MaxKeyLength) {
+			report(entry, code.ManifestOutOfRange, "a key of customer %q must be a header value of 1 to %d bytes without leading or trailing spaces", c.Name, MaxKeyLength)
+			continue
+		}
+		hash := hashKey(string(key))
+		if owner, known := owners[hash]; known && owner != position {
+			report(entry, code.ManifestDuplicate, "a key of customer %q is also a key of an earlier customer", c.Name)
+		}
+		owners[hash] = position
+	}
+}
+
+// checkNumbers checks that the customer's numbers are in range.
+func (c *Customer) checkNumbers(path string, report func(string, code.Code, string, ...any)) {
+	if c.Priority < 0 || c.Priority > MaxPriority {
+		report(path+"/priority", code.ManifestOutOfRange, "%d is outside 0 to %d", c.Priority, MaxPriority)
+	}
+	// The comparisons are written so that they fail for a number that is not one.
+	if !(c.RatePerSecond >= 0 && c.RatePerSecond <= MaxRate) {
+		report(path+"/rate_per_second", code.ManifestOutOfRange, "%v is outside 0 to %v", c.RatePerSecond, MaxRate)
+	}
+	if !(c.Burst >= 0 && c.Burst <= MaxRate) {
+		report(path+"/burst", code.ManifestOutOfRange, "%v is outside 0 to %v", c.Burst, MaxRate)
+	}
+}
+
+// validHeaderText reports whether the text can be sent as the value of a header and
+// read back unchanged.
+func validHeaderText(text string, limit int) bool {
+	return text != "" && len(text) <= limit && httpguts.ValidHeaderFieldValue(text) && strings.TrimSpace(text) == text
+}
+
+// customers checks the customers. In manifest files, their names follow the rule for
+// all names; those of the platform are checked by customersError only.
+func (c *checker) customers() {
+	checkCustomers(c.manifest.Customers, c.Add)
+	for i := range c.manifest.Customers {
+		name := c.manifest.Customers[i].Name
+		if validHeaderText(name, MaxNameLength) {
+			c.name(strictjson.Path("customers", i)+"/name", name)
+		}
+	}
+}
+
+// customersError returns the first fault of the customers as an error, or nil. The
+// daemon's manifests are not checked by Parse.
+func customersError(customers []Customer) error {
+	var first error
+	checkCustomers(customers, func(path string, _ code.Code, format string, args ...any) {
+		if first == nil {
+			first = fmt.Errorf("compile manifest: %s: %s", path, fmt.Sprintf(format, args...))
+		}
+	})
+	return first
+}
+
+// normalizeKeys sorts the keys and removes repeated ones.
+func (c *Customer) normalizeKeys() {
+	if c.Keys == nil {
+		c.Keys = []Key{}
+	}
+	slices.Sort(c.Keys)
+	c.Keys = slices.Compact(c.Keys)
+}
--- a/internal/manifest/diff.go
+++ b/internal/manifest/diff.go
@@ -29,6 +29,7 @@
 	EntryService    EntryKind = "service"
 	EntryRoute      EntryKind = "route"
 	EntryRetryRule  EntryKind = "retry rule"
+	EntryCustomer   EntryKind = "customer"
 )
 
 // Change is one difference between two manifests.
@@ -75,7 +76,8 @@
 }
 
 // Diff returns the differences between two valid manifests: mesh, limits, data
-// centres, services, routes, retry rules, in this order. Within each kind, the entries
+// centres, services, routes, retry rules, customers, in this order. Keys appear as
+// fingerprints. Within each kind, the entries
 // of the old manifest come first, in its order, then the added ones; moved routes
 // follow the other changes of routes. A nil manifest is one without entries.
 func Diff(old, new *Manifest) []Change {
@@ -89,6 +91,7 @@
 	changes = append(changes, diffEntries(EntryRoute, routesBefore, routesAfter)...)
 	changes = append(changes, diffOrder(routesBefore, routesAfter)...)
 	changes = append(changes, diffEntries(EntryRetryRule, ruleEntries(before), ruleEntries(after))...)
+	changes = append(changes, diffEntries(EntryCustomer, customerEntries(before), customerEntries(after))...)
 	return changes
 }
 
--- a/internal/manifest/diff_fields.go
+++ b/internal/manifest/diff_fields.go
@@ -45,6 +45,14 @@
 	return entries
 }
 
+func customerEntries(m *Manifest) []entry {
+	entries := make([]entry, len(m.Customers))
+	for i := range m.Customers {
+		entries[i] = entry{m.Customers[i].Name, fieldTexts(&m.Customers[i])}
+	}
+	return entries
+}
+
 // fieldTexts returns the fields of the struct that entry points to, except its
 // name. For all structs of one type, these are the same fields in the same order.
 func fieldTexts(entry any) []fieldText {
@@ -66,7 +74,7 @@
 		}
 		text := ""
 		if options != "omitempty" || !isEmpty(fieldValue) {
-			text = jsonText(fieldValue.Interface())
+			text = jsonText(printable(fieldValue.Interface()))
 		}
 		fields = append(fields, fieldText{prefix + name, text})
 	}
@@ -79,6 +87,19 @@
 	return value.IsZero() || value.Kind() == reflect.Slice && value.Len() == 0
 }
 
+// printable returns the value of a field, or for keys their fingerprints.
+func printable(value any) any {
+	keys, ok := value.([]Key)
+	if !ok {
+		return value
+	}
+	fingerprints := make([]string, len(keys))
+	for i, key := range keys {
+		fingerprints[i] = key.Fingerprint()
+	}
+	return fingerprints
+}
+
 func quote(text string) string { return jsonText(text) }
 
 func jsonText(value any) string {
--- a/internal/manifest/limits.go
+++ b/internal/manifest/limits.go
@@ -54,6 +54,14 @@
 	MaxDeadline = time.Hour
 	// MaxAttempts is the largest Attempts of a retry rule.
 	MaxAttempts = 10
+	// MaxCustomers is the maximum number of customers.
+	MaxCustomers = 10_000
+	// MaxKeys is the maximum number of keys of one customer.
+	MaxKeys = 100
+	// MaxKeyLength is the maximum length of a key in bytes.
+	MaxKeyLength = 256
+	// MaxRate is the largest RatePerSecond and the largest Burst.
+	MaxRate = 1e9
 	// MaxPriority is the largest Priority, which is served last.
 	MaxPriority = 1000
 	// MaxWeight is the largest weight of a share.
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -27,6 +27,9 @@
 	// Routes are matched in order; the first match is used.
 	Routes     []Route     `json:"routes" strict:"required"`
 	RetryRules []RetryRule `json:"retry_rules,omitempty"`
+	// Customers are the parties whose callers may make requests. Without any, no
+	// request needs a key.
+	Customers []Customer `json:"customers,omitempty"`
 	// Limits apply to the requests and connections of callers.
 	Limits Limits `json:"limits"`
 }
@@ -87,6 +90,8 @@
 	// Priority orders requests that wait for the same upstream; 0 is served
 	// first.
 	Priority int `json:"priority,omitempty"`
+	// Public exempts the route's requests from the customer's key.
+	Public bool `json:"public,omitempty"`
 }
 
 // Share is one service of a split route, with its weight.
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -47,9 +47,12 @@
 	idempotent bool
 	// nested marks a request that the upstream beside this daemon sent while it
 	// ran another one, parent, which waits for it. Otherwise parent is nil.
-	nested  bool
-	parent  *runningRequest
-	request *hopv1.Request
+	nested bool
+	parent *runningRequest
+	// customer is nil for nested requests, on public routes without a known key, and
+	// where the configuration has no customers.
+	customer *manifest.Customer
+	request  *hopv1.Request
 }
 
 // isRetry reports whether the call was made by a run that is a retry.
@@ -80,9 +83,12 @@
 		return c, newFailure(code.CallNoRoute)
 	}
 	c.route = route
+	p.setTimes(c, r)
+	if f := p.identifyCustomer(c, r.Header, table); f != nil {
+		return c, f
+	}
 	c.idempotent = route.IsIdempotent(r.Method)
 	c.service = pickTarget(route)
-	p.setTimes(c, r)
 	body, f := readBody(w, r, c, table.Manifest().Limits.MaxBodyBytes)
 	if f != nil {
 		return c, f
@@ -92,7 +98,7 @@
 		Method:        r.Method,
 		Target:        r.RequestURI,
 		Host:          r.Host,
-		Headers:       p.forwardedHeaders(r.Header),
+		Headers:       p.forwardedHeaders(r.Header, table.HasCustomers()),
 		Body:          body,
 		Service:       c.service,
 		CallerService: p.callerService(),
@@ -102,6 +108,10 @@
 		Route:         route.Name,
 		AttemptMs:     attemptMilliseconds(route.Rule),
 	}
+	if c.customer != nil {
+		c.request.Customer = c.customer.Name
+		c.request.CustomerPriority = uint32(c.customer.Priority)
+	}
 	if p.isQuarantined(c.request) {
 		return c, newFailure(code.CallQuarantined)
 	}
@@ -138,14 +148,19 @@
 
 // forwardedHeaders returns the caller's end-to-end headers without those that
 // the data path sets itself, and without Accept-Encoding: an answer must be the
-// upstream's own bytes.
-func (p *Proxy) forwardedHeaders(header http.Header) []*hopv1.Header {
+// upstream's own bytes. In a mesh with customers, the customer's key and name are
+// also left out.
+func (p *Proxy) forwardedHeaders(header http.Header, customers bool) []*hopv1.Header {
 	all := upstream.EndToEnd(header)
 	kept := all[:0]
 	for _, h := range all {
 		switch h.Name {
 		case p.cfg.Headers.RequestID, p.cfg.Headers.Deadline, p.cfg.Headers.Upstream, p.cfg.Headers.CallerService, "Accept-Encoding":
 			continue
+		case p.cfg.Headers.CustomerKey, p.cfg.Headers.Customer:
+			if customers {
+				continue
+			}
 		}
 		kept = append(kept, h)
 	}
--- /dev/null
+++ b/internal/proxy/customer_test.go
@@ -0,0 +1,121 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"godwitmount/internal/control"
+	"godwitmount/internal/manifest"
+)
+
+// recordingUpstream starts an upstream that answers all requests, and returns the
+// headers of the last one.
+func recordingUpstream(t *testing.T) (address string, last func() http.Header) {
+	t.Helper()
+	headers := make(chan http.Header, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		headers <- r.Header.Clone()
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Signature", "s")
+		_, _ = io.WriteString(w, "done")
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), func() http.Header {
+		select {
+		case header := <-headers:
+			return header
+		default:
+			return nil
+		}
+	}
+}
+
+// newCustomerProxy returns a data path whose configuration has two customers and a
+// public route, and the headers of the last request at its upstream.
+func newCustomerProxy(t *testing.T) (p *Proxy, last func() http.Header) {
+	t.Helper()
+	address, last := recordingUpstream(t)
+	p = newTestProxy(t, manifest.Service{Name: "s"}, manifest.RetryRule{Name: "rule", Attempts: 2})
+	p.cfg.ParentID = func(id string) string {
+		if parent, _, found := strings.Cut(id, "."); found {
+			return parent
+		}
+		return ""
+	}
+	table, err := manifest.Compile(&manifest.Manifest{
+		Services: []manifest.Service{{Name: "s"}},
+		Routes: []manifest.Route{
+			{Name: "open", Service: "s", Public: true, Match: manifest.Match{PathPrefix: "/open"}},
+			{Name: "r", Service: "s"},
+		},
+		Customers: []manifest.Customer{{Name: "north", Keys: []manifest.Key{"k1", "k2"}, Priority: 3}, {Name: "east", Keys: []manifest.Key{"k3"}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.SetTable(&Table{Table: table, Version: 2})
+	p.SetUpstream(control.Upstream{ID: "u", StartTime: 1, Service: "s", Slots: 4, State: control.UpstreamReady, Address: address})
+	return p, last
+}
+
+// TestRequestsNeedAKey covers who is served in a mesh with customers, and which name
+// the upstream gets, whatever the caller claims. The key must never reach it.
+func TestRequestsNeedAKey(t *testing.T) {
+	p, last := newCustomerProxy(t)
+	p.running.add("running", false)
+	for name, c := range map[string]struct {
+		id, path string
+		keys     []string
+		status   int
+		customer string
+	}{
+		"key":                             {"a", "/", []string{"k2"}, 200, "north"},
+		"key of another customer":         {"a", "/", []string{"k3"}, 200, "east"},
+		"no key":                          {"a", "/", nil, 401, ""},
+		"empty key":                       {"a", "/", []string{""}, 401, ""},
+		"unknown key":                     {"a", "/", []string{"k"}, 401, ""},
+		"two keys":                        {"a", "/", []string{"k1", "k3"}, 401, ""},
+		"public":                          {"a", "/open", nil, 200, ""},
+		"public with an unknown key":      {"a", "/open", []string{"k"}, 200, ""},
+		"public with a key":               {"a", "/open", []string{"k1"}, 200, "north"},
+		"nested":                          {"running.1", "/", nil, 200, ""},
+		"parent that does not run":        {"ended.1", "/", nil, 503, ""},
+		"such a parent, unknown key":      {"ended.1", "/", []string{"k"}, 401, ""},
+		"such a parent, key":              {"ended.1", "/", []string{"k1"}, 200, "north"},
+		"such a parent, on a public path": {"ended.1", "/open", nil, 200, ""},
+	} {
+		r := httptest.NewRequest(http.MethodGet, "http://h"+c.path, nil)
+		r.Header.Set("Request-Id", c.id)
+		r.Header["Customer"] = []string{"east"}
+		r.Header["Customer-Key"] = c.keys
+		w := httptest.NewRecorder()
+		p.serve(w, r)
+		header := last()
+		if w.Code != c.status || (header != nil) != (c.status == http.StatusOK) {
+			t.Errorf("%s: status %d, run %t; want %d", name, w.Code, header != nil, c.status)
+		}
+		if got := header.Get("Customer"); got != c.customer || len(header["Customer-Key"]) > 0 {
+			t.Errorf("%s: the upstream got customer %q, %d keys; want %q and none", name, got, len(header["Customer-Key"]), c.customer)
+		}
+	}
+}
+
+// TestHeadersAreKeptWithoutCustomers guards against a change for meshes that have no
+// customers: their headers of these names belong to callers.
+func TestHeadersAreKeptWithoutCustomers(t *testing.T) {
+	address, last := recordingUpstream(t)
+	p := newTestProxy(t, manifest.Service{Name: "s"}, manifest.RetryRule{Name: "rule", Attempts: 2})
+	p.SetUpstream(control.Upstream{ID: "u", StartTime: 1, Service: "s", Slots: 4, State: control.UpstreamReady, Address: address})
+	r := httptest.NewRequest(http.MethodGet, "http://h/", nil)
+	r.Header.Set("Request-Id", "a")
+	r.Header.Set("Customer", "x")
+	r.Header.Set("Customer-Key", "y")
+	w := httptest.NewRecorder()
+	p.serve(w, r)
+	if header := last(); w.Code != http.StatusOK || header.Get("Customer") != "x" || header.Get("Customer-Key") != "y" {
+		t.Errorf("status %d, headers %v", w.Code, header)
+	}
+}
--- a/internal/proxy/entry_test.go
+++ b/internal/proxy/entry_test.go
@@ -90,7 +90,7 @@
 // answers: an encoded body is not the upstream's body and would be rejected.
 func TestCallersAcceptEncodingIsNotForwarded(t *testing.T) {
 	p := newTestProxy(t, manifest.Service{Name: "s"}, manifest.RetryRule{Name: "rule", Attempts: 2})
-	for _, h := range p.forwardedHeaders(http.Header{"Accept-Encoding": {"gzip"}, "Accept": {"a/b"}}) {
+	for _, h := range p.forwardedHeaders(http.Header{"Accept-Encoding": {"gzip"}, "Accept": {"a/b"}}, false) {
 		if h.Name != "Accept" {
 			t.Errorf("forwarded %s: %s", h.Name, h.Value)
 		}
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -131,12 +131,16 @@
 	running := p.running.add(request.Id, request.Retry)
 	defer p.running.remove(request.Id)
 	mean := p.admissionController.Load().ServiceTime
-	answer, err := p.client.Do(bounded, upstream.Call{Request: request, ExtraHeaders: []*hopv1.Header{
+	extra := []*hopv1.Header{
 		{Name: p.cfg.Headers.RequestID, Value: request.Id},
 		{Name: p.cfg.Headers.Deadline, Value: upstream.FormatMilliseconds(timeout)},
 		{Name: p.cfg.Headers.Upstream, Value: u.ID},
 		{Name: p.cfg.Headers.CallerService, Value: request.CallerService},
-	}})
+	}
+	if request.Customer != "" {
+		extra = append(extra, &hopv1.Header{Name: p.cfg.Headers.Customer, Value: request.Customer})
+	}
+	answer, err := p.client.Do(bounded, upstream.Call{Request: request, ExtraHeaders: extra})
 	took := p.now() - started
 	p.metrics.recordRun(took, started-arrived)
 	if err != nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -39,6 +39,12 @@
 	NotRun string
 	// CallerService is the service on the machine that the request comes from.
 	CallerService string
+	// CustomerKey holds the key of the customer that the request is for. It is not
+	// forwarded.
+	CustomerKey string
+	// Customer is the name of the customer that the request is for. Only daemons
+	// set it.
+	Customer string
 	// RateLimit is how many requests a second the upstream takes from all daemons
 	// together, on each of its answers while that holds.
 	RateLimit string
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -174,6 +174,8 @@
 		d.decodeBool(path, value, target)
 	case reflect.Int, reflect.Int64, reflect.Int32:
 		d.decodeInt(path, value, target)
+	case reflect.Float64:
+		d.decodeFloat(path, value, target)
 	default:
 		panic(fmt.Sprintf("strictjson: field of type %s", target.Type()))
 	}
@@ -206,6 +208,19 @@
 	}
 }
 
+func (d *Document) decodeFloat(path string, value *hujson.Value, target reflect.Value) {
+	literal, ok := d.literal(path, value, '0', "a number")
+	if !ok {
+		return
+	}
+	n, err := strconv.ParseFloat(string(literal), 64)
+	if err != nil {
+		d.addUndecoded(value.StartOffset, path, d.codes.OutOfRange, "%s is too large or too small", literal)
+		return
+	}
+	target.SetFloat(n)
+}
+
 // literal returns the value as a literal of the given kind, and reports whether
 // it is one. If not, it adds a problem with want as the expected type.
 func (d *Document) literal(path string, value *hujson.Value, kind hujson.Kind, want string) (hujson.Literal, bool) {
