Order admission by customers and report them

Cause: Requests carried the customer's priority, but the admission queue ordered by the route's alone, and log lines and metrics did not name the customer.

Change: The queue orders by nested, customer priority, route priority, goal.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -48,14 +48,15 @@
 	// before all others, because refusing it wastes the work already done for
 	// its parent.
 	Nested bool
-	// Priority orders the other requests; 0 is served first.
-	Priority int
+	// CustomerPriority and then Priority order the other requests; 0 is served first.
+	CustomerPriority int
+	Priority         int
 	// Goal is the latency goal: an answer by then has its full value. After
 	// Deadline an answer has none.
 	Goal     time.Duration
 	Deadline time.Duration
 	// PastGoal marks a request past its goal. It waits behind the others of its
-	// priority, and for at most pastGoalMaxWait.
+	// priorities, and for at most pastGoalMaxWait.
 	PastGoal bool
 	// Spillover marks a request from another data centre that has upstreams of
 	// its own. It gets a free slot or is refused: where all slots are busy,
@@ -173,6 +174,9 @@
 	if t.Nested != other.Nested {
 		return t.Nested
 	}
+	if t.CustomerPriority != other.CustomerPriority {
+		return t.CustomerPriority < other.CustomerPriority
+	}
 	if t.Priority != other.Priority {
 		return t.Priority < other.Priority
 	}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -74,6 +74,35 @@
 	}
 }
 
+// TestCustomerPriorityComesBeforeThatOfTheRoute covers customers of different
+// priorities with requests of different routes. Nested requests still go first, and a
+// request past its goal waits behind those of its own priorities only.
+func TestCustomerPriorityComesBeforeThatOfTheRoute(t *testing.T) {
+	q := openQueue(10)
+	takeAllSlots(t, q)
+	request := func(customer, route int) Request {
+		return Request{Kind: "k", CustomerPriority: customer, Priority: route, Goal: 300 * ms, Deadline: time.Second}
+	}
+	late := requestPastGoal(0)
+	late.CustomerPriority = 1
+	nested := request(7, 7)
+	nested.Nested = true
+	requests := []Request{request(2, 0), request(1, 5), late, request(1, 2), request(0, 9), nested, request(2, 0)}
+	tickets := make([]*Ticket, len(requests))
+	for i, r := range requests {
+		ticket, reason, _ := q.Submit(0, r)
+		if ticket == nil {
+			t.Fatalf("request %d got no ticket: %v", i, reason)
+		}
+		tickets[i] = ticket
+	}
+	for _, want := range []int{5, 4, 3, 2, 1, 0, 6} {
+		if next, _ := q.Release(10*ms, "k", 100*ms, false); next != tickets[want] {
+			t.Errorf("request %d is not next", want)
+		}
+	}
+}
+
 // TestRequestsThatWouldMissTheirGoalAreRefusedAtOnce covers a burst: the queue
 // admits as many requests as can be answered in time, and refuses the others with
 // a retry delay.
--- a/internal/proxy/customer.go
+++ b/internal/proxy/customer.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"slices"
 
+	"go.uber.org/zap"
+
 	"godwitmount/internal/code"
 )
 
@@ -33,3 +35,19 @@
 		return newFailure(code.CallUnauthorized)
 	}
 }
+
+// customerField returns the log field of the call's customer.
+func (c *call) customerField() zap.Field {
+	if c.customer == nil {
+		return zap.Skip()
+	}
+	return customerField(c.customer.Name)
+}
+
+// customerField returns the log field of a customer, or an empty one for none.
+func customerField(name string) zap.Field {
+	if name == "" {
+		return zap.Skip()
+	}
+	return zap.String("customer", name)
+}
--- a/internal/proxy/customer_test.go
+++ b/internal/proxy/customer_test.go
@@ -1,12 +1,16 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"godwitmount/internal/code"
 	"godwitmount/internal/control"
 	"godwitmount/internal/manifest"
 )
@@ -119,3 +123,59 @@
 		t.Errorf("status %d, headers %v", w.Code, header)
 	}
 }
+
+// counters returns the counters of the metric, by the values of their labels.
+func counters(t *testing.T, m *customerMetrics) map[string]float64 {
+	t.Helper()
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(m.answers)
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := map[string]float64{}
+	for _, family := range families {
+		for _, metric := range family.Metric {
+			all[metric.Label[0].GetValue()+" "+metric.Label[1].GetValue()] = metric.Counter.GetValue()
+		}
+	}
+	return all
+}
+
+// TestCustomerMetricsAreBounded covers many customers and configurations that replace
+// them: the number of counters must depend on neither.
+func TestCustomerMetricsAreBounded(t *testing.T) {
+	m := newCustomerMetrics()
+	customer := func(i int) manifest.Customer { return manifest.Customer{Name: fmt.Sprintf("c-%05d", i)} }
+	serve := func(from, count int) {
+		all := make([]manifest.Customer, count)
+		for i := range all {
+			all[i] = customer(from + i)
+		}
+		m.setCustomers(all)
+		for i := range all {
+			m.record(&all[i], statusResult(uint32(100*i)))
+			m.record(&all[i], statusResult(200))
+		}
+		m.record(nil, code.CallUnauthorized.String())
+	}
+	m.record(nil, "2xx")
+	if got := len(counters(t, m)); got != 0 {
+		t.Errorf("%d counters in a mesh without customers", got)
+	}
+	serve(0, 10*maxLabelledCustomers)
+	serve(5000, 2)
+	names := len(counters(t, m))
+	const classes = 10
+	if names > 2*2+classes+1 {
+		t.Errorf("%d counters for two customers and all others", names)
+	}
+	if got := counters(t, m)["c-05000 2xx"]; got != 1 {
+		t.Errorf("%v answers of the first customer with status 200, want 1", got)
+	}
+	m.setCustomers(nil)
+	m.record(nil, "2xx")
+	if got := len(counters(t, m)); got >= names {
+		t.Errorf("%d counters once no customer is left, %d before", got, names)
+	}
+}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -330,7 +330,8 @@
 		p.recentRefusals.record(c.key, c.firstSeen, p.now())
 	}
 	p.metrics.recordAnswer(c, failed.code.String())
-	fields := []zap.Field{zap.String("id", c.id), zap.String("result", failed.code.String()),
+	p.metrics.customers.record(c.customer, failed.code.String())
+	fields := []zap.Field{zap.String("id", c.id), c.customerField(), zap.String("result", failed.code.String()),
 		zap.Bool("not_run", failed.notRun), zap.Duration("took", time.Since(c.started)),
 		zap.Uint64("config", c.version), zap.Duration("retry_after", delay)}
 	p.deps.Log.Request(event.CallAnswered, true, append(fields, f.fields()...)...)
@@ -365,8 +366,9 @@
 		c.recordNestedFailure()
 	}
 	p.metrics.recordAnswer(c, strconv.Itoa(int(answer.Status)))
+	p.metrics.customers.record(c.customer, statusResult(answer.Status))
 	p.deps.Log.Request(event.CallAnswered, answer.Status >= http.StatusInternalServerError,
-		slices.Concat([]zap.Field{zap.String("id", c.id), zap.Uint32("status", answer.Status),
+		slices.Concat([]zap.Field{zap.String("id", c.id), c.customerField(), zap.Uint32("status", answer.Status),
 			zap.Duration("took", time.Since(c.started)), zap.Uint64("config", c.version)}, f.fields())...)
 	p.routes.recordSize(c.route.Name, len(answer.Body)+len(c.request.Body))
 	p.routes.recordWork(c.route.Name, microseconds(answer.RanUs), microseconds(answer.State.GetServiceTimeUs()))
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -55,13 +55,14 @@
 		return p.refuse(request, code.CallShed, excess)
 	}
 	slot, refusal := p.admissionController.Admit(ctx, admission.Request{
-		Kind:      request.Route,
-		Nested:    request.Nested,
-		Priority:  int(request.Priority),
-		Goal:      arrived + milliseconds(request.GoalMs),
-		Deadline:  deadline,
-		PastGoal:  request.Patient,
-		Spillover: request.Visiting,
+		Kind:             request.Route,
+		Nested:           request.Nested,
+		CustomerPriority: int(request.CustomerPriority),
+		Priority:         int(request.Priority),
+		Goal:             arrived + milliseconds(request.GoalMs),
+		Deadline:         deadline,
+		PastGoal:         request.Patient,
+		Spillover:        request.Visiting,
 	})
 	if refusal != nil {
 		return p.refuse(request, refusalCode(refusal.Reason, p.now() >= deadline), refusal.RetryAfter)
@@ -151,7 +152,7 @@
 		return p.runFailure(bounded, request, u, err, took), failed
 	}
 	p.deps.Log.Request(event.CallExecuted, answer.Status >= 500, zap.String("id", request.Id),
-		zap.String("route", request.Route), zap.Uint64("status", uint64(answer.Status)),
+		zap.String("route", request.Route), customerField(request.Customer), zap.Uint64("status", uint64(answer.Status)),
 		zap.Bool("not_run", answer.NotRun), zap.Duration("waited", started-arrived), zap.Duration("took", took))
 	p.consecutiveTimeouts.Store(0)
 	p.recordNotice(u, answer)
@@ -184,7 +185,7 @@
 	case ctx.Err() != nil:
 		failed = code.CallCancelled
 	}
-	p.deps.Log.Request(event.CallExecuted, true, zap.String("id", request.Id), zap.String("route", request.Route),
+	p.deps.Log.Request(event.CallExecuted, true, zap.String("id", request.Id), zap.String("route", request.Route), customerField(request.Customer),
 		zap.String("result", failed.String()), zap.Error(err), zap.Duration("took", took))
 	return failureFrame(failed, notRun, 0, p.State())
 }
@@ -206,7 +207,7 @@
 func (p *Proxy) refuse(request *hopv1.Request, refusal code.Code, retry time.Duration) *hopv1.Frame {
 	state := p.State()
 	p.metrics.recordRefusal(refusal)
-	p.deps.Log.Request(event.CallExecuted, true, zap.String("id", request.Id), zap.String("route", request.Route),
+	p.deps.Log.Request(event.CallExecuted, true, zap.String("id", request.Id), zap.String("route", request.Route), customerField(request.Customer),
 		zap.String("result", refusal.String()), zap.Uint64("running", uint64(state.Running)),
 		zap.Uint64("waiting", uint64(state.Waiting)), zap.Duration("retry_after", retry))
 	return failureFrame(refusal, true, retry, state)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -187,6 +187,7 @@
 // SetTable activates a configuration.
 func (p *Proxy) SetTable(t *Table) {
 	p.table.Store(t)
+	p.metrics.customers.setCustomers(t.Manifest().Customers)
 	p.updateAdmission()
 }
 
