Refuse removed keys strictly where the settings ask for it

A daemon that is cut off, suspended or slow kept its configuration and served requests with keys that a newer one had removed.

Change: With the settings strict_revoke and revoke_limit (on the platform the bounds strict_revoke and revoke_ms), a daemon serves requests with keys only while it has a recent proof that its configuration is the newest; otherwise it answers 503 (522). internal/freshness decides without I/O: proofs are times on the store's clock, their age is bounded by the boot-time clock. The store client returns the store's clock and when the call was sent. Peers pass proofs and bounds of the store's clock on in State fields 26 and 27; a daemon whose proof gets old pings two peers and, later, reads the row. New events 9001 and 9002 and two metrics. Configurations from the store are passed to the control loop and awaited. The stand-in of the store answers with the present time at the end of a long poll; each node of the test mesh has a link of its own to the store and a boot-time clock that can be set ahead.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -3,17 +3,20 @@
 import (
 	"godwitmount/internal/control"
 	"godwitmount/internal/hop"
+	"godwitmount/internal/step"
 )
 
 // readConfig decodes a configuration read from the store, compresses its source
-// for peers, and posts the result to the control loop.
-func (d *Daemon) readConfig(source []byte, from string) {
+// for peers, and returns once the control loop has applied or rejected it, so that the
+// store's answer proves what is in force.
+func (d *Daemon) readConfig(source []byte) {
 	packed, err := hop.CompressConfig(source)
-	if err != nil {
-		d.loop.post(control.ConfigRejected{Err: err, From: from})
-		return
+	ev := step.Event(control.ConfigRejected{Err: err, From: control.FromStore})
+	if err == nil {
+		ev = d.decodeConfig(source, packed, control.FromStore)
 	}
-	d.decodeConfig(source, packed, from)
+	// It fails only if the daemon has ended.
+	_ = d.loop.do(d.background, ev)
 }
 
 // readPacked decompresses and decodes a configuration that a peer has sent, and
@@ -24,14 +27,14 @@
 		d.loop.post(control.ConfigRejected{Err: err, From: from})
 		return
 	}
-	d.decodeConfig(source, packed, from)
+	d.loop.post(d.decodeConfig(source, packed, from))
 }
 
-func (d *Daemon) decodeConfig(source, packed []byte, from string) {
+// decodeConfig returns the event of a configuration that was read.
+func (d *Daemon) decodeConfig(source, packed []byte, from string) step.Event {
 	version, m, err := d.cfg.Platform.ParseConfig(source)
 	if err != nil {
-		d.loop.post(control.ConfigRejected{Err: err, From: from})
-		return
+		return control.ConfigRejected{Err: err, From: from}
 	}
-	d.loop.post(control.ConfigRead{Version: version, Manifest: m, Packed: packed, From: from})
+	return control.ConfigRead{Version: version, Manifest: m, Packed: packed, From: from}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,8 +21,10 @@
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 	"godwitmount/internal/asynclog"
+	"godwitmount/internal/bootclock"
 	"godwitmount/internal/control"
 	"godwitmount/internal/event"
+	"godwitmount/internal/freshness"
 	"godwitmount/internal/hop"
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/proxy"
@@ -73,6 +75,9 @@
 	Settings *settings.Daemon
 	Platform Platform
 	Log      *asynclog.Logger
+	// BootClock reads the clock that goes on while the machine is suspended; nil means
+	// that of the machine.
+	BootClock func() time.Duration
 }
 
 // Daemon is a running daemon.
@@ -88,6 +93,11 @@
 	// readMembers makes watchMembers read the member table at once.
 	readMembers chan struct{}
 	cancel      context.CancelFunc
+	// freshness proves that the configuration in force is recent; nil unless the
+	// settings require that. A value in proveOnce makes watchConfig read the
+	// configuration once for a newer proof.
+	freshness *freshness.Keeper
+	proveOnce chan struct{}
 
 	loop  *loop
 	peers *proxy.Peers
@@ -126,7 +136,11 @@
 func Start(cfg Config) (*Daemon, error) {
 	d := &Daemon{cfg: cfg, log: cfg.Log, registry: prometheus.NewRegistry(), started: time.Now(),
 		effective: *cfg.Settings, storeWatcher: make(chan bool, 1), readOnce: make(chan struct{}, 1),
-		readMembers: make(chan struct{}, 1)}
+		readMembers: make(chan struct{}, 1), proveOnce: make(chan struct{}, 1)}
+	if d.cfg.BootClock == nil {
+		d.cfg.BootClock = bootclock.Now
+	}
+	cfg.Platform.Store.SetClock(d.cfg.BootClock)
 	d.background, d.cancel = context.WithCancel(context.Background())
 	if err := d.build(); err != nil {
 		d.cancel()
@@ -139,6 +153,7 @@
 	go d.loop.run(d.background)
 	go d.watchConfig(d.background)
 	go d.watchMembers(d.background)
+	go d.keepProof(d.background)
 	s := cfg.Settings
 	d.log.Event(event.DaemonStarted, zap.String("data_centre", s.DataCentre),
 		zap.String("service", s.Service), zap.String("callers", s.CallerListen), zap.String("peers", s.PeerListen),
@@ -159,6 +174,10 @@
 		return fmt.Errorf("create store metrics: %w", err)
 	}
 	d.storeMetrics = storeMetrics
+	d.freshness = d.newFreshness()
+	if err := d.registerProofMetrics(); err != nil {
+		return fmt.Errorf("create proof metrics: %w", err)
+	}
 	link := shaping.NewLink(s.LinkKbps * bitsPerKilobit)
 	d.peers = proxy.NewPeers(self, d.peerCallbacks(), link, d.log)
 	dataPath, err := proxy.New(proxy.Config{
@@ -178,6 +197,7 @@
 			d.loop.post(control.UpstreamLeaving{ID: upstream, StartTime: startTime})
 		},
 		BroadcastState: d.broadcastState,
+		Freshness:      d.freshness,
 		Log:            d.log,
 		Registerer:     d.registry,
 	})
@@ -186,6 +206,7 @@
 	}
 	d.proxy = dataPath
 	d.peers.SetState(dataPath.StateWithSuspects, dataPath.State)
+	d.peers.SetFreshness(d.freshness)
 	d.server = hop.NewServer(proxy.Hello(self), hopHandler{d}, link)
 	return nil
 }
@@ -234,6 +255,7 @@
 	if era := store.Era(state.GetStoreEra()); era > d.cfg.Platform.Store.Eras().Latest() {
 		d.loop.post(control.PeerStoreEra{Instance: instance, Era: era})
 	}
+	d.peerProved(state)
 	if len(state.GetSuspects()) > 0 {
 		d.proxy.MergeSuspects(state.GetSuspects())
 	}
--- a/internal/daemon/loop_test.go
+++ b/internal/daemon/loop_test.go
@@ -115,6 +115,8 @@
 	return rows, err
 }
 
+func (s *scriptedStore) SetClock(func() time.Duration) {}
+
 func (s *scriptedStore) Eras() *store.EraTracker { return &s.eras }
 
 func (s *scriptedStore) Read(context.Context, string) (store.Rows, error) {
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -17,6 +17,10 @@
 	changed := updated != d.effective
 	d.proxy.SetService(fresh.Service)
 	d.cfg.Platform.Store.SetAddress(fresh.StoreAddress)
+	if updated.StoreAddress != d.effective.StoreAddress {
+		// The clocks of two stores cannot be compared.
+		d.freshness.Reset()
+	}
 	d.effective = updated
 	d.log.Event(event.SettingsReread, zap.Bool("changed", changed), zap.Bool("rest_at_next_start", updated != *fresh))
 }
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -53,6 +53,8 @@
 	name  string
 	// apply receives all rows (complete) or only the changed ones.
 	apply func(rows store.Rows, complete bool)
+	// answered is called with each answer after apply, if not nil.
+	answered func(rows store.Rows)
 	// notify is called with true when the store becomes unavailable and with
 	// false when it answers again.
 	notify func(unavailable bool)
@@ -90,6 +92,9 @@
 		t.position = rows.Position
 	}
 	t.synced = true
+	if t.answered != nil {
+		t.answered(rows)
+	}
 	return true
 }
 
@@ -146,10 +151,10 @@
 // the reducer requests it.
 func (d *Daemon) watchConfig(ctx context.Context) {
 	p := d.cfg.Platform
-	t := &tableReader{store: p.Store, name: p.ConfigTable, log: d.log, backoff: minBackoff, notify: d.setStoreUnavailable, apply: func(rows store.Rows, _ bool) {
+	t := &tableReader{store: p.Store, name: p.ConfigTable, log: d.log, backoff: minBackoff, notify: d.setStoreUnavailable, answered: d.configAnswered, apply: func(rows store.Rows, _ bool) {
 		for _, row := range rows.Rows {
 			if row.Key == p.ConfigKey && !row.Removed {
-				d.readConfig(row.Value, control.FromStore)
+				d.readConfig(row.Value)
 			}
 		}
 	}}
@@ -175,6 +180,9 @@
 		case storeWatcher = <-d.storeWatcher:
 		case <-d.readOnce:
 			t.poll(ctx, 0)
+		case <-d.proveOnce:
+			d.storeMetrics.proofReads.Inc()
+			t.poll(ctx, 0)
 		case <-timer.C:
 			t.poll(ctx, 0)
 		}
@@ -221,6 +229,7 @@
 	restarted := false
 	t := &tableReader{
 		store: d.cfg.Platform.Store, name: MembersTable, log: d.log, backoff: minBackoff, notify: func(bool) {},
+		answered: d.clockRead,
 		apply: func(rows store.Rows, complete bool) {
 			restarted = restarted || hasRow(rows.Rows, d.cfg.Settings.Instance)
 			d.loop.post(control.MembersRead{Rows: rows.Rows, Complete: complete, Position: rows.Position})
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -7,7 +7,7 @@
 
 // Number identifies a log event. The thousands are groups: 1xxx process, 2xxx
 // configuration, 3xxx daemons and upstreams, 4xxx requests, 6xxx quarantine, 7xxx
-// store.
+// store, 9xxx customers.
 type Number uint16
 
 // The log events.
@@ -50,6 +50,9 @@
 
 	RequestCrashed Number = 6001
 
+	KeysUnproven Number = 9001
+	KeysProven   Number = 9002
+
 	StoreLost        Number = 7001
 	StoreRecovered   Number = 7002
 	StoreHistoryGone Number = 7003
@@ -111,6 +114,9 @@
 	{StoreEraAdvanced, "store-era-advanced", "The store came back from an older copy; the member table is read again."},
 	{StoreEraMissing, "store-era-missing", "The store's answers carry no valid era; it counts as era 0."},
 	{StoreCallFailed, "store-call-failed", "A call to the store failed while it is unavailable; the line says how, after how long and on which connection."},
+
+	{KeysUnproven, "keys-unproven", "Requests with customers' keys are refused because no recent proof of the configuration is known."},
+	{KeysProven, "keys-proven", "Requests with customers' keys are served again."},
 }
 
 var byNumber = indexByNumber()
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -72,6 +72,11 @@
 	Link *shaping.Link
 	// Now reads the monotonic clock that AdaptiveTimeout uses.
 	Now func() time.Duration
+	// PongReceived is called with the state in a Pong and the time at which the ping
+	// that it answers was sent, as PingClock reads it. PingClock may be nil; then it
+	// is not called.
+	PongReceived func(state *hopv1.State, sent time.Duration)
+	PingClock    func() time.Duration
 }
 
 // Client keeps a connection to one peer open and sends requests on it.
@@ -104,6 +109,8 @@
 	// pingSentAt is when the unanswered ping was sent, in nanoseconds of
 	// Hooks.Now, or 0.
 	pingSentAt atomic.Int64
+	// pings holds the times at which the unanswered pings were sent.
+	pings pingTimes
 	// pendingSince is when a request was last added to an empty pending, in
 	// nanoseconds of Hooks.Now.
 	pendingSince atomic.Int64
@@ -184,6 +191,7 @@
 	if err := c.send(pc, &hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: withState(c.hello, c.hooks.HelloState(), c.hooks.DrainRecord())}}); err != nil {
 		return 0, err
 	}
+	c.pings.clear()
 	c.endSilence()
 	c.suspect.Store(false)
 	c.polling.Store(false)
@@ -235,6 +243,7 @@
 		c.hooks.Up()
 	case *hopv1.Frame_Pong:
 		c.hooks.StateReceived(body.Pong.GetState())
+		c.pongReceived(body.Pong.GetState())
 	case *hopv1.Frame_Ping:
 		c.hooks.StateReceived(body.Ping.GetState())
 	case *hopv1.Frame_Answer:
--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 )
 
 const (
@@ -81,7 +79,7 @@
 	case pingSentAt == 0 && idleTime >= pingAfter:
 		c.pingSentAt.Store(int64(now))
 		// If the outbox is full, send resets the connection, which ends monitor.
-		_ = c.send(pc, &hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: c.hooks.State()}}})
+		_ = c.sendPing(pc)
 	case pingSentAt > 0 && now-pingSentAt >= timeout-busyPingAfter && idleTime >= timeout:
 		// While requests are pending, the connection was idle for busyPingAfter
 		// before the ping. That time is part of the timeout. A request that was sent
--- a/internal/proxy/customer.go
+++ b/internal/proxy/customer.go
@@ -10,25 +10,29 @@
 )
 
 // identifyCustomer sets the customer that the call is for. It returns a failure if
-// the call needs a key and has none that is known.
+// the call needs a key and has none that is known. Proven reports whether the
+// configuration is known to be recent; otherwise no key counts, and a call that has one
+// may be sent again: the key may be a new one.
 //
 // Nested requests carry no key: the request that waits for them had one. A request
 // without a key whose id names a parent may be a nested one whose parent ran here
 // before the daemon was restarted, so that its sender must not be told that it lacks
 // a key.
-func (p *Proxy) identifyCustomer(c *call, header http.Header, table *Table) *failure {
+func (p *Proxy) identifyCustomer(c *call, header http.Header, table *Table, proven bool) *failure {
 	if c.nested || !table.HasCustomers() {
 		return nil
 	}
 	values := header.Values(p.cfg.Headers.CustomerKey)
 	// With several keys it is not clear which customer is meant.
-	if len(values) == 1 {
+	if len(values) == 1 && proven {
 		c.customer = table.CustomerByKey(values[0])
 	}
 	hasKey := slices.ContainsFunc(values, func(value string) bool { return value != "" })
 	switch {
 	case c.customer != nil || c.route.Public:
 		return nil
+	case hasKey && !proven:
+		return newFailure(code.CallUnproven)
 	case !hasKey && p.cfg.ParentID(c.id) != "":
 		return newFailure(code.CallParentUnknown)
 	default:
--- a/internal/proxy/customer_test.go
+++ b/internal/proxy/customer_test.go
@@ -7,12 +7,16 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 	"godwitmount/internal/code"
 	"godwitmount/internal/control"
+	"godwitmount/internal/freshness"
 	"godwitmount/internal/manifest"
+	"godwitmount/internal/store"
 )
 
 // recordingUpstream starts an upstream that answers all requests, and returns the
@@ -107,6 +111,65 @@
 	}
 }
 
+// TestKeysNeedAProof covers a daemon that must know that its configuration is recent.
+// Without a proof, a request with any key may be sent again later; the key may have been
+// removed, or be new. Other requests are answered as ever.
+func TestKeysNeedAProof(t *testing.T) {
+	p, last := newCustomerProxy(t)
+	now := time.Hour
+	p.deps.Freshness = freshness.NewKeeper(freshness.Config{MaxAge: 4 * time.Second}, func() time.Duration { return now })
+	p.running.add("running", false)
+	check := func(when string, known, unknown int) {
+		t.Helper()
+		for _, c := range []struct {
+			id, path, key string
+			status        int
+			customer      string
+		}{
+			{"a", "/", "k1", known, "north"}, {"a", "/", "k", unknown, ""}, {"a", "/", "", 401, ""}, {"running.1", "/", "", 200, ""}, {"a", "/open", "", 200, ""},
+		} {
+			r := httptest.NewRequest(http.MethodGet, "http://h"+c.path, nil)
+			r.Header.Set("Request-Id", c.id)
+			r.Header.Set("Customer-Key", c.key)
+			w := httptest.NewRecorder()
+			p.serve(w, r)
+			header := last()
+			if w.Code != c.status || header != nil && header.Get("Customer") != c.customer {
+				t.Errorf("%s: %+v: status %d, customer %q", when, c, w.Code, header.Get("Customer"))
+			}
+			if w.Code == http.StatusServiceUnavailable && (w.Header().Get("Retry-After") == "" || header != nil) {
+				t.Errorf("%s: %+v: no Retry-After, or it ran", when, c)
+			}
+		}
+	}
+	check("without a proof", 503, 503)
+	p.deps.Freshness.StoreAnswered(freshness.Answer{Reading: store.Reading{StoreTime: time.Minute, Sent: now}, Newest: true})
+	check("with a proof", 200, 401)
+	if state := p.State(); state.ProofMs != 60_000 || state.StoreMs < 60_000 || state.StoreMs > 60_002 {
+		t.Errorf("state has proof %d and store clock %d", state.ProofMs, state.StoreMs)
+	}
+	now += 5 * time.Second
+	check("with an old proof", 503, 503)
+}
+
+// TestProofOfANewerConfigurationProvesNothing covers a daemon that has not yet got the
+// configuration of a peer: that there is none newer than the peer's does not say that
+// its own is the newest.
+func TestProofOfANewerConfigurationProvesNothing(t *testing.T) {
+	for _, c := range []struct {
+		state *hopv1.State
+		want  bool
+	}{
+		{&hopv1.State{ConfigVersion: 5, ProofMs: 7}, true}, {&hopv1.State{ConfigVersion: 4, ProofMs: 7}, true},
+		{&hopv1.State{ConfigVersion: 6, ProofMs: 7}, false}, {&hopv1.State{ProofMs: 7}, false},
+		{&hopv1.State{ConfigVersion: 5}, false}, {&hopv1.State{ConfigVersion: 5, ProofMs: 1 << 60}, false}, {nil, false},
+	} {
+		if proof, ok := PeerProof(c.state, 5); ok != c.want || ok && proof != 7*time.Millisecond {
+			t.Errorf("%v: proof %s, %t", c.state, proof, ok)
+		}
+	}
+}
+
 // TestHeadersAreKeptWithoutCustomers guards against a change for meshes that have no
 // customers: their headers of these names belong to callers.
 func TestHeadersAreKeptWithoutCustomers(t *testing.T) {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -13,6 +13,7 @@
 	"godwitmount/internal/asynclog"
 	"godwitmount/internal/control"
 	"godwitmount/internal/event"
+	"godwitmount/internal/freshness"
 	"godwitmount/internal/hop"
 	"godwitmount/internal/routing"
 	"godwitmount/internal/shaping"
@@ -50,6 +51,8 @@
 	// helloState and state return the states that this daemon reports to peers in
 	// handshakes and in pings.
 	helloState, state func() *hopv1.State
+	// freshness is nil if this daemon needs no proof of its configuration.
+	freshness *freshness.Keeper
 
 	mu sync.RWMutex
 	// all holds the peers that this daemon connects to, by instance.
@@ -223,6 +226,8 @@
 		AdaptiveTimeout:     ps.readTimeout,
 		Link:                ps.link,
 		Now:                 ps.now,
+		PingClock:           ps.pingClock(),
+		PongReceived:        ps.pongReceived,
 	})
 	return p
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"godwitmount/internal/admission"
 	"godwitmount/internal/asynclog"
 	"godwitmount/internal/control"
+	"godwitmount/internal/freshness"
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/quarantine"
 	"godwitmount/internal/routing"
@@ -85,8 +86,11 @@
 	ReportLeaving func(upstream string, startTime int64)
 	// BroadcastState sends this daemon's state to all peers immediately.
 	BroadcastState func()
-	Log            *asynclog.Logger
-	Registerer     prometheus.Registerer
+	// Freshness proves that the configuration in force is recent; nil if requests with
+	// customers' keys need no such proof.
+	Freshness  *freshness.Keeper
+	Log        *asynclog.Logger
+	Registerer prometheus.Registerer
 }
 
 // Proxy is the data path. All methods may be called from any goroutine.
@@ -216,6 +220,9 @@
 	return p.storeUnavailable.Swap(unavailable) != unavailable
 }
 
+// StoreUnavailable reports whether the store does not answer this daemon.
+func (p *Proxy) StoreUnavailable() bool { return p.storeUnavailable.Load() }
+
 // SetStoreEra sets the store's era that this daemon reports to peers.
 func (p *Proxy) SetStoreEra(era store.Era) { p.storeEra.Store(uint64(era)) }
 
@@ -235,9 +242,14 @@
 
 // State returns the state that this daemon reports to peers, without suspects.
 func (p *Proxy) State() *hopv1.State {
+	// The proof is read before the configuration: it is valid for a newer one, but not
+	// for an older one.
+	proof, storeClock := p.deps.Freshness.Report()
 	load := p.admissionController.Load()
 	u := p.upstream.Load()
 	state := &hopv1.State{
+		ProofMs:          wireProof(proof),
+		StoreMs:          wireStoreClock(storeClock),
 		Running:          uint32(load.Running),
 		Waiting:          uint32(load.Waiting),
 		Slots:            uint32(p.advertisedSlots(load.Slots)),
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -62,6 +62,7 @@
 	c.intRange("/retry_extra", int64(d.RetryExtra), 0, MaxRetryExtra)
 	c.intRange("/memory_limit_bytes", d.MemoryLimitBytes, MinMemoryLimitBytes, MaxMemoryLimitBytes)
 	c.intRange("/link_kbps", d.LinkKbps, 0, MaxLinkKbps)
+	c.durationRange("/revoke_limit", d.RevokeLimit, MinRevokeLimit, MaxRevokeLimit)
 }
 
 // addProblem adds a problem whose message begins with the name of the setting.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,7 @@
 	DefaultRetryWindow       = 10 * time.Second
 	DefaultRetryExtra        = 50
 	DefaultMemoryLimitBytes  = 64 << 20
+	DefaultRevokeLimit       = 5 * time.Second
 )
 
 // The limits of a settings file's size and values.
@@ -70,6 +71,11 @@
 	MinMemoryLimitBytes int64 = 16 << 20
 	// MaxMemoryLimitBytes is the largest memory limit in bytes.
 	MaxMemoryLimitBytes int64 = 64 << 30
+	// MinRevokeLimit is the shortest RevokeLimit: the store watchers of a data centre
+	// prove the configuration every fifth of it.
+	MinRevokeLimit = time.Second
+	// MaxRevokeLimit is the longest RevokeLimit.
+	MaxRevokeLimit = time.Hour
 	// MaxLinkKbps is the largest LinkKbps.
 	MaxLinkKbps int64 = 1_000_000_000
 )
@@ -139,6 +145,12 @@
 	// LinkKbps is the rate of the machine's network link in kilobits per second, by
 	// which large messages to other daemons are paced; 0 for no limit.
 	LinkKbps int64 `json:"link_kbps"`
+	// StrictRevoke makes the daemon refuse requests with customers' keys unless it
+	// knows that its configuration was the newest less than RevokeLimit ago.
+	StrictRevoke bool `json:"strict_revoke"`
+	// RevokeLimit is the time after the acceptance of a configuration from which no
+	// request may run with a key that the configuration removed.
+	RevokeLimit Duration `json:"revoke_limit"`
 }
 
 // PeerAddress returns the IP:port that is advertised to other daemons.
@@ -162,6 +174,7 @@
 	d.RetryWindow = Duration(DefaultRetryWindow)
 	d.RetryExtra = DefaultRetryExtra
 	d.MemoryLimitBytes = DefaultMemoryLimitBytes
+	d.RevokeLimit = Duration(DefaultRevokeLimit)
 }
 
 // codes are the result codes of settings files.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -19,12 +19,37 @@
 	Removed bool
 }
 
+// Reading is a reading of the store's clock: an answer to a call. StoreTime is what the
+// clock showed, at some time after Sent on this machine's boot-time clock. The zero
+// Reading means that the answer had none.
+type Reading struct {
+	StoreTime time.Duration
+	Sent      time.Duration
+}
+
+// maxMS is the latest time in milliseconds that the store's clock may show, 139 years
+// after its start, so that sums with other times do not overflow.
+const maxMS = 1 << 42
+
+// TimeFromMS returns a time on the store's clock that is given in milliseconds, and
+// whether it is one that the clock can show. 0 means that the time is unknown.
+func TimeFromMS(ms uint64) (time.Duration, bool) {
+	if ms == 0 || ms > maxMS {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
 // Rows holds all rows of a table, or the rows changed after an earlier version.
 type Rows struct {
 	Rows []Row
 	// Position is the one up to which Rows is complete. Rows may hold some later
 	// changes as well; a Watch after Position returns these again.
 	Position Position
+	// Reading is from the answer, or from the first of several.
+	Reading Reading
+	// More is set if some of the changes until Reading are not in Rows.
+	More bool
 }
 
 // Errors returned by the methods of Store.
@@ -56,6 +81,9 @@
 	Put(ctx context.Context, table, key string, value []byte) error
 	// Eras returns the tracker of the era of the store's answers.
 	Eras() *EraTracker
+	// SetClock sets the boot-time clock of readings. It must be called before the first
+	// call.
+	SetClock(clock func() time.Duration)
 	// SetAddress sets the store's address, host:port, for subsequent calls.
 	SetAddress(address string)
 	// Remove removes a row; a missing row is not an error.
