Add the settings of quotas

Cause: How exactly the limits of customers hold is set by the platform's bounds quota_window_s, quota_excess and quota_slack, which the daemon ignored.

Change: Settings quota_window, quota_excess_percent and quota_slack with their checks, from the bounds or the settings file.

Conclusion: They have no effect before the quotas are applied.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -63,6 +63,9 @@
 	c.intRange("/memory_limit_bytes", d.MemoryLimitBytes, MinMemoryLimitBytes, MaxMemoryLimitBytes)
 	c.intRange("/link_kbps", d.LinkKbps, 0, MaxLinkKbps)
 	c.durationRange("/revoke_limit", d.RevokeLimit, MinRevokeLimit, MaxRevokeLimit)
+	c.durationRange("/quota_window", d.QuotaWindow, MinQuotaWindow, MaxQuotaWindow)
+	c.intRange("/quota_excess_percent", int64(d.QuotaExcessPercent), 0, MaxQuotaExcessPercent)
+	c.intRange("/quota_slack", int64(d.QuotaSlack), 0, MaxQuotaSlack)
 }
 
 // addProblem adds a problem whose message begins with the name of the setting.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,10 @@
 	DefaultRetryExtra        = 50
 	DefaultMemoryLimitBytes  = 64 << 20
 	DefaultRevokeLimit       = 5 * time.Second
+	DefaultQuotaWindow       = 5 * time.Second
+	// DefaultQuotaExcessPercent and DefaultQuotaSlack are those of the platform.
+	DefaultQuotaExcessPercent = 10
+	DefaultQuotaSlack         = 20
 )
 
 // The limits of a settings file's size and values.
@@ -76,6 +80,14 @@
 	MinRevokeLimit = time.Second
 	// MaxRevokeLimit is the longest RevokeLimit.
 	MaxRevokeLimit = time.Hour
+	// MinQuotaWindow is the shortest QuotaWindow: owners of buckets may change in half
+	// a second.
+	MinQuotaWindow = time.Second
+	MaxQuotaWindow = 10 * time.Minute
+	// MaxQuotaExcessPercent is the largest QuotaExcessPercent, MaxQuotaSlack the largest
+	// QuotaSlack.
+	MaxQuotaExcessPercent = 100
+	MaxQuotaSlack         = 1_000_000
 	// MaxLinkKbps is the largest LinkKbps.
 	MaxLinkKbps int64 = 1_000_000_000
 )
@@ -151,6 +163,13 @@
 	// RevokeLimit is the time after the acceptance of a configuration from which no
 	// request may run with a key that the configuration removed.
 	RevokeLimit Duration `json:"revoke_limit"`
+	// QuotaWindow, QuotaExcessPercent and QuotaSlack bound the requests of a customer
+	// that has a limit: in no window of length QuotaWindow may more run, over all
+	// daemons, than its rate and burst allow, plus QuotaExcessPercent of that, plus
+	// QuotaSlack.
+	QuotaWindow        Duration `json:"quota_window"`
+	QuotaExcessPercent int      `json:"quota_excess_percent"`
+	QuotaSlack         int      `json:"quota_slack"`
 }
 
 // PeerAddress returns the IP:port that is advertised to other daemons.
@@ -175,6 +194,9 @@
 	d.RetryExtra = DefaultRetryExtra
 	d.MemoryLimitBytes = DefaultMemoryLimitBytes
 	d.RevokeLimit = Duration(DefaultRevokeLimit)
+	d.QuotaWindow = Duration(DefaultQuotaWindow)
+	d.QuotaExcessPercent = DefaultQuotaExcessPercent
+	d.QuotaSlack = DefaultQuotaSlack
 }
 
 // codes are the result codes of settings files.
