Apply the quotas of customers to requests

Cause: Package quota decides, but nothing asked it: a customer could send any number of requests.

Change: The entry daemon takes a token for each request of a customer that has a limit, before it reads the body, and answers 429 (call-quota-exceeded, 523) with Retry-After without one. It returns the token if the request ends as not run. Nested requests have no customer and are not counted; retries of the daemon are part of one request. Messages quota_request (19) and quota_reply (20) of the hop protocol ask the owner for tokens; a request waits for 5 ms before it may use the daemon's own share, and for 50 ms in all. The timer runs only while a customer has a limit, and a planned stop tells the peers at once only then. The reducer publishes the names of the other data centres, and whether the member table has been read: until then, for at most 3 s, limited requests are refused, since a daemon that knows few others would take too large a share. In the module, a daemon that still holds a bucket which another one owns by now grants from it instead of passing the message on, and changes of the view that move no bucket do not count as new views: each remote peer that comes or goes is one.

--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -70,6 +70,7 @@
 	CallUnauthorized    Code = 520
 	CallParentUnknown   Code = 521
 	CallUnproven        Code = 522
+	CallQuotaExceeded   Code = 523
 )
 
 // Info describes one code.
@@ -133,6 +134,7 @@
 	{CallUnauthorized, "call-unauthorized", "The request has no key of a customer, or an unknown one.", NotRun, http.StatusUnauthorized, false},
 	{CallParentUnknown, "call-parent-unknown", "The request has no key, and its id names a request that does not run here.", NotRun, http.StatusServiceUnavailable, true},
 	{CallUnproven, "call-unproven", "The daemon does not know whether its configuration, and so the customer's key, is still in force.", NotRun, http.StatusServiceUnavailable, true},
+	{CallQuotaExceeded, "call-quota-exceeded", "The customer has used its allowance.", NotRun, http.StatusTooManyRequests, true},
 }
 
 var byCode = indexByCode()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -55,6 +55,8 @@
 	// published. The next tick publishes them together, because many daemons
 	// connect simultaneously when a fleet starts.
 	publishPending bool
+	// membersComplete is set once the whole member table has been read.
+	membersComplete bool
 	// selfWritten is clear while this daemon's entry still has to be written to
 	// the member table: before the first write and after a failed one. It is set
 	// while a write is in progress.
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -92,19 +92,24 @@
 // the known ones are ignored; a row that cannot be decoded is logged and leaves
 // the known entry unchanged.
 func (c *Core) membersRead(ev MembersRead) {
-	changed := false
+	changed, first := false, false
 	seen := map[string]bool{}
 	for _, row := range ev.Rows {
 		seen[row.Key] = true
 		changed = c.memberRead(row) || changed
 	}
 	if ev.Complete {
+		first = !c.membersComplete
+		c.membersComplete = true
 		c.markMissing(seen, ev.Position)
 		c.era.membersReadIn(ev.Position.Era)
 		c.writeSelf()
 	}
-	if changed {
+	switch {
+	case changed:
 		c.publishMembers()
+	case first:
+		c.publish()
 	}
 }
 
--- a/internal/control/mesh.go
+++ b/internal/control/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,14 +26,21 @@
 	minRemotePerService = 2
 )
 
-// publishMembers publishes the daemons to stay connected to: all of the local
-// data centre, and a few in other data centres for each service. It then decides
-// again whether this daemon is a store watcher.
+// publishMembers publishes the members and logs that they have changed.
 func (c *Core) publishMembers() {
+	known, connected := c.publish()
+	c.log(event.MembersChanged, false, step.F("members", known), step.F("connected", connected))
+}
+
+// publish publishes the daemons to stay connected to: all of the local data centre,
+// and a few in other data centres for each service. It then decides again whether this
+// daemon is a store watcher. It returns the numbers of known members and of those to
+// stay connected to.
+func (c *Core) publish() (known, connections int) {
 	c.publishPending = false
 	var connected []Member
 	remote := map[string][]Member{}
-	known := 0
+	remoteCentres := map[string]bool{}
 	for key, row := range c.members {
 		if row.Instance == "" || key == c.cfg.Self.Instance {
 			continue
@@ -43,13 +51,14 @@
 			continue
 		}
 		remote[row.Service] = append(remote[row.Service], row.Member)
+		remoteCentres[row.DataCentre] = true
 	}
 	for _, members := range remote {
 		connected = append(connected, c.chooseRemote(members, len(remote))...)
 	}
-	c.emit(PublishMembers{Members: connected, Known: known})
+	c.emit(PublishMembers{Members: connected, Known: known, Remote: slices.Sorted(maps.Keys(remoteCentres)), Complete: c.membersComplete})
 	c.updateStoreWatcher()
-	c.log(event.MembersChanged, false, step.F("members", known), step.F("connected", len(connected)))
+	return known, len(connected)
 }
 
 // chooseRemote selects the remote members of one service to connect to, by
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -173,6 +173,10 @@
 	Members []Member
 	// Known is the number of all other known daemons, connected or not.
 	Known int
+	// Remote holds the names of the other data centres, sorted.
+	Remote []string
+	// Complete is set once the whole member table has been read.
+	Complete bool
 }
 
 // SetUpstream passes the state of the local upstream to the data path.
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -14,8 +14,8 @@
 )
 
 const statusHelp = `
-Shows the version that a daemon has in force, its upstream, and what it knows of
-its peers. With several --daemon options, the first daemon that answers is shown.`
+Shows the version that a daemon has in force, its upstream, the quotas of customers that
+have sent requests lately, and what it knows of its peers. With several --daemon options, the first daemon that answers is shown.`
 
 // statusTimeout bounds the request to one daemon.
 const statusTimeout = 3 * time.Second
@@ -73,6 +73,13 @@
 	fmt.Fprintf(w, "version   %d\n", r.ConfigVersion)
 	fmt.Fprintf(w, "store era %d\n", r.StoreEra)
 	fmt.Fprintf(w, "upstream  %s of %s is %s: %d running, %d waiting, %d slots\n", u.ID, u.Service, u.State, u.Running, u.Waiting, u.Slots)
+	for _, q := range r.Quotas {
+		fmt.Fprintf(w, "quota     %s: %g a second and %g at once, %.0f%% of it here, bucket at %s", q.Customer, q.RatePerSecond, q.Burst, q.Share*100, q.Owner)
+		if q.Held {
+			fmt.Fprintf(w, ", %.1f of %.1f tokens, %.1f requests a second", q.Level, q.Depth, q.Demand)
+		}
+		fmt.Fprintln(w)
+	}
 	for _, p := range r.Peers {
 		state := "cannot be reached"
 		switch {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"godwitmount/internal/hop"
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/proxy"
+	"godwitmount/internal/quota"
 	"godwitmount/internal/settings"
 	"godwitmount/internal/shaping"
 	"godwitmount/internal/status"
@@ -47,6 +48,8 @@
 	reportTimeout = 900 * time.Millisecond
 	// bitsPerKilobit converts the unit of the link's rate in the settings.
 	bitsPerKilobit = 1000
+	// percent is the divisor that converts a percentage to a share.
+	percent = 100
 )
 
 // Platform holds what the daemon needs from the platform that it runs on.
@@ -154,6 +157,7 @@
 	go d.watchConfig(d.background)
 	go d.watchMembers(d.background)
 	go d.keepProof(d.background)
+	go d.proxy.RunQuotas(d.background)
 	s := cfg.Settings
 	d.log.Event(event.DaemonStarted, zap.String("data_centre", s.DataCentre),
 		zap.String("service", s.Service), zap.String("callers", s.CallerListen), zap.String("peers", s.PeerListen),
@@ -189,6 +193,11 @@
 		RetryPercent: s.RetryPercent,
 		RetryExtra:   s.RetryExtra,
 		RetryWindow:  s.RetryWindow.Std(),
+		Quota: quota.Params{
+			Window: s.QuotaWindow.Std(),
+			Excess: float64(s.QuotaExcessPercent) / percent,
+			Slack:  float64(s.QuotaSlack),
+		},
 	}, proxy.Deps{
 		Peers:             d.peers,
 		ReportUnreachable: func(upstream string) { d.loop.post(control.UpstreamUnreachable{ID: upstream}) },
@@ -198,6 +207,7 @@
 		},
 		BroadcastState: d.broadcastState,
 		Freshness:      d.freshness,
+		BootClock:      d.cfg.BootClock,
 		Log:            d.log,
 		Registerer:     d.registry,
 	})
@@ -372,6 +382,7 @@
 	s.Stopping = d.stopping.Load()
 	s.StoreEra = uint64(d.cfg.Platform.Store.Eras().Latest())
 	s.Peers = d.peers.Status()
+	s.Quotas = d.proxy.QuotaStatus()
 	return s
 }
 
@@ -400,6 +411,11 @@
 // State implements hop.Handler.
 func (h hopHandler) State() *hopv1.State { return h.d.proxy.State() }
 
+// Quota implements hop.Handler.
+func (h hopHandler) Quota(ctx context.Context, instance string, request *hopv1.QuotaRequest) *hopv1.QuotaReply {
+	return h.d.proxy.AnswerQuota(ctx, instance, request)
+}
+
 // DrainRecord implements hop.Handler.
 func (h hopHandler) DrainRecord(instance string) *hopv1.Left { return h.d.peers.DrainRecord(instance) }
 
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -28,6 +28,7 @@
 		d.proxy.SetTable(&proxy.Table{Table: e.Table, Version: e.Version, Packed: e.Packed})
 		d.broadcastState()
 	case control.PublishMembers:
+		d.peers.SetMesh(e.Remote, e.Complete)
 		d.peers.SetMembers(e.Members, e.Known)
 	case control.SetUpstream:
 		d.proxy.SetUpstream(e.Upstream)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -53,6 +53,12 @@
 	KeysUnproven Number = 9001
 	KeysProven   Number = 9002
 
+	QuotaExceeded         Number = 9021
+	QuotaOwner            Number = 9022
+	QuotaShareMoved       Number = 9023
+	QuotaOwnerUnavailable Number = 9024
+	QuotaPaused           Number = 9025
+
 	StoreLost        Number = 7001
 	StoreRecovered   Number = 7002
 	StoreHistoryGone Number = 7003
@@ -117,6 +123,12 @@
 
 	{KeysUnproven, "keys-unproven", "Requests with customers' keys are refused because no recent proof of the configuration is known."},
 	{KeysProven, "keys-proven", "Requests with customers' keys are served again."},
+
+	{QuotaExceeded, "quota-exceeded", "Requests of a customer are refused because they are beyond its allowance; the line says how many since the last one."},
+	{QuotaOwner, "quota-owner", "This daemon keeps the token bucket of a customer for its data centre from now on."},
+	{QuotaShareMoved, "quota-share-moved", "The data centre's share of a customer's allowance changed; the line says by how much."},
+	{QuotaOwnerUnavailable, "quota-owner-unavailable", "The daemon that keeps a customer's token bucket did not answer; this daemon's own small share is used."},
+	{QuotaPaused, "quota-paused", "The process did not run for a while; its token buckets were dropped, since another daemon may keep them."},
 }
 
 var byNumber = indexByNumber()
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -252,7 +252,7 @@
 	case *hopv1.Frame_Failure:
 		c.hooks.StateReceived(body.Failure.GetState())
 		c.deliver(frame)
-	case *hopv1.Frame_ConfigAnswer:
+	case *hopv1.Frame_ConfigAnswer, *hopv1.Frame_QuotaReply:
 		c.deliver(frame)
 	}
 }
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -55,6 +55,10 @@
 	return &hopv1.ConfigAnswer{Version: 3, Packed: []byte("source")}
 }
 
+func (h *testHandler) Quota(_ context.Context, instance string, request *hopv1.QuotaRequest) *hopv1.QuotaReply {
+	return &hopv1.QuotaReply{Tokens: request.Tokens + 1, Declined: instance != "client"}
+}
+
 func (h *testHandler) State() *hopv1.State { return &hopv1.State{ConfigVersion: 3} }
 
 func (h *testHandler) DrainRecord(string) *hopv1.Left { return &hopv1.Left{Upstream: "u-1", Born: 5} }
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -21,6 +21,8 @@
 	Execute(ctx context.Context, request *hopv1.Request) *hopv1.Frame
 	// Config returns the configuration in force.
 	Config() *hopv1.ConfigAnswer
+	// Quota replies to a peer's request for tokens of a customer.
+	Quota(ctx context.Context, instance string, request *hopv1.QuotaRequest) *hopv1.QuotaReply
 	// State returns the state to send to peers.
 	State() *hopv1.State
 	// DrainRecord returns this daemon's drain record of the peer instance's
@@ -142,6 +144,8 @@
 		body.Request.RemainingMs = subtractDelay(body.Request.RemainingMs, delay)
 		body.Request.GoalMs = subtractDelay(body.Request.GoalMs, delay)
 		s.start(frame.Stream, body.Request)
+	case *hopv1.Frame_QuotaRequest:
+		s.answerQuota(frame.Stream, body.QuotaRequest)
 	case *hopv1.Frame_Cancel:
 		s.cancel(frame.Stream)
 	case *hopv1.Frame_ConfigRequest:
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -12,6 +12,7 @@
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 	"godwitmount/internal/code"
 	"godwitmount/internal/manifest"
+	"godwitmount/internal/quota"
 	"godwitmount/internal/upstream"
 )
 
@@ -52,7 +53,9 @@
 	// customer is nil for nested requests, on public routes without a known key, and
 	// where the configuration has no customers.
 	customer *manifest.Customer
-	request  *hopv1.Request
+	// token is the right to run the request, if the customer has a limit.
+	token   quota.Token
+	request *hopv1.Request
 }
 
 // isRetry reports whether the call was made by a run that is a retry.
@@ -85,7 +88,12 @@
 	}
 	c.route = route
 	p.setTimes(c, r)
-	if f := p.identifyCustomer(c, r.Header, table, proven); f != nil {
+	f := p.identifyCustomer(c, r.Header, table, proven)
+	if f != nil {
+		return c, f
+	}
+	// Before the body is read: a customer that sends too much must not fill the memory.
+	if c.token, f = p.takeToken(r.Context(), c); f != nil {
 		return c, f
 	}
 	c.idempotent = route.IsIdempotent(r.Method)
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -27,6 +27,7 @@
 	}
 	c, f := p.newCall(w, r)
 	if f != nil {
+		p.returnToken(c.token)
 		p.writeFailure(w, c, f, nil)
 		return
 	}
@@ -34,6 +35,9 @@
 	defer cancel()
 	forwarder := &forwarder{proxy: p, call: c}
 	answer, f := forwarder.forward(ctx)
+	if f != nil && f.notRun || answer.GetNotRun() {
+		p.returnToken(c.token)
+	}
 	if f != nil {
 		p.writeFailure(w, c, f, forwarder)
 		return
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -17,6 +17,7 @@
 	waits        prometheus.Histogram
 	serviceTimes prometheus.Histogram
 	customers    *customerMetrics
+	quotas       *quotaMetrics
 }
 
 // latencyBuckets are histogram bucket bounds in seconds. They range from a
@@ -28,6 +29,7 @@
 func newMetrics(registerer prometheus.Registerer, p *Proxy) (*metrics, error) {
 	m := &metrics{
 		customers: newCustomerMetrics(),
+		quotas:    newQuotaMetrics(),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "godwitmount_answers_total", Help: "Answers to callers by status or result.",
 		}, []string{"result"}),
@@ -66,6 +68,7 @@
 			Name: "godwitmount_peers", Help: "Other daemons that are known.",
 		}, func() float64 { return float64(p.deps.Peers.Count()) }),
 	}
+	gauges = append(gauges, m.quotas.collectors()...)
 	for _, c := range append(gauges, m.answers, m.customers.answers, m.refusals, m.latency, m.waits, m.serviceTimes) {
 		if err := registerer.Register(c); err != nil {
 			return nil, fmt.Errorf("register metric: %w", err)
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -60,6 +60,12 @@
 	// total is the number of all other daemons, whether or not this daemon
 	// connects to them.
 	total int
+	// remote holds the names of the other data centres; complete is set once all
+	// daemons are known.
+	remote   []string
+	complete bool
+	// viewVersion changes whenever quotaView returns something else.
+	viewVersion atomic.Uint64
 }
 
 // peer is another daemon that this daemon connects to.
@@ -67,8 +73,11 @@
 	control.Member
 	client *hop.Client
 	// up is set while the peer is reachable.
-	up    atomic.Bool
-	state atomic.Pointer[peerState]
+	up atomic.Bool
+	// silent is set while the peer is unreachable without having closed the
+	// connection.
+	silent atomic.Bool
+	state  atomic.Pointer[peerState]
 	// outstanding is the number of this daemon's requests that the peer has not
 	// answered.
 	outstanding atomic.Int64
@@ -95,6 +104,9 @@
 // storeUnavailable reports whether the store does not answer the peer.
 func (s *peerState) storeUnavailable() bool { return s != nil && s.GetStoreLost() }
 
+// stopping reports whether the peer has begun a planned stop.
+func (s *peerState) stopping() bool { return s != nil && s.GetStopping() }
+
 // Listener holds callbacks for what peers report. They must not block.
 type Listener struct {
 	// StateReceived is called with each state that a peer reports.
@@ -177,6 +189,7 @@
 func (ps *Peers) SetMembers(members []control.Member, total int) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
+	defer ps.viewVersion.Add(1)
 	ps.total = total
 	wanted := map[string]bool{}
 	for _, m := range members {
@@ -205,12 +218,16 @@
 		Instance: m.Instance,
 		Up: func() {
 			if !p.up.Swap(true) {
+				ps.viewVersion.Add(1)
 				ps.listener.ReachabilityChanged(m.Instance, true)
 				ps.log.Event(event.PeerUp, zap.String("peer", m.Instance))
 			}
 		},
 		Down: func(err error) {
-			if p.up.Swap(false) {
+			wasUp := p.up.Swap(false)
+			p.recordSilence(wasUp, err)
+			if wasUp {
+				ps.viewVersion.Add(1)
 				ps.listener.ReachabilityChanged(m.Instance, false)
 				ps.log.Event(event.PeerDown, zap.String("peer", m.Instance), zap.Error(err))
 			}
@@ -297,6 +314,9 @@
 	if before := p.state.Load(); before.storeUnavailable() != state.GetStoreLost() {
 		ps.listener.StoreAvailabilityChanged(p.Instance, state.GetStoreLost())
 	}
+	if p.state.Load().stopping() != state.GetStopping() {
+		defer ps.viewVersion.Add(1)
+	}
 	load := float64(state.GetRunning() + state.GetWaiting())
 	otherLoad := max(load-float64(p.outstanding.Load()), 0)
 	p.recordDraining(state)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -20,6 +20,7 @@
 	"godwitmount/internal/freshness"
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/quarantine"
+	"godwitmount/internal/quota"
 	"godwitmount/internal/routing"
 	"godwitmount/internal/store"
 	"godwitmount/internal/upstream"
@@ -69,6 +70,8 @@
 	RetryPercent int
 	RetryExtra   int
 	RetryWindow  time.Duration
+	// Quota bounds the requests of customers that have a limit.
+	Quota quota.Params
 }
 
 // Deps holds the dependencies of the data path.
@@ -88,7 +91,10 @@
 	BroadcastState func()
 	// Freshness proves that the configuration in force is recent; nil if requests with
 	// customers' keys need no such proof.
-	Freshness  *freshness.Keeper
+	Freshness *freshness.Keeper
+	// BootClock reads the clock that goes on while the machine is suspended; nil means
+	// the monotonic clock.
+	BootClock  func() time.Duration
 	Log        *asynclog.Logger
 	Registerer prometheus.Registerer
 }
@@ -128,6 +134,7 @@
 	// of the upstream or the last call of ReportStalled.
 	consecutiveTimeouts atomic.Int64
 
+	quotas         *quotas
 	recentRefusals *refusals
 	suspects       *quarantine.Set
 
@@ -182,6 +189,10 @@
 	p.SetService(cfg.Service)
 	m, err := newMetrics(deps.Registerer, p)
 	p.metrics = m
+	if deps.BootClock == nil {
+		deps.BootClock = p.now
+	}
+	p.quotas = newQuotas(cfg, deps, m.quotas)
 	return p, err
 }
 
@@ -192,6 +203,7 @@
 func (p *Proxy) SetTable(t *Table) {
 	p.table.Store(t)
 	p.metrics.customers.setCustomers(t.Manifest().Customers)
+	p.quotas.setCustomers(t.Manifest().Customers)
 	p.updateAdmission()
 }
 
@@ -228,7 +240,14 @@
 
 // BeginStop makes the answer to each further request of a caller close its
 // connection.
-func (p *Proxy) BeginStop() { p.stopping.Store(true) }
+func (p *Proxy) BeginStop() {
+	p.stopping.Store(true)
+	p.quotas.beginStop()
+	if p.quotas.limited() {
+		// Other daemons become the owners of buckets.
+		p.deps.BroadcastState()
+	}
+}
 
 // CloseEntry refuses new requests of callers. Requests in flight continue, and nested
 // ones that they need are still served.
--- /dev/null
+++ b/internal/proxy/quota_peers.go
@@ -0,0 +1,164 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/hop"
+	"godwitmount/internal/quota"
+)
+
+// recordSilence records how the peer became unreachable. A peer that only fell silent
+// may still be reachable for others; one whose port refuses connections has ended.
+func (p *peer) recordSilence(wasUp bool, err error) {
+	switch {
+	case wasUp:
+		p.silent.Store(errors.Is(err, hop.ErrPeerSilent))
+	case errors.Is(err, syscall.ECONNREFUSED):
+		p.silent.Store(false)
+	}
+}
+
+// partialViewAfter is the time from the start of the process after which the quotas use
+// what is known of the other daemons, although the member table could not be read. With
+// too few of them known, shares are too large.
+const partialViewAfter = 3 * time.Second
+
+// SetMesh sets the names of the other data centres, and whether all daemons are known.
+func (ps *Peers) SetMesh(remote []string, complete bool) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ps.remote, ps.complete = remote, complete
+}
+
+// remoteCentres returns the names of the other data centres.
+func (ps *Peers) remoteCentres() []string {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	return ps.remote
+}
+
+// quotaView returns what the quotas need to know of the other daemons. It reports
+// false while too little is known.
+func (ps *Peers) quotaView() (quota.View, bool) {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	if !ps.complete && ps.now() < partialViewAfter {
+		return quota.View{}, false
+	}
+	view := quota.View{Remote: ps.remote, Daemons: ps.total + 1}
+	for _, p := range ps.all {
+		if p.DataCentre == ps.self.DataCentre {
+			view.Members = append(view.Members, quota.Member{
+				Instance:  p.Instance,
+				Reachable: p.up.Load(),
+				Silent:    p.silent.Load(),
+				Leaving:   p.state.Load().stopping(),
+			})
+		}
+	}
+	return view, true
+}
+
+// reachableIn returns a reachable daemon of a data centre, at random, or "".
+func (ps *Peers) reachableIn(dataCentre string) string {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	chosen, seen := "", 0
+	for _, p := range ps.all {
+		if p.DataCentre != dataCentre || !p.up.Load() {
+			continue
+		}
+		seen++
+		if rand.IntN(seen) == 0 {
+			chosen = p.Instance
+		}
+	}
+	return chosen
+}
+
+// askQuota sends a quota message and returns the reply; ok is false if there is none
+// within the limit.
+func (ps *Peers) askQuota(ctx context.Context, message quota.Message, limit time.Duration) (reply quota.Reply, ok bool) {
+	p := ps.get(message.To)
+	if p == nil {
+		return quota.Reply{}, false
+	}
+	bounded, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	answer, err := p.client.AskQuota(bounded, encodeQuotaRequest(message.Request))
+	if err != nil {
+		return quota.Reply{}, false
+	}
+	return decodeQuotaReply(answer), true
+}
+
+func encodeQuotaRequest(r quota.Request) *hopv1.QuotaRequest {
+	return &hopv1.QuotaRequest{
+		Customer: r.Customer,
+		Tokens:   uint32(r.Tokens),
+		Arrived:  uint32(r.Arrived),
+		Returned: uint32(r.Returned),
+		Used:     uint32(r.Used),
+		Share:    encodeShare(r.Share),
+		Relayed:  r.Relayed,
+		Takeover: r.Takeover,
+		Pull:     r.Pull,
+		Need:     r.Need,
+	}
+}
+
+func decodeQuotaRequest(r *hopv1.QuotaRequest) quota.Request {
+	return quota.Request{
+		Customer: r.GetCustomer(),
+		Tokens:   int(r.GetTokens()),
+		Arrived:  int(r.GetArrived()),
+		Returned: int(r.GetReturned()),
+		Used:     int(r.GetUsed()),
+		Share:    decodeShare(r.GetShare()),
+		Relayed:  r.GetRelayed(),
+		Takeover: r.GetTakeover(),
+		Pull:     r.GetPull(),
+		Need:     r.GetNeed(),
+	}
+}
+
+func encodeQuotaReply(r quota.Reply) *hopv1.QuotaReply {
+	// Rounded up, so that a refusal does not end before there is a token.
+	wait := (r.Wait + time.Millisecond - 1) / time.Millisecond
+	return &hopv1.QuotaReply{
+		Declined: r.Declined,
+		Kept:     r.Kept,
+		Tokens:   uint32(r.Tokens),
+		WaitMs:   uint32(wait),
+		Share:    encodeShare(r.Share),
+		Given:    r.Given,
+	}
+}
+
+func decodeQuotaReply(r *hopv1.QuotaReply) quota.Reply {
+	return quota.Reply{
+		Declined: r.GetDeclined(),
+		Kept:     r.GetKept(),
+		Tokens:   int(r.GetTokens()),
+		Wait:     milliseconds(r.GetWaitMs()),
+		Share:    decodeShare(r.GetShare()),
+		Given:    r.GetGiven(),
+	}
+}
+
+// encodeShare returns nil for a share that is not known.
+func encodeShare(s quota.Share) *hopv1.QuotaShare {
+	if s.Version == 0 {
+		return nil
+	}
+	return &hopv1.QuotaShare{Movable: s.Movable, Version: s.Version}
+}
+
+func decodeShare(s *hopv1.QuotaShare) quota.Share {
+	return quota.Share{Movable: s.GetMovable(), Version: s.GetVersion()}
+}
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -27,6 +27,9 @@
 	<-ctx.Done()
 	return &hopv1.Frame{Body: &hopv1.Frame_Failure{Failure: &hopv1.Failure{}}}
 }
+func (silentHandler) Quota(context.Context, string, *hopv1.QuotaRequest) *hopv1.QuotaReply {
+	return &hopv1.QuotaReply{}
+}
 func (silentHandler) Config() *hopv1.ConfigAnswer        { return &hopv1.ConfigAnswer{} }
 func (silentHandler) State() *hopv1.State                { return &hopv1.State{} }
 func (silentHandler) DrainRecord(string) *hopv1.Left     { return nil }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -197,7 +197,8 @@
 func (l *Limiter) depth(c *customer) float64 {
 	p := l.cfg.Params
 	bonus := bonusExcess*p.Excess*(c.limit.Rate*p.Window.Seconds()+c.limit.Burst) + bonusSlack*p.Slack
-	return c.limit.Burst*l.share(c) + bonus/l.views.dataCentres()
+	// Without room for a whole token, none would ever be granted.
+	return max(c.limit.Burst*l.share(c)+bonus/l.views.dataCentres(), 1)
 }
 
 // newBucket makes this daemon the holder of the customer's bucket. Without tokens from
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -69,6 +69,9 @@
 	own   bool
 }
 
+// Own reports whether the daemon admitted the request from its own share.
+func (t Token) Own() bool { return t.own }
+
 // Action is what to do with a request.
 type Action uint8
 
--- a/internal/quota/note.go
+++ b/internal/quota/note.go
@@ -48,6 +48,17 @@
 	return notes
 }
 
+// Buckets returns the number of buckets at this daemon.
+func (l *Limiter) Buckets() int {
+	held := 0
+	for _, c := range l.customers {
+		if c.bucket != nil {
+			held++
+		}
+	}
+	return held
+}
+
 // Status is the state of one customer with traffic at this daemon.
 type Status struct {
 	Customer string
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -24,7 +24,8 @@
 	}
 	if l.ownerOf(c) != l.cfg.Instance {
 		switch {
-		case c.bucket != nil && r.Relayed:
+		case c.bucket != nil:
+			// The new owner has not asked for it yet.
 			return l.grant(now, c, r), nil
 		case r.Relayed:
 			return Reply{Declined: true}, nil
--- a/internal/quota/view.go
+++ b/internal/quota/view.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,9 +49,17 @@
 	at time.Duration
 }
 
-// set adds a view. It forgets the oldest one if there are too many.
+// set adds a view, unless owners are as by the present one. It forgets the oldest view if
+// there are too many.
 func (v *views) set(now time.Duration, view View) {
-	v.all = append(v.all, datedView{View: view, at: now})
+	view.Members = slices.Clone(view.Members)
+	slices.SortFunc(view.Members, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	at := now
+	if v.known() && view.sameOwners(v.present()) {
+		at = v.all[len(v.all)-1].at
+		v.all = v.all[:len(v.all)-1]
+	}
+	v.all = append(v.all, datedView{View: view, at: at})
 	if len(v.all) > maxViews {
 		v.all = append([]datedView(nil), v.all[1:]...)
 	}
@@ -67,6 +77,13 @@
 	}
 }
 
+// sameOwners reports whether all customers have the same owners by both views.
+func (v View) sameOwners(other View) bool {
+	return v.Leaving == other.Leaving && slices.EqualFunc(v.Members, other.Members, func(a, b Member) bool {
+		return a.Instance == b.Instance && a.Reachable == b.Reachable && a.Leaving == b.Leaving
+	})
+}
+
 // restart forgets the past views and dates the present one anew.
 func (v *views) restart(now time.Duration) {
 	if len(v.all) > 0 {
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -18,6 +18,27 @@
 	Upstream Upstream `json:"upstream"`
 	// Peers holds the daemons to which this one stays connected.
 	Peers []Peer `json:"peers"`
+	// Quotas holds the customers with a limit that have sent requests lately.
+	Quotas []Quota `json:"quotas,omitempty"`
+}
+
+// Quota is what the reporting daemon knows of the allowance of a customer.
+type Quota struct {
+	Customer string `json:"customer"`
+	// RatePerSecond and Burst are the customer's limit over all daemons.
+	RatePerSecond float64 `json:"rate_per_second"`
+	Burst         float64 `json:"burst"`
+	// Owner is the instance that keeps the token bucket of the data centre, and Share
+	// the data centre's part of the limit, 0 to 1.
+	Owner string  `json:"owner"`
+	Share float64 `json:"share"`
+	// Held is set if the bucket is at the reporting daemon. Level and Depth are then
+	// its tokens and the largest number of them, and Demand the recent requests per
+	// second in the data centre.
+	Held   bool    `json:"held"`
+	Level  float64 `json:"level"`
+	Depth  float64 `json:"depth"`
+	Demand float64 `json:"demand"`
 }
 
 // Upstream is the status of the daemon's local upstream.
