--- a/internal/hop/quota.go
+++ b/internal/hop/quota.go
@@ -25,8 +25,20 @@
 // may have to ask another daemon first.
 func (s *session) answerQuota(stream uint64, request *hopv1.QuotaRequest) {
 	go func() {
-		reply := s.server.handler.Quota(s.ctx, s.peer, request)
+		reply := s.quotaReply(request)
 		// If this fails, the connection ends, and the peer does not wait any longer.
 		_ = s.peerConn.send(&hopv1.Frame{Stream: stream, Body: &hopv1.Frame_QuotaReply{QuotaReply: reply}})
 	}()
 }
+
+// quotaReply returns the handler's reply. If the handler panics, the reply declines: one
+// message must not end the process.
+func (s *session) quotaReply(request *hopv1.QuotaRequest) (reply *hopv1.QuotaReply) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.server.handler.Panicked(cause)
+			reply = &hopv1.QuotaReply{Declined: true}
+		}
+	}()
+	return s.server.handler.Quota(s.ctx, s.peer, request)
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -188,12 +188,15 @@
 	p.upstream.Store(&control.Upstream{})
 	p.SetService(cfg.Service)
 	m, err := newMetrics(deps.Registerer, p)
+	if err != nil {
+		return nil, err
+	}
 	p.metrics = m
 	if deps.BootClock == nil {
 		deps.BootClock = p.now
 	}
 	p.quotas = newQuotas(cfg, deps, m.quotas)
-	return p, err
+	return p, nil
 }
 
 // now returns the monotonic time since epoch.
--- a/internal/proxy/quota.go
+++ b/internal/proxy/quota.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -327,8 +328,9 @@
 	if pull == nil {
 		return
 	}
-	for _, dataCentre := range remote {
-		message := quota.Message{To: q.peers.reachableIn(dataCentre)}
+	// In random order: the first ones give the most.
+	for _, i := range rand.Perm(len(remote)) {
+		message := quota.Message{To: q.peers.reachableIn(remote[i])}
 		q.lock()
 		message.Request = q.limiter.PullRequest(pull)
 		q.unlock()
--- a/internal/proxy/quota_peers.go
+++ b/internal/proxy/quota_peers.go
@@ -123,7 +123,7 @@
 		Relayed:  r.GetRelayed(),
 		Takeover: r.GetTakeover(),
 		Pull:     r.GetPull(),
-		Need:     r.GetNeed(),
+		Need:     part(r.GetNeed()),
 	}
 }
 
@@ -147,10 +147,19 @@
 		Tokens:   int(r.GetTokens()),
 		Wait:     milliseconds(r.GetWaitMs()),
 		Share:    decodeShare(r.GetShare()),
-		Given:    r.GetGiven(),
+		Given:    part(r.GetGiven()),
 	}
 }
 
+// part returns a part of an allowance that a peer has sent, or 0 if it is none: a number
+// that is not one would spread to all shares.
+func part(value float64) float64 {
+	if value >= 0 && value <= 1 {
+		return value
+	}
+	return 0
+}
+
 // encodeShare returns nil for a share that is not known.
 func encodeShare(s quota.Share) *hopv1.QuotaShare {
 	if s.Version == 0 {
@@ -160,5 +169,5 @@
 }
 
 func decodeShare(s *hopv1.QuotaShare) quota.Share {
-	return quota.Share{Movable: s.GetMovable(), Version: s.GetVersion()}
+	return quota.Share{Movable: part(s.GetMovable()), Version: s.GetVersion()}
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -88,14 +90,15 @@
 }
 
 // Tick does what depends on time alone. It is called each 100 ms while there are
-// limits. It returns the customers for which a larger share is to be pulled; see
-// Pull.
+// limits. It returns the customers for which a larger share is to be pulled, sorted by
+// name; see Pull.
 func (l *Limiter) Tick(now time.Duration) []string {
 	l.advance(now)
 	l.lastTick = now
 	l.refreshBuckets(now)
 	var pulls []string
-	for name, c := range l.customers {
+	for _, name := range slices.Sorted(maps.Keys(l.customers)) {
+		c := l.customers[name]
 		if now-c.touched > max(idleTime, l.cfg.Params.Window) {
 			delete(l.customers, name)
 			continue
@@ -195,8 +198,7 @@
 
 // depth returns the depth of the customer's bucket in this data centre.
 func (l *Limiter) depth(c *customer) float64 {
-	p := l.cfg.Params
-	bonus := bonusExcess*p.Excess*(c.limit.Rate*p.Window.Seconds()+c.limit.Burst) + bonusSlack*p.Slack
+	bonus := bonusSlack * l.cfg.Params.Slack
 	// Without room for a whole token, none would ever be granted.
 	return max(c.limit.Burst*l.share(c)+bonus/l.views.dataCentres(), 1)
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -87,15 +87,14 @@
 	// centres and never moves. The rest is movable.
 	fixedShare   = 0.2
 	movableShare = 1 - fixedShare
-	// bonusExcess and bonusSlack are the parts of Params.Excess and Params.Slack by
-	// which the buckets are deeper than the burst. Small customers need the slack:
-	// a few requests a second in a data centre come unevenly.
-	bonusExcess = 0.1
-	bonusSlack  = 0.75
+	// bonusSlack is the part of Params.Slack by which the buckets of all data centres
+	// are deeper than the burst. Small customers need it: a few requests a second in
+	// a data centre come unevenly.
+	bonusSlack = 0.75
 	// doubtShare is the part of its rate that an owner grants at during doubtTime.
 	doubtShare = 0.5
 	// startSlack is the part of Params.Slack with which new buckets start over all
-	// data centres. The rest of both bounds covers tokens in use while the owner or
-	// the shares change, and tokens held and returned.
+	// data centres. The rest of it and Params.Excess cover what two owners grant while
+	// one replaces the other, and tokens held and returned.
 	startSlack = 0.2
 )
