Let the store watchers of a data centre take turns

Two store watchers of each data centre made calls of 1 s, so that a silent connection is noticed in time: 6 calls a second for three data centres.

Change: The watchers take turns of 2 s by the store's clock, so that a call of the data centre ends each second (control.SetStoreWatcher.WatchCall). The role says how many take turns. A watcher that is left alone makes calls of 1 s, and gives up the call that it waits in; so does one that is to read the row at once. Event 3018 tells the turns.

Conclusion: As few calls as with 2 s polls, the same bound on a silence. Left: a silence that begins while a watcher is frozen unnoticed takes up to 2.7 s.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -87,15 +87,14 @@
 	storeUnavailable map[string]bool
 	// era is what is known of the store's era.
 	era eraState
-	// storeWatcher is set while this daemon watches the store for new
-	// configurations.
-	storeWatcher bool
+	// storeWatcher is this daemon's role in watching the store for new configurations.
+	storeWatcher SetStoreWatcher
 }
 
 // New returns the core of a daemon that has just started. It begins as a store
-// watcher.
+// watcher that is alone.
 func New(cfg Config) *Core {
-	return &Core{cfg: cfg, members: map[string]memberRow{}, reachable: map[string]bool{}, storeUnavailable: map[string]bool{}, storeWatcher: true}
+	return &Core{cfg: cfg, members: map[string]memberRow{}, reachable: map[string]bool{}, storeUnavailable: map[string]bool{}, storeWatcher: SetStoreWatcher{On: true, Turns: 1}}
 }
 
 // Step processes one event and returns the resulting effects in the order in
--- a/internal/control/distribution.go
+++ b/internal/control/distribution.go
@@ -67,31 +67,5 @@
 	c.fetch(c.fallbackSource, c.remoteVersion)
 }
 
-// watchersPerDataCentre is the number of store watchers in each data centre:
-// one, and a second in case the first is cut off, frozen or rejected by the
-// store.
-const watchersPerDataCentre = 2
-
-// updateStoreWatcher decides whether this daemon is a store watcher. The
-// watchers of a data centre are its watchersPerDataCentre daemons with the lowest
-// ranks. Each daemon decides on its own, counting only the peers that it can
-// reach and that the store answers; daemons that disagree about these cause at
-// most additional watchers.
-func (c *Core) updateStoreWatcher() {
-	ownRank := rank(c.cfg.Self.Instance)
-	lowerRanked := 0
-	for key, known := range c.members {
-		local := known.Instance != "" && known.DataCentre == c.cfg.Self.DataCentre
-		if local && key != c.cfg.Self.Instance && c.reachable[key] && !c.storeUnavailable[key] && rank(key) < ownRank {
-			lowerRanked++
-		}
-	}
-	if on := lowerRanked < watchersPerDataCentre; on != c.storeWatcher {
-		c.storeWatcher = on
-		c.emit(SetStoreWatcher{On: on})
-		c.log(event.WatchDuty, false, step.F("on", on), step.F("before", lowerRanked))
-	}
-}
-
 // rank orders the daemons of a data centre; all daemons compute the same order.
 func rank(instance string) uint64 { return xxhash.Sum64String(instance) }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -199,10 +199,13 @@
 	Version uint64
 }
 
-// SetStoreWatcher switches the store watcher role of this daemon: whether it
-// watches the store for new configurations.
+// SetStoreWatcher sets the store watcher role of this daemon: whether it watches the
+// store for new configurations, and whether it takes turns with another one.
 type SetStoreWatcher struct {
 	On bool
+	// Turns is the number of store watchers of the data centre that take turns, and
+	// Turn the place of this one among them, from 0. Both are 0 unless On is set.
+	Turn, Turns int
 }
 
 // ReadConfig reads the configuration from the store once.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,9 +86,9 @@
 	log *asynclog.Logger
 	// background is the context of the daemon's goroutines; cancel ends it.
 	background context.Context
-	// storeWatcher passes to watchConfig whether this daemon is a store watcher;
+	// storeWatcher passes this daemon's role in watching the store to watchConfig;
 	// a value in readOnce makes it read the configuration once.
-	storeWatcher chan bool
+	storeWatcher chan control.SetStoreWatcher
 	readOnce     chan struct{}
 	// readMembers makes watchMembers read the member table at once.
 	readMembers chan struct{}
@@ -135,7 +135,7 @@
 // with Stop or Abort.
 func Start(cfg Config) (*Daemon, error) {
 	d := &Daemon{cfg: cfg, log: cfg.Log, registry: prometheus.NewRegistry(), started: time.Now(),
-		effective: *cfg.Settings, storeWatcher: make(chan bool, 1), readOnce: make(chan struct{}, 1),
+		effective: *cfg.Settings, storeWatcher: make(chan control.SetStoreWatcher, 1), readOnce: make(chan struct{}, 1),
 		readMembers: make(chan struct{}, 1), proveOnce: make(chan struct{}, 1)}
 	if d.cfg.BootClock == nil {
 		d.cfg.BootClock = bootclock.Now
--- a/internal/daemon/loop_test.go
+++ b/internal/daemon/loop_test.go
@@ -8,9 +8,11 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap/zapcore"
 
 	"godwitmount/internal/asynclog"
+	"godwitmount/internal/control"
 	"godwitmount/internal/step"
 	"godwitmount/internal/store"
 )
@@ -214,3 +216,69 @@
 		}
 	}
 }
+
+// waitingStore is a store whose Watch calls wait until they are given up, or until their
+// wait is over. It records the waits.
+type waitingStore struct {
+	scriptedStore
+	waits chan time.Duration
+}
+
+func (s *waitingStore) Watch(ctx context.Context, _ string, _ store.Position, wait time.Duration) (store.Rows, error) {
+	s.waits <- wait
+	select {
+	case <-ctx.Done():
+		return store.Rows{}, ctx.Err()
+	case <-time.After(wait):
+		return store.Rows{Position: store.Position{Version: 7}}, nil
+	}
+}
+
+// TestWatchIsGivenUp covers a store watcher in a call that may have fallen silent. The
+// call ends at once if the other watcher has failed, or if a peer has a newer
+// configuration or the proof is old; then the store is read, too. A new turn alone
+// changes only the next call.
+func TestWatchIsGivenUp(t *testing.T) {
+	two := control.SetStoreWatcher{On: true, Turns: 2}
+	for name, c := range map[string]struct {
+		signal func(d *Daemon)
+		role   control.SetStoreWatcher
+		// reads is the number of calls after the first one, and ended says that the
+		// first one is not given up.
+		reads int
+		ended bool
+	}{
+		"the other watcher has failed": {func(d *Daemon) { d.storeWatcher <- control.SetStoreWatcher{On: true, Turns: 1} }, control.SetStoreWatcher{On: true, Turns: 1}, 0, false},
+		"another turn":                 {func(d *Daemon) { d.storeWatcher <- control.SetStoreWatcher{On: true, Turn: 1, Turns: 2} }, control.SetStoreWatcher{On: true, Turn: 1, Turns: 2}, 0, true},
+		"no longer a watcher":          {func(d *Daemon) { d.storeWatcher <- control.SetStoreWatcher{} }, control.SetStoreWatcher{}, 0, true},
+		"a newer configuration":        {func(d *Daemon) { d.readOnce <- struct{}{} }, two, 1, false},
+		"an old proof":                 {func(d *Daemon) { d.proveOnce <- struct{}{} }, two, 1, false},
+	} {
+		s := &waitingStore{waits: make(chan time.Duration, 10)}
+		storeMetrics, err := newStoreMetrics(prometheus.NewRegistry(), s.Eras())
+		if err != nil {
+			t.Fatal(err)
+		}
+		d := &Daemon{storeWatcher: make(chan control.SetStoreWatcher, 1), readOnce: make(chan struct{}, 1), proveOnce: make(chan struct{}, 1), storeMetrics: storeMetrics}
+		reader := &tableReader{
+			store: s, name: "t", synced: true, storeTime: 10 * time.Second, storeTimeAt: time.Now(),
+			log: asynclog.New(io.Discard, "a-1", zapcore.InfoLevel, 10), notify: func(bool) {}, apply: func(store.Rows, bool) {},
+		}
+		began := time.Now()
+		result := make(chan control.SetStoreWatcher)
+		go func() { result <- d.watchOnce(context.Background(), reader, two) }()
+		if wait := <-s.waits; wait < 1500*time.Millisecond || wait > 2*time.Second {
+			t.Errorf("%s: the first call waits %s", name, wait)
+		}
+		c.signal(d)
+		if role := <-result; role != c.role {
+			t.Errorf("%s: role %+v", name, role)
+		}
+		if ended := time.Since(began) > 1500*time.Millisecond; ended != c.ended || len(s.waits) != c.reads {
+			t.Errorf("%s: ended %t after %s, %d more calls", name, ended, time.Since(began), len(s.waits))
+		}
+		if c.reads > 0 && <-s.waits != 0 {
+			t.Errorf("%s: the store is not read at once", name)
+		}
+	}
+}
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -38,7 +38,7 @@
 		d.removed.Store(true)
 		d.callForMember(func() { d.removeMember(e) })
 	case control.SetStoreWatcher:
-		setLatest(d.storeWatcher, e.On)
+		setLatest(d.storeWatcher, e)
 	case control.ReadConfig:
 		setLatest(d.readOnce, struct{}{})
 	case control.ReadMembers:
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -18,11 +18,15 @@
 const (
 	// MembersTable is the store table that lists the daemons.
 	MembersTable = "godwitmount-members"
-	// configWatchTimeout bounds one Watch call for a new configuration. A call whose
-	// connection has fallen silent ends only then, and a version that is published
-	// meanwhile has 2 s to be in force: the call, the client's allowance for a slow
-	// store, and the next call must fit.
-	configWatchTimeout = time.Second
+	// watchInterval is the time in which a Watch call for a new configuration ends in
+	// each data centre; see control.SetStoreWatcher.WatchCall. A call whose connection
+	// has fallen silent ends only then, and a version that is published meanwhile has
+	// 2 s to be in force: the interval, the client's allowance for a slow store, and the
+	// next call must fit.
+	watchInterval = time.Second
+	// proofsPerLimit is the number of such calls in the time after which removed keys
+	// must have no effect, if the daemon's proof of its configuration depends on them.
+	proofsPerLimit = 5
 	// watcherSettleTime is how long a daemon that has just read its first
 	// configuration waits to learn that its peers already are store watchers.
 	watcherSettleTime = 600 * time.Millisecond
@@ -66,16 +70,24 @@
 	position    store.Position
 	synced      bool
 	unavailable bool
+	// storeTime is the store's clock in the last answer, 0 if that had none, and
+	// storeTimeAt when the answer was received. changed is set if it had rows.
+	storeTime   time.Duration
+	storeTimeAt time.Time
+	changed     bool
 	// backoff is the delay after the next failure.
 	backoff time.Duration
 }
 
 // poll reads the table or, once synced, its changes, for which it waits up to
 // wait. It reports whether the call succeeded; after a failure it first sleeps
-// for the backoff.
+// for the backoff. If ctx ends during the call, it returns at once.
 func (t *tableReader) poll(ctx context.Context, wait time.Duration) bool {
 	began := time.Now()
 	rows, err := t.readOrWatch(ctx, wait)
+	if err != nil && ctx.Err() != nil {
+		return false
+	}
 	if err != nil {
 		t.synced = t.synced && !errors.Is(err, store.ErrHistoryGone)
 		t.failed(ctx, err, time.Since(began))
@@ -92,12 +104,21 @@
 		t.position = rows.Position
 	}
 	t.synced = true
+	t.storeTime, t.storeTimeAt, t.changed = rows.Reading.StoreTime, time.Now(), len(rows.Rows) > 0
 	if t.answered != nil {
 		t.answered(rows)
 	}
 	return true
 }
 
+// storeNow estimates the present time of the store's clock; 0 is unknown.
+func (t *tableReader) storeNow() time.Duration {
+	if t.storeTime == 0 {
+		return 0
+	}
+	return t.storeTime + time.Since(t.storeTimeAt)
+}
+
 // readOrWatch reads the table, or its changes if those since the last call are
 // known to be complete. It clears synced if the store has come back from an older
 // copy since then, and reads the table in full.
@@ -158,26 +179,26 @@
 			}
 		}
 	}}
-	storeWatcher := true
+	role := control.SetStoreWatcher{On: true, Turns: 1}
 	for ctx.Err() == nil {
 		select {
-		case storeWatcher = <-d.storeWatcher:
+		case role = <-d.storeWatcher:
 		default:
 		}
 		if !t.synced {
 			if t.poll(ctx, 0) {
-				storeWatcher = d.awaitWatcherRole(ctx, storeWatcher)
+				role = d.awaitWatcherRole(ctx, role)
 			}
 			continue
 		}
-		if storeWatcher {
-			t.poll(ctx, configWatchTimeout)
+		if role.On {
+			role = d.watchOnce(ctx, t, role)
 			continue
 		}
 		timer := time.NewTimer(jittered(pollInterval(d.peers.Count() + 1)))
 		select {
 		case <-ctx.Done():
-		case storeWatcher = <-d.storeWatcher:
+		case role = <-d.storeWatcher:
 		case <-d.readOnce:
 			t.poll(ctx, 0)
 		case <-d.proveOnce:
@@ -190,6 +211,54 @@
 	}
 }
 
+// watchOnce makes one call of a store watcher and returns its role after it. The call is
+// given up, because its connection may have fallen silent, if this daemon now watches
+// alone, or if a newer configuration or proof is to be read at once.
+func (d *Daemon) watchOnce(ctx context.Context, t *tableReader, role control.SetStoreWatcher) control.SetStoreWatcher {
+	callCtx, giveUp := context.WithCancel(ctx)
+	defer giveUp()
+	wait := role.WatchCall(t.storeNow(), d.callInterval(), t.changed)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		t.poll(callCtx, wait)
+	}()
+	for {
+		select {
+		case <-ended:
+			return role
+		case next := <-d.storeWatcher:
+			alone := next.On && next.Turns < role.Turns
+			role = next
+			if !alone {
+				continue
+			}
+			giveUp()
+			<-ended
+			return role
+		case <-d.readOnce:
+		case <-d.proveOnce:
+			d.storeMetrics.proofReads.Inc()
+		}
+		giveUp()
+		<-ended
+		t.poll(ctx, 0)
+		return role
+	}
+}
+
+// callInterval returns the time in which a call of a store watcher ends in each data
+// centre.
+func (d *Daemon) callInterval() time.Duration {
+	if d.freshness == nil {
+		return watchInterval
+	}
+	if t := d.proxy.ActiveTable(); t == nil || !t.HasCustomers() {
+		return watchInterval
+	}
+	return min(watchInterval, d.cfg.Settings.RevokeLimit.Std()/proofsPerLimit)
+}
+
 // pollInterval returns the interval between two polls of a table by one of the given
 // number of daemons.
 func pollInterval(daemons int) time.Duration {
@@ -197,20 +266,20 @@
 }
 
 // awaitWatcherRole waits up to watcherSettleTime for the reducer to find that
-// other daemons are the store watchers. It returns whether this daemon is one.
-func (d *Daemon) awaitWatcherRole(ctx context.Context, storeWatcher bool) bool {
+// other daemons are the store watchers. It returns this daemon's role.
+func (d *Daemon) awaitWatcherRole(ctx context.Context, role control.SetStoreWatcher) control.SetStoreWatcher {
 	timer := time.NewTimer(watcherSettleTime)
 	defer timer.Stop()
-	for storeWatcher {
+	for role.On {
 		select {
 		case <-ctx.Done():
-			return storeWatcher
+			return role
 		case <-timer.C:
-			return storeWatcher
-		case storeWatcher = <-d.storeWatcher:
+			return role
+		case role = <-d.storeWatcher:
 		}
 	}
-	return storeWatcher
+	return role
 }
 
 // setStoreUnavailable reports to peers whether the store answers this daemon, so
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -41,6 +41,8 @@
 	PeerDisconnected Number = 3012
 	UpstreamNotice   Number = 3013
 
+	WatchTurns Number = 3018
+
 	CallRouted   Number = 4001
 	CallExecuted Number = 4002
 	CallAnswered Number = 4003
@@ -99,6 +101,7 @@
 	{MemberRestored, "member-restored", "A member that had left is in the older copy that the store came back from; it is not used."},
 	{PeerDisconnected, "peer-disconnected", "A connection that another daemon had opened to this one ended; the line says why and how many requests it had."},
 	{UpstreamNotice, "upstream-notice", "The upstream's answers say something new about it: a limit of requests a second, or that it is leaving."},
+	{WatchTurns, "watch-turns", "This store watcher takes turns with another one of its data centre, or watches alone from now on."},
 
 	{CallRouted, "call-routed", "A request was sent to an upstream; the line says why this one was chosen."},
 	{CallExecuted, "call-executed", "The executing daemon ran or refused a request."},
