Count customers in the tool, and drop their counters for good

Cause: godwitmountctl check did not count customers. A request that ended while its customer was removed could bring its counter back, which was never dropped.

Change: check prints and reports the number of customers. Counters are dropped under a lock.

--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -35,6 +35,7 @@
 	Services    int    `json:"services"`
 	Routes      int    `json:"routes"`
 	RetryRules  int    `json:"retry_rules"`
+	Customers   int    `json:"customers"`
 	// Bytes is the size of the canonical JSON.
 	Bytes int `json:"bytes"`
 }
@@ -74,6 +75,7 @@
 		Services:    len(m.Services),
 		Routes:      len(m.Routes),
 		RetryRules:  len(m.RetryRules),
+		Customers:   len(m.Customers),
 		Bytes:       len(body),
 	}
 }
@@ -82,6 +84,6 @@
 	fmt.Fprintf(w, "%s is valid\n", s.File)
 	fmt.Fprintf(w, "mesh    %s\n", s.Mesh)
 	fmt.Fprintf(w, "digest  %s\n", s.Digest)
-	fmt.Fprintf(w, "holds   data centres %d, services %d, routes %d, retry rules %d; %d bytes\n",
-		s.DataCentres, s.Services, s.Routes, s.RetryRules, s.Bytes)
+	fmt.Fprintf(w, "holds   data centres %d, services %d, routes %d, retry rules %d, customers %d; %d bytes\n",
+		s.DataCentres, s.Services, s.Routes, s.RetryRules, s.Customers, s.Bytes)
 }
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -11,8 +11,8 @@
 )
 
 const diffHelp = `
-Shows the services, routes and retry rules that were added, removed, changed or
-moved between two manifests, field by field. Comments are ignored, and so is the
+Shows the services, routes, retry rules and customers that were added, removed,
+changed or moved between two manifests, field by field. Comments are ignored, and so is the
 order of everything except routes.`
 
 type diffCommand struct {
--- a/internal/proxy/customer_metrics.go
+++ b/internal/proxy/customer_metrics.go
@@ -2,7 +2,7 @@
 
 import (
 	"strconv"
-	"sync/atomic"
+	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -26,9 +26,12 @@
 // methods may be called from any goroutine.
 type customerMetrics struct {
 	answers *prometheus.CounterVec
-	// labelled is the set of the customers with counters of their own; nil in a mesh
+
+	// mu is locked while counters are dropped, so that none is made again meanwhile.
+	mu sync.RWMutex
+	// labelled is the set of the customers with counters of their own; empty in a mesh
 	// without customers.
-	labelled atomic.Pointer[map[string]bool]
+	labelled map[string]bool
 }
 
 func newCustomerMetrics() *customerMetrics {
@@ -44,32 +47,27 @@
 	for i := range min(len(customers), maxLabelledCustomers) {
 		labelled[customers[i].Name] = true
 	}
-	before := m.labelled.Load()
-	if len(labelled) == 0 {
-		m.labelled.Store(nil)
-	} else {
-		m.labelled.Store(&labelled)
-	}
-	if before == nil {
-		return
-	}
-	for name := range *before {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name := range m.labelled {
 		if !labelled[name] {
 			m.answers.DeletePartialMatch(prometheus.Labels{"customer": name})
 		}
 	}
+	m.labelled = labelled
 }
 
 // record counts an answer. Result is that of statusResult or the name of a code.
 func (m *customerMetrics) record(customer *manifest.Customer, result string) {
-	labelled := m.labelled.Load()
-	if labelled == nil {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if len(m.labelled) == 0 {
 		return
 	}
 	label := noCustomer
 	if customer != nil {
 		label = customer.Name
-		if !(*labelled)[label] {
+		if !m.labelled[label] {
 			label = otherCustomers
 		}
 	}
--- a/internal/proxy/customer_test.go
+++ b/internal/proxy/customer_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -242,3 +243,36 @@
 		t.Errorf("%d counters once no customer is left, %d before", got, names)
 	}
 }
+
+// TestCountersOfRemovedCustomersStayDropped covers requests that end while a
+// configuration removes their customer: their answers must not bring its counters back,
+// which nobody would drop any more.
+func TestCountersOfRemovedCustomersStayDropped(t *testing.T) {
+	m := newCustomerMetrics()
+	first, second := manifest.Customer{Name: "first"}, manifest.Customer{Name: "second"}
+	m.setCustomers([]manifest.Customer{first})
+	var requests sync.WaitGroup
+	stop := make(chan struct{})
+	for range 4 {
+		requests.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					m.record(&first, "2xx")
+				}
+			}
+		})
+	}
+	for range 2000 {
+		m.setCustomers([]manifest.Customer{second})
+		if _, kept := counters(t, m)["first 2xx"]; kept {
+			t.Error("a removed customer has a counter")
+			break
+		}
+		m.setCustomers([]manifest.Customer{first})
+	}
+	close(stop)
+	requests.Wait()
+}
