Refuse no key for good on an old proof

Cause: A daemon that is cut off answered 401 to a request with a new key until its proof had expired, although it could know that its configuration might be outdated. Valid requests must rarely end with 401.

Change: From 0.45 of the largest age of the proof on, a request with an unknown key gets 503 (522) in place of 401. The keeper returns both decisions as one verdict.

--- a/internal/daemon/proof.go
+++ b/internal/daemon/proof.go
@@ -112,7 +112,7 @@
 		if search.Read {
 			setLatest(d.proveOnce, struct{}{})
 		}
-		if d.freshness.Proven() {
+		if d.freshness.Verdict().Serve {
 			refused = 0
 		} else {
 			refused++
--- a/internal/freshness/keeper.go
+++ b/internal/freshness/keeper.go
@@ -12,6 +12,9 @@
 type Keeper struct {
 	// clock reads the boot-time clock.
 	clock func() time.Duration
+	// refuseEarlier is the time before servedUntil from which no key counts as unknown,
+	// in nanoseconds.
+	refuseEarlier int64
 
 	mu      sync.Mutex
 	tracker *Tracker
@@ -28,6 +31,7 @@
 // NewKeeper returns a keeper without a proof. Clock reads the boot-time clock.
 func NewKeeper(cfg Config, clock func() time.Duration) *Keeper {
 	k := &Keeper{clock: clock, tracker: NewTracker(cfg)}
+	k.refuseEarlier = int64(k.tracker.share(1 - refuseShare))
 	k.publish()
 	return k
 }
@@ -54,12 +58,29 @@
 	k.publish()
 }
 
-// Proven reports whether the configuration in force is known to have been the newest
-// recently enough to serve requests that have arrived before the call. It must be
+// Verdict says what the age of the proof allows.
+type Verdict struct {
+	// Serve is set if the configuration in force is known to have been the newest
+	// recently enough to serve requests with its keys.
+	Serve bool
+	// Refuse is set if it is also recent enough to refuse a request for good because
+	// of what it lacks. A newer configuration may have that; in calm times, the proof
+	// is always as recent.
+	Refuse bool
+}
+
+// Verdict returns the verdict on requests that have arrived before the call. It must be
 // called before the configuration is loaded: a configuration that comes into force
 // between the two is newer, but a proof that does is not valid for an older one.
-func (k *Keeper) Proven() bool {
-	return k == nil || int64(k.clock()) <= k.servedUntil.Load()
+func (k *Keeper) Verdict() Verdict {
+	if k == nil {
+		return Verdict{Serve: true, Refuse: true}
+	}
+	until, now := k.servedUntil.Load(), int64(k.clock())
+	if until == never {
+		return Verdict{}
+	}
+	return Verdict{Serve: now <= until, Refuse: now <= until-k.refuseEarlier}
 }
 
 // Now reads the boot-time clock.
--- a/internal/freshness/tracker.go
+++ b/internal/freshness/tracker.go
@@ -49,6 +49,9 @@
 	// spreadShare is the range over which the daemons of a mesh are spread, by
 	// Config.Share: the first ones pass the proof on to the others.
 	spreadShare = 0.1
+	// refuseShare is the largest age with which a key counts as unknown. In calm times
+	// no proof is as old: the oldest of a replay is 0.33 of the largest age.
+	refuseShare = 0.45
 	// minAskShare and maxAskShare bound the interval at which peers are asked,
 	// minReadShare and maxReadShare that at which the store is read. Intervals double
 	// while no newer proof is found.
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -72,7 +72,7 @@
 	if p.entryClosed.Load() && !c.nested {
 		return c, newFailure(code.CallDraining)
 	}
-	proven := p.deps.Freshness.Proven()
+	verdict := p.deps.Freshness.Verdict()
 	table := p.table.Load()
 	if table == nil {
 		return c, newFailure(code.CallNotReady)
@@ -85,7 +85,7 @@
 	}
 	c.route = route
 	p.setTimes(c, r)
-	if f := p.identifyCustomer(c, r.Header, table, proven); f != nil {
+	if f := p.identifyCustomer(c, r.Header, table, verdict); f != nil {
 		return c, f
 	}
 	c.idempotent = route.IsIdempotent(r.Method)
