--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -75,7 +75,7 @@
 	if p.entryClosed.Load() && !c.nested {
 		return c, newFailure(code.CallDraining)
 	}
-	proven := p.deps.Freshness.Proven()
+	verdict := p.deps.Freshness.Verdict()
 	table := p.table.Load()
 	if table == nil {
 		return c, newFailure(code.CallNotReady)
@@ -88,7 +88,7 @@
 	}
 	c.route = route
 	p.setTimes(c, r)
-	f := p.identifyCustomer(c, r.Header, table, proven)
+	f := p.identifyCustomer(c, r.Header, table, verdict)
 	if f != nil {
 		return c, f
 	}
