Correct the name of a test case

Cause: A case of TestQuotaCountsCallersRequestsOnce was misspelt.

Change: Its name.

Conclusion: none.

--- a/internal/proxy/quota_test.go
+++ b/internal/proxy/quota_test.go
@@ -104,14 +104,14 @@
 		// left is how many of ten more requests are then admitted.
 		left int
 	}{
-		"served":            {"a", "k1", "", 4, 6},
-		"failed":            {"a", "k1", "fail", 4, 6},
-		"beyond the limit":  {"a", "k1", "", 10, 0},
-		"too large":         {"a", "k1", "large", 4, 10},
-		"refused upstream":  {"a", "k1", "refuse", 4, 10},
-		"nested":            {"running.1", "", "", 4, 10},
-		"without a limit":   {"a", "k2", "", 20, 10},
-		"with an other key": {"a", "k", "", 20, 10},
+		"served":           {"a", "k1", "", 4, 6},
+		"failed":           {"a", "k1", "fail", 4, 6},
+		"beyond the limit": {"a", "k1", "", 10, 0},
+		"too large":        {"a", "k1", "large", 4, 10},
+		"refused upstream": {"a", "k1", "refuse", 4, 10},
+		"nested":           {"running.1", "", "", 4, 10},
+		"without a limit":  {"a", "k2", "", 20, 10},
+		"with another key": {"a", "k", "", 20, 10},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p, _ := newQuotaProxy(t)
