--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -55,6 +55,8 @@
 	// published. The next tick publishes them together, because many daemons
 	// connect simultaneously when a fleet starts.
 	publishPending bool
+	// membersComplete is set once the whole member table has been read.
+	membersComplete bool
 	// selfWritten is clear while this daemon's entry still has to be written to
 	// the member table: before the first write and after a failed one. It is set
 	// while a write is in progress.
@@ -92,15 +94,14 @@
 	publishedAt  time.Duration
 	// era is what is known of the store's era.
 	era eraState
-	// storeWatcher is set while this daemon watches the store for new
-	// configurations.
-	storeWatcher bool
+	// storeWatcher is this daemon's role in watching the store for new configurations.
+	storeWatcher SetStoreWatcher
 }
 
 // New returns the core of a daemon that has just started. It begins as a store
-// watcher.
+// watcher that is alone.
 func New(cfg Config) *Core {
-	return &Core{cfg: cfg, members: map[string]memberRow{}, reachable: map[string]bool{}, storeUnavailable: map[string]bool{}, storeWatcher: true}
+	return &Core{cfg: cfg, members: map[string]memberRow{}, reachable: map[string]bool{}, storeUnavailable: map[string]bool{}, storeWatcher: SetStoreWatcher{On: true, Turns: 1}}
 }
 
 // Step processes one event and returns the resulting effects in the order in
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -14,8 +14,8 @@
 )
 
 const statusHelp = `
-Shows the version that a daemon has in force, its upstream, and what it knows of
-its peers. With several --daemon options, the first daemon that answers is shown.`
+Shows the version that a daemon has in force, its upstream, the quotas of customers that
+have sent requests lately, and what it knows of its peers. With several --daemon options, the first daemon that answers is shown.`
 
 // statusTimeout bounds the request to one daemon.
 const statusTimeout = 3 * time.Second
@@ -76,6 +76,9 @@
 	for _, rollout := range r.Rollouts {
 		writeRollout(w, rollout)
 	}
+	for _, q := range r.Quotas {
+		writeQuota(w, q)
+	}
 	for _, p := range r.Peers {
 		state := "cannot be reached"
 		switch {
@@ -100,3 +103,12 @@
 		fmt.Fprintf(w, "waits for %s\n", r.Waiting)
 	}
 }
+
+// writeQuota writes the line of one customer's quota.
+func writeQuota(w io.Writer, q status.Quota) {
+	fmt.Fprintf(w, "quota     %s: %g a second and %g at once, %.0f%% of it here, bucket at %s", q.Customer, q.RatePerSecond, q.Burst, q.Share*100, q.Owner)
+	if q.Held {
+		fmt.Fprintf(w, ", %.1f of %.1f tokens, %.1f requests a second", q.Level, q.Depth, q.Demand)
+	}
+	fmt.Fprintln(w)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,11 +21,14 @@
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 	"godwitmount/internal/asynclog"
+	"godwitmount/internal/bootclock"
 	"godwitmount/internal/control"
 	"godwitmount/internal/event"
+	"godwitmount/internal/freshness"
 	"godwitmount/internal/hop"
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/proxy"
+	"godwitmount/internal/quota"
 	"godwitmount/internal/rollout"
 	"godwitmount/internal/settings"
 	"godwitmount/internal/shaping"
@@ -46,7 +49,8 @@
 	reportTimeout = 900 * time.Millisecond
 	// bitsPerKilobit converts the unit of the link's rate in the settings.
 	bitsPerKilobit = 1000
-	// perMille converts thousandths to a share.
+	// percent and perMille convert percentages and thousandths to shares.
+	percent  = 100
 	perMille = 1000
 )
 
@@ -79,6 +83,9 @@
 	Settings *settings.Daemon
 	Platform Platform
 	Log      *asynclog.Logger
+	// BootClock reads the clock that goes on while the machine is suspended; nil means
+	// that of the machine.
+	BootClock func() time.Duration
 }
 
 // Daemon is a running daemon.
@@ -87,13 +94,18 @@
 	log *asynclog.Logger
 	// background is the context of the daemon's goroutines; cancel ends it.
 	background context.Context
-	// storeWatcher passes to watchConfig whether this daemon is a store watcher;
+	// storeWatcher passes this daemon's role in watching the store to watchConfig;
 	// a value in readOnce makes it read the configuration once.
-	storeWatcher chan bool
+	storeWatcher chan control.SetStoreWatcher
 	readOnce     chan struct{}
 	// readMembers makes watchMembers read the member table at once.
 	readMembers chan struct{}
 	cancel      context.CancelFunc
+	// freshness proves that the configuration in force is recent; nil unless the
+	// settings require that. A value in proveOnce makes watchConfig read the
+	// configuration once for a newer proof.
+	freshness *freshness.Keeper
+	proveOnce chan struct{}
 
 	loop  *loop
 	peers *proxy.Peers
@@ -135,8 +147,12 @@
 // with Stop or Abort.
 func Start(cfg Config) (*Daemon, error) {
 	d := &Daemon{cfg: cfg, log: cfg.Log, registry: prometheus.NewRegistry(), started: time.Now(),
-		effective: *cfg.Settings, storeWatcher: make(chan bool, 1), readOnce: make(chan struct{}, 1),
-		readMembers: make(chan struct{}, 1)}
+		effective: *cfg.Settings, storeWatcher: make(chan control.SetStoreWatcher, 1), readOnce: make(chan struct{}, 1),
+		readMembers: make(chan struct{}, 1), proveOnce: make(chan struct{}, 1)}
+	if d.cfg.BootClock == nil {
+		d.cfg.BootClock = bootclock.Now
+	}
+	cfg.Platform.Store.SetClock(d.cfg.BootClock)
 	d.background, d.cancel = context.WithCancel(context.Background())
 	if err := d.build(); err != nil {
 		d.cancel()
@@ -150,6 +166,8 @@
 	go d.rollouts.run(d.background)
 	go d.watchConfig(d.background)
 	go d.watchMembers(d.background)
+	go d.keepProof(d.background)
+	go d.proxy.RunQuotas(d.background)
 	s := cfg.Settings
 	d.log.Event(event.DaemonStarted, zap.String("data_centre", s.DataCentre),
 		zap.String("service", s.Service), zap.String("callers", s.CallerListen), zap.String("peers", s.PeerListen),
@@ -174,6 +192,10 @@
 		return fmt.Errorf("create store metrics: %w", err)
 	}
 	d.storeMetrics = storeMetrics
+	d.freshness = d.newFreshness()
+	if err := d.registerProofMetrics(); err != nil {
+		return fmt.Errorf("create proof metrics: %w", err)
+	}
 	link := shaping.NewLink(s.LinkKbps * bitsPerKilobit)
 	d.peers = proxy.NewPeers(self, d.peerCallbacks(), link, d.log)
 	dataPath, err := proxy.New(proxy.Config{
@@ -186,6 +208,11 @@
 		RetryExtra:   s.RetryExtra,
 		RetryWindow:  s.RetryWindow.Std(),
 		ExposeShare:  float64(s.ExposePerMille) / perMille,
+		Quota: quota.Params{
+			Window: s.QuotaWindow.Std(),
+			Excess: float64(s.QuotaExcessPercent) / percent,
+			Slack:  float64(s.QuotaSlack),
+		},
 	}, proxy.Deps{
 		Peers:             d.peers,
 		ReportUnreachable: func(upstream string) { d.loop.post(control.UpstreamUnreachable{ID: upstream}) },
@@ -194,6 +221,8 @@
 			d.loop.post(control.UpstreamLeaving{ID: upstream, StartTime: startTime})
 		},
 		BroadcastState: d.broadcastState,
+		Freshness:      d.freshness,
+		BootClock:      d.cfg.BootClock,
 		Log:            d.log,
 		Registerer:     d.registry,
 	})
@@ -202,6 +231,7 @@
 	}
 	d.proxy = dataPath
 	d.peers.SetState(d.stateForNews, d.stateForPings)
+	d.peers.SetFreshness(d.freshness)
 	d.server = hop.NewServer(proxy.Hello(self), hopHandler{d}, link)
 	return nil
 }
@@ -252,6 +282,7 @@
 	if era := store.Era(state.GetStoreEra()); era > d.cfg.Platform.Store.Eras().Latest() {
 		d.loop.post(control.PeerStoreEra{Instance: instance, Era: era})
 	}
+	d.peerProved(state)
 	if len(state.GetSuspects()) > 0 {
 		d.proxy.MergeSuspects(state.GetSuspects())
 	}
@@ -377,6 +408,7 @@
 	s.StoreEra = uint64(d.cfg.Platform.Store.Eras().Latest())
 	s.Rollouts = d.rollouts.status()
 	s.Peers = d.peers.Status()
+	s.Quotas = d.proxy.QuotaStatus()
 	return s
 }
 
@@ -415,6 +447,11 @@
 	h.d.rollouts.reportReceived(instance, report)
 }
 
+// Quota implements hop.Handler.
+func (h hopHandler) Quota(ctx context.Context, instance string, request *hopv1.QuotaRequest) *hopv1.QuotaReply {
+	return h.d.proxy.AnswerQuota(ctx, instance, request)
+}
+
 // DrainRecord implements hop.Handler.
 func (h hopHandler) DrainRecord(instance string) *hopv1.Left { return h.d.peers.DrainRecord(instance) }
 
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -35,6 +35,7 @@
 			d.peers.Announce()
 		}
 	case control.PublishMembers:
+		d.peers.SetMesh(e.Remote, e.Complete)
 		d.peers.SetMembers(e.Members, e.Known)
 		d.rollouts.post(rolloutMembers(e.Members))
 	case control.SetUpstream:
@@ -47,7 +48,7 @@
 		d.removed.Store(true)
 		d.callForMember(func() { d.removeMember(e) })
 	case control.SetStoreWatcher:
-		setLatest(d.storeWatcher, e.On)
+		setLatest(d.storeWatcher, e)
 	case control.ReadConfig:
 		setLatest(d.readOnce, struct{}{})
 	case control.ReadMembers:
--- a/internal/daemon/watch_test.go
+++ b/internal/daemon/watch_test.go
@@ -59,13 +59,13 @@
 	state := func() *hopv1.State { return &hopv1.State{} }
 	d.peers.SetState(state, state)
 	d.peers.SetMembers([]control.Member{{Instance: "b", Address: listener.Addr().String()}}, 1)
-	t.Cleanup(func() { d.peers.SetMembers(nil, 0); server.Close(); _ = listener.Close() })
+	t.Cleanup(func() { d.peers.Close(); server.Close(); _ = listener.Close() })
 	<-peer.hellos
 	// Without a check the peer is pinged 2 s after its handshake.
-	ctx, cancel := context.WithTimeout(context.Background(), configWatchTimeout+5*watchLateAfter)
+	ctx, cancel := context.WithTimeout(context.Background(), watchInterval+5*watchLateAfter)
 	defer cancel()
 	s := silentStore{&scriptedStore{}}
-	d.pollWatching(ctx, &tableReader{store: s, synced: true, log: log, notify: func(bool) {}})
+	d.watchOnce(ctx, &tableReader{store: s, synced: true, log: log, notify: func(bool) {}}, control.SetStoreWatcher{On: true})
 	if len(peer.pings) == 0 {
 		t.Error("the peer was not checked while the watch was late")
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -7,7 +7,7 @@
 
 // Number identifies a log event. The thousands are groups: 1xxx process, 2xxx
 // configuration, 3xxx daemons and upstreams, 4xxx requests, 6xxx quarantine, 7xxx
-// store, 8xxx rollouts.
+// store, 8xxx rollouts, 9xxx customers.
 type Number uint16
 
 // The log events.
@@ -43,6 +43,8 @@
 	SessionResumed   Number = 3014
 	SessionMoved     Number = 3015
 
+	WatchTurns Number = 3018
+
 	CallRouted   Number = 4001
 	CallExecuted Number = 4002
 	CallAnswered Number = 4003
@@ -52,6 +54,15 @@
 
 	RequestCrashed Number = 6001
 
+	KeysUnproven Number = 9001
+	KeysProven   Number = 9002
+
+	QuotaExceeded         Number = 9021
+	QuotaOwner            Number = 9022
+	QuotaShareMoved       Number = 9023
+	QuotaOwnerUnavailable Number = 9024
+	QuotaPaused           Number = 9025
+
 	StoreLost        Number = 7001
 	StoreRecovered   Number = 7002
 	StoreHistoryGone Number = 7003
@@ -109,6 +120,7 @@
 	{UpstreamNotice, "upstream-notice", "The upstream's answers say something new about it: a limit of requests a second, or that it is leaving."},
 	{SessionResumed, "session-resumed", "The requests on a lost or silent connection to a peer were resumed on a new one; the line says what became of them."},
 	{SessionMoved, "session-moved", "A peer has moved its requests to a new connection; the line says how many run on and how many were cancelled."},
+	{WatchTurns, "watch-turns", "This store watcher takes turns with another one of its data centre, or watches alone from now on."},
 
 	{CallRouted, "call-routed", "A request was sent to an upstream; the line says why this one was chosen."},
 	{CallExecuted, "call-executed", "The executing daemon ran or refused a request."},
@@ -133,6 +145,14 @@
 	{RolloutWritten, "rollout-written", "A phase of a rollout was written to the store, or the write failed; the line says why."},
 	{RolloutUpstreamClosed, "rollout-upstream-closed", "The local upstream of the new version fails beyond doubt; it gets no requests in the rollout."},
 	{RolloutWaiting, "rollout-waiting", "The next phase of a rollout waits for something; the line says for what."},
+	{KeysUnproven, "keys-unproven", "Requests with customers' keys are refused because no recent proof of the configuration is known."},
+	{KeysProven, "keys-proven", "Requests with customers' keys are served again."},
+
+	{QuotaExceeded, "quota-exceeded", "Requests of a customer are refused because they are beyond its allowance; the line says how many since the last one."},
+	{QuotaOwner, "quota-owner", "This daemon keeps the token bucket of a customer for its data centre from now on."},
+	{QuotaShareMoved, "quota-share-moved", "The data centre's share of a customer's allowance changed; the line says by how much."},
+	{QuotaOwnerUnavailable, "quota-owner-unavailable", "The daemon that keeps a customer's token bucket did not answer; this daemon's own small share is used."},
+	{QuotaPaused, "quota-paused", "The process did not run for a while; its token buckets were dropped, since another daemon may keep them."},
 }
 
 var byNumber = indexByNumber()
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -87,6 +87,11 @@
 	Link *shaping.Link
 	// Now reads the monotonic clock that AdaptiveTimeout uses.
 	Now func() time.Duration
+	// PongReceived is called with the state in a Pong and the time at which the ping
+	// that it answers was sent, as PingClock reads it. PingClock may be nil; then it
+	// is not called.
+	PongReceived func(state *hopv1.State, sent time.Duration)
+	PingClock    func() time.Duration
 }
 
 // Client keeps a connection to one peer open and sends requests on it.
--- a/internal/hop/connection.go
+++ b/internal/hop/connection.go
@@ -28,6 +28,8 @@
 	retired chan struct{}
 	// pingSentAt is when the unanswered ping was sent, in nanoseconds of Hooks.Now, or 0.
 	pingSentAt atomic.Int64
+	// pings holds the times at which the unanswered pings were sent.
+	pings pingTimes
 	// resetAfter is the idle time in nanoseconds after which monitor reset the connection;
 	// 0 if it ended otherwise.
 	resetAfter atomic.Int64
@@ -126,6 +128,7 @@
 	switch body := frame.Body.(type) {
 	case *hopv1.Frame_Pong:
 		c.hooks.StateReceived(body.Pong.GetState())
+		c.pongReceived(conn, body.Pong.GetState())
 	case *hopv1.Frame_Ping:
 		c.hooks.StateReceived(body.Ping.GetState())
 	case *hopv1.Frame_Answer:
@@ -134,7 +137,7 @@
 	case *hopv1.Frame_Failure:
 		c.hooks.StateReceived(body.Failure.GetState())
 		c.deliver(frame)
-	case *hopv1.Frame_ConfigAnswer:
+	case *hopv1.Frame_ConfigAnswer, *hopv1.Frame_QuotaReply:
 		c.deliver(frame)
 	case *hopv1.Frame_Resumed:
 		c.handleResumed(conn, body.Resumed)
--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 )
 
 const (
@@ -113,11 +111,6 @@
 	c.Check()
 }
 
-// sendPing sends a ping. If the outbox is full, that resets the connection.
-func (c *Client) sendPing(conn *clientConn) {
-	_ = c.send(conn, &hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: c.hooks.State()}}})
-}
-
 // Check makes monitor ping the peer at once if it has been idle for busyPingAfter, and
 // find soon whether it is silent. It is for connections that may have fallen silent
 // together with another one.
--- a/internal/hop/pending.go
+++ b/internal/hop/pending.go
@@ -6,7 +6,8 @@
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 )
 
-// pendingRequest is a request, or a fetch of the configuration, that awaits its reply.
+// pendingRequest is a request, a fetch of the configuration or a request for tokens that
+// awaits its reply.
 type pendingRequest struct {
 	frame *hopv1.Frame
 	// sentAt is when the frame was last sent. Only the goroutine that sends it uses it.
@@ -17,6 +18,9 @@
 	again chan struct{}
 }
 
+// isRequest reports whether it is a request for the peer's upstream.
+func (p *pendingRequest) isRequest() bool { return p.frame.GetRequest() != nil }
+
 // isFetch reports whether it is a fetch of the configuration.
 func (p *pendingRequest) isFetch() bool { return p.frame.GetConfigRequest() != nil }
 
@@ -95,7 +99,7 @@
 	conn := c.conn.Load()
 	p := c.pending[stream]
 	delete(c.pending, stream)
-	if p != nil && !p.isFetch() && conn != nil && conn.resumable {
+	if p != nil && p.isRequest() && conn != nil && conn.resumable {
 		c.cancelled[stream] = true
 	}
 	c.mu.Unlock()
--- a/internal/hop/resume.go
+++ b/internal/hop/resume.go
@@ -112,16 +112,22 @@
 }
 
 // sendResume asks the peer to resume on conn the pending requests of the unresolved
-// sessions and to cancel all others. Fetches of the configuration are repeated at once.
+// sessions and to cancel all others. Fetches of the configuration are repeated at once,
+// and requests for tokens fail.
 // The caller holds mu, so that no request precedes the Resume.
 func (c *Client) sendResume(conn *clientConn) {
 	resume := &hopv1.Resume{Sessions: c.unresolved}
 	for stream, p := range c.pending {
-		if p.isFetch() {
+		switch {
+		case p.isRequest():
+			resume.Wanted = append(resume.Wanted, stream)
+		case p.isFetch():
 			p.requestSend()
-			continue
+		default:
+			// Tokens that were granted in a lost reply must not be granted twice.
+			delete(c.pending, stream)
+			p.reply <- nil
 		}
-		resume.Wanted = append(resume.Wanted, stream)
 	}
 	conn.wanted = len(resume.Wanted)
 	clear(c.cancelled)
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -21,6 +21,8 @@
 	Config() *hopv1.ConfigAnswer
 	// HelloState returns the state to send in the handshake, State that in pongs.
 	HelloState() *hopv1.State
+	// Quota replies to a peer's request for tokens of a customer.
+	Quota(ctx context.Context, instance string, request *hopv1.QuotaRequest) *hopv1.QuotaReply
 	State() *hopv1.State
 	// DrainRecord returns this daemon's drain record of the peer instance's
 	// upstream, or nil.
--- a/internal/hop/session.go
+++ b/internal/hop/session.go
@@ -71,6 +71,8 @@
 		body.Request.RemainingMs = subtractDelay(body.Request.RemainingMs, delay)
 		body.Request.GoalMs = subtractDelay(body.Request.GoalMs, delay)
 		s.start(frame.Stream, body.Request)
+	case *hopv1.Frame_QuotaRequest:
+		s.answerQuota(frame.Stream, body.QuotaRequest)
 	case *hopv1.Frame_Cancel:
 		s.cancel(frame.Stream)
 	case *hopv1.Frame_RolloutReport:
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -18,6 +18,8 @@
 	latency      prometheus.Histogram
 	waits        prometheus.Histogram
 	serviceTimes prometheus.Histogram
+	customers    *customerMetrics
+	quotas       *quotaMetrics
 }
 
 // latencyBuckets are histogram bucket bounds in seconds. They range from a
@@ -28,6 +30,8 @@
 // included.
 func newMetrics(registerer prometheus.Registerer, p *Proxy) (*metrics, error) {
 	m := &metrics{
+		customers: newCustomerMetrics(),
+		quotas:    newQuotaMetrics(),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "godwitmount_answers_total", Help: "Answers to callers by status or result.",
 		}, []string{"result"}),
@@ -77,7 +81,8 @@
 		resumedCounter("moved", &p.deps.Peers.resumed.moved),
 		resumedCounter("lost", &p.deps.Peers.resumed.lost),
 	}
-	for _, c := range append(gauges, m.answers, m.refusals, m.rollouts, m.latency, m.waits, m.serviceTimes) {
+	gauges = append(gauges, m.quotas.collectors()...)
+	for _, c := range append(gauges, m.answers, m.customers.answers, m.refusals, m.rollouts, m.latency, m.waits, m.serviceTimes) {
 		if err := registerer.Register(c); err != nil {
 			return nil, fmt.Errorf("register metric: %w", err)
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,8 +17,10 @@
 	"godwitmount/internal/admission"
 	"godwitmount/internal/asynclog"
 	"godwitmount/internal/control"
+	"godwitmount/internal/freshness"
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/quarantine"
+	"godwitmount/internal/quota"
 	"godwitmount/internal/routing"
 	"godwitmount/internal/store"
 	"godwitmount/internal/upstream"
@@ -39,6 +41,12 @@
 	NotRun string
 	// CallerService is the service on the machine that the request comes from.
 	CallerService string
+	// CustomerKey holds the key of the customer that the request is for. It is not
+	// forwarded.
+	CustomerKey string
+	// Customer is the name of the customer that the request is for. Only daemons
+	// set it.
+	Customer string
 	// RateLimit is how many requests a second the upstream takes from all daemons
 	// together, on each of its answers while that holds.
 	RateLimit string
@@ -65,6 +73,8 @@
 	// ExposeShare is the share of a service's requests that may go to a new version of
 	// its upstreams on trial; 0 disables rollouts.
 	ExposeShare float64
+	// Quota bounds the requests of customers that have a limit.
+	Quota quota.Params
 }
 
 // Deps holds the dependencies of the data path.
@@ -82,8 +92,14 @@
 	ReportLeaving func(upstream string, startTime int64)
 	// BroadcastState sends this daemon's state to all peers immediately.
 	BroadcastState func()
-	Log            *asynclog.Logger
-	Registerer     prometheus.Registerer
+	// Freshness proves that the configuration in force is recent; nil if requests with
+	// customers' keys need no such proof.
+	Freshness *freshness.Keeper
+	// BootClock reads the clock that goes on while the machine is suspended; nil means
+	// the monotonic clock.
+	BootClock  func() time.Duration
+	Log        *asynclog.Logger
+	Registerer prometheus.Registerer
 }
 
 // Proxy is the data path. All methods may be called from any goroutine.
@@ -121,6 +137,7 @@
 	// of the upstream or the last call of ReportStalled.
 	consecutiveTimeouts atomic.Int64
 
+	quotas         *quotas
 	recentRefusals *refusals
 	suspects       *quarantine.Set
 
@@ -177,8 +194,15 @@
 	p.upstream.Store(&control.Upstream{})
 	p.SetService(cfg.Service)
 	m, err := newMetrics(deps.Registerer, p)
+	if err != nil {
+		return nil, err
+	}
 	p.metrics = m
-	return p, err
+	if deps.BootClock == nil {
+		deps.BootClock = p.now
+	}
+	p.quotas = newQuotas(cfg, deps, m.quotas)
+	return p, nil
 }
 
 // now returns the monotonic time since epoch.
@@ -187,6 +211,8 @@
 // SetTable activates a configuration.
 func (p *Proxy) SetTable(t *Table) {
 	p.table.Store(t)
+	p.metrics.customers.setCustomers(t.Manifest().Customers)
+	p.quotas.setCustomers(t.Manifest().Customers)
 	p.updateAdmission()
 }
 
@@ -216,12 +242,22 @@
 	return p.storeUnavailable.Swap(unavailable) != unavailable
 }
 
+// StoreUnavailable reports whether the store does not answer this daemon.
+func (p *Proxy) StoreUnavailable() bool { return p.storeUnavailable.Load() }
+
 // SetStoreEra sets the store's era that this daemon reports to peers.
 func (p *Proxy) SetStoreEra(era store.Era) { p.storeEra.Store(uint64(era)) }
 
 // BeginStop makes the answer to each further request of a caller close its
 // connection.
-func (p *Proxy) BeginStop() { p.stopping.Store(true) }
+func (p *Proxy) BeginStop() {
+	p.stopping.Store(true)
+	p.quotas.beginStop()
+	if p.quotas.limited() {
+		// Other daemons become the owners of buckets.
+		p.deps.BroadcastState()
+	}
+}
 
 // CloseEntry refuses new requests of callers. Requests in flight continue, and nested
 // ones that they need are still served.
@@ -235,9 +271,14 @@
 
 // State returns the state that this daemon reports to peers, without suspects.
 func (p *Proxy) State() *hopv1.State {
+	// The proof is read before the configuration: it is valid for a newer one, but not
+	// for an older one.
+	proof, storeClock := p.deps.Freshness.Report()
 	load := p.admissionController.Load()
 	u := p.upstream.Load()
 	state := &hopv1.State{
+		ProofMs:          wireProof(proof),
+		StoreMs:          wireStoreClock(storeClock),
 		Running:          uint32(load.Running),
 		Waiting:          uint32(load.Waiting),
 		Slots:            uint32(p.advertisedSlots(load.Slots)),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,11 @@
 	DefaultMemoryLimitBytes  = 64 << 20
 	DefaultExposeSlack       = 50
 	DefaultRollback          = 5 * time.Second
+	DefaultRevokeLimit       = 5 * time.Second
+	DefaultQuotaWindow       = 5 * time.Second
+	// DefaultQuotaExcessPercent and DefaultQuotaSlack are those of the platform.
+	DefaultQuotaExcessPercent = 10
+	DefaultQuotaSlack         = 20
 )
 
 // The limits of a settings file's size and values.
@@ -79,6 +84,19 @@
 	MinMemoryLimitBytes int64 = 16 << 20
 	// MaxMemoryLimitBytes is the largest memory limit in bytes.
 	MaxMemoryLimitBytes int64 = 64 << 30
+	// MinRevokeLimit is the shortest RevokeLimit: the store watchers of a data centre
+	// prove the configuration every fifth of it.
+	MinRevokeLimit = time.Second
+	// MaxRevokeLimit is the longest RevokeLimit.
+	MaxRevokeLimit = time.Hour
+	// MinQuotaWindow is the shortest QuotaWindow: owners of buckets may change in half
+	// a second.
+	MinQuotaWindow = time.Second
+	MaxQuotaWindow = 10 * time.Minute
+	// MaxQuotaExcessPercent is the largest QuotaExcessPercent, MaxQuotaSlack the largest
+	// QuotaSlack.
+	MaxQuotaExcessPercent = 100
+	MaxQuotaSlack         = 1_000_000
 	// MaxLinkKbps is the largest LinkKbps.
 	MaxLinkKbps int64 = 1_000_000_000
 )
@@ -158,6 +176,19 @@
 	// LinkKbps is the rate of the machine's network link in kilobits per second, by
 	// which large messages to other daemons are paced; 0 for no limit.
 	LinkKbps int64 `json:"link_kbps"`
+	// StrictRevoke makes the daemon refuse requests with customers' keys unless it
+	// knows that its configuration was the newest less than RevokeLimit ago.
+	StrictRevoke bool `json:"strict_revoke"`
+	// RevokeLimit is the time after the acceptance of a configuration from which no
+	// request may run with a key that the configuration removed.
+	RevokeLimit Duration `json:"revoke_limit"`
+	// QuotaWindow, QuotaExcessPercent and QuotaSlack bound the requests of a customer
+	// that has a limit: in no window of length QuotaWindow may more run, over all
+	// daemons, than its rate and burst allow, plus QuotaExcessPercent of that, plus
+	// QuotaSlack.
+	QuotaWindow        Duration `json:"quota_window"`
+	QuotaExcessPercent int      `json:"quota_excess_percent"`
+	QuotaSlack         int      `json:"quota_slack"`
 }
 
 // PeerAddress returns the IP:port that is advertised to other daemons.
@@ -183,6 +214,10 @@
 	d.MemoryLimitBytes = DefaultMemoryLimitBytes
 	d.ExposeSlack = DefaultExposeSlack
 	d.Rollback = Duration(DefaultRollback)
+	d.RevokeLimit = Duration(DefaultRevokeLimit)
+	d.QuotaWindow = Duration(DefaultQuotaWindow)
+	d.QuotaExcessPercent = DefaultQuotaExcessPercent
+	d.QuotaSlack = DefaultQuotaSlack
 }
 
 // codes are the result codes of settings files.
