Pass on the leaving of a caller where it was lost

Cause: a request went on for a caller that had left in four cases. A Cancel was still to be sent when the entry daemon ended after a planned stop, and its machine with it. Another request was waiting on the caller's connection, so that net/http read no further. A nested request ran for a parent that had been cancelled, if the upstream did not close its connection. A machine that loses its power, and a cut network, still take up to 3.2 s.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -256,6 +256,7 @@
 	d.callerServer = newServer(d.callerHandler())
 	d.callerServer.IdleTimeout = callerIdleTimeout
 	d.callerServer.ConnState = d.countConnection
+	d.callerServer.ConnContext = withConn
 	endpoints := []struct {
 		address string
 		server  *http.Server
@@ -290,12 +291,15 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-// callerHandler serves callers and records the time of their last request.
+// callerHandler serves callers until they leave and records the time of their last
+// request.
 func (d *Daemon) callerHandler() http.Handler {
 	handler := d.proxy.Handler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.lastRequest.Store(int64(time.Since(d.started)))
-		handler.ServeHTTP(w, r)
+		watched, stop := watchCaller(r)
+		defer stop()
+		handler.ServeHTTP(w, watched)
 	})
 }
 
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -30,6 +30,9 @@
 	// the daemon accepts no more requests. It also bounds closing the connections
 	// of callers.
 	drainNoticeTime = 100 * time.Millisecond
+	// cancelNoticeTime is how long Stop waits for peers to confirm cancellations. If the
+	// machine ends with the process, what is still to be sent is lost.
+	cancelNoticeTime = 300 * time.Millisecond
 	// stopPollInterval is the time between two checks of a condition that Stop
 	// waits for.
 	stopPollInterval = 20 * time.Millisecond
@@ -57,6 +60,8 @@
 	d.broadcastState()
 	sleep(ctx, drainNoticeTime)
 	waitUntil(ctx, exitAt, d.idle)
+	cancelledAt := time.Now().Add(cancelNoticeTime)
+	waitUntil(ctx, earlier(exitAt, cancelledAt), d.peers.CancellationsConfirmed)
 	d.awaitMemberCalls(ctx, exitAt)
 	entering, running := d.proxy.InFlight()
 	d.log.Event(event.DaemonStopped, zap.Int64("entering", entering), zap.Int64("running", running),
@@ -131,6 +136,14 @@
 	d.cancel()
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // waitUntil polls done until it returns true, end has passed or ctx ends.
 func waitUntil(ctx context.Context, end time.Time, done func() bool) {
 	for time.Now().Before(end) && ctx.Err() == nil && !done() {
--- a/internal/hop/pending.go
+++ b/internal/hop/pending.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// Unconfirmed returns the number of cancelled requests whose end the peer has not
+// confirmed.
+func (c *Client) Unconfirmed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.cancelled)
+}
+
 func (c *Client) removePending(stream uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -32,6 +32,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	if c.parent != nil {
+		defer context.AfterFunc(c.parent.gone, cancel)()
+	}
 	forwarder := &forwarder{proxy: p, call: c}
 	answer, f := forwarder.forward(ctx)
 	if f != nil {
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -140,6 +140,9 @@
 	took := p.now() - started
 	p.metrics.recordRun(took, started-arrived)
 	if err != nil {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			running.giveUp()
+		}
 		if took > longRuns*mean {
 			p.client.CloseUnusedSince(p.epoch.Add(started))
 		}
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -352,6 +352,18 @@
 	return p.client.FetchConfig(ctx)
 }
 
+// CancellationsConfirmed reports whether all cancelled requests have ended at their peers.
+func (ps *Peers) CancellationsConfirmed() bool {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	for _, p := range ps.all {
+		if p.client.Unconfirmed() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // candidates appends the upstreams of peers that belong to the service.
 func (ps *Peers) candidates(all []routing.Candidate, service string) []routing.Candidate {
 	ps.mu.RLock()
