Do not count an earlier ping as the answer to a check

Cause: TestNewsReachIdleDaemonsOverNewConnections failed once beside load: two daemons had a new version and no peer learned of it within 2 s. The answer to an idle ping is noted up to 1 s later. If a connection fell silent in between, a check that followed was taken as answered by that ping, and PingNow sent none because one seemed to be unanswered. Change: a check ends with the answer to a ping that was sent after it; PingNow sends one unless one is really unanswered.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -121,8 +121,9 @@
 	stop    chan struct{}
 	// wake makes monitor check immediately.
 	wake chan struct{}
-	// suspect is set by Check until a ping is answered.
-	suspect atomic.Bool
+	// suspectSince is when Check was called, in nanoseconds of Hooks.Now, until a ping
+	// that was sent after that is answered; otherwise 0.
+	suspectSince atomic.Int64
 	// polling is set while monitor checks often.
 	polling atomic.Bool
 	// pendingSince is when the client last became busy, in nanoseconds of Hooks.Now.
--- a/internal/hop/connection.go
+++ b/internal/hop/connection.go
@@ -76,7 +76,7 @@
 		return 0, err
 	}
 	c.endSilence()
-	c.suspect.Store(false)
+	c.suspectSince.Store(0)
 	c.polling.Store(false)
 	go c.monitor(conn)
 	c.read(conn)
--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -41,7 +41,7 @@
 		}
 		pingAfter, interval := idlePingAfter, idlePingAfter/2
 		busy := c.busy()
-		often := busy || c.suspect.Load()
+		often := busy || c.suspectSince.Load() > 0
 		if often {
 			pingAfter, interval = busyPingAfter, busyCheckInterval
 		}
@@ -82,7 +82,9 @@
 	case pingSentAt > 0 && conn.idleTime() < now-pingSentAt:
 		c.hooks.AdaptiveTimeout.RecordPingDelay(now, now-conn.idleTime()-pingSentAt)
 		conn.pingSentAt.Store(0)
-		c.suspect.Store(false)
+		if since := c.suspectSince.Load(); since <= int64(pingSentAt) {
+			c.suspectSince.CompareAndSwap(since, 0)
+		}
 		c.dataArrived()
 	case pingSentAt == 0 && idleTime >= pingAfter:
 		conn.pingSentAt.Store(int64(now))
@@ -107,10 +109,13 @@
 	if conn == nil {
 		return
 	}
-	if conn.pingSentAt.CompareAndSwap(0, int64(c.now())) {
+	c.Check()
+	now := c.now()
+	sent := conn.pingSentAt.Load()
+	answered := conn.idleTime() < now-time.Duration(sent)
+	if (sent == 0 || answered) && conn.pingSentAt.CompareAndSwap(sent, int64(now)) {
 		c.sendPing(conn)
 	}
-	c.Check()
 }
 
 // sendPing sends a ping. If the outbox is full, that resets the connection.
@@ -122,7 +127,7 @@
 // find soon whether it is silent. It is for connections that may have fallen silent
 // together with another one.
 func (c *Client) Check() {
-	c.suspect.Store(true)
+	c.suspectSince.Store(int64(c.now()))
 	c.wakeMonitor()
 }
 
--- a/internal/hop/resume.go
+++ b/internal/hop/resume.go
@@ -85,7 +85,7 @@
 	if isClosed(c.silence) {
 		c.silence = make(chan struct{})
 	}
-	c.suspect.Store(false)
+	c.suspectSince.Store(0)
 	go c.monitor(conn)
 	return true
 }
--- a/internal/hop/resume_test.go
+++ b/internal/hop/resume_test.go
@@ -316,3 +316,27 @@
 		t.Errorf("the peer counted as lost: %v", <-down)
 	}
 }
+
+// TestCheckIsNotAnsweredByAnEarlierPing covers a connection that falls silent between the
+// answer to a ping and the moment at which monitor notes it: the check that follows must
+// not count as answered.
+func TestCheckIsNotAnsweredByAnEarlierPing(t *testing.T) {
+	for name, check := range map[string]func(*Client){"Check": (*Client).Check, "PingNow": (*Client).PingNow} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			handler, network, client, _ := startPair(t)
+			for handler.states.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(2 * busyPingAfter)
+			before := client.conn.Load()
+			network.Silence()
+			check(client)
+			for end := time.Now().Add(idlePingAfter / 2); client.conn.Load() == before; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("the silent connection is still in use")
+				}
+			}
+		})
+	}
+}
