Answer a crash only once peers know of it

Cause: TestRequestThatCrashesUpstreamsIsQuarantined failed once beside load: the caller sent the request again 3 ms after the second crash, to a daemon that had not heard of it. The test is right, the product is at fault: the failure and the report of the crash were sent at the same time, and the caller with its next request can be faster than the report. The rule (at most three retries after the third crash) was kept all the same. Change: the executing daemon holds the failure of such a request back until all peers that it connects to have confirmed its suspects, at most 0.2 s. They are sent in a Ping on a stream, whose Pong now follows when the state has been handled. The suspects of one crash are collected for 2 ms. Suspects are also taken from daemons that this one does not connect to; before, these were ignored. TestSlowPeerIsNotReplaced opens the second connection itself; beside load the answer could arrive before one was opened. Peers in other data centres to which no connection is kept still learn of a crash from others, as before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -418,5 +418,9 @@
 
 // StateReceived implements hop.Handler.
 func (h hopHandler) StateReceived(instance string, state *hopv1.State) {
+	if len(state.GetSuspects()) > 0 {
+		// Also those of daemons that this one does not connect to.
+		h.d.proxy.MergeSuspects(state.GetSuspects())
+	}
 	h.d.peers.StateReceived(instance, state)
 }
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -243,6 +243,16 @@
 	return config, nil
 }
 
+// Tell sends the peer a state and returns once it has handled it. Its errors are those of
+// Do; it is ErrNotSent for a daemon of an earlier release, which would not confirm it.
+func (c *Client) Tell(ctx context.Context, state *hopv1.State) error {
+	if conn := c.conn.Load(); conn == nil || !conn.resumable {
+		return ErrNotSent
+	}
+	_, err := c.roundTrip(ctx, &hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: state}}}, always)
+	return err
+}
+
 func always() bool { return true }
 
 // roundTrip sends a frame on a new stream and returns the reply. For giveUp, see Do.
--- a/internal/hop/connection.go
+++ b/internal/hop/connection.go
@@ -126,6 +126,7 @@
 	switch body := frame.Body.(type) {
 	case *hopv1.Frame_Pong:
 		c.hooks.StateReceived(body.Pong.GetState())
+		c.deliver(frame)
 	case *hopv1.Frame_Ping:
 		c.hooks.StateReceived(body.Ping.GetState())
 	case *hopv1.Frame_Answer:
--- a/internal/hop/pending.go
+++ b/internal/hop/pending.go
@@ -6,7 +6,7 @@
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 )
 
-// pendingRequest is a request, or a fetch of the configuration, that awaits its reply.
+// pendingRequest is a request, or another frame, that awaits its reply.
 type pendingRequest struct {
 	frame *hopv1.Frame
 	// sentAt is when the frame was last sent. Only the goroutine that sends it uses it.
@@ -17,8 +17,8 @@
 	again chan struct{}
 }
 
-// isFetch reports whether it is a fetch of the configuration.
-func (p *pendingRequest) isFetch() bool { return p.frame.GetConfigRequest() != nil }
+// repeatable reports whether it is no request, so that it can be sent twice.
+func (p *pendingRequest) repeatable() bool { return p.frame.GetRequest() == nil }
 
 // requestSend makes the request be sent again.
 func (p *pendingRequest) requestSend() {
@@ -95,7 +95,7 @@
 	conn := c.conn.Load()
 	p := c.pending[stream]
 	delete(c.pending, stream)
-	if p != nil && !p.isFetch() && conn != nil && conn.resumable {
+	if p != nil && !p.repeatable() && conn != nil && conn.resumable {
 		c.cancelled[stream] = true
 	}
 	c.mu.Unlock()
--- a/internal/hop/resume.go
+++ b/internal/hop/resume.go
@@ -112,12 +112,12 @@
 }
 
 // sendResume asks the peer to resume on conn the pending requests of the unresolved
-// sessions and to cancel all others. Fetches of the configuration are repeated at once.
+// sessions and to cancel all others. Other frames are repeated at once.
 // The caller holds mu, so that no request precedes the Resume.
 func (c *Client) sendResume(conn *clientConn) {
 	resume := &hopv1.Resume{Sessions: c.unresolved}
 	for stream, p := range c.pending {
-		if p.isFetch() {
+		if p.repeatable() {
 			p.requestSend()
 			continue
 		}
--- a/internal/hop/resume_test.go
+++ b/internal/hop/resume_test.go
@@ -199,10 +199,12 @@
 func TestSlowPeerIsNotReplaced(t *testing.T) {
 	handler, network, client, _ := startPair(t)
 	before := client.conn.Load()
-	// The answer takes longer than until the second connection is opened, and less than
-	// its handshake may.
-	network.SetDelay((busyPingAfter + minReplaceAfter + minTimeout) / 4)
-	expectAnswer(t, start(context.Background(), client, &hopv1.Request{Id: "a"}), "a")
+	network.SetDelay(busyPingAfter)
+	result := start(context.Background(), client, &hopv1.Request{Id: "a"})
+	<-handler.started
+	// The answer is on its way, and arrives before that to the second Hello.
+	client.replace(before)
+	expectAnswer(t, result, "a")
 	select {
 	case <-handler.disconnected:
 	case <-time.After(resumeLimit):
--- a/internal/hop/session.go
+++ b/internal/hop/session.go
@@ -63,8 +63,8 @@
 		_ = s.peerConn.send(&hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: hello}})
 		handler.HelloReceived(body.Hello)
 	case *hopv1.Frame_Ping:
-		_ = s.peerConn.send(&hopv1.Frame{Body: &hopv1.Frame_Pong{Pong: &hopv1.Pong{State: handler.State()}}})
 		handler.StateReceived(s.peer, body.Ping.GetState())
+		_ = s.peerConn.send(&hopv1.Frame{Stream: frame.Stream, Body: &hopv1.Frame_Pong{Pong: &hopv1.Pong{State: handler.State()}}})
 	case *hopv1.Frame_Request:
 		// The sender computed the time left until the deadline and the latency goal
 		// when it sent the frame. The queueing delay has used up part of it.
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -254,6 +254,26 @@
 	}
 }
 
+// Tell sends a state to all reachable peers and waits until they have handled it, at most
+// until ctx ends. Daemons of earlier releases do not confirm it and get none.
+func (ps *Peers) Tell(ctx context.Context, state *hopv1.State) {
+	ps.mu.RLock()
+	var told sync.WaitGroup
+	for _, p := range ps.all {
+		if !p.up.Load() {
+			continue
+		}
+		told.Add(1)
+		go func() {
+			defer told.Done()
+			// A peer that cannot be told is not waited for.
+			_ = p.client.Tell(ctx, state)
+		}()
+	}
+	ps.mu.RUnlock()
+	told.Wait()
+}
+
 // Check checks the connections to all peers but one, after another connection of this
 // daemon has fallen silent: the cause may have silenced them, too, and an idle one would
 // show it only at its next ping. It does so at most each silenceCheckInterval.
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"encoding/binary"
 	"strconv"
 	"time"
@@ -37,15 +38,48 @@
 
 // recordSuspect records a request that was running when the upstream crashed,
 // and reports it to all peers. All requests that ran at the same incarnation of
-// an upstream record the same crash.
+// an upstream record the same crash. It returns once peers know of it, or after
+// suspectNoticeTime: when the caller gets its answer, it can send the request again to
+// any of them.
 func (p *Proxy) recordSuspect(request *hopv1.Request, u *control.Upstream) {
 	crash := quarantine.Crash(xxhash.Sum64String(p.cfg.Instance + u.ID + strconv.FormatInt(u.StartTime, 10)))
 	f := fingerprint(request)
 	if p.suspects.Add(quarantine.Suspect{Fingerprint: f, Crashes: []quarantine.Crash{crash}}, p.now()) {
 		p.deps.Log.Request(event.RequestCrashed, true, zap.String("id", request.Id), zap.Uint64("fingerprint", uint64(f)),
 			zap.String("upstream", u.ID), zap.Bool("refused", p.suspects.Quarantined(f, p.now())))
-		p.reportSuspects()
+		<-p.tellSuspects()
+	}
+}
+
+const (
+	// suspectBatchTime is how long the suspects of a crash are collected: requests that
+	// ran at the upstream fail at the same moment.
+	suspectBatchTime = 2 * time.Millisecond
+	// suspectNoticeTime is how long a failure is held back until peers know of the crash.
+	suspectNoticeTime = 200 * time.Millisecond
+)
+
+// tellSuspects reports the suspects of a crash of the local upstream to all peers. The
+// channel is closed once they have confirmed it.
+func (p *Proxy) tellSuspects() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.suspectsTold != nil {
+		return p.suspectsTold
 	}
+	told := make(chan struct{})
+	p.suspectsTold = told
+	time.AfterFunc(suspectBatchTime, func() {
+		defer close(told)
+		p.mu.Lock()
+		p.suspectsTold = nil
+		p.mu.Unlock()
+		p.deps.BroadcastState()
+		ctx, cancel := context.WithTimeout(context.Background(), suspectNoticeTime)
+		defer cancel()
+		p.deps.Peers.Tell(ctx, p.StateWithSuspects())
+	})
+	return told
 }
 
 // suspectReportInterval is the shortest time between two reports of suspects to all
