Tell callers that a request has not run where that is known

Cause: a request that had reached no upstream was answered 502 or 504 in six cases. The code for a deadline that passed before the run had status 504. At the deadline, refusals by upstreams counted as runs, and the answer of an executing daemon whose queue the request had not left came too late. A request was sent to the upstream although its context had ended. A peer that was dropped from the members to connect to lost its requests with the connection. A failure with a code of a later release made net/http panic, which closed the caller's connection. Change: call-deadline-not-run has status 503 with Retry-After, by the caller's own time limit once the route's has passed. The forwarder records whether the request may have run. Do waits 50 ms after a deadline for the peer to say that the request has not run. The client of the upstream sends nothing for an ended context. Connections to dropped peers are closed when no request is in flight, at most 30 s later. What the executing daemon promises decides the status of codes that this release does not know. Conclusion: a request on a connection to the upstream that falls silent still waits for its deadline, and its outcome is unknown.

--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -112,7 +112,7 @@
 	{CallNoUpstream, "call-no-upstream", "The service has no upstream that accepts requests.", NotRun, http.StatusServiceUnavailable, true},
 	{CallNotReady, "call-not-ready", "The daemon has no configuration yet.", NotRun, http.StatusServiceUnavailable, true},
 	{CallShed, "call-shed", "The service is overloaded.", NotRun, http.StatusServiceUnavailable, true},
-	{CallDeadlineNotRun, "call-deadline-not-run", "The deadline passed before the request started.", NotRun, http.StatusGatewayTimeout, false},
+	{CallDeadlineNotRun, "call-deadline-not-run", "The deadline passed before the request started.", NotRun, http.StatusServiceUnavailable, true},
 	{CallDeadlineUnknown, "call-deadline-unknown", "The deadline passed while the request may have been running.", Unknown, http.StatusGatewayTimeout, false},
 	{CallUpstreamLost, "call-upstream-lost", "The upstream became unavailable while it ran the request.", Unknown, http.StatusBadGateway, false},
 	{CallConnectRefused, "call-connect-refused", "The upstream did not accept a connection.", NotRun, http.StatusServiceUnavailable, true},
--- a/internal/code/code_test.go
+++ b/internal/code/code_test.go
@@ -1,6 +1,9 @@
 package code
 
-import "testing"
+import (
+	"net/http"
+	"testing"
+)
 
 func TestTableIsOrderedWithUniqueNames(t *testing.T) {
 	seen := map[string]bool{}
@@ -19,3 +22,17 @@
 		}
 	}
 }
+
+// TestNotRunIsNeverAnUnknownStatus covers statuses that leave open whether the request has
+// run: a caller would not repeat one that must not run twice.
+func TestNotRunIsNeverAnUnknownStatus(t *testing.T) {
+	for _, info := range All() {
+		serverError := info.Status >= http.StatusInternalServerError
+		if info.Outcome == NotRun && serverError && (info.Status != http.StatusServiceUnavailable || !info.RetryAfter) {
+			t.Errorf("%s: status %d, Retry-After %t", info.Name, info.Status, info.RetryAfter)
+		}
+		if info.Outcome == Unknown && info.Status == http.StatusServiceUnavailable {
+			t.Errorf("%s promises that the request has not run", info.Name)
+		}
+	}
+}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -132,7 +132,7 @@
 		}
 	}
 	d.server.Close()
-	d.peers.SetMembers(nil, 0)
+	d.peers.Close()
 	d.cancel()
 }
 
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -20,6 +20,9 @@
 	// to connect.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// cancelWait is how long a request that is past its deadline waits for the peer to
+	// say that it has not run. It exceeds the round trip between data centres.
+	cancelWait = 50 * time.Millisecond
 	// resumePause is the pause before a new attempt to connect while requests wait to be
 	// resumed.
 	resumePause = 10 * time.Millisecond
@@ -214,7 +217,8 @@
 
 // Do sends a request and returns the peer's Answer or Failure frame. Otherwise it
 // returns an error that wraps ErrNotSent, ErrConnectionLost or ErrPeerSilent. If ctx
-// ends first, it sends the peer a Cancel frame and returns ctx.Err().
+// ends first, it sends the peer a Cancel frame and returns ctx.Err(), or the peer's
+// failure if that says at once that the request has not run before its deadline.
 //
 // If the connection is lost or replaced, the request moves to the next one. If the peer
 // had not received it, it is sent again with the time that is left, which Do writes to
@@ -281,8 +285,28 @@
 				return nil, ErrPeerSilent
 			}
 		case <-ctx.Done():
-			c.cancelRequest(frame.Stream)
-			return nil, ctx.Err()
+			return c.endWithContext(ctx, p)
 		}
 	}
 }
+
+// endWithContext cancels a request whose ctx has ended. If that was by its deadline, it
+// waits for a moment for the peer to say that the request has not run, and returns that
+// failure, or ctx.Err().
+func (c *Client) endWithContext(ctx context.Context, p *pendingRequest) (*hopv1.Frame, error) {
+	defer c.cancelRequest(p.frame.Stream)
+	if p.repeatable() || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return nil, ctx.Err()
+	}
+	c.sendCancel(p.frame.Stream)
+	timer := time.NewTimer(cancelWait)
+	defer timer.Stop()
+	select {
+	case reply := <-p.reply:
+		if reply.GetFailure().GetNotRun() {
+			return reply, nil
+		}
+	case <-timer.C:
+	}
+	return nil, ctx.Err()
+}
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -18,7 +18,8 @@
 const largeBody = 200 << 10
 
 // testHandler answers each request with its id. A request with id "slow" runs
-// until it is cancelled, one with id "held" until it is released or cancelled.
+// until it is cancelled, one with id "queued" then says that it has not run, and one with
+// id "held" runs until it is released or cancelled.
 type testHandler struct {
 	cancelled chan string
 	// disconnected receives the instance of each peer whose connection has ended.
@@ -53,6 +54,10 @@
 		<-ctx.Done()
 		h.cancelled <- request.Id
 	}
+	if request.Id == "queued" {
+		<-ctx.Done()
+		return &hopv1.Frame{Body: &hopv1.Frame_Failure{Failure: &hopv1.Failure{NotRun: true}}}
+	}
 	if request.Id == "panic" {
 		panic("malformed request")
 	}
@@ -289,3 +294,16 @@
 		t.Errorf("got error %v, want ErrInstanceMismatch", err)
 	}
 }
+
+// TestDeadlineOfAQueuedRequestIsNoUnknownOutcome covers a request that has not run when
+// its deadline passes: the peer's answer to the Cancel says so.
+func TestDeadlineOfAQueuedRequestIsNoUnknownOutcome(t *testing.T) {
+	_, network, client, _ := startPair(t)
+	network.SetDelay(cancelWait / 8)
+	ctx, cancel := context.WithTimeout(context.Background(), 4*cancelWait)
+	defer cancel()
+	frame, err := client.Do(ctx, &hopv1.Request{Id: "queued"}, always)
+	if err != nil || !frame.GetFailure().GetNotRun() {
+		t.Errorf("got %v, error %v; want a failure that has not run", frame, err)
+	}
+}
--- a/internal/hop/pending.go
+++ b/internal/hop/pending.go
@@ -99,7 +99,14 @@
 		c.cancelled[stream] = true
 	}
 	c.mu.Unlock()
-	if conn != nil {
+	if p != nil {
+		c.sendCancel(stream)
+	}
+}
+
+// sendCancel tells the peer that nobody waits for the reply on a stream.
+func (c *Client) sendCancel(stream uint64) {
+	if conn := c.conn.Load(); conn != nil {
 		// If this fails, the connection ends, and with it the request.
 		_ = c.send(conn, &hopv1.Frame{Stream: stream, Body: &hopv1.Frame_Cancel{Cancel: &hopv1.Cancel{}}})
 	}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -19,6 +19,8 @@
 	// defaultMaxBodyBytes is the largest request body when the configuration
 	// sets no limit.
 	defaultMaxBodyBytes = 8 << 20
+	// maxPatienceMs bounds the time limit that a caller names, in milliseconds.
+	maxPatienceMs = 3600 * 1000
 	// defaultGoalShare is the latency goal, as a share of the time to the
 	// deadline, when the route sets no goal.
 	defaultGoalShare = 0.5
@@ -32,6 +34,8 @@
 	// ends. goal is the latency goal: an answer by then has its full value.
 	deadline time.Time
 	goal     time.Time
+	// callerDeadline is when the caller's own time limit ends; zero if it named none.
+	callerDeadline time.Time
 	// key identifies the request when its caller sends it again. firstSeen is
 	// when it was first received, since the proxy's epoch, and age how long ago
 	// that was when this call was received.
@@ -113,9 +117,11 @@
 // received, so a retry by the caller does not extend it.
 func (p *Proxy) setTimes(c *call, r *http.Request) {
 	timeout := c.route.Deadline.Std()
-	// The comparison comes before the conversion, which a large number overflows.
-	if ms, err := strconv.ParseFloat(r.Header.Get(p.cfg.Headers.Deadline), 64); err == nil && ms >= 0 && ms < float64(timeout.Milliseconds()) {
-		timeout = time.Duration(ms * float64(time.Millisecond))
+	if ms, err := strconv.ParseFloat(r.Header.Get(p.cfg.Headers.Deadline), 64); err == nil && ms >= 0 {
+		// The comparison comes before the conversion, which a large number overflows.
+		patience := time.Duration(min(ms, maxPatienceMs) * float64(time.Millisecond))
+		c.callerDeadline = c.started.Add(patience)
+		timeout = min(timeout, patience)
 	}
 	c.key = requestKey(r)
 	c.firstSeen = p.recentRefusals.firstSeen(c.key, p.now())
@@ -128,6 +134,21 @@
 	c.goal = c.started.Add(min(goal-c.age, timeout))
 }
 
+// timeToRetry returns the time left in which the caller could send the request again.
+func (c *call) timeToRetry() time.Duration {
+	if c.deadline.IsZero() {
+		// A call without a route has no deadline.
+		return time.Second
+	}
+	if left := time.Until(c.deadline); left > 0 {
+		return left
+	}
+	if c.callerDeadline.IsZero() {
+		return c.route.Deadline.Std()
+	}
+	return max(time.Until(c.callerDeadline), 0)
+}
+
 // attemptMilliseconds returns the time limit of one attempt, or 0 for none.
 func attemptMilliseconds(rule *manifest.RetryRule) uint32 {
 	if rule == nil {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -58,6 +58,8 @@
 	// run; lastFailure is that of any attempt.
 	uncertain   *failure
 	lastFailure *failure
+	// mayHaveRun is set once an upstream has run the request, or may have.
+	mayHaveRun bool
 	// retryAfter is the shortest time after which a refusing daemon expects to
 	// accept the request; 0 means unknown.
 	retryAfter time.Duration
@@ -136,7 +138,20 @@
 	if failed == nil {
 		return newFailure(code.CallNoUpstream)
 	}
-	return &failure{code: code.Code(failed.Code), notRun: failed.NotRun, retryAfter: f.retryAfter}
+	return &failure{code: failureCode(failed), notRun: failed.NotRun, retryAfter: f.retryAfter}
+}
+
+// failureCode returns the code of a failure. If this release does not know it, or its
+// status would contradict whether the request has run, it returns a general one.
+func failureCode(failed *hopv1.Failure) code.Code {
+	c := code.Code(failed.Code)
+	switch outcome := c.Info().Outcome; {
+	case failed.NotRun && outcome != code.NotRun:
+		return code.CallConnectRefused
+	case !failed.NotRun && outcome != code.Unknown:
+		return code.CallPeerLost
+	}
+	return c
 }
 
 // contextFailure returns the failure of a call whose deadline has passed or
@@ -145,7 +160,7 @@
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return newFailure(code.CallCancelled)
 	}
-	if f.deliveries > 0 {
+	if f.mayHaveRun {
 		return newFailure(code.CallDeadlineUnknown)
 	}
 	return newFailure(code.CallDeadlineNotRun)
@@ -264,11 +279,13 @@
 func (f *forwarder) recordOutcome(frame *hopv1.Frame) (*hopv1.Frame, result) {
 	if answer := frame.GetAnswer(); answer != nil {
 		f.deliveries++
+		f.mayHaveRun = f.mayHaveRun || !answer.NotRun
 		return frame, classifyAnswer(answer.Status, answer.NotRun)
 	}
 	failed := frame.GetFailure()
 	if failed == nil {
 		f.deliveries++
+		f.mayHaveRun = true
 		return failureFrame(code.CallAnswerBroken, false, 0, nil), unknown
 	}
 	if retry := milliseconds(failed.RetryMs); retry > 0 && (f.retryAfter == 0 || retry < f.retryAfter) {
@@ -279,6 +296,7 @@
 		return frame, notSent
 	}
 	f.deliveries++
+	f.mayHaveRun = true
 	switch code.Code(failed.Code) {
 	case code.CallUpstreamLost:
 		f.crashes++
@@ -322,13 +340,8 @@
 // writeFailure answers the caller with a failure and records it. The forwarder
 // is nil if no attempt was made.
 func (p *Proxy) writeFailure(w http.ResponseWriter, c *call, failed *failure, f *forwarder) {
-	remaining := time.Until(c.deadline)
-	// A call without a route has no deadline.
-	if c.deadline.IsZero() {
-		remaining = time.Second
-	}
 	c.recordNestedFailure()
-	delay := retryAfter(failed.retryAfter, time.Until(c.goal), remaining, rand.Float64())
+	delay := retryAfter(failed.retryAfter, time.Until(c.goal), c.timeToRetry(), rand.Float64())
 	if failed.notRun && failed.code.Info().RetryAfter {
 		p.recentRefusals.record(c.key, c.firstSeen, p.now())
 	}
--- a/internal/proxy/entry_test.go
+++ b/internal/proxy/entry_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"math"
 	"net/http"
 	"net/http/httptest"
@@ -96,3 +97,81 @@
 		}
 	}
 }
+
+// TestDeadlineAfterRefusalsIsReportedNotRun replays a call whose deadline passes after
+// attempts in which it did not run: an upstream and a daemon refused it.
+func TestDeadlineAfterRefusalsIsReportedNotRun(t *testing.T) {
+	ended, cancel := context.WithDeadline(context.Background(), time.Now())
+	defer cancel()
+	rejection := &hopv1.Frame{Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{Status: 503, NotRun: true}}}
+	for name, c := range map[string]struct {
+		outcomes []*hopv1.Frame
+		want     code.Code
+	}{
+		"no attempt":                  {nil, code.CallDeadlineNotRun},
+		"refused by an upstream":      {[]*hopv1.Frame{rejection}, code.CallDeadlineNotRun},
+		"refused by both":             {[]*hopv1.Frame{rejection, failureFrame(code.CallShed, true, 0, nil)}, code.CallDeadlineNotRun},
+		"lost":                        {[]*hopv1.Frame{failureFrame(code.CallPeerLost, false, 0, nil)}, code.CallDeadlineUnknown},
+		"lost, then refused":          {[]*hopv1.Frame{failureFrame(code.CallPeerLost, false, 0, nil), rejection}, code.CallDeadlineUnknown},
+		"answered with 500, then not": {[]*hopv1.Frame{{Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{Status: 500}}}}, code.CallDeadlineUnknown},
+		"neither answer nor failure":  {[]*hopv1.Frame{{}}, code.CallDeadlineUnknown},
+	} {
+		f := &forwarder{}
+		for _, frame := range c.outcomes {
+			f.recordOutcome(frame)
+		}
+		if got := f.contextFailure(ended); got.code != c.want || got.notRun != (c.want == code.CallDeadlineNotRun) {
+			t.Errorf("%s: %s, not run %t", name, got.code, got.notRun)
+		}
+	}
+}
+
+// TestFailureOfALaterReleaseIsAnswered covers a failure with a code that this release does
+// not know, and one whose code says less than the failure: what the executing daemon
+// promises decides the status.
+func TestFailureOfALaterReleaseIsAnswered(t *testing.T) {
+	const unknown = code.Code(599)
+	for name, c := range map[string]struct {
+		code   code.Code
+		notRun bool
+		want   int
+	}{
+		"unknown code, not run":       {unknown, true, http.StatusServiceUnavailable},
+		"unknown code, may have run":  {unknown, false, http.StatusBadGateway},
+		"known code, not run":         {code.CallShed, true, http.StatusServiceUnavailable},
+		"code of a run, not run":      {code.CallAnswerBroken, true, http.StatusServiceUnavailable},
+		"code of none, may have run":  {code.CallShed, false, http.StatusBadGateway},
+		"code of a run, may have run": {code.CallUpstreamLost, false, http.StatusBadGateway},
+	} {
+		f := &forwarder{}
+		failed := f.failureOf(failureFrame(c.code, c.notRun, 0, nil))
+		recorder := httptest.NewRecorder()
+		failed.write(recorder, time.Second)
+		if retry := recorder.Header().Get("Retry-After") != ""; recorder.Code != c.want || retry != c.notRun || failed.notRun != c.notRun {
+			t.Errorf("%s: status %d, Retry-After %t", name, recorder.Code, retry)
+		}
+	}
+}
+
+// TestRefusalAfterTheRoutesLimitTellsWhenToRetry covers a caller that waits for longer
+// than the route allows: it can send the request again, but not at once.
+func TestRefusalAfterTheRoutesLimitTellsWhenToRetry(t *testing.T) {
+	now := time.Now()
+	route := &manifest.CompiledRoute{}
+	route.Deadline = manifest.Duration(2 * time.Second)
+	for name, c := range map[string]struct {
+		deadline, callerDeadline time.Time
+		least, most              time.Duration
+	}{
+		"no route":                        {time.Time{}, time.Time{}, time.Second, time.Second},
+		"before the deadline":             {now.Add(time.Second), now.Add(10 * time.Second), 900 * time.Millisecond, time.Second},
+		"after it, the caller waits":      {now, now.Add(10 * time.Second), 9 * time.Second, 10 * time.Second},
+		"after it, nothing is known":      {now, time.Time{}, 2 * time.Second, 2 * time.Second},
+		"after that of the caller itself": {now, now, 0, 0},
+	} {
+		got := (&call{deadline: c.deadline, callerDeadline: c.callerDeadline, route: route}).timeToRetry()
+		if got < c.least || got > c.most {
+			t.Errorf("%s: %s", name, got)
+		}
+	}
+}
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -99,10 +99,10 @@
 	switch {
 	case reason == admission.Closed:
 		return code.CallDraining
-	case reason == admission.Cancelled:
-		return code.CallCancelled
 	case deadlinePassed:
 		return code.CallDeadlineNotRun
+	case reason == admission.Cancelled:
+		return code.CallCancelled
 	default:
 		return code.CallShed
 	}
@@ -168,6 +168,8 @@
 	failed := code.CallAnswerBroken
 	notRun := false
 	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		failed, notRun = refusalCode(admission.Cancelled, errors.Is(ctx.Err(), context.DeadlineExceeded)), true
 	case errors.Is(err, upstream.ErrUnreachable):
 		failed, notRun = code.CallConnectRefused, true
 		if ctx.Err() == nil {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -56,6 +56,9 @@
 	mu sync.RWMutex
 	// all holds the peers that this daemon connects to, by instance.
 	all map[string]*peer
+	// retired holds the peers that this daemon no longer connects to, until the requests
+	// in flight there have ended.
+	retired map[*peer]bool
 	// total is the number of all other daemons, whether or not this daemon
 	// connects to them.
 	total int
@@ -65,9 +68,10 @@
 type peer struct {
 	control.Member
 	client *hop.Client
-	// up is set while the peer is reachable.
-	up    atomic.Bool
-	state atomic.Pointer[peerState]
+	// up is set while the peer is reachable, retired once it is no longer used.
+	up      atomic.Bool
+	retired atomic.Bool
+	state   atomic.Pointer[peerState]
 	// outstanding is the number of this daemon's requests that the peer has not
 	// answered.
 	outstanding atomic.Int64
@@ -121,6 +125,7 @@
 		log:         log,
 		readTimeout: &hop.AdaptiveTimeout{},
 		all:         map[string]*peer{},
+		retired:     map[*peer]bool{},
 	}
 }
 
@@ -171,8 +176,8 @@
 }
 
 // SetMembers connects to new members and to those with a new address, and
-// disconnects from peers that are not among the members. total is the number of
-// all other daemons.
+// disconnects from peers that are not among the members once no request is in flight
+// there. total is the number of all other daemons.
 func (ps *Peers) SetMembers(members []control.Member, total int) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
@@ -185,31 +190,74 @@
 			continue
 		}
 		if before != nil {
-			before.client.Close()
+			ps.retire(before)
 		}
 		ps.all[m.Instance] = ps.connect(m)
 	}
 	for instance, p := range ps.all {
 		if !wanted[instance] {
-			p.client.Close()
+			ps.retire(p)
 			delete(ps.all, instance)
 		}
 	}
 }
 
+const (
+	// retiredCheckInterval is how often it is checked whether a peer that is no longer
+	// used still has requests, and maxRetired how long its connection stays open at most.
+	retiredCheckInterval = 100 * time.Millisecond
+	maxRetired           = 30 * time.Second
+)
+
+// retire closes the connection to a peer that is no longer used, once the requests in
+// flight there have ended. The caller holds mu.
+func (ps *Peers) retire(p *peer) {
+	p.retired.Store(true)
+	ps.retired[p] = true
+	ps.closeWhenIdle(p, ps.now()+maxRetired)
+}
+
+// closeWhenIdle closes the connection to a retired peer without requests, or at the time
+// end, and otherwise calls itself again. The caller holds mu.
+func (ps *Peers) closeWhenIdle(p *peer, end time.Duration) {
+	if p.outstanding.Load() == 0 || ps.now() >= end {
+		p.client.Close()
+		delete(ps.retired, p)
+		return
+	}
+	time.AfterFunc(retiredCheckInterval, func() {
+		ps.mu.Lock()
+		defer ps.mu.Unlock()
+		ps.closeWhenIdle(p, end)
+	})
+}
+
+// Close closes the connections to all peers and fails the requests in flight.
+func (ps *Peers) Close() {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, p := range ps.all {
+		p.client.Close()
+	}
+	for p := range ps.retired {
+		p.client.Close()
+	}
+	ps.all, ps.retired = map[string]*peer{}, map[*peer]bool{}
+}
+
 // connect returns a peer whose client keeps a connection to the member.
 func (ps *Peers) connect(m control.Member) *peer {
 	p := &peer{Member: m}
 	p.client = hop.NewClient(m.Address, ps.hello, hop.Hooks{
 		Instance: m.Instance,
 		Up: func() {
-			if !p.up.Swap(true) {
+			if !p.up.Swap(true) && !p.retired.Load() {
 				ps.listener.ReachabilityChanged(m.Instance, true)
 				ps.log.Event(event.PeerUp, zap.String("peer", m.Instance))
 			}
 		},
 		Down: func(err error) {
-			if p.up.Swap(false) {
+			if p.up.Swap(false) && !p.retired.Load() {
 				ps.listener.ReachabilityChanged(m.Instance, false)
 				ps.log.Event(event.PeerDown, zap.String("peer", m.Instance), zap.Error(err))
 			}
@@ -331,9 +379,9 @@
 }
 
 // handleState stores the state that a peer reports and calls the listener. It
-// ignores a nil state.
+// ignores a nil state and a retired peer.
 func (ps *Peers) handleState(p *peer, state *hopv1.State) {
-	if state == nil {
+	if state == nil || p.retired.Load() {
 		return
 	}
 	if before := p.state.Load(); before.storeUnavailable() != state.GetStoreLost() {
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -43,12 +43,17 @@
 // startPeer starts a peer behind a network link. Each connection to it sends its instance
 // to connected.
 func startPeer(t *testing.T, instance string, connected chan<- string) (control.Member, *faultlink.Link) {
+	t.Helper()
+	return startPeerWith(t, instance, silentHandler{instance, connected})
+}
+
+func startPeerWith(t *testing.T, instance string, handler hop.Handler) (control.Member, *faultlink.Link) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := hop.NewServer(&hopv1.Hello{Instance: instance}, silentHandler{instance, connected}, nil)
+	server := hop.NewServer(&hopv1.Hello{Instance: instance}, handler, nil)
 	go func() { _ = server.Serve(listener) }()
 	link, err := faultlink.New("127.0.0.1:0", listener.Addr().String())
 	if err != nil {
@@ -58,10 +63,9 @@
 	return control.Member{Instance: instance, DataCentre: "a", Address: link.Address()}, link
 }
 
-// TestSilenceOfOnePeerChecksIdleConnections covers connections that fall silent
-// together: the one in use shows it, and the idle one must not wait for its next ping.
-func TestSilenceOfOnePeerChecksIdleConnections(t *testing.T) {
-	connected := make(chan string, 10)
+// newTestPeers returns a set of peers whose listener ignores all that is reported.
+func newTestPeers(t *testing.T) *Peers {
+	t.Helper()
 	log := asynclog.New(io.Discard, "i", zapcore.InfoLevel, 100)
 	peers := NewPeers(control.Member{Instance: "i", DataCentre: "a"}, Listener{
 		StateReceived:            func(string, *hopv1.State) {},
@@ -71,10 +75,18 @@
 	}, nil, log)
 	state := func() *hopv1.State { return &hopv1.State{} }
 	peers.SetState(state, state)
+	t.Cleanup(peers.Close)
+	return peers
+}
+
+// TestSilenceOfOnePeerChecksIdleConnections covers connections that fall silent
+// together: the one in use shows it, and the idle one must not wait for its next ping.
+func TestSilenceOfOnePeerChecksIdleConnections(t *testing.T) {
+	connected := make(chan string, 10)
+	peers := newTestPeers(t)
 	busy, busyLink := startPeer(t, "busy", connected)
 	idle, idleLink := startPeer(t, "idle", connected)
 	peers.SetMembers([]control.Member{busy, idle}, 2)
-	t.Cleanup(func() { peers.SetMembers(nil, 0) })
 	<-connected
 	<-connected
 	for peers.UsablePeers() < 2 {
@@ -95,3 +107,59 @@
 		}
 	}
 }
+
+// releasedHandler runs each request until it is released or cancelled.
+type releasedHandler struct {
+	silentHandler
+	started, release chan struct{}
+}
+
+func (h releasedHandler) Execute(ctx context.Context, _ *hopv1.Request) *hopv1.Frame {
+	h.started <- struct{}{}
+	select {
+	case <-h.release:
+		return &hopv1.Frame{Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{Status: 200}}}
+	case <-ctx.Done():
+		return &hopv1.Frame{Body: &hopv1.Frame_Failure{Failure: &hopv1.Failure{}}}
+	}
+}
+
+// TestPeerThatIsNoLongerConnectedToKeepsItsRequests covers a request that runs at a peer
+// which is dropped from the members to connect to, as when others join.
+func TestPeerThatIsNoLongerConnectedToKeepsItsRequests(t *testing.T) {
+	handler := releasedHandler{silentHandler{"b", make(chan string, 10)}, make(chan struct{}, 1), make(chan struct{}, 1)}
+	member, _ := startPeerWith(t, "b", handler)
+	peers := newTestPeers(t)
+	peers.SetMembers([]control.Member{member}, 1)
+	for peers.UsablePeers() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	type outcome struct {
+		frame *hopv1.Frame
+		err   error
+	}
+	result := make(chan outcome, 1)
+	go func() {
+		frame, err := peers.get("b").send(context.Background(), &hopv1.Request{Id: "r"}, func() bool { return false })
+		result <- outcome{frame, err}
+	}()
+	<-handler.started
+	dropped := peers.get("b")
+	peers.SetMembers(nil, 1)
+	if peers.get("b") != nil {
+		t.Error("the peer is still used")
+	}
+	time.Sleep(2 * retiredCheckInterval)
+	handler.release <- struct{}{}
+	if got := <-result; got.err != nil || got.frame.GetAnswer().GetStatus() != 200 {
+		t.Errorf("got %v, error %v", got.frame, got.err)
+	}
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		if err := dropped.client.Tell(context.Background(), nil); err != nil {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the connection stays open without requests")
+		}
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -33,6 +33,8 @@
 	// ErrUnreachable means that the upstream accepted no connection; the request
 	// has not run.
 	ErrUnreachable = errors.New("upstream does not accept connections")
+	// ErrNotSent means that the request's context ended before the request was sent.
+	ErrNotSent = errors.New("request was not sent to the upstream")
 	// ErrInvalidResponse means that the connection or the request's context
 	// ended, or that something other than a complete, valid response arrived;
 	// the request may have run.
@@ -94,7 +96,7 @@
 	ExtraHeaders []*hopv1.Header
 }
 
-// Do sends a request and reads its response. Errors wrap ErrUnreachable or
+// Do sends a request and reads its response. Errors wrap ErrUnreachable, ErrNotSent or
 // ErrInvalidResponse. When ctx ends, the connection is reset, upon which most
 // upstreams abandon the request.
 func (c *Client) Do(ctx context.Context, call Call) (*hopv1.Answer, error) {
@@ -102,6 +104,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
+	if ctx.Err() != nil {
+		c.pool.put(connection)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
+	}
 	stop := context.AfterFunc(ctx, connection.abort)
 	answer, reusable, err := c.exchange(connection, call)
 	if !stop() && ctx.Err() != nil && err != nil {
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -267,3 +267,30 @@
 		t.Errorf("connection to %q", connection.address)
 	}
 }
+
+// TestRequestOfAnEndedContextIsNotSent covers a caller that leaves, or a deadline that
+// passes, just before the request is sent on an open connection. It has not run.
+func TestRequestOfAnEndedContextIsNotSent(t *testing.T) {
+	u, client := startRawUpstream(t, func(conn net.Conn, request *http.Request, _ int) bool {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Request-Id"))
+		return true
+	})
+	call := func(id string) Call {
+		return Call{Request: &hopv1.Request{Id: id, Method: "GET", Target: "/", Host: "h", Idempotent: true},
+			ExtraHeaders: []*hopv1.Header{{Name: "Request-Id", Value: id}}}
+	}
+	if _, err := client.Do(context.Background(), call("a")); err != nil {
+		t.Fatal(err)
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := client.Do(ended, call("b")); !errors.Is(err, ErrNotSent) {
+		t.Errorf("got error %v, want ErrNotSent", err)
+	}
+	if _, err := client.Do(context.Background(), call("c")); err != nil {
+		t.Error(err)
+	}
+	if requests := u.requests.Load(); requests != 2 {
+		t.Errorf("%d requests arrived, want 2 of 3", requests)
+	}
+}
