--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -18,10 +18,11 @@
 
 // monitor pings an idle peer, opens a second connection when the ping is not answered,
 // marks the peer as silent when no data arrives within the read timeout, and resets the
-// connection silenceLimit later, or at once before the handshake. It checks at busyCheckInterval while requests are pending, after Check, or
-// while a ping is unanswered, otherwise at idlePingAfter/2. The first check after a ping
-// without pending requests still follows the longer interval. It returns when the
-// connection has ended or was replaced.
+// connection silenceLimit later, or at once before the handshake. It checks at
+// busyCheckInterval while requests are pending, after Check, or while a ping is
+// unanswered, otherwise at idlePingAfter/2. The first check after a ping without pending
+// requests still follows the longer interval. It returns when the connection has ended
+// or was replaced.
 func (c *Client) monitor(conn *clientConn) {
 	first := idlePingAfter
 	if c.busy() {
--- a/internal/hop/resume_test.go
+++ b/internal/hop/resume_test.go
@@ -342,3 +342,22 @@
 		})
 	}
 }
+
+// TestRepeatedReplyIsFollowedByTheState covers a reply that is sent again: the state in it
+// is old, and the last one that arrives counts.
+func TestRepeatedReplyIsFollowedByTheState(t *testing.T) {
+	_, network, _, _ := startPair(t)
+	first := dialRaw(t, network, 31)
+	first.request(t, 1, "a")
+	if reply := first.receive(t); reply.GetAnswer() == nil {
+		t.Fatalf("got %v", reply)
+	}
+	second := dialRaw(t, network, 32)
+	second.resume(t, []uint64{31}, []uint64{1})
+	if reply := second.receive(t); reply.Stream != 1 || reply.GetAnswer() == nil {
+		t.Errorf("got %v, want the answer again", reply)
+	}
+	if last := second.receive(t); last.GetPing().GetState() == nil {
+		t.Errorf("got %v, want a Ping with the state", last)
+	}
+}
--- a/internal/hop/session.go
+++ b/internal/hop/session.go
@@ -190,6 +190,10 @@
 	}
 	running := len(s.ledger.running) - len(result.unwanted)
 	s.server.sessionsMu.Unlock()
+	if len(result.resend)+len(unsent) > 0 {
+		// The states in these replies are old.
+		_ = s.peerConn.send(&hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: s.server.handler.State()}}})
+	}
 	s.server.handler.Resumed(s.peer, running, len(result.unwanted))
 }
 
