--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -20,6 +20,9 @@
 	// to connect.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// cancelWait is how long a request that is past its deadline waits for the peer to
+	// say that it has not run. It exceeds the round trip between data centres.
+	cancelWait = 50 * time.Millisecond
 	// resumePause is the pause before a new attempt to connect while requests wait to be
 	// resumed.
 	resumePause = 10 * time.Millisecond
@@ -126,8 +129,9 @@
 	stop    chan struct{}
 	// wake makes monitor check immediately.
 	wake chan struct{}
-	// suspect is set by Check until a ping is answered.
-	suspect atomic.Bool
+	// suspectSince is when Check was called, in nanoseconds of Hooks.Now, until a ping
+	// that was sent after that is answered; otherwise 0.
+	suspectSince atomic.Int64
 	// polling is set while monitor checks often.
 	polling atomic.Bool
 	// pendingSince is when the client last became busy, in nanoseconds of Hooks.Now.
@@ -218,7 +222,8 @@
 
 // Do sends a request and returns the peer's Answer or Failure frame. Otherwise it
 // returns an error that wraps ErrNotSent, ErrConnectionLost or ErrPeerSilent. If ctx
-// ends first, it sends the peer a Cancel frame and returns ctx.Err().
+// ends first, it sends the peer a Cancel frame and returns ctx.Err(), or the peer's
+// failure if that says at once that the request has not run before its deadline.
 //
 // If the connection is lost or replaced, the request moves to the next one. If the peer
 // had not received it, it is sent again with the time that is left, which Do writes to
@@ -254,6 +259,16 @@
 	}
 }
 
+// Tell sends the peer a state and returns once it has handled it. Its errors are those of
+// Do; it is ErrNotSent for a daemon of an earlier release, which would not confirm it.
+func (c *Client) Tell(ctx context.Context, state *hopv1.State) error {
+	if conn := c.conn.Load(); conn == nil || !conn.resumable {
+		return ErrNotSent
+	}
+	_, err := c.roundTrip(ctx, &hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: state}}}, always)
+	return err
+}
+
 func always() bool { return true }
 
 // roundTrip sends a frame on a new stream and returns the reply. For giveUp, see Do.
@@ -282,8 +297,28 @@
 				return nil, ErrPeerSilent
 			}
 		case <-ctx.Done():
-			c.cancelRequest(frame.Stream)
-			return nil, ctx.Err()
+			return c.endWithContext(ctx, p)
+		}
+	}
+}
+
+// endWithContext cancels a request whose ctx has ended. If that was by its deadline, it
+// waits for a moment for the peer to say that the request has not run, and returns that
+// failure, or ctx.Err().
+func (c *Client) endWithContext(ctx context.Context, p *pendingRequest) (*hopv1.Frame, error) {
+	defer c.cancelRequest(p.frame.Stream)
+	if p.repeatable() || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return nil, ctx.Err()
+	}
+	c.sendCancel(p.frame.Stream)
+	timer := time.NewTimer(cancelWait)
+	defer timer.Stop()
+	select {
+	case reply := <-p.reply:
+		if reply.GetFailure().GetNotRun() {
+			return reply, nil
 		}
+	case <-timer.C:
 	}
+	return nil, ctx.Err()
 }
--- a/internal/hop/connection.go
+++ b/internal/hop/connection.go
@@ -78,7 +78,7 @@
 		return 0, err
 	}
 	c.endSilence()
-	c.suspect.Store(false)
+	c.suspectSince.Store(0)
 	c.polling.Store(false)
 	go c.monitor(conn)
 	c.read(conn)
@@ -128,7 +128,10 @@
 	switch body := frame.Body.(type) {
 	case *hopv1.Frame_Pong:
 		c.hooks.StateReceived(body.Pong.GetState())
-		c.pongReceived(conn, body.Pong.GetState())
+		if frame.Stream == 0 {
+			c.pongReceived(conn, body.Pong.GetState())
+		}
+		c.deliver(frame)
 	case *hopv1.Frame_Ping:
 		c.hooks.StateReceived(body.Ping.GetState())
 	case *hopv1.Frame_Answer:
--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -16,10 +16,11 @@
 
 // monitor pings an idle peer, opens a second connection when the ping is not answered,
 // marks the peer as silent when no data arrives within the read timeout, and resets the
-// connection silenceLimit later, or at once before the handshake. It checks at busyCheckInterval while requests are pending, after Check, or
-// while a ping is unanswered, otherwise at idlePingAfter/2. The first check after a ping
-// without pending requests still follows the longer interval. It returns when the
-// connection has ended or was replaced.
+// connection silenceLimit later, or at once before the handshake. It checks at
+// busyCheckInterval while requests are pending, after Check, or while a ping is
+// unanswered, otherwise at idlePingAfter/2. The first check after a ping without pending
+// requests still follows the longer interval. It returns when the connection has ended
+// or was replaced.
 func (c *Client) monitor(conn *clientConn) {
 	first := idlePingAfter
 	if c.busy() {
@@ -39,7 +40,7 @@
 		}
 		pingAfter, interval := idlePingAfter, idlePingAfter/2
 		busy := c.busy()
-		often := busy || c.suspect.Load()
+		often := busy || c.suspectSince.Load() > 0
 		if often {
 			pingAfter, interval = busyPingAfter, busyCheckInterval
 		}
@@ -80,7 +81,9 @@
 	case pingSentAt > 0 && conn.idleTime() < now-pingSentAt:
 		c.hooks.AdaptiveTimeout.RecordPingDelay(now, now-conn.idleTime()-pingSentAt)
 		conn.pingSentAt.Store(0)
-		c.suspect.Store(false)
+		if since := c.suspectSince.Load(); since <= int64(pingSentAt) {
+			c.suspectSince.CompareAndSwap(since, 0)
+		}
 		c.dataArrived()
 	case pingSentAt == 0 && idleTime >= pingAfter:
 		conn.pingSentAt.Store(int64(now))
@@ -105,17 +108,20 @@
 	if conn == nil {
 		return
 	}
-	if conn.pingSentAt.CompareAndSwap(0, int64(c.now())) {
+	c.Check()
+	now := c.now()
+	sent := conn.pingSentAt.Load()
+	answered := conn.idleTime() < now-time.Duration(sent)
+	if (sent == 0 || answered) && conn.pingSentAt.CompareAndSwap(sent, int64(now)) {
 		c.sendPing(conn)
 	}
-	c.Check()
 }
 
 // Check makes monitor ping the peer at once if it has been idle for busyPingAfter, and
 // find soon whether it is silent. It is for connections that may have fallen silent
 // together with another one.
 func (c *Client) Check() {
-	c.suspect.Store(true)
+	c.suspectSince.Store(int64(c.now()))
 	c.wakeMonitor()
 }
 
--- a/internal/hop/pending.go
+++ b/internal/hop/pending.go
@@ -6,8 +6,7 @@
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 )
 
-// pendingRequest is a request, a fetch of the configuration or a request for tokens that
-// awaits its reply.
+// pendingRequest is a request, or another frame, that awaits its reply.
 type pendingRequest struct {
 	frame *hopv1.Frame
 	// sentAt is when the frame was last sent. Only the goroutine that sends it uses it.
@@ -21,8 +20,10 @@
 // isRequest reports whether it is a request for the peer's upstream.
 func (p *pendingRequest) isRequest() bool { return p.frame.GetRequest() != nil }
 
-// isFetch reports whether it is a fetch of the configuration.
-func (p *pendingRequest) isFetch() bool { return p.frame.GetConfigRequest() != nil }
+// repeatable reports whether it can be sent twice.
+func (p *pendingRequest) repeatable() bool {
+	return !p.isRequest() && p.frame.GetQuotaRequest() == nil
+}
 
 // requestSend makes the request be sent again.
 func (p *pendingRequest) requestSend() {
@@ -103,12 +104,27 @@
 		c.cancelled[stream] = true
 	}
 	c.mu.Unlock()
-	if conn != nil {
+	if p != nil {
+		c.sendCancel(stream)
+	}
+}
+
+// sendCancel tells the peer that nobody waits for the reply on a stream.
+func (c *Client) sendCancel(stream uint64) {
+	if conn := c.conn.Load(); conn != nil {
 		// If this fails, the connection ends, and with it the request.
 		_ = c.send(conn, &hopv1.Frame{Stream: stream, Body: &hopv1.Frame_Cancel{Cancel: &hopv1.Cancel{}}})
 	}
 }
 
+// Unconfirmed returns the number of cancelled requests whose end the peer has not
+// confirmed.
+func (c *Client) Unconfirmed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.cancelled)
+}
+
 func (c *Client) removePending(stream uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/hop/resume.go
+++ b/internal/hop/resume.go
@@ -85,7 +85,7 @@
 	if isClosed(c.silence) {
 		c.silence = make(chan struct{})
 	}
-	c.suspect.Store(false)
+	c.suspectSince.Store(0)
 	go c.monitor(conn)
 	return true
 }
@@ -112,16 +112,15 @@
 }
 
 // sendResume asks the peer to resume on conn the pending requests of the unresolved
-// sessions and to cancel all others. Fetches of the configuration are repeated at once,
-// and requests for tokens fail.
-// The caller holds mu, so that no request precedes the Resume.
+// sessions and to cancel all others. Other frames are repeated at once; requests for
+// tokens fail. The caller holds mu, so that no request precedes the Resume.
 func (c *Client) sendResume(conn *clientConn) {
 	resume := &hopv1.Resume{Sessions: c.unresolved}
 	for stream, p := range c.pending {
 		switch {
 		case p.isRequest():
 			resume.Wanted = append(resume.Wanted, stream)
-		case p.isFetch():
+		case p.repeatable():
 			p.requestSend()
 		default:
 			// Tokens that were granted in a lost reply must not be granted twice.
--- a/internal/hop/session.go
+++ b/internal/hop/session.go
@@ -63,8 +63,8 @@
 		_ = s.peerConn.send(&hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: hello}})
 		handler.HelloReceived(body.Hello)
 	case *hopv1.Frame_Ping:
-		_ = s.peerConn.send(&hopv1.Frame{Body: &hopv1.Frame_Pong{Pong: &hopv1.Pong{State: handler.State()}}})
 		handler.StateReceived(s.peer, body.Ping.GetState())
+		_ = s.peerConn.send(&hopv1.Frame{Stream: frame.Stream, Body: &hopv1.Frame_Pong{Pong: &hopv1.Pong{State: handler.State()}}})
 	case *hopv1.Frame_Request:
 		// The sender computed the time left until the deadline and the latency goal
 		// when it sent the frame. The queueing delay has used up part of it.
@@ -194,6 +194,10 @@
 	}
 	running := len(s.ledger.running) - len(result.unwanted)
 	s.server.sessionsMu.Unlock()
+	if len(result.resend)+len(unsent) > 0 {
+		// The states in these replies are old.
+		_ = s.peerConn.send(&hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: s.server.handler.State()}}})
+	}
 	s.server.handler.Resumed(s.peer, running, len(result.unwanted))
 }
 
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -108,10 +108,10 @@
 	switch {
 	case reason == admission.Closed:
 		return code.CallDraining
-	case reason == admission.Cancelled:
-		return code.CallCancelled
 	case deadlinePassed:
 		return code.CallDeadlineNotRun
+	case reason == admission.Cancelled:
+		return code.CallCancelled
 	default:
 		return code.CallShed
 	}
@@ -153,6 +153,9 @@
 	took := p.now() - started
 	p.metrics.recordRun(took, started-arrived)
 	if err != nil {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			running.giveUp()
+		}
 		if took > longRuns*mean {
 			p.client.CloseUnusedSince(p.epoch.Add(started))
 		}
@@ -178,6 +181,8 @@
 	failed := code.CallAnswerBroken
 	notRun := false
 	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		failed, notRun = refusalCode(admission.Cancelled, errors.Is(ctx.Err(), context.DeadlineExceeded)), true
 	case errors.Is(err, upstream.ErrUnreachable):
 		failed, notRun = code.CallConnectRefused, true
 		if ctx.Err() == nil {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -59,6 +59,9 @@
 	mu sync.RWMutex
 	// all holds the peers that this daemon connects to, by instance.
 	all map[string]*peer
+	// retired holds the peers that this daemon no longer connects to, until the requests
+	// in flight there have ended.
+	retired map[*peer]bool
 	// total is the number of all other daemons, whether or not this daemon
 	// connects to them.
 	total int
@@ -74,8 +77,9 @@
 type peer struct {
 	control.Member
 	client *hop.Client
-	// up is set while the peer is reachable.
-	up atomic.Bool
+	// up is set while the peer is reachable, retired once it is no longer used.
+	up      atomic.Bool
+	retired atomic.Bool
 	// silent is set while the peer is unreachable without having closed the
 	// connection.
 	silent atomic.Bool
@@ -92,8 +96,6 @@
 	// backoffUntil is the time until which the peer gets no requests, in
 	// nanoseconds since the epoch of Peers.
 	backoffUntil atomic.Int64
-	// dropped is set once the peer is no longer among the members.
-	dropped atomic.Bool
 }
 
 // peerState is the last state that a peer reported.
@@ -138,6 +140,7 @@
 		log:         log,
 		readTimeout: &hop.AdaptiveTimeout{},
 		all:         map[string]*peer{},
+		retired:     map[*peer]bool{},
 	}
 }
 
@@ -188,8 +191,8 @@
 }
 
 // SetMembers connects to new members and to those with a new address, and
-// disconnects from peers that are not among the members, once their requests in
-// flight have ended. total is the number of all other daemons.
+// disconnects from peers that are not among the members once no request is in flight
+// there. total is the number of all other daemons.
 func (ps *Peers) SetMembers(members []control.Member, total int) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
@@ -203,51 +206,25 @@
 			continue
 		}
 		if before != nil {
-			before.drop()
+			ps.retire(before)
 		}
 		ps.all[m.Instance] = ps.connect(m)
 	}
 	for instance, p := range ps.all {
 		if !wanted[instance] {
-			p.drop()
+			ps.retire(p)
 			delete(ps.all, instance)
 		}
 	}
 }
 
-// Close disconnects from all peers at once and fails the requests in flight there.
-func (ps *Peers) Close() {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	for instance, p := range ps.all {
-		p.client.Close()
-		delete(ps.all, instance)
-	}
-}
-
-// drop disconnects from the peer once it has answered the requests in flight: a change
-// of the members must not cut them off.
-func (p *peer) drop() {
-	p.dropped.Store(true)
-	if p.outstanding.Load() == 0 {
-		p.client.Close()
-	}
-}
-
-// requestEnded counts a request that is no longer in flight.
-func (p *peer) requestEnded() {
-	if p.outstanding.Add(-1) == 0 && p.dropped.Load() {
-		p.client.Close()
-	}
-}
-
 // connect returns a peer whose client keeps a connection to the member.
 func (ps *Peers) connect(m control.Member) *peer {
 	p := &peer{Member: m}
 	p.client = hop.NewClient(m.Address, ps.hello, hop.Hooks{
 		Instance: m.Instance,
 		Up: func() {
-			if !p.up.Swap(true) {
+			if !p.up.Swap(true) && !p.retired.Load() {
 				ps.viewVersion.Add(1)
 				ps.listener.ReachabilityChanged(m.Instance, true)
 				ps.log.Event(event.PeerUp, zap.String("peer", m.Instance))
@@ -256,7 +233,7 @@
 		Down: func(err error) {
 			wasUp := p.up.Swap(false)
 			p.recordSilence(wasUp, err)
-			if wasUp {
+			if wasUp && !p.retired.Load() {
 				ps.viewVersion.Add(1)
 				ps.listener.ReachabilityChanged(m.Instance, false)
 				ps.log.Event(event.PeerDown, zap.String("peer", m.Instance), zap.Error(err))
@@ -280,48 +257,6 @@
 	return p
 }
 
-// requestsResumed records what became of the requests on a connection to the peer that
-// was lost or, if silent is set, replaced.
-func (ps *Peers) requestsResumed(p *peer, result hop.Resumption, silent bool) {
-	ps.resumed.sentAgain.Add(int64(result.SentAgain))
-	ps.resumed.moved.Add(int64(result.Moved))
-	ps.resumed.lost.Add(int64(result.Lost))
-	ps.log.Event(event.SessionResumed, zap.String("peer", p.Instance), zap.Bool("silent", silent),
-		zap.Int("sent_again", result.SentAgain), zap.Int("moved", result.Moved), zap.Int("lost", result.Lost))
-	if silent {
-		ps.Check(p.Instance)
-	}
-}
-
-// Announce sends this daemon's state to all peers on the connections to them, and finds
-// soon which of these are silent. Peers also get the state on the connections that they
-// have opened, which may be silent.
-func (ps *Peers) Announce() {
-	ps.mu.RLock()
-	defer ps.mu.RUnlock()
-	for _, p := range ps.all {
-		p.client.PingNow()
-	}
-}
-
-// Check checks the connections to all peers but one, after another connection of this
-// daemon has fallen silent: the cause may have silenced them, too, and an idle one would
-// show it only at its next ping. It does so at most each silenceCheckInterval.
-func (ps *Peers) Check(except string) {
-	now := int64(ps.now())
-	next := ps.nextSilenceCheck.Load()
-	if now < next || !ps.nextSilenceCheck.CompareAndSwap(next, now+int64(silenceCheckInterval)) {
-		return
-	}
-	ps.mu.RLock()
-	defer ps.mu.RUnlock()
-	for _, p := range ps.all {
-		if p.Instance != except {
-			p.client.Check()
-		}
-	}
-}
-
 // recordDraining remembers that the peer's upstream is draining, until the peer
 // reports another incarnation. A state without an upstream changes nothing: the
 // peer may have been restarted and not yet have a report of its upstream.
@@ -361,9 +296,9 @@
 }
 
 // handleState stores the state that a peer reports and calls the listener. It
-// ignores a nil state.
+// ignores a nil state and a retired peer.
 func (ps *Peers) handleState(p *peer, state *hopv1.State) {
-	if state == nil {
+	if state == nil || p.retired.Load() {
 		return
 	}
 	if before := p.state.Load(); before.storeUnavailable() != state.GetStoreLost() {
@@ -461,7 +396,7 @@
 // GiveUp and the errors are those of hop.Client.Do.
 func (p *peer) send(ctx context.Context, request *hopv1.Request, giveUp func() bool) (*hopv1.Frame, error) {
 	p.outstanding.Add(1)
-	defer p.requestEnded()
+	defer p.outstanding.Add(-1)
 	request.LineDelayUs = uint32(time.Duration(p.lastRTT.Load()).Microseconds())
 	sent, resumptions := time.Now(), p.client.Resumptions()
 	frame, err := p.client.Do(ctx, request, giveUp)
