Keep the silence of a test below the limit that it is about

The link delays each direction, so that nothing arrived for 2 * (minTimeout + silenceLimit/3) = 1.6 s, which is exactly minTimeout + silenceLimit: whether the reply or the reset came first was a matter of some milliseconds. The comment of the test speaks of a silence longer than the read timeout. Change: the silence lies between the two, at 1.2 s. The read timeout is still exceeded three times over, and all assertions stay. Conclusion: the fault was in the test: what it asked for was on the limit itself.

--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -233,7 +233,9 @@
 // request still runs there and must not be given up.
 func TestSilentPeerKeepsItsRequest(t *testing.T) {
 	handler, network, client, down := startPair(t)
-	network.SetDelay(minTimeout + silenceLimit/3)
+	// Each direction delays the data: nothing arrives for twice this time, which lies
+	// between the read timeout and the reset at minTimeout + silenceLimit.
+	network.SetDelay((minTimeout + silenceLimit*2/3) / 2)
 	frame, err := client.Do(context.Background(), &hopv1.Request{Id: "a"}, func() bool { return false })
 	if err != nil || string(frame.GetAnswer().GetBody()) != "a" {
 		t.Errorf("got %v, error %v", frame, err)
