--- a/internal/rollout/completion.go
+++ b/internal/rollout/completion.go
@@ -5,7 +5,8 @@
 	"slices"
 )
 
-// wanted returns the phase that the store is to have.
+// wanted returns the phase that the store is to have, and the reason for it. Phases
+// full and completed are wanted before this daemon enters them.
 func (c *Core) wanted(s *service) (phase Phase, reason string) {
 	switch {
 	case s.Phase == Trial && len(s.From) == 0 && c.hasMemberOf(s, s.To) && c.now-s.knownAt >= soleWait && c.versionsKnown(s):
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -27,7 +27,7 @@
 	stepShareOfPeriod = 1.0 / 15
 	maxStep           = 800 * time.Millisecond
 	// judgeInterval is the time between two verdicts, evidenceInterval that between two
-	// log lines about the evidence.
+	// log lines about the evidence and between two about what the next phase waits for.
 	judgeInterval    = 300 * time.Millisecond
 	evidenceInterval = time.Second
 	// minCapacity is the number of slots of the new version, as a share of that of the
@@ -59,7 +59,8 @@
 	// on is set while this daemon is the coordinator.
 	on bool
 	// rowsKnown is set while the versions of the store's rows are known: status and
-	// phase. saved is the phase row's content.
+	// phase. While it is clear, they are read before the next write. saved is the phase
+	// row's content.
 	rowsKnown     bool
 	statusVersion uint64
 	phaseVersion  uint64
@@ -70,12 +71,15 @@
 	// completing is set from a write of the completion until its outcome is known.
 	completing bool
 
-	// suspectSince is when the version came under suspicion; 0 if it is under none.
+	// suspectSince is since when the version has had a score of lastingScore; 0 if it
+	// has a lower one.
 	suspectSince time.Duration
-	verdict      Verdict
-	judgedAt     time.Duration
-	evidenceAt   time.Duration
-	waitingAt    time.Duration
+	// verdict is the one of judgedAt. The evidence was last logged at evidenceAt,
+	// waiting at waitingAt.
+	verdict    Verdict
+	judgedAt   time.Duration
+	evidenceAt time.Duration
+	waitingAt  time.Duration
 	// waiting says what the next phase waits for.
 	waiting string
 }
@@ -202,7 +206,8 @@
 	return e
 }
 
-// decide enters the next phase if its conditions hold.
+// decide enters the next phase if its conditions hold. Phases full and completed are
+// entered only once the store has accepted them; see wanted and written.
 func (c *Core) decide(s *service) {
 	s.waiting = ""
 	if !s.Phase.Active() {
@@ -278,7 +283,8 @@
 	return v.Good || v.Fair && age >= fair || v.Answers >= minAnswers && age >= last
 }
 
-// stepDone reports whether the present step may be followed by the next one.
+// stepDone reports whether the present step may be followed by the next one. Otherwise
+// it sets what this waits for.
 func (c *Core) stepDone(s *service) bool {
 	length := min(time.Duration(stepShareOfPeriod*float64(s.Period)), maxStep)
 	switch {
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -115,7 +115,8 @@
 	broken bool
 	// unknownService is set once the service was reported as not configured.
 	unknownService bool
-	history        map[string]*history
+	// history holds the reports about the service's upstreams by instance.
+	history map[string]*history
 	coordination
 }
 
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -10,7 +10,7 @@
 const (
 	// timeBuckets is the number of buckets of a histogram of times.
 	timeBuckets = 40
-	// firstBucket is the upper bound of the first bucket. The last one begins at 12 s.
+	// firstBucket is the upper bound of the first bucket. The last one begins at 9.6 s.
 	firstBucket = 2 * time.Millisecond
 )
 
--- a/internal/rollout/faults_test.go
+++ b/internal/rollout/faults_test.go
@@ -47,9 +47,10 @@
 	view                  *View
 	// reaches holds the peers that the daemon found reachable.
 	reaches map[string]bool
-	// readAt is when it has read the requests; the upstream gets none before.
+	// ready is set once it has read the rollout requests; the upstream gets no calls before.
 	ready bool
-	// running is when the last request of the upstream ends after it was closed.
+	// open is set while the upstream's admission controller is open; its last request
+	// ends at closeAt.
 	open    bool
 	closeAt time.Duration
 	answers uint32
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -30,7 +30,8 @@
 	// Trial: a bounded share of the requests goes to some upstreams of the new
 	// version.
 	Trial Phase = iota + 1
-	// StepOne and StepTwo: a larger share goes to all upstreams of the new version.
+	// StepOne and StepTwo: a larger share goes to the same share of the upstreams of
+	// the new version in each data centre; see stepShares and InStep.
 	StepOne
 	StepTwo
 	// Full: all requests go to the new version; the others' admission controllers
