Give each rule of the rollout's verdict and rows one place

Cause: the base shares of failures and slow answers are computed in five places, the sum of proportions in two, and the reasons of phases are written out in up to four. adoptSaved computes a progress that it then drops for the same version, and sets a position that Begin has set. rowsUnknown is a method of Core that does not use it. Change: failureBase, slowBase, sum and constants for the reasons; the condition of adoptSaved stands in one line; position of a saved phase beside its type. Behaviour and texts are the same. Conclusion: written gives 'no fault found' as the reason of a phase full that began because no other version exists; left as it is and reported.

--- a/internal/rollout/completion.go
+++ b/internal/rollout/completion.go
@@ -10,11 +10,11 @@
 func (c *Core) wanted(s *service) (phase Phase, reason string) {
 	switch {
 	case s.Phase == Trial && len(s.From) == 0 && c.hasMemberOf(s, s.To) && c.now-s.knownAt >= soleWait && c.versionsKnown(s):
-		return Full, "no upstream has another version"
+		return Full, reasonOneVersion
 	case s.Phase == StepTwo && c.stepDone(s):
-		return Full, "no fault found"
+		return Full, reasonNoFault
 	case s.Phase == Full && s.savedAs(Full) && c.drained(s):
-		return Completed, "all old upstreams are closed and idle"
+		return Completed, reasonDrained
 	case s.Phase >= Full:
 		return s.Phase, s.Reason
 	default:
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -54,6 +54,13 @@
 	staleDelay   = time.Second
 )
 
+// Reasons of phases that are given in several places.
+const (
+	reasonNoFault    = "no fault found"
+	reasonOneVersion = "no upstream has another version"
+	reasonDrained    = "all old upstreams are closed and idle"
+)
+
 // coordination is the state that only the coordinator uses.
 type coordination struct {
 	// on is set while this daemon is the coordinator.
@@ -223,7 +230,7 @@
 		c.decideMove(s)
 	case StepOne:
 		if c.stepDone(s) {
-			c.enter(s, StepTwo, "no fault found", c.cfg.Instance)
+			c.enter(s, StepTwo, reasonNoFault, c.cfg.Instance)
 		}
 	}
 }
@@ -254,7 +261,7 @@
 	enough := s.enough(age, begin)
 	switch {
 	case len(s.From) == 0:
-		s.waiting = "no upstream has another version"
+		s.waiting = reasonOneVersion
 	case newSlots == 0:
 		s.waiting = "no upstream of version " + s.To
 	case age < begin:
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -8,7 +8,6 @@
 
 	"godwitmount/internal/event"
 	"godwitmount/internal/step"
-	"godwitmount/internal/store"
 )
 
 // Config holds the parameters of a Core.
@@ -220,7 +219,7 @@
 		s = c.begin(Begin(request, before), "store")
 		// Later requests are seen as they are written, and cannot have a phase yet.
 		s.unresolved = first && before.Phase == 0
-		c.rowsUnknown(s)
+		s.rowsKnown = false
 	}
 }
 
@@ -273,7 +272,7 @@
 	own := c.current(s)
 	if heard.Position.After(own.Position) {
 		s = c.begin(Merge(heard, Begin(heard.Request, own)), from)
-		c.rowsUnknown(s)
+		s.rowsKnown = false
 		return
 	}
 	merged := Merge(own, heard)
@@ -358,8 +357,3 @@
 	c.published, c.told = published, told
 	c.emit(all)
 }
-
-// storePosition returns the position of a saved rollout's request.
-func (s *Saved) storePosition() store.Position {
-	return store.Position{Era: store.Era(s.Era), Version: s.Version}
-}
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -127,10 +127,10 @@
 			where = "on route " + route
 		}
 		newCount, oldCount := failures(evidence.New, route), failures(evidence.Old, route)
-		base := baseFactor*oldCount.share() + baseMargin
+		base := failureBase(oldCount)
 		v.raise(newCount.score(base, failureSteps), "%sfailures %s: %s, at most %.3f expected", window, where, newCount, base)
 		newSlow, oldSlow := slowAnswers(newTimes, route, len(evidence.New)), slowAnswers(oldTimes, route, len(evidence.Old))
-		base = slowFactor*oldSlow.share() + slowMargin
+		base = slowBase(oldSlow)
 		v.raise(newSlow.score(base, slowSteps), "%sslow answers %s: %s, at most %.3f expected", window, where, newSlow, base)
 	}
 	if len(newTimes) < min(inUse(evidence.New), minParticipants) {
@@ -153,12 +153,12 @@
 	if n := countAnswers(e.New); n < minAnswers {
 		return false, false, fmt.Sprintf("%d answers, %d needed", n, minAnswers)
 	}
-	all, base := failures(e.New, ""), baseFactor*failures(e.Old, "").share()+baseMargin
+	all, base := failures(e.New, ""), failureBase(failures(e.Old, ""))
 	if all.ratio(base, base+excludedShare) > goodScore {
 		return false, false, fmt.Sprintf("failures on all routes: %s do not exclude %.3f", all, base+excludedShare)
 	}
 	oldSlow := slowAnswers(relativeTimes(e.Old, usual), "", len(e.Old))
-	slow, base := slowAnswers(relativeTimes(e.New, usual), "", len(e.New)), slowFactor*oldSlow.share()+slowMargin
+	slow, base := slowAnswers(relativeTimes(e.New, usual), "", len(e.New)), slowBase(oldSlow)
 	if slow.ratio(base, base+excludedSlowShare) > goodScore {
 		return false, false, fmt.Sprintf("slow answers on all routes: %s do not exclude %.3f", slow, base+excludedSlowShare)
 	}
@@ -167,12 +167,12 @@
 		if old.n < minRouteAnswers {
 			continue
 		}
-		base := baseFactor*old.share() + baseMargin
+		base := failureBase(old)
 		if count := failures(e.New, route); count.ratio(base, base+excludedRouteShare) > goodScore {
 			return false, true, fmt.Sprintf("failures on route %s: %s do not exclude %.3f", route, count, base+excludedRouteShare)
 		}
 	}
-	return true, true, "no fault found"
+	return true, true, reasonNoFault
 }
 
 // proportion is a number of answers and how many of them have a property.
@@ -181,9 +181,16 @@
 // String returns the proportion as in "3 of 40".
 func (p proportion) String() string { return fmt.Sprintf("%.0f of %.0f", p.x, p.n) }
 
-// share returns the share of the old version, drawn towards a small one if there are
-// few answers.
-func (p proportion) share() float64 { return (p.x + priorFailures) / (p.n + priorAnswers) }
+// smoothedShare returns the share, drawn towards a small one if there are few answers.
+func (p proportion) smoothedShare() float64 {
+	return (p.x + priorFailures) / (p.n + priorAnswers)
+}
+
+// failureBase returns the share of failures that passes for that of the old version.
+func failureBase(old proportion) float64 { return baseFactor*old.smoothedShare() + baseMargin }
+
+// slowBase returns the share of slow answers that passes for that of the old version.
+func slowBase(old proportion) float64 { return slowFactor*old.smoothedShare() + slowMargin }
 
 // ratio returns the logarithm of the likelihood ratio of share q against share base.
 func (p proportion) ratio(base, q float64) float64 {
@@ -222,31 +229,32 @@
 			all = append(all, proportion{float64(c.Answers), float64(c.Failures)})
 		}
 	}
-	return sum(all, len(samples))
+	return trimmedSum(all, len(samples))
+}
+
+// sum returns the total of all proportions.
+func sum(all []proportion) proportion {
+	total := proportion{}
+	for _, p := range all {
+		total.n += p.n
+		total.x += p.x
+	}
+	return total
 }
 
-// sum returns the total without the trimmedShare of upstreams that exceed the mean
+// trimmedSum returns the total without the trimmedShare of upstreams that exceed the mean
 // most, at least one of several. One faulty upstream says nothing about its version.
 // Known is the number of upstreams of the version, of which some may have no answers: as
 // long as only one of several has, nothing is left.
-func sum(all []proportion, known int) proportion {
+func trimmedSum(all []proportion, known int) proportion {
 	if len(all) == 1 && known > 1 {
 		return proportion{}
 	}
-	total := proportion{}
-	for _, p := range all {
-		total.n += p.n
-		total.x += p.x
-	}
+	total := sum(all)
 	// Half of the mean, so that of upstreams that always fail the largest is left out.
 	usual := total.x / max(total.n, 1) / 2
 	slices.SortFunc(all, func(a, b proportion) int { return cmp.Compare(a.x-usual*a.n, b.x-usual*b.n) })
-	total = proportion{}
-	for _, p := range all[:len(all)-trimmed(len(all))] {
-		total.n += p.n
-		total.x += p.x
-	}
-	return total
+	return sum(all[:len(all)-trimmed(len(all))])
 }
 
 // trimmed returns how many of n upstreams are left out.
--- a/internal/rollout/messages.go
+++ b/internal/rollout/messages.go
@@ -207,6 +207,11 @@
 	Reason  string   `json:"reason,omitempty"`
 }
 
+// position returns the position of the rollout request's row.
+func (s *Saved) position() store.Position {
+	return store.Position{Era: store.Era(s.Era), Version: s.Version}
+}
+
 // EffectName implements step.Effect.
 func (Publish) EffectName() string { return "publish" }
 
--- a/internal/rollout/rows.go
+++ b/internal/rollout/rows.go
@@ -8,9 +8,6 @@
 	"godwitmount/internal/store"
 )
 
-// rowsUnknown makes the coordinator read the store's rows before the next write.
-func (c *Core) rowsUnknown(s *service) { s.rowsKnown = false }
-
 // readRows requests the store's rows, at most each rowsInterval.
 func (c *Core) readRows() {
 	if c.rowsReadAt > 0 && c.now-c.rowsReadAt < rowsInterval {
@@ -46,19 +43,15 @@
 		return
 	}
 	p := Progress{
-		Request: Request{Service: s.Service, To: saved.To, Period: s.Period, Position: saved.storePosition()},
+		Request: Request{Service: s.Service, To: saved.To, Period: s.Period, Position: saved.position()},
 		From:    saved.From, Denied: saved.Denied, Phase: phase, Reason: saved.Reason,
 	}
 	switch {
 	case s.isSaved():
 		p.Position = s.Position
 		c.applyProgress(p, "store")
-	case s.Position.After(p.Position) && s.Phase.Active():
-		begun := Begin(s.Request, p)
-		begun.Position = s.Position
-		if p.To != s.To {
-			c.applyProgress(begun, "store")
-		}
+	case s.Position.After(p.Position) && s.Phase.Active() && p.To != s.To:
+		c.applyProgress(Begin(s.Request, p), "store")
 	}
 }
 
@@ -105,7 +98,7 @@
 	s.writing = false
 	c.log(event.RolloutWritten, ev.Err != nil, step.F("service", ev.Service), step.F("phase", ev.Phase), step.F("error", ev.Err))
 	if s.Position != ev.Position {
-		c.rowsUnknown(s)
+		s.rowsKnown = false
 		return
 	}
 	switch {
@@ -117,7 +110,7 @@
 	case errors.Is(ev.Err, store.ErrConflict):
 		c.applyConflict(s, ev.Current)
 	default:
-		c.rowsUnknown(s)
+		s.rowsKnown = false
 		s.nextWrite = c.now + writeDelay
 		// If the store does not answer this read either, another daemon coordinates.
 		c.emit(ReadRequests{})
@@ -129,9 +122,9 @@
 	if phase <= s.Phase || phase < Full {
 		return
 	}
-	reason := "all old upstreams are closed and idle"
+	reason := reasonDrained
 	if phase == Full {
-		reason = "no fault found"
+		reason = reasonNoFault
 	}
 	c.enter(s, phase, reason, c.cfg.Instance)
 }
@@ -145,7 +138,7 @@
 		s.nextWrite = c.now + staleDelay
 	}
 	if current.Status == nil && current.Phase == nil {
-		c.rowsUnknown(s)
+		s.rowsKnown = false
 		return
 	}
 	if current.Status != nil {
--- a/internal/rollout/times.go
+++ b/internal/rollout/times.go
@@ -82,7 +82,7 @@
 		}
 		all = append(all, p)
 	}
-	return sum(all, known)
+	return trimmedSum(all, known)
 }
 
 // usualTimes returns the logarithm of the median time of each route.
