Use the usual terms in the code of rollouts

Cause: names such as patience, told, heard, news, Fair, soleWait and counts have to be looked up, and the daemon keeps a set of active services that follows from what was last published. Change: rareRouteWait, notified, received, progress, GoodOverall, versionsWait, indicatesCut; Publish.Tell is NotifyPeers and ProgressHeard is ProgressReceived; activeServices derives the set. Names of events, log keys and transcripts stay. The tests change by the two exported names only.

--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"reflect"
 	"sync"
 	"time"
@@ -26,11 +27,12 @@
 	RolloutsTable = "godwitmount-rollouts"
 	// reportInterval is the time between two looks at what the local upstream has done.
 	reportInterval = 100 * time.Millisecond
-	// afterPause is how long after a pause of the process the upstream gets no requests
-	// during a rollout: the peers' news of the rollout arrive within that time.
-	afterPause = 500 * time.Millisecond
-	// newsTimeout bounds the wait until news about a rollout are in force.
-	newsTimeout = 300 * time.Millisecond
+	// holdAfterPause is how long after a pause of the process the upstream gets no
+	// requests during a rollout: what peers report of the rollout arrives within that
+	// time.
+	holdAfterPause = 500 * time.Millisecond
+	// applyTimeout bounds the wait until an event about a rollout is in force.
+	applyTimeout = 300 * time.Millisecond
 )
 
 // RolloutRows holds what the daemon needs from the platform to follow rollouts.
@@ -58,12 +60,10 @@
 	// published is what the reducer last published, at publishedAt.
 	published   rollout.Publish
 	publishedAt time.Time
-	// heard holds the last news of each peer, and states what its last state said, by
-	// instance.
-	heard  map[string][]rollout.Progress
-	states map[string]rollout.PeerState
-	// active is the set of services with a rollout in progress.
-	active map[string]bool
+	// progress holds what each peer last reported of rollouts, and states what it last
+	// reported of its upstream and the store, by instance.
+	progress map[string][]rollout.Progress
+	states   map[string]rollout.PeerState
 }
 
 func newRolloutControl(d *Daemon) *rolloutControl {
@@ -71,7 +71,7 @@
 	if s.ExposePerMille == 0 {
 		return nil
 	}
-	r := &rolloutControl{daemon: d, heard: map[string][]rollout.Progress{}, states: map[string]rollout.PeerState{}, active: map[string]bool{}}
+	r := &rolloutControl{daemon: d, progress: map[string][]rollout.Progress{}, states: map[string]rollout.PeerState{}}
 	core := rollout.New(rollout.Config{Instance: s.Instance, DataCentre: s.DataCentre, Service: s.Service, Rollback: s.Rollback.Std()})
 	r.loop = newLoop(core, r.perform, d.log)
 	return r
@@ -94,9 +94,10 @@
 		}
 		now := time.Now()
 		if now.Sub(last) > pauseThreshold {
-			holdUntil = now.Add(afterPause)
+			holdUntil = now.Add(holdAfterPause)
 		}
 		last = now
+		// Until it is refreshed, the proxy gives the upstream no requests.
 		if now.After(holdUntil) {
 			r.daemon.proxy.RefreshRollouts()
 		}
@@ -114,9 +115,9 @@
 }
 
 // apply passes an event to the reducer and waits until its effects are in force, at most
-// newsTimeout.
+// applyTimeout.
 func (r *rolloutControl) apply(ev step.Event) {
-	ctx, cancel := context.WithTimeout(r.daemon.background, newsTimeout)
+	ctx, cancel := context.WithTimeout(r.daemon.background, applyTimeout)
 	defer cancel()
 	// An event that takes longer stays in the queue.
 	_ = r.loop.do(ctx, ev)
@@ -133,11 +134,11 @@
 		if row.Removed {
 			continue
 		}
-		request, is, err := r.daemon.cfg.Platform.Rollouts.ParseRequest(row.Key, row.Value)
+		request, isRequest, err := r.daemon.cfg.Platform.Rollouts.ParseRequest(row.Key, row.Value)
 		switch {
 		case err != nil:
 			ev.Rejected = append(ev.Rejected, rollout.RejectedRequest{Key: row.Key, Err: err})
-		case is:
+		case isRequest:
 			request.Position = row.Position
 			ev.Requests = append(ev.Requests, request)
 		}
@@ -152,7 +153,7 @@
 	if r == nil || state == nil || instance == "" {
 		return
 	}
-	r.heardFrom(instance, state.GetRollouts())
+	r.progressReceived(instance, state.GetRollouts())
 	changed := rollout.PeerState{
 		Instance: instance, Service: state.GetService(), Version: state.GetUpstreamVersion(), StoreUnavailable: state.GetStoreLost(),
 	}
@@ -165,8 +166,8 @@
 	}
 }
 
-// heardFrom applies what a peer knows of rollouts, if that is new.
-func (r *rolloutControl) heardFrom(instance string, rollouts []*hopv1.Rollout) {
+// progressReceived applies what a peer knows of rollouts, if that is new.
+func (r *rolloutControl) progressReceived(instance string, rollouts []*hopv1.Rollout) {
 	if len(rollouts) == 0 {
 		return
 	}
@@ -175,13 +176,13 @@
 		progress[i] = decodeProgress(raw)
 	}
 	r.mu.Lock()
-	same := sameNews(r.heard[instance], progress)
-	r.heard[instance] = progress
+	same := equalButForAge(r.progress[instance], progress)
+	r.progress[instance] = progress
 	r.mu.Unlock()
 	if same {
 		return
 	}
-	ev := rollout.ProgressHeard{Instance: instance, Progress: progress}
+	ev := rollout.ProgressReceived{Instance: instance, Progress: progress}
 	if r.daemon.proxy.ActiveTable() != nil {
 		r.loop.post(ev)
 		return
@@ -191,8 +192,8 @@
 	r.apply(ev)
 }
 
-// sameNews reports whether two lists are equal but for the ages.
-func sameNews(a, b []rollout.Progress) bool {
+// equalButForAge reports whether two lists are equal but for the ages.
+func equalButForAge(a, b []rollout.Progress) bool {
 	if len(a) != len(b) {
 		return false
 	}
@@ -291,23 +292,28 @@
 	}
 }
 
-// publish puts what is known in force and tells peers.
-func (r *rolloutControl) publish(e rollout.Publish) {
+// activeServices returns the services with a rollout in progress.
+func activeServices(views []rollout.View) map[string]bool {
 	active := map[string]bool{}
-	for _, v := range e.Views {
-		if v.Phase.Active() {
-			active[v.Service] = true
+	for i := range views {
+		if views[i].Phase.Active() {
+			active[views[i].Service] = true
 		}
 	}
+	return active
+}
+
+// publish puts what is known in force and notifies peers.
+func (r *rolloutControl) publish(e rollout.Publish) {
+	active := activeServices(e.Views)
 	r.mu.Lock()
+	changed := !maps.Equal(active, activeServices(r.published.Views))
 	r.published, r.publishedAt = e, time.Now()
-	changed := !reflect.DeepEqual(active, r.active)
-	r.active = active
 	r.mu.Unlock()
 	d := r.daemon
 	tookWork := d.proxy.State().TakesWork
 	d.proxy.SetRollouts(e.Views)
-	if e.Tell || d.proxy.State().TakesWork != tookWork {
+	if e.NotifyPeers || d.proxy.State().TakesWork != tookWork {
 		d.broadcastState()
 	}
 	if changed {
--- a/internal/rollout/completion.go
+++ b/internal/rollout/completion.go
@@ -9,7 +9,7 @@
 // full and completed are wanted before this daemon enters them.
 func (c *Core) wanted(s *service) (phase Phase, reason string) {
 	switch {
-	case s.Phase == Trial && len(s.From) == 0 && c.hasMemberOf(s, s.To) && c.now-s.knownAt >= soleWait && c.versionsKnown(s):
+	case s.Phase == Trial && len(s.From) == 0 && c.hasMemberOf(s, s.To) && c.now-s.knownAt >= versionsWait && c.versionsKnown(s):
 		return Full, reasonOneVersion
 	case s.Phase == StepTwo && c.stepDone(s):
 		return Full, reasonNoFault
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -16,9 +16,9 @@
 	// last requests of old upstreams and the writes need; the move begins no earlier.
 	moveShare = 0.5
 	moveTime  = 6 * time.Second
-	// patience is how much longer, as a share of the period, the move waits for
+	// rareRouteWait is how much longer, as a share of the period, the move waits for
 	// evidence that excludes faults on rare routes.
-	patience = 0.1
+	rareRouteWait = 0.1
 	// lastMoveShare is the share of moveTime before the end of the period at which the move
 	// begins even if the evidence is small.
 	lastMoveShare = 0.6
@@ -33,9 +33,9 @@
 	// minCapacity is the number of slots of the new version, as a share of that of the
 	// old one, from which it can take all requests.
 	minCapacity = 0.7
-	// soleWait is how long a rollout waits to learn of an upstream of another version
+	// versionsWait is how long a rollout waits to learn of an upstream of another version
 	// before it concludes that there is none.
-	soleWait = 2 * time.Second
+	versionsWait = 2 * time.Second
 	// suspicionShare is the share of Config.Rollback after which a version is reverted
 	// that has had a score of lastingScore all the time. It is longer than the recent
 	// times that are judged, so that a chance result has left them. With few requests a
@@ -156,7 +156,7 @@
 // it waits for something else than time.
 func (c *Core) logWaiting(s *service) {
 	overdue := c.now-s.knownAt >= moveAt(s.Period)
-	missing := s.Phase == Trial && c.now-s.knownAt >= soleWait && (len(s.From) == 0 || !c.hasMemberOf(s, s.To))
+	missing := s.Phase == Trial && c.now-s.knownAt >= versionsWait && (len(s.From) == 0 || !c.hasMemberOf(s, s.To))
 	if s.waiting == "" || !overdue && !missing || c.now-s.waitingAt < evidenceInterval {
 		return
 	}
@@ -285,9 +285,9 @@
 // would be too late for the period only some answers.
 func (s *service) enough(age, begin time.Duration) bool {
 	v := &s.verdict
-	fair := begin + time.Duration(patience*float64(s.Period))
-	last := max(fair, s.Period-time.Duration(lastMoveShare*float64(moveTime)))
-	return v.Good || v.Fair && age >= fair || v.Answers >= minAnswers && age >= last
+	relaxed := begin + time.Duration(rareRouteWait*float64(s.Period))
+	latest := max(relaxed, s.Period-time.Duration(lastMoveShare*float64(moveTime)))
+	return v.Good || v.GoodOverall && age >= relaxed || v.Answers >= minAnswers && age >= latest
 }
 
 // stepDone reports whether the present step may be followed by the next one. Otherwise
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -36,9 +36,9 @@
 	// goes on giving requests to its upstream during a rollout. It is well below
 	// goneAfter, after which the others no longer wait for it.
 	isolatedAfter = 2 * time.Second
-	// lossMemory is how long before a rollout a member may have become unreachable and
-	// still count as lost by a cut.
-	lossMemory = 5 * time.Second
+	// recentLoss is how long before a rollout a member may have become unreachable and
+	// still count as evidence that this daemon is cut off.
+	recentLoss = 5 * time.Second
 	// goneAfter is the time for which a member must be unreachable from all of its data
 	// centre before completion does not wait for it any more. Requests that it had
 	// accepted have passed their deadlines by then.
@@ -71,9 +71,10 @@
 	storeUnavailable bool
 	// rowsReadAt is when the store's rows about rollouts were last requested.
 	rowsReadAt time.Duration
-	// published is the text form of what was last published, told that of the part of
-	// which peers are told at once. They learn of further versions with the next ping.
-	published, told string
+	// published is the text form of what was last published, notified that of the part
+	// of which peers are notified at once. They learn of further versions with the next
+	// ping.
+	published, notified string
 	// lastReport is the last report that was sent, at sentAt.
 	lastReport Report
 	sentAt     time.Duration
@@ -136,9 +137,9 @@
 		c.applyRequests(ev)
 	case RowsRead:
 		c.applyRows(ev)
-	case ProgressHeard:
-		for _, heard := range ev.Progress {
-			c.applyProgress(heard, ev.Instance)
+	case ProgressReceived:
+		for _, received := range ev.Progress {
+			c.applyProgress(received, ev.Instance)
 		}
 	case ReportReceived:
 		c.applyReport(ev)
@@ -260,23 +261,23 @@
 }
 
 // applyProgress merges what another daemon or the store says about a rollout.
-func (c *Core) applyProgress(heard Progress, from string) {
-	if heard.Service == "" || heard.To == "" || heard.Phase < Trial || heard.Phase > Completed {
+func (c *Core) applyProgress(received Progress, from string) {
+	if received.Service == "" || received.To == "" || received.Phase < Trial || received.Phase > Completed {
 		return
 	}
-	s := c.services[heard.Service]
+	s := c.services[received.Service]
 	if s == nil {
-		c.begin(heard, from)
+		c.begin(received, from)
 		return
 	}
 	own := c.current(s)
-	if heard.Position.After(own.Position) {
-		s = c.begin(Merge(heard, Begin(heard.Request, own)), from)
+	if received.Position.After(own.Position) {
+		s = c.begin(Merge(received, Begin(received.Request, own)), from)
 		s.rowsKnown = false
 		return
 	}
-	merged := Merge(own, heard)
-	if heard.Position == own.Position {
+	merged := Merge(own, received)
+	if received.Position == own.Position {
 		s.unresolved = false
 	}
 	s.knownAt = c.now - merged.Age
@@ -332,18 +333,18 @@
 	return v
 }
 
-// publish publishes the rollouts if anything but their age has changed, and tells
+// publish publishes the rollouts if anything but their age has changed, and notifies
 // peers if they do not know it.
 func (c *Core) publish() {
 	all := Publish{}
-	published, told := "", ""
+	published, notified := "", ""
 	for _, name := range c.serviceNames() {
 		s := c.services[name]
 		v := c.view(s)
 		all.Views = append(all.Views, v)
 		v.Age = 0
 		if !v.Unresolved {
-			told += fmt.Sprintf("%+v %v %s %t %v\n", v.Request, v.Phase, v.Reason, len(v.From) > 0, v.Denied)
+			notified += fmt.Sprintf("%+v %v %s %t %v\n", v.Request, v.Phase, v.Reason, len(v.From) > 0, v.Denied)
 		}
 		published += fmt.Sprintf("%+v %+v\n", v, s.summaryKey())
 	}
@@ -353,7 +354,7 @@
 	for _, name := range c.serviceNames() {
 		all.Summaries = append(all.Summaries, c.summary(c.services[name]))
 	}
-	all.Tell = told != c.told
-	c.published, c.told = published, told
+	all.NotifyPeers = notified != c.notified
+	c.published, c.notified = published, notified
 	c.emit(all)
 }
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -115,7 +115,7 @@
 		return []step.Event{StoreAvailability{}}
 	case "heard":
 		phase, _ := ParsePhase(text(t, d, "phase"))
-		return []step.Event{ProgressHeard{Instance: "b-1", Progress: []Progress{{Request: request, From: []string{"v1"}, Phase: phase, Reason: "told"}}}}
+		return []step.Event{ProgressReceived{Instance: "b-1", Progress: []Progress{{Request: request, From: []string{"v1"}, Phase: phase, Reason: "told"}}}}
 	case "report":
 		phase, _ := ParsePhase(text(t, d, "phase"))
 		counts := Counts{}
@@ -165,7 +165,7 @@
 			}
 		case Publish:
 			for i, v := range e.Views {
-				if e.Tell || v.Unresolved || v.Isolated || v.NewClosed {
+				if e.NotifyPeers || v.Unresolved || v.Isolated || v.NewClosed {
 					fmt.Fprintf(out, "publish %s to=%s from=%v denied=%v gated=%t unresolved=%t isolated=%t new-closed=%t coordinator=%s\n",
 						v.Phase, v.To, v.From, v.Denied, v.Gated, v.Unresolved, v.Isolated, v.NewClosed, e.Summaries[i].Coordinator)
 				}
--- a/internal/rollout/faults_test.go
+++ b/internal/rollout/faults_test.go
@@ -122,7 +122,7 @@
 		switch e := effect.(type) {
 		case Publish:
 			n.view = &e.Views[0]
-			if e.Tell {
+			if e.NotifyPeers {
 				c.tell(n)
 			}
 		case SendReport:
@@ -150,7 +150,7 @@
 	}
 	for _, other := range c.nodes {
 		if other != n && c.linked(n, other) {
-			c.send(other, ProgressHeard{Instance: n.instance, Progress: []Progress{n.view.Progress}})
+			c.send(other, ProgressReceived{Instance: n.instance, Progress: []Progress{n.view.Progress}})
 		}
 	}
 }
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -20,8 +20,9 @@
 type Verdict struct {
 	// Bad and Good are both clear while the evidence does not suffice.
 	Bad, Good bool
-	// Fair is set if the evidence excludes faults on all routes together.
-	Fair bool
+	// GoodOverall is set if the evidence excludes faults on all routes together, though
+	// perhaps not on each.
+	GoodOverall bool
 	// Suspect is set while a test is near its threshold.
 	Suspect bool
 	// Score is the largest result of the tests, a logarithm of a likelihood ratio.
@@ -110,7 +111,7 @@
 	if v.Bad || v.Suspect {
 		return v
 	}
-	v.Good, v.Fair, v.Reason = excludesFaults(whole, usual)
+	v.Good, v.GoodOverall, v.Reason = excludesFaults(whole, usual)
 	return v
 }
 
--- a/internal/rollout/messages.go
+++ b/internal/rollout/messages.go
@@ -41,8 +41,8 @@
 	Saved   Saved
 }
 
-// ProgressHeard carries what a peer knows about rollouts.
-type ProgressHeard struct {
+// ProgressReceived carries what a peer knows about rollouts.
+type ProgressReceived struct {
 	Instance string
 	Progress []Progress
 }
@@ -126,7 +126,7 @@
 func (RowsRead) EventName() string { return "rows-read" }
 
 // EventName implements step.Event.
-func (ProgressHeard) EventName() string { return "progress-heard" }
+func (ProgressReceived) EventName() string { return "progress-heard" }
 
 // EventName implements step.Event.
 func (ReportReceived) EventName() string { return "report-received" }
@@ -152,13 +152,13 @@
 // EventName implements step.Event.
 func (WriteDone) EventName() string { return "write-done" }
 
-// Publish passes the rollouts to the data path and tells peers.
+// Publish passes the rollouts to the data path and to peers.
 type Publish struct {
 	Views []View
 	// Summaries holds what operators see, in the order of Views.
 	Summaries []Summary
-	// Tell is set if peers are to be told at once.
-	Tell bool
+	// NotifyPeers is set if peers are to be notified at once.
+	NotifyPeers bool
 }
 
 // Summary is what an operator sees of a rollout besides its view.
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -28,7 +28,7 @@
 	}
 	for instance, p := range c.peers {
 		if !kept[instance] {
-			// Its state stays: it is told only when it changes.
+			// Its state stays: it is reported only when it changes.
 			p.member, p.reachable, p.reached, p.unreachableSince = false, false, false, c.now
 		}
 	}
@@ -56,18 +56,19 @@
 	return all
 }
 
-// counts reports whether a member says something about this daemon's own connection:
-// it is reachable, or was until shortly before the rollout. Others may be gone for good.
-func (c *Core) counts(s *service, p *peer) bool {
-	return p.member && p.reached && (p.reachable || p.unreachableSince >= s.knownAt-lossMemory)
+// indicatesCut reports whether the state of a member says something about this daemon's
+// own connection: it is reachable, or was until shortly before the rollout. Others may be
+// gone for good.
+func (c *Core) indicatesCut(s *service, p *peer) bool {
+	return p.member && p.reached && (p.reachable || p.unreachableSince >= s.knownAt-recentLoss)
 }
 
 // cutOff reports whether this daemon reaches fewer than half of the members of the
-// service that count, itself included.
+// service that indicatesCut selects, itself included.
 func (c *Core) cutOff(s *service) bool {
 	reached, reachable := 1, 1
 	for _, p := range c.peers {
-		if p.service() != s.Service || !c.counts(s, p) {
+		if p.service() != s.Service || !c.indicatesCut(s, p) {
 			continue
 		}
 		reached++
@@ -83,7 +84,7 @@
 func (c *Core) isolated(s *service) bool {
 	others, reachable := 0, 0
 	for _, p := range c.peers {
-		if p.DataCentre != c.cfg.DataCentre || !c.counts(s, p) {
+		if p.DataCentre != c.cfg.DataCentre || !c.indicatesCut(s, p) {
 			continue
 		}
 		others++
