Tell callers that disconnect from daemons that leave

Cause: 'leaving' means a planned stop or a draining upstream everywhere but in leaving.go, where it is a caller that closes its connection.

--- a/internal/daemon/leaving.go
+++ b/internal/daemon/disconnect.go
@@ -10,9 +10,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// leavingCheckInterval is how often the connection of a request is checked. Work for a
-// caller that has left may go on for 0.5 s.
-const leavingCheckInterval = 100 * time.Millisecond
+// disconnectCheckInterval is how often the connection of a request is checked. Work for a
+// caller that has disconnected may go on for 0.5 s.
+const disconnectCheckInterval = 100 * time.Millisecond
 
 // connKey is the context key of a caller's net.Conn.
 type connKey struct{}
@@ -31,11 +31,16 @@
 		return r, func() {}
 	}
 	ctx, cancel := context.WithCancel(r.Context())
-	time.AfterFunc(leavingCheckInterval, func() { checkCaller(ctx, cancel, conn) })
+	scheduleCheck(ctx, cancel, conn)
 	return r.WithContext(ctx), cancel
 }
 
-// checkCaller calls cancel once the peer has closed conn. It calls itself again until
+// scheduleCheck calls checkCaller after disconnectCheckInterval.
+func scheduleCheck(ctx context.Context, cancel func(), conn syscall.Conn) {
+	time.AfterFunc(disconnectCheckInterval, func() { checkCaller(ctx, cancel, conn) })
+}
+
+// checkCaller calls cancel once the peer has closed conn. It is scheduled again until
 // ctx ends.
 func checkCaller(ctx context.Context, cancel func(), conn syscall.Conn) {
 	if ctx.Err() != nil {
@@ -45,7 +50,7 @@
 		cancel()
 		return
 	}
-	time.AfterFunc(leavingCheckInterval, func() { checkCaller(ctx, cancel, conn) })
+	scheduleCheck(ctx, cancel, conn)
 }
 
 // closedByPeer reports whether the peer has closed a TCP connection, also if data that it
--- a/internal/daemon/proof.go
+++ b/internal/daemon/proof.go
@@ -33,6 +33,7 @@
 		return nil
 	}
 	limit := s.RevokeLimit.Std()
+	// steps is the number of different shares that daemons get.
 	const steps = 1 << 10
 	return freshness.NewKeeper(freshness.Config{
 		MaxAge: limit - freshness.Margin(limit),
