Name what the quota code means

Cause: PullRequest is documented under another name, 'holder' is the daemon that asks although tokens, buckets and their keepers are all held, silentSince also has members that are not silent, a quarter and a rounding margin have no names, and keptTime has a second use that its comment leaves out. Change: names and comments; setUnreachable is a function of its own; a switch that returned in one case only is two conditions. Figures: go test ./internal/quota passes, with unchanged tests. Conclusion: none.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -21,6 +21,10 @@
 	refusals uint64
 }
 
+// roundingMargin is added to a level, in tokens, so that rounding errors do not delay a
+// token.
+const roundingMargin = 1e-9
+
 // set changes the rate and the depth as of now.
 func (b *bucket) set(now time.Duration, rate, depth float64) {
 	b.refill(now)
@@ -45,8 +49,7 @@
 // take grants up to the given number of tokens.
 func (b *bucket) take(now time.Duration, tokens int) int {
 	b.refill(now)
-	// The addend keeps rounding errors from delaying a token.
-	granted := min(tokens, int(math.Floor(max(b.level+1e-9, 0))))
+	granted := min(tokens, int(math.Floor(max(b.level+roundingMargin, 0))))
 	b.level -= float64(granted)
 	return granted
 }
--- a/internal/quota/holder.go
+++ b/internal/quota/client.go
@@ -6,8 +6,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// holder is the state of a customer at a daemon that asks the owner for tokens.
-type holder struct {
+// client is the state of a customer at a daemon that asks the owner for tokens.
+type client struct {
 	// held is the number of tokens in hand, usable until heldUntil.
 	held      int
 	heldUntil time.Duration
@@ -32,7 +32,7 @@
 	returnedAt time.Duration
 	arrivals   estimate
 	// ownLevel is the level, as of ownAt, of the tokens that this daemon may use
-	// without the owner.
+	// without the owner; ownAt is 0 before the first use.
 	ownLevel float64
 	ownAt    time.Duration
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -34,14 +34,14 @@
 	share Share
 	// bucket is nil unless this daemon owns it.
 	bucket *bucket
-	// keeper is the daemon that kept the bucket when this one became the owner, and
-	// passed over until keptUntil.
+	// keeper is the daemon that kept the bucket when this one became the owner. Until
+	// keptUntil, requests are passed on to it.
 	keeper    string
 	keptUntil time.Duration
 	// foreignSince is since when another daemon owns the bucket that this one still
 	// holds, or 0.
 	foreignSince time.Duration
-	holder
+	client
 }
 
 // New returns a limiter without limits and without a view.
@@ -136,7 +136,7 @@
 	for _, c := range l.customers {
 		c.bucket = nil
 		c.keeper = ""
-		c.holder = holder{used: c.used}
+		c.client = client{used: c.used}
 	}
 }
 
--- a/internal/quota/pull.go
+++ b/internal/quota/pull.go
@@ -18,6 +18,9 @@
 	// maxPullShare bounds what is pulled at once, minPullShare what is worth it.
 	maxPullShare = 0.2
 	minPullShare = 0.005
+	// levelingShare is the part of the difference of two shares that the larger one
+	// gives away without regard to its demand.
+	levelingShare = 0.25
 	// pullInterval is the time between two pulls for a customer. It grows by the
 	// factor pullGrowth, up to maxPullInterval, while they yield less than half of
 	// what is wanted. It is longer than a share may be on its way.
@@ -39,7 +42,7 @@
 	// last two.
 	next     time.Duration
 	interval time.Duration
-	// since is when the first pull began whose share was not known.
+	// since is when the first pull for this bucket began; valid while begun is set.
 	since time.Duration
 	begun bool
 	// unaccounted is the part of the movable share that no data centre had when
@@ -69,11 +72,12 @@
 	if b == nil || b.pull.running || now < b.pull.next || l.views.dataCentres() == 1 {
 		return false
 	}
-	if c.share.Version > 0 {
-		busy := b.demand.value(now, demandTime) > pullDemand*b.rate
-		return busy && b.level < pullBelow*b.depth && l.need(now, c) >= minPullShare
+	if c.share.Version == 0 {
+		// The answers of the other data centres tell which share is left for this one.
+		return true
 	}
-	return true
+	busy := b.demand.value(now, demandTime) > pullDemand*b.rate
+	return busy && b.level < pullBelow*b.depth && l.need(now, c) >= minPullShare
 }
 
 // need returns by how much the share is smaller than the demand asks for.
@@ -82,7 +86,8 @@
 	return min(min(demand*askHeadroom, 1)-l.share(c), movableShare-c.share.Movable, maxPullShare)
 }
 
-// BeginPull starts a pull for a customer that Tick returned, or returns nil.
+// BeginPull starts a pull for a customer that Tick returned. It returns nil if this
+// daemon no longer has the bucket.
 func (l *Limiter) BeginPull(now time.Duration, name string) *Pull {
 	c := l.customers[name]
 	if c == nil || c.bucket == nil {
@@ -100,7 +105,7 @@
 	return pull
 }
 
-// Request returns the message to the next data centre.
+// PullRequest returns the message to the next data centre.
 func (l *Limiter) PullRequest(p *Pull) Request {
 	r := Request{Customer: p.Customer, Pull: true, Need: p.need}
 	if c := l.customers[p.Customer]; c != nil {
@@ -113,11 +118,11 @@
 func (l *Limiter) PullReplied(now time.Duration, p *Pull, reply Reply, ok bool) {
 	l.advance(now)
 	p.asked++
-	switch {
-	case !ok || reply.Declined:
+	if !ok || reply.Declined {
 		p.silent++
 		return
-	case reply.Share.Version == 0:
+	}
+	if reply.Share.Version == 0 {
 		p.unknown++
 	}
 	p.sum += reply.Share.Movable
@@ -223,9 +228,9 @@
 	if c.share.Version == 0 || r.Need < minPullShare {
 		return Reply{Share: c.share}, nil
 	}
-	spare := min(l.share(c)-l.kept(now, c), c.share.Movable)
-	fair := (c.share.Movable - r.Share.Movable) / 4
-	given := min(max(spare, fair, 0), r.Need)
+	spare := min(l.share(c)-l.reserved(now, c), c.share.Movable)
+	leveling := (c.share.Movable - r.Share.Movable) * levelingShare
+	given := min(max(spare, leveling, 0), r.Need)
 	if given < minPullShare {
 		return Reply{Share: c.share}, nil
 	}
@@ -233,9 +238,10 @@
 	return Reply{Share: c.share, Given: given}, nil
 }
 
-// kept returns the share below which a data centre gives nothing away: its demand, with
-// room for growth and for the error of the estimate, which is large for small customers.
-func (l *Limiter) kept(now time.Duration, c *customer) float64 {
+// reserved returns the share below which a data centre gives nothing away: its demand,
+// with room for growth and for the error of the estimate, which is large for small
+// customers.
+func (l *Limiter) reserved(now time.Duration, c *customer) float64 {
 	demand := c.bucket.demand.value(now, demandTime)
 	return (demand*keepHeadroom + math.Sqrt(demand/demandTime.Seconds())) / c.limit.Rate
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -68,7 +68,8 @@
 	// the bucket.
 	settleTime = 10 * time.Second
 	// keptTime is for how long a new owner passes requests on to a daemon that could
-	// not hand over the bucket, before it tries again.
+	// not hand over the bucket, before it tries again, and for how long a daemon that
+	// is no longer the owner keeps a bucket that nobody takes over.
 	keptTime = 300 * time.Millisecond
 	// doubtTime is for how long an owner grants at doubtShare of its rate because the
 	// owner before it has fallen silent. That one learns from its own silent
--- a/internal/quota/view.go
+++ b/internal/quota/view.go
@@ -39,8 +39,8 @@
 type views struct {
 	self string
 	all  []datedView
-	// silentSince is, by unreachable member, when it was first found unreachable.
-	silentSince map[string]time.Duration
+	// unreachableSince is when each unreachable member was first found so, by instance.
+	unreachableSince map[string]time.Duration
 }
 
 // datedView is a view and when it began.
@@ -49,8 +49,8 @@
 	at time.Duration
 }
 
-// set adds a view, unless owners are as by the present one. It forgets the oldest view if
-// there are too many.
+// set adds a view, or replaces the present one if all owners stay the same. It forgets
+// the oldest view if there are too many.
 func (v *views) set(now time.Duration, view View) {
 	view.Members = slices.Clone(view.Members)
 	slices.SortFunc(view.Members, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
@@ -63,9 +63,14 @@
 	if len(v.all) > maxViews {
 		v.all = append([]datedView(nil), v.all[1:]...)
 	}
-	before := v.silentSince
-	v.silentSince = map[string]time.Duration{}
-	for _, m := range view.Members {
+	v.setUnreachable(now, view.Members)
+}
+
+// setUnreachable updates since when members are unreachable.
+func (v *views) setUnreachable(now time.Duration, members []Member) {
+	before := v.unreachableSince
+	v.unreachableSince = map[string]time.Duration{}
+	for _, m := range members {
 		if m.Reachable {
 			continue
 		}
@@ -73,7 +78,7 @@
 		if !known {
 			since = now
 		}
-		v.silentSince[m.Instance] = since
+		v.unreachableSince[m.Instance] = since
 	}
 }
 
@@ -177,7 +182,7 @@
 		switch {
 		case m.Reachable:
 			reached++
-		case now-v.silentSince[m.Instance] >= window:
+		case now-v.unreachableSince[m.Instance] >= window:
 			failed++
 		}
 	}
@@ -192,7 +197,7 @@
 // fallen silent a moment ago. It may still act as owner for others.
 func (v *views) doubted(now time.Duration, customer string) bool {
 	for _, m := range v.present().Members {
-		recent := !m.Reachable && m.Silent && now-v.silentSince[m.Instance] < doubtTime
+		recent := !m.Reachable && m.Silent && now-v.unreachableSince[m.Instance] < doubtTime
 		if recent && rank(customer, m.Instance) > rank(customer, v.self) {
 			return true
 		}
