Call the tracker of proofs for several goroutines SharedTracker

Cause: Keeper does not say what the type is, quotas have keepers of another kind, and its comment promises that all methods of a nil one do nothing, which Now does not keep.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -104,7 +104,7 @@
 	// freshness proves that the configuration in force is recent; nil unless the
 	// settings require that. A value in proveOnce makes watchConfig read the
 	// configuration once for a newer proof.
-	freshness *freshness.Keeper
+	freshness *freshness.SharedTracker
 	proveOnce chan struct{}
 
 	loop  *loop
--- a/internal/daemon/proof.go
+++ b/internal/daemon/proof.go
@@ -25,9 +25,9 @@
 // daemon that starts may get its configuration from a peer and the proof shortly after.
 const ticksToLog = 4
 
-// newFreshness returns the keeper of the proof that the configuration in force is
+// newFreshness returns the tracker of the proof that the configuration in force is
 // recent, or nil if the settings require none.
-func (d *Daemon) newFreshness() *freshness.Keeper {
+func (d *Daemon) newFreshness() *freshness.SharedTracker {
 	s := d.cfg.Settings
 	if !s.StrictRevoke {
 		return nil
@@ -35,7 +35,7 @@
 	limit := s.RevokeLimit.Std()
 	// steps is the number of different shares that daemons get.
 	const steps = 1 << 10
-	return freshness.NewKeeper(freshness.Config{
+	return freshness.NewSharedTracker(freshness.Config{
 		MaxAge: limit - freshness.Margin(limit),
 		Share:  float64(xxhash.Sum64String(s.Instance)%steps) / steps,
 	}, d.cfg.BootClock)
--- a/internal/freshness/keeper.go
+++ b/internal/freshness/shared.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// Keeper makes a Tracker usable from several goroutines. A nil Keeper belongs to a
-// daemon that needs no proof: its methods do nothing, and requests are always served.
-type Keeper struct {
+// SharedTracker is a Tracker for use by several goroutines. A nil one belongs to a daemon
+// that needs no proof: its methods, except Now, do nothing, and requests are always served.
+type SharedTracker struct {
 	// clock reads the boot-time clock.
 	clock func() time.Duration
 	// refuseEarlier is the time before servedUntil from which no key counts as unknown,
@@ -28,34 +28,34 @@
 // never is before all times.
 const never = math.MinInt64
 
-// NewKeeper returns a keeper without a proof. Clock reads the boot-time clock.
-func NewKeeper(cfg Config, clock func() time.Duration) *Keeper {
-	k := &Keeper{clock: clock, tracker: NewTracker(cfg)}
-	k.refuseEarlier = int64(k.tracker.share(1 - refuseShare))
-	k.publish()
-	return k
+// NewSharedTracker returns a tracker without a proof. Clock reads the boot-time clock.
+func NewSharedTracker(cfg Config, clock func() time.Duration) *SharedTracker {
+	s := &SharedTracker{clock: clock, tracker: NewTracker(cfg)}
+	s.refuseEarlier = int64(s.tracker.share(1 - refuseShare))
+	s.publish()
+	return s
 }
 
 // publish makes the tracker's state visible to readers without the lock.
-func (k *Keeper) publish() {
-	until, proven := k.tracker.ServedUntil()
+func (s *SharedTracker) publish() {
+	until, proven := s.tracker.ServedUntil()
 	if !proven {
 		until = never
 	}
-	k.servedUntil.Store(int64(until))
+	s.servedUntil.Store(int64(until))
 	proof := time.Duration(never)
-	if k.tracker.proven {
-		proof = k.tracker.proof
+	if s.tracker.proven {
+		proof = s.tracker.proof
 	}
-	k.proof.Store(int64(proof))
+	s.proof.Store(int64(proof))
 }
 
 // update changes the tracker.
-func (k *Keeper) update(change func(t *Tracker)) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	change(k.tracker)
-	k.publish()
+func (s *SharedTracker) update(change func(t *Tracker)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s.tracker)
+	s.publish()
 }
 
 // Verdict says what the age of the proof allows.
@@ -72,79 +72,79 @@
 // Verdict returns the verdict on requests that have arrived before the call. It must be
 // called before the configuration is loaded: a configuration that comes into force
 // between the two is newer, but a proof that does is not valid for an older one.
-func (k *Keeper) Verdict() Verdict {
-	if k == nil {
+func (s *SharedTracker) Verdict() Verdict {
+	if s == nil {
 		return Verdict{Serve: true, Refuse: true}
 	}
-	until, now := k.servedUntil.Load(), int64(k.clock())
+	until, now := s.servedUntil.Load(), int64(s.clock())
 	if until == never {
 		return Verdict{}
 	}
-	return Verdict{Serve: now <= until, Refuse: now <= until-k.refuseEarlier}
+	return Verdict{Serve: now <= until, Refuse: now <= until-s.refuseEarlier}
 }
 
-// Now reads the boot-time clock.
-func (k *Keeper) Now() time.Duration { return k.clock() }
+// Now reads the boot-time clock. It must not be called on a nil SharedTracker.
+func (s *SharedTracker) Now() time.Duration { return s.clock() }
 
 // StoreAnswered records an answer of the store; Received is set here.
-func (k *Keeper) StoreAnswered(a Answer) {
-	if k == nil {
+func (s *SharedTracker) StoreAnswered(a Answer) {
+	if s == nil {
 		return
 	}
-	a.Received = k.clock()
-	k.update(func(t *Tracker) { t.StoreAnswered(a) })
+	a.Received = s.clock()
+	s.update(func(t *Tracker) { t.StoreAnswered(a) })
 }
 
 // PeerProved records a peer's proof; see Tracker.PeerProved.
-func (k *Keeper) PeerProved(proof time.Duration) {
-	if k == nil || int64(proof) <= k.proof.Load() {
+func (s *SharedTracker) PeerProved(proof time.Duration) {
+	if s == nil || int64(proof) <= s.proof.Load() {
 		return
 	}
-	now := k.clock()
-	k.update(func(t *Tracker) { t.PeerProved(now, proof) })
+	now := s.clock()
+	s.update(func(t *Tracker) { t.PeerProved(now, proof) })
 }
 
 // PeerClock records a peer's bound of the store's clock; see Tracker.PeerClock.
-func (k *Keeper) PeerClock(sent, upper time.Duration) {
-	if k == nil {
+func (s *SharedTracker) PeerClock(sent, upper time.Duration) {
+	if s == nil {
 		return
 	}
-	k.update(func(t *Tracker) { t.PeerClock(sent, upper) })
+	s.update(func(t *Tracker) { t.PeerClock(sent, upper) })
 }
 
 // Reset forgets everything; see Tracker.Reset.
-func (k *Keeper) Reset() {
-	if k != nil {
-		k.update((*Tracker).Reset)
+func (s *SharedTracker) Reset() {
+	if s != nil {
+		s.update((*Tracker).Reset)
 	}
 }
 
 // Age returns the largest possible age of the newest proof, and whether there is one.
-func (k *Keeper) Age() (time.Duration, bool) {
-	if k == nil {
+func (s *SharedTracker) Age() (time.Duration, bool) {
+	if s == nil {
 		return 0, false
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.tracker.Age(k.clock())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.Age(s.clock())
 }
 
 // Report returns what peers may learn; see Tracker.Report.
-func (k *Keeper) Report() (proof, upper time.Duration) {
-	if k == nil {
+func (s *SharedTracker) Report() (proof, upper time.Duration) {
+	if s == nil {
 		return 0, 0
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.tracker.Report(k.clock())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.Report(s.clock())
 }
 
 // Next returns where to look for a newer proof now; see Tracker.Next.
-func (k *Keeper) Next() Search {
-	if k == nil {
+func (s *SharedTracker) Next() Search {
+	if s == nil {
 		return Search{}
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.tracker.Next(k.clock())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.Next(s.clock())
 }
--- a/internal/freshness/tracker.go
+++ b/internal/freshness/tracker.go
@@ -7,8 +7,8 @@
 // force, and may be passed on to any daemon whose configuration is not older than that
 // of the daemon that has it.
 //
-// Tracker, ChooseSources and Margin make the decisions and do no I/O. Keeper makes a
-// Tracker usable from several goroutines and gives it the clock.
+// Tracker, ChooseSources and Margin make the decisions and do no I/O. SharedTracker makes
+// a Tracker usable from several goroutines and gives it the clock.
 package freshness
 
 import (
--- a/internal/proxy/customer_test.go
+++ b/internal/proxy/customer_test.go
@@ -118,7 +118,7 @@
 func TestKeysNeedAProof(t *testing.T) {
 	p, last := newCustomerProxy(t)
 	now := time.Hour
-	p.deps.Freshness = freshness.NewKeeper(freshness.Config{MaxAge: 4 * time.Second}, func() time.Duration { return now })
+	p.deps.Freshness = freshness.NewSharedTracker(freshness.Config{MaxAge: 4 * time.Second}, func() time.Duration { return now })
 	p.running.add("running", false)
 	check := func(when string, known, unknown int) {
 		t.Helper()
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -54,7 +54,7 @@
 	// handshakes and in pings.
 	helloState, state func() *hopv1.State
 	// freshness is nil if this daemon needs no proof of its configuration.
-	freshness *freshness.Keeper
+	freshness *freshness.SharedTracker
 
 	mu sync.RWMutex
 	// all holds the peers that this daemon connects to, by instance.
--- a/internal/proxy/proof.go
+++ b/internal/proxy/proof.go
@@ -27,9 +27,9 @@
 	return store.TimeFromMS(state.GetProofMs())
 }
 
-// SetFreshness sets the keeper that learns the store's clock from peers. It must be
+// SetFreshness sets the tracker that learns the store's clock from peers. It must be
 // called before SetMembers.
-func (ps *Peers) SetFreshness(keeper *freshness.Keeper) { ps.freshness = keeper }
+func (ps *Peers) SetFreshness(tracker *freshness.SharedTracker) { ps.freshness = tracker }
 
 // pingClock returns the clock that times pings, or nil if that is not needed.
 func (ps *Peers) pingClock() func() time.Duration {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -94,7 +94,7 @@
 	BroadcastState func()
 	// Freshness proves that the configuration in force is recent; nil if requests with
 	// customers' keys need no such proof.
-	Freshness *freshness.Keeper
+	Freshness *freshness.SharedTracker
 	// BootClock reads the clock that goes on while the machine is suspended; nil means
 	// the monotonic clock.
 	BootClock  func() time.Duration
