--- a/internal/manifest/diff.go
+++ b/internal/manifest/diff.go
@@ -77,9 +77,9 @@
 
 // Diff returns the differences between two valid manifests: mesh, limits, data
 // centres, services, routes, retry rules, customers, in this order. Keys appear as
-// fingerprints. Within each kind, the entries
-// of the old manifest come first, in its order, then the added ones; moved routes
-// follow the other changes of routes. A nil manifest is one without entries.
+// fingerprints. Within each kind, the entries of the old manifest come first, in its
+// order, then the added ones; moved routes follow the other changes of routes. A nil
+// manifest is one without entries.
 func Diff(old, new *Manifest) []Change {
 	before, after := normalized(old), normalized(new)
 	var changes []Change
