--- a/internal/rollout/faults_test.go
+++ b/internal/rollout/faults_test.go
@@ -123,7 +123,7 @@
 		case Publish:
 			n.view = &e.Views[0]
 			if e.NotifyPeers {
-				c.tell(n)
+				c.notify(n)
 			}
 		case SendReport:
 			for _, instance := range e.To {
@@ -143,8 +143,8 @@
 	}
 }
 
-// tell sends what a daemon knows to all that it reaches.
-func (c *cluster) tell(n *node) {
+// notify sends what a daemon knows to all that it reaches.
+func (c *cluster) notify(n *node) {
 	if n.view == nil || n.view.Unresolved {
 		return
 	}
@@ -244,7 +244,7 @@
 			c.step(n, PeerReachability{Instance: other.instance, Reachable: up})
 			if up {
 				c.step(n, PeerState{Instance: other.instance, Service: "desk", Version: other.version})
-				c.tell(other)
+				c.notify(other)
 			}
 		}
 	}
@@ -272,7 +272,7 @@
 	c.step(n, step.Tick{})
 	if c.now-n.pinged >= 2*time.Second {
 		n.pinged = c.now
-		c.tell(n)
+		c.notify(n)
 	}
 }
 
