--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -16,9 +16,9 @@
 	// last requests of old upstreams and the writes need; the move begins no earlier.
 	moveShare = 0.5
 	moveTime  = 6 * time.Second
-	// patience is how much longer, as a share of the period, the move waits for
+	// rareRouteWait is how much longer, as a share of the period, the move waits for
 	// evidence that excludes faults on rare routes.
-	patience = 0.1
+	rareRouteWait = 0.1
 	// lastMoveShare is the share of moveTime before the end of the period at which the move
 	// begins even if the evidence is small.
 	lastMoveShare = 0.6
@@ -27,15 +27,15 @@
 	stepShareOfPeriod = 1.0 / 15
 	maxStep           = 800 * time.Millisecond
 	// judgeInterval is the time between two verdicts, evidenceInterval that between two
-	// log lines about the evidence.
+	// log lines about the evidence and between two about what the next phase waits for.
 	judgeInterval    = 300 * time.Millisecond
 	evidenceInterval = time.Second
 	// minCapacity is the number of slots of the new version, as a share of that of the
 	// old one, from which it can take all requests.
 	minCapacity = 0.7
-	// soleWait is how long a rollout waits to learn of an upstream of another version
+	// versionsWait is how long a rollout waits to learn of an upstream of another version
 	// before it concludes that there is none.
-	soleWait = 2 * time.Second
+	versionsWait = 2 * time.Second
 	// suspicionShare is the share of Config.Rollback after which a version is reverted
 	// that has had a score of lastingScore all the time. It is longer than the recent
 	// times that are judged, so that a chance result has left them. With few requests a
@@ -54,12 +54,20 @@
 	staleDelay   = time.Second
 )
 
+// Reasons of phases that are given in several places.
+const (
+	reasonNoFault    = "no fault found"
+	reasonOneVersion = "no upstream has another version"
+	reasonDrained    = "all old upstreams are closed and idle"
+)
+
 // coordination is the state that only the coordinator uses.
 type coordination struct {
 	// on is set while this daemon is the coordinator.
 	on bool
 	// rowsKnown is set while the versions of the store's rows are known: status and
-	// phase. saved is the phase row's content.
+	// phase. While it is clear, they are read before the next write. saved is the phase
+	// row's content.
 	rowsKnown     bool
 	statusVersion uint64
 	phaseVersion  uint64
@@ -70,12 +78,15 @@
 	// completing is set from a write of the completion until its outcome is known.
 	completing bool
 
-	// suspectSince is when the version came under suspicion; 0 if it is under none.
+	// suspectSince is since when the version has had a score of lastingScore; 0 if it
+	// has a lower one.
 	suspectSince time.Duration
-	verdict      Verdict
-	judgedAt     time.Duration
-	evidenceAt   time.Duration
-	waitingAt    time.Duration
+	// verdict is the one of judgedAt. The evidence was last logged at evidenceAt,
+	// waiting at waitingAt.
+	verdict    Verdict
+	judgedAt   time.Duration
+	evidenceAt time.Duration
+	waitingAt  time.Duration
 	// waiting says what the next phase waits for.
 	waiting string
 }
@@ -145,7 +156,7 @@
 // it waits for something else than time.
 func (c *Core) logWaiting(s *service) {
 	overdue := c.now-s.knownAt >= moveAt(s.Period)
-	missing := s.Phase == Trial && c.now-s.knownAt >= soleWait && (len(s.From) == 0 || !c.hasMemberOf(s, s.To))
+	missing := s.Phase == Trial && c.now-s.knownAt >= versionsWait && (len(s.From) == 0 || !c.hasMemberOf(s, s.To))
 	if s.waiting == "" || !overdue && !missing || c.now-s.waitingAt < evidenceInterval {
 		return
 	}
@@ -202,7 +213,8 @@
 	return e
 }
 
-// decide enters the next phase if its conditions hold.
+// decide enters the next phase if its conditions hold. Phases full and completed are
+// entered only once the store has accepted them; see wanted and written.
 func (c *Core) decide(s *service) {
 	s.waiting = ""
 	if !s.Phase.Active() {
@@ -218,7 +230,7 @@
 		c.decideMove(s)
 	case StepOne:
 		if c.stepDone(s) {
-			c.enter(s, StepTwo, "no fault found", c.cfg.Instance)
+			c.enter(s, StepTwo, reasonNoFault, c.cfg.Instance)
 		}
 	}
 }
@@ -249,7 +261,7 @@
 	enough := s.enough(age, begin)
 	switch {
 	case len(s.From) == 0:
-		s.waiting = "no upstream has another version"
+		s.waiting = reasonOneVersion
 	case newSlots == 0:
 		s.waiting = "no upstream of version " + s.To
 	case age < begin:
@@ -273,12 +285,13 @@
 // would be too late for the period only some answers.
 func (s *service) enough(age, begin time.Duration) bool {
 	v := &s.verdict
-	fair := begin + time.Duration(patience*float64(s.Period))
-	last := max(fair, s.Period-time.Duration(lastMoveShare*float64(moveTime)))
-	return v.Good || v.Fair && age >= fair || v.Answers >= minAnswers && age >= last
+	relaxed := begin + time.Duration(rareRouteWait*float64(s.Period))
+	latest := max(relaxed, s.Period-time.Duration(lastMoveShare*float64(moveTime)))
+	return v.Good || v.GoodOverall && age >= relaxed || v.Answers >= minAnswers && age >= latest
 }
 
-// stepDone reports whether the present step may be followed by the next one.
+// stepDone reports whether the present step may be followed by the next one. Otherwise
+// it sets what this waits for.
 func (c *Core) stepDone(s *service) bool {
 	length := min(time.Duration(stepShareOfPeriod*float64(s.Period)), maxStep)
 	switch {
--- a/internal/rollout/faults_test.go
+++ b/internal/rollout/faults_test.go
@@ -47,9 +47,10 @@
 	view                  *View
 	// reaches holds the peers that the daemon found reachable.
 	reaches map[string]bool
-	// readAt is when it has read the requests; the upstream gets none before.
+	// ready is set once it has read the rollout requests; the upstream gets no calls before.
 	ready bool
-	// running is when the last request of the upstream ends after it was closed.
+	// open is set while the upstream's admission controller is open; its last request
+	// ends at closeAt.
 	open    bool
 	closeAt time.Duration
 	answers uint32
@@ -121,8 +122,8 @@
 		switch e := effect.(type) {
 		case Publish:
 			n.view = &e.Views[0]
-			if e.Tell {
-				c.tell(n)
+			if e.NotifyPeers {
+				c.notify(n)
 			}
 		case SendReport:
 			for _, instance := range e.To {
@@ -142,14 +143,14 @@
 	}
 }
 
-// tell sends what a daemon knows to all that it reaches.
-func (c *cluster) tell(n *node) {
+// notify sends what a daemon knows to all that it reaches.
+func (c *cluster) notify(n *node) {
 	if n.view == nil || n.view.Unresolved {
 		return
 	}
 	for _, other := range c.nodes {
 		if other != n && c.linked(n, other) {
-			c.send(other, ProgressHeard{Instance: n.instance, Progress: []Progress{n.view.Progress}})
+			c.send(other, ProgressReceived{Instance: n.instance, Progress: []Progress{n.view.Progress}})
 		}
 	}
 }
@@ -243,7 +244,7 @@
 			c.step(n, PeerReachability{Instance: other.instance, Reachable: up})
 			if up {
 				c.step(n, PeerState{Instance: other.instance, Service: "desk", Version: other.version})
-				c.tell(other)
+				c.notify(other)
 			}
 		}
 	}
@@ -271,7 +272,7 @@
 	c.step(n, step.Tick{})
 	if c.now-n.pinged >= 2*time.Second {
 		n.pinged = c.now
-		c.tell(n)
+		c.notify(n)
 	}
 }
 
