Compute the cost of a candidate by component

Cause: routing.Choose added up the cost of a candidate in several functions, so that nothing could tell an operator what it consists of without doing the same again. Change: one function returns the cost by component.

--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -78,56 +78,21 @@
 }
 
 const (
-	// remoteRTT is added to the cost of remote candidates for the network round
-	// trip to another data centre.
-	remoteRTT = 10 * time.Millisecond
-	// remoteCostPerKilobyte is how much longer a request may wait locally for
-	// each kilobyte that it would send to and receive from another data centre.
-	remoteCostPerKilobyte = 20 * time.Millisecond
-	// overheadBytes is the size of the frames and headers of a request and its
-	// answer, without their bodies.
-	overheadBytes = 700
 	// localOnlyBytes is the size in bytes from which a request is sent to
 	// another data centre only when no local upstream is available.
 	localOnlyBytes = LargeRequestBytes
-	// explorationShare is the share of requests that go to a random local
+	// ExplorationShare is the share of requests that go to a random local
 	// upstream with a free slot. It keeps the reports of all of them recent and
 	// shows when a new upstream is fast.
-	explorationShare = 0.04
+	ExplorationShare = 0.04
 	// jitter is the largest random addition to a candidate's cost, as a share
 	// of the mean service time of the candidates, so that daemons with the same
 	// reports choose differently.
 	jitter = 0.3
-	// fullPenalty is the added cost of an upstream with all slots taken, in mean
-	// service times of the candidates. It grows with the square of the load. Other
-	// daemons have placed requests there that are not reported yet; without the
-	// penalty all daemons would fill the fastest upstream first. It is the same for
-	// fast and slow upstreams: as a multiple of the upstream's own service time it
-	// would weigh least where the load is highest. With 6, the slowest upstream gets
-	// requests while the fastest one, three times as fast, has free slots; with 2, only
-	// once that is full (docs/design/load.md).
-	fullPenalty = 6
-	// pendingPingWeight is the weight of PendingPingAge in the cost. It is
-	// above 1 because the wait for a daemon that is cut off has only begun.
-	pendingPingWeight = 4
-	// goalMargin is the factor by which the expected time until the answer of a
-	// local upstream may grow without missing the goal. Service times vary.
-	goalMargin = 1.5
-	// failurePenalty is the added cost of an upstream that fails all its requests
-	// while the others fail none, in service times. An upstream that fails requests at
-	// once is idle, so the cost of a sixth of failures beyond the tolerable share must
-	// exceed fullPenalty times the load of the others.
-	failurePenalty = 30
-	// tolerableFailureShare is by how much the share of failed requests may exceed
-	// the mean before it counts. If all upstreams fail requests alike, the
-	// differences are chance, and would only concentrate the load.
-	tolerableFailureShare = 0.15
 	// largeJitter replaces jitter for large requests. Their cost depends on the
 	// network links of machines, which are alike, and not on which upstream
 	// computes fastest.
 	largeJitter = 300 * time.Millisecond
-	// kilobyte is the unit of remoteCostPerKilobyte, in bytes.
-	kilobyte = 1024
 )
 
 // LargeRequestBytes is the size in bytes, of a request and its answer together,
@@ -140,46 +105,65 @@
 // of a random local candidate with a free slot. It returns -1 if no candidate may be
 // chosen.
 func Choose(candidates []Candidate, request PlacementRequest) int {
-	hasLocal := HasLocal(candidates)
 	request.meanFailureShare = meanFailureShare(candidates)
-	if request.Rand() < explorationShare {
+	if request.Rand() < ExplorationShare {
 		if i := request.randomFree(candidates); i >= 0 {
 			return i
 		}
 	}
-	local := request.best(candidates, func(c *Candidate) bool { return c.Local })
-	cheapest := request.cheapestLocal(candidates, local)
-	if local >= 0 && request.meetsGoal(&candidates[cheapest]) {
-		return local
+	chosen, _ := request.choose(candidates)
+	return chosen
+}
+
+// choose is Choose without the random candidates. It also returns what decided.
+func (r *PlacementRequest) choose(candidates []Candidate) (int, Basis) {
+	hasLocal := HasLocal(candidates)
+	local := r.best(candidates, isLocal)
+	cheapest, lowest := r.cheapestLocal(candidates, local)
+	if local >= 0 && r.meetsGoal(&candidates[cheapest], &lowest) {
+		return local, KeepsGoal
 	}
-	remote := request.best(candidates, func(c *Candidate) bool {
-		return !c.Local && (!hasLocal || c.allowsSpillover(request.Bytes, local < 0))
+	remote := r.best(candidates, func(c *Candidate) bool {
+		return !c.Local && r.allowsRemote(c, hasLocal, local < 0)
 	})
-	if local < 0 || remote < 0 {
-		return max(local, remote)
+	switch {
+	case local < 0 && remote < 0:
+		return -1, NoneLeft
+	case local < 0:
+		return remote, OnlyRemote
+	case remote < 0:
+		return local, OnlyLocal
 	}
-	if request.cost(&candidates[remote]) < request.cost(&candidates[cheapest]) {
-		return remote
+	if cost := r.cost(&candidates[remote], 0); cost.withoutPenalties() < lowest.withoutPenalties() {
+		return remote, RemoteCheaper
 	}
-	return local
+	return local, LocalCheaper
 }
 
+func isLocal(c *Candidate) bool { return c.Local }
+
 // cheapestLocal returns the index of the local candidate with the lowest cost, without
-// its load penalty, among the one at index chosen and those with a free slot. It is what
-// a remote candidate is compared with: that a slower one was chosen to even out the load
-// is no reason to leave the data centre.
-func (r *PlacementRequest) cheapestLocal(candidates []Candidate, chosen int) int {
-	cheapest := chosen
+// its load penalty, among the one at index chosen and those with a free slot, and that
+// cost. It is what a remote candidate is compared with: that a slower one was chosen to
+// even out the load is no reason to leave the data centre.
+func (r *PlacementRequest) cheapestLocal(candidates []Candidate, chosen int) (int, Cost) {
+	if chosen < 0 {
+		return -1, Cost{}
+	}
+	cheapest, lowest := chosen, r.cost(&candidates[chosen], 0)
 	for i := range candidates {
 		c := &candidates[i]
-		if chosen >= 0 && c.Local && r.mayTake(c) && c.ExpectedWait() == 0 && r.cost(c) < r.cost(&candidates[cheapest]) {
-			cheapest = i
+		if !c.Local || !r.mayTake(c) || c.ExpectedWait() > 0 {
+			continue
+		}
+		if cost := r.cost(c, 0); cost.withoutPenalties() < lowest.withoutPenalties() {
+			cheapest, lowest = i, cost
 		}
 	}
-	return cheapest
+	return cheapest, lowest
 }
 
-// best returns the index of the candidate with the lowest cost, penalty and
+// best returns the index of the candidate with the lowest cost, penalties and
 // random addition included, among those that are available, eligible and not
 // tried yet, or -1.
 func (r *PlacementRequest) best(candidates []Candidate, eligible func(*Candidate) bool) int {
@@ -190,7 +174,8 @@
 		if !eligible(c) || !r.mayTake(c) {
 			continue
 		}
-		cost := r.cost(c) + c.loadPenalty(mean) + r.latePenalty(c, mean) + time.Duration(r.Rand()*float64(r.jitter(mean)))
+		parts := r.cost(c, mean)
+		cost := parts.Total() + time.Duration(r.Rand()*float64(r.jitter(mean)))
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -248,104 +233,29 @@
 	return chosen
 }
 
-// allowsSpillover reports whether the remote candidate may get a spillover
-// request of the given size: only when it most likely has a free slot, and
-// never a large request. If no local candidate is left, the request would be refused
+// allowsRemote reports whether the remote candidate may get the request, given whether
+// there are local upstreams and whether none of them is left.
+func (r *PlacementRequest) allowsRemote(c *Candidate, hasLocal, lastResort bool) bool {
+	return !hasLocal || c.spilloverBar(r.Bytes, lastResort) == NotBarred
+}
+
+// spilloverBar returns why the remote candidate may not get a spillover request of the
+// given size, or NotBarred: it gets one only when it most likely has a free slot, and
+// never a large one. If no local candidate is left, the request would be refused
 // otherwise; so as a last resort, a load that is known from an old report only counts
 // less.
-func (c *Candidate) allowsSpillover(bytes int, lastResort bool) bool {
+func (c *Candidate) spilloverBar(bytes int, lastResort bool) Bar {
+	if bytes >= localOnlyBytes {
+		return BarredLarge
+	}
 	load := c.Load
 	if lastResort {
 		load *= c.delayFreshness()
 	}
-	return bytes < localOnlyBytes && load < float64(c.Slots)
-}
-
-// meetsGoal reports whether the candidate is expected to answer within the goal,
-// also when the answer takes goalMargin times as long as expected.
-func (r *PlacementRequest) meetsGoal(c *Candidate) bool {
-	return r.excessFailures(c) == 0 && goalMargin*float64(r.answerTime(c)) <= float64(r.Goal)
-}
-
-// cost returns the expected time until the answer, plus the costs of a failure and
-// of data sent to another data centre, both expressed as time.
-func (r *PlacementRequest) cost(c *Candidate) time.Duration {
-	cost := r.answerTime(c) + time.Duration(failurePenalty*r.excessFailures(c)*float64(c.ServiceTime))
-	if !c.Local {
-		cost += remoteRTT + remoteCostPerKilobyte*time.Duration(r.Bytes+overheadBytes)/kilobyte
-	}
-	return cost
-}
-
-// excessFailures returns by how much the candidate's share of failed requests
-// exceeds what is tolerable, or 0.
-func (r *PlacementRequest) excessFailures(c *Candidate) float64 {
-	return max(c.FailureShare-r.meanFailureShare-tolerableFailureShare, 0)
-}
-
-// meanFailureShare returns the mean share of failed requests of the available
-// candidates, or 0 if there are none.
-func meanFailureShare(candidates []Candidate) float64 {
-	sum, count := 0.0, 0.0
-	for i := range candidates {
-		if candidates[i].Available {
-			sum += candidates[i].FailureShare
-			count++
-		}
-	}
-	return sum / max(count, 1)
-}
-
-// answerTime returns the expected time until the answer. The older the report, the
-// less its network delays count.
-func (r *PlacementRequest) answerTime(c *Candidate) time.Duration {
-	delay := c.RTT
-	if r.Bytes >= LargeRequestBytes {
-		delay += c.LinkBacklog
-	}
-	delay = time.Duration(c.delayFreshness() * float64(delay))
-	return c.ExpectedWait() + r.serviceTime(c) + delay + pendingPingWeight*c.PendingPingAge
-}
-
-// serviceTime returns the expected service time of the request at the candidate.
-func (r *PlacementRequest) serviceTime(c *Candidate) time.Duration {
-	if r.Work <= 0 {
-		return c.ServiceTime
-	}
-	return time.Duration(r.Work * float64(c.ServiceTime))
-}
-
-// ExpectedWait returns the expected time until the request gets a slot.
-func (c *Candidate) ExpectedWait() time.Duration {
-	excess := c.Load + 1 - float64(c.Slots)
-	if excess <= 0 || c.Slots == 0 {
-		return 0
-	}
-	return time.Duration(excess * float64(c.ServiceTime) / float64(c.Slots))
-}
-
-// loadPenalty returns the cost of the load, without this request, besides the wait that
-// it causes; see fullPenalty. If this request counted, an idle upstream that advertises a
-// single slot, in its slow start or under a named limit, would get none before the others
-// are full. Mean is the mean service time of the candidates. The penalty is used to
-// compare local candidates with each other, or remote ones, but not a local one with a
-// remote one: load below capacity must not move requests to another data centre.
-func (c *Candidate) loadPenalty(mean time.Duration) time.Duration {
-	if c.Slots == 0 {
-		return 0
-	}
-	share := c.Load / float64(c.Slots)
-	return time.Duration(fullPenalty * share * share * float64(mean))
-}
-
-// latePenalty returns the added cost of a candidate that is expected to answer after the
-// goal: that of one with all slots taken, so that evening out the load makes no request
-// late while another candidate with a free slot would answer in time.
-func (r *PlacementRequest) latePenalty(c *Candidate, mean time.Duration) time.Duration {
-	if r.Goal <= 0 || r.answerTime(c) <= r.Goal {
-		return 0
+	if load >= float64(c.Slots) {
+		return BarredFull
 	}
-	return fullPenalty * mean
+	return NotBarred
 }
 
 // jitter returns the largest random addition to a candidate's cost, given the mean
