--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -51,9 +51,12 @@
 	return granted
 }
 
-// wait returns the time until the next token.
-func (b *bucket) wait() time.Duration {
-	return min(time.Duration((1-b.level)/b.rate*float64(time.Second)), maxRefusal)
+// wait returns the time until the next token, at most maxRefusal.
+func (b *bucket) wait() time.Duration { return min(b.untilToken(), maxRefusal) }
+
+// untilToken returns the time until the next token, or 0 if there is one.
+func (b *bucket) untilToken() time.Duration {
+	return max(time.Duration((1-b.level)/b.rate*float64(time.Second)), 0)
 }
 
 // estimate is an exponentially decaying estimate of a rate.
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -85,7 +85,7 @@
 }
 
 func admit(c *customer, now time.Duration, own bool) Decision {
-	return Decision{Action: Admit, Token: Token{Customer: c.name, taken: now, own: own}}
+	return Decision{Action: Admit, Token: Token{Customer: c.name, taken: now, own: own}, own: own}
 }
 
 // askOwner returns the decision to ask for tokens, or to wait for the answer to
@@ -200,7 +200,7 @@
 	c.ownAt = now
 	if c.ownLevel < 1 {
 		wait := time.Duration((1 - c.ownLevel) / rate * float64(time.Second))
-		return Decision{Action: Refuse, Wait: min(wait, maxRefusal)}
+		return Decision{Action: Refuse, Wait: min(wait, maxRefusal), own: true}
 	}
 	c.ownLevel--
 	c.used++
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -97,4 +97,6 @@
 	Wait time.Duration
 	// Message is set for Ask.
 	Message Message
+	// own is set if the decision is by the daemon's own share.
+	own bool
 }
