Separate the sets of upstreams in a rollout from the draw

Cause: which upstreams an attempt may be placed at during a rollout was known only by drawing one of the sets, which may take exposure. Exposure.Chance returns the probability with which Take succeeds. Conclusion: the explanation of a placement can name the sets without changing the exposure.

--- a/internal/proxy/rollout.go
+++ b/internal/proxy/rollout.go
@@ -176,153 +176,10 @@
 	triedNew bool
 }
 
-// allowedByRollout returns the candidates that a request may be sent to in any attempt.
-func (f *forwarder) allowedByRollout(candidates []routing.Candidate) []routing.Candidate {
-	v := f.proxy.rollouts.view(f.call.service)
-	if v == nil {
-		return candidates
-	}
-	side := rollout.SideAny
-	if v.Phase == rollout.Trial && v.Gated {
-		side = rollout.SideOld
-	}
-	return onSide(candidates, v, side)
-}
-
-// onSide returns the candidates on a side of a rollout.
-func onSide(candidates []routing.Candidate, v *rollout.View, side rollout.Side) []routing.Candidate {
-	left := make([]routing.Candidate, 0, len(candidates))
-	for _, c := range candidates {
-		if v.Allows(c.Version, side) {
-			left = append(left, c)
-		}
-	}
-	return left
-}
-
-// hasAvailable reports whether a candidate that was not tried accepts requests.
-func (f *forwarder) hasAvailable(candidates []routing.Candidate) bool {
-	for i := range candidates {
-		if candidates[i].Available && !f.hasTried(candidates[i].Instance) {
-			return true
-		}
-	}
-	return false
-}
-
-// limitToRollout returns the candidates for the next attempt: those of the old or those
-// of the new version while the service is moved. In the trial a request goes to the new
-// version only if there is exposure for it, and after a failure there to the old one.
-func (f *forwarder) limitToRollout(candidates []routing.Candidate) []routing.Candidate {
-	p, a := f.proxy, &f.rollout
-	f.call.request.Exposed = 0
-	a.view = p.rollouts.view(f.call.service)
-	if a.view == nil {
-		return candidates
-	}
-	switch a.view.Phase {
-	case rollout.Trial:
-		if !a.view.Gated {
-			return onSide(candidates, a.view, rollout.SideAny)
-		}
-		if trial := f.trialCandidates(candidates); f.takeExposure(trial) {
-			return trial
-		}
-		return onSide(candidates, a.view, rollout.SideOld)
-	case rollout.StepOne, rollout.StepTwo:
-		return f.stepCandidates(candidates)
-	case rollout.Full:
-		return f.sample(onSide(candidates, a.view, rollout.SideNew))
-	default:
-		return onSide(candidates, a.view, rollout.SideAny)
-	}
-}
-
-// stepCandidates returns the candidates of a randomly drawn version, or of the other one
-// if that has none left.
-func (f *forwarder) stepCandidates(candidates []routing.Candidate) []routing.Candidate {
-	v := f.rollout.view
-	oldOnes, newOnes := onSide(candidates, v, rollout.SideOld), onSide(candidates, v, rollout.SideNew)
-	toNew := !f.rollout.triedNew && rand.Float64() < v.Share(0)
-	if !toNew && f.hasAvailable(oldOnes) {
-		return oldOnes
-	}
-	if !f.hasAvailable(newOnes) {
-		return oldOnes
-	}
-	if some := inStep(newOnes, v.Share(0)); f.hasAvailable(some) {
-		return f.sample(some)
-	}
-	return f.sample(newOnes)
-}
-
-// inStep returns the available upstreams of the own data centre that get requests in a
-// step with the share.
-func inStep(candidates []routing.Candidate, share float64) []routing.Candidate {
-	var instances []string
-	for i := range candidates {
-		if candidates[i].Local && candidates[i].Available {
-			instances = append(instances, candidates[i].Instance)
-		}
-	}
-	chosen := rollout.InStep(instances, share)
-	var left []routing.Candidate
-	for _, c := range candidates {
-		if chosen[c.Instance] {
-			left = append(left, c)
-		}
-	}
-	return left
-}
-
-// sampleSize is the number of candidates of one data centre among which a request to the
-// new version chooses during the move.
-const sampleSize = 2
-
-// sample returns sampleSize random available candidates of the own data centre, and as
-// many of others. All daemons turn to the new upstreams at the same moment and know little
-// of their load and speed; without the sample they would all choose the same one.
-func (f *forwarder) sample(candidates []routing.Candidate) []routing.Candidate {
-	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	left := candidates[:0]
-	taken := map[bool]int{}
-	for _, c := range candidates {
-		if c.Available && !f.hasTried(c.Instance) && taken[c.Local] < sampleSize {
-			taken[c.Local]++
-			left = append(left, c)
-		}
-	}
-	return left
-}
-
-// trialCandidates returns the upstreams that take part in the trial. They are few and
-// in any data centre, and get equal parts of the requests; only large requests stay
-// in their data centre.
-func (f *forwarder) trialCandidates(candidates []routing.Candidate) []routing.Candidate {
-	all := onSide(candidates, f.rollout.view, rollout.SideNew)
-	var upstreams []rollout.Participant
-	for i := range all {
-		if all[i].Available {
-			upstreams = append(upstreams, rollout.Participant{Instance: all[i].Instance, Load: all[i].Load, Slots: all[i].Slots})
-		}
-	}
-	chosen := rollout.Participants(upstreams, f.proxy.cfg.ExposeShare)
-	large := f.proxy.routes.size(f.call.route.Name) >= routing.LargeRequestBytes
-	left := all[:0]
-	for _, c := range all {
-		if !chosen[c.Instance] || large && !c.Local {
-			continue
-		}
-		c.Local = true
-		left = append(left, c)
-	}
-	return left
-}
-
 // takeExposure takes exposure for an attempt at one of the candidates, and reports
 // whether there was some.
 func (f *forwarder) takeExposure(candidates []routing.Candidate) bool {
-	if f.rollout.triedNew || !f.hasAvailable(candidates) {
+	if !f.mayBeExposed(candidates) {
 		return false
 	}
 	r, v := f.proxy.rollouts, f.rollout.view
@@ -336,6 +193,24 @@
 	return true
 }
 
+// exposureChance returns the probability with which takeExposure would take exposure.
+func (f *forwarder) exposureChance(candidates []routing.Candidate) float64 {
+	r, v := f.proxy.rollouts, f.rollout.view
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.exposures[v.Service]
+	if e == nil || e.Request() != v.Position.Version || !f.mayBeExposed(candidates) {
+		return 0
+	}
+	return e.Chance(f.call.route.Name)
+}
+
+// mayBeExposed reports whether an attempt at one of the candidates may use exposure. A
+// request that was tried at the new version is not sent there again.
+func (f *forwarder) mayBeExposed(candidates []routing.Candidate) bool {
+	return !f.rollout.triedNew && f.hasAvailable(candidates)
+}
+
 // chooseVersion records the version of the upstream that was chosen.
 func (f *forwarder) chooseVersion(version string) {
 	if v := f.rollout.view; v != nil && version == v.To {
--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -55,16 +55,26 @@
 // Take takes exposure for a request of the route, if there is some and the draw, a
 // random number in [0,1), does not leave it to a rarer route.
 func (e *Exposure) Take(route string, draw float64) bool {
-	if e.left < 1 {
-		return false
-	}
-	if e.left < maxSavedExposure && draw >= e.probability(route) {
+	if draw >= e.Chance(route) {
 		return false
 	}
 	e.left--
 	return true
 }
 
+// Chance returns the probability with which Take takes exposure for a request of the
+// route.
+func (e *Exposure) Chance(route string) float64 {
+	switch {
+	case e.left < 1:
+		return 0
+	case e.left >= maxSavedExposure:
+		return 1
+	default:
+		return e.probability(route)
+	}
+}
+
 // probability is 1 for routes with at most the mean share of the answers and falls to
 // minTakeProbability with their share.
 func (e *Exposure) probability(route string) float64 {
