Explain on the metrics listener where a request would go

Cause: an operator who asks why a request goes to an upstream, or to none, had to conclude it from log lines of requests that had been sent. Change: the daemon answers at status.RoutePath with the route, the refusal that the caller would get, the customer and its quota, the rollout, and each upstream with its load, cost and rank. The route, the customer, the sets of a rollout, the cost and the choice come from the functions that serve callers, which are split for it: findRoute, goalOf, maxBodyBytes, placementRequest. Candidates know why they are not available. Conclusion: a question sends no message and changes no state. Quarantine and the age of a retried request are not part of it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -398,6 +398,7 @@
 func (d *Daemon) metricsHandler() http.Handler {
 	e := echo.New()
 	e.GET(status.Path, func(c echo.Context) error { return c.JSON(http.StatusOK, d.status()) })
+	e.GET(status.RoutePath, d.explainRoute)
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})))
 	return e
 }
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -11,6 +11,7 @@
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 	"godwitmount/internal/code"
+	"godwitmount/internal/freshness"
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/quota"
 	"godwitmount/internal/upstream"
@@ -79,30 +80,22 @@
 	if p.entryClosed.Load() && !c.nested {
 		return c, newFailure(code.CallDraining)
 	}
-	verdict := p.deps.Freshness.Verdict()
-	table := p.table.Load()
-	if table == nil {
-		return c, newFailure(code.CallNotReady)
-	}
-	c.version = table.Version
-	path := r.URL.Path
-	route, ok := table.Match(manifest.Request{Method: r.Method, Host: r.Host, Path: path, Header: r.Header})
-	if !ok {
-		return c, newFailure(code.CallNoRoute)
+	table, verdict, f := p.findRoute(c, manifest.Request{Method: r.Method, Host: r.Host, Path: r.URL.Path, Header: r.Header})
+	if f != nil {
+		return c, f
 	}
-	c.route = route
 	p.setTimes(c, r)
-	f := p.identifyCustomer(c, r.Header, table, verdict)
-	if f != nil {
+	if f = p.identifyCustomer(c, r.Header, table, verdict); f != nil {
 		return c, f
 	}
 	// Before the body is read: a customer that sends too much must not fill the memory.
 	if c.token, f = p.takeToken(r.Context(), c); f != nil {
 		return c, f
 	}
+	route := c.route
 	c.idempotent = route.IsIdempotent(r.Method)
 	c.service = pickTarget(route)
-	body, f := readBody(w, r, c, table.Manifest().Limits.MaxBodyBytes)
+	body, f := readBody(w, r, c, maxBodyBytes(table))
 	if f != nil {
 		return c, f
 	}
@@ -131,6 +124,23 @@
 	return c, nil
 }
 
+// findRoute sets the call's route, by the configuration in force. It returns that
+// configuration, which is nil if there is none, and whether it is known to be recent.
+func (p *Proxy) findRoute(c *call, request manifest.Request) (*Table, freshness.Verdict, *failure) {
+	verdict := p.deps.Freshness.Verdict()
+	table := p.table.Load()
+	if table == nil {
+		return nil, verdict, newFailure(code.CallNotReady)
+	}
+	c.version = table.Version
+	route, ok := table.Match(request)
+	if !ok {
+		return table, verdict, newFailure(code.CallNoRoute)
+	}
+	c.route = route
+	return table, verdict, nil
+}
+
 // setTimes sets the call's deadline and goal. The deadline is the earlier of the
 // caller's and the route's. The goal counts from when the request was first
 // received, so a retry by the caller does not extend it.
@@ -145,12 +155,17 @@
 	c.key = requestKey(r)
 	c.firstSeen = p.recentRefusals.firstSeen(c.key, p.now())
 	c.age = p.now() - c.firstSeen
-	goal := c.route.Goal.Std()
-	if goal <= 0 {
-		goal = time.Duration(float64(timeout) * defaultGoalShare)
-	}
 	c.deadline = c.started.Add(timeout)
-	c.goal = c.started.Add(min(goal-c.age, timeout))
+	c.goal = c.started.Add(min(goalOf(c.route, timeout)-c.age, timeout))
+}
+
+// goalOf returns the time until the goal of a new request on the route, given the time to
+// its deadline.
+func goalOf(route *manifest.CompiledRoute, timeout time.Duration) time.Duration {
+	if goal := route.Goal.Std(); goal > 0 {
+		return goal
+	}
+	return time.Duration(float64(timeout) * defaultGoalShare)
 }
 
 // timeToRetry returns the time left in which the caller could send the request again.
@@ -197,15 +212,20 @@
 	return kept
 }
 
+// maxBodyBytes returns the largest size of a request's body.
+func maxBodyBytes(table *Table) int64 {
+	if limit := table.Manifest().Limits.MaxBodyBytes; limit > 0 {
+		return limit
+	}
+	return defaultMaxBodyBytes
+}
+
 // readBody reads the request's body, which must be complete by the call's
-// deadline. A limit of 0 bytes or less means defaultMaxBodyBytes.
+// deadline.
 func readBody(w http.ResponseWriter, r *http.Request, c *call, limit int64) ([]byte, *failure) {
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil, nil
 	}
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
 	if err := http.NewResponseController(w).SetReadDeadline(c.deadline); err != nil {
 		return nil, newFailure(code.CallBadRequest)
 	}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -177,13 +177,7 @@
 func (f *forwarder) attempt(ctx context.Context) (*hopv1.Frame, result) {
 	p, c := f.proxy, f.call
 	candidates := f.limitToRollout(p.candidates(c.service))
-	chosen := routing.Choose(candidates, routing.PlacementRequest{
-		Bytes: p.routes.size(c.route.Name),
-		Work:  p.routes.work(c.route.Name),
-		Goal:  time.Until(c.goal),
-		Tried: f.tried,
-		Rand:  rand.Float64,
-	})
+	chosen := routing.Choose(candidates, f.placementRequest())
 	if chosen < 0 {
 		f.settleRollout(notSent)
 		return nil, notSent
@@ -211,6 +205,18 @@
 	return frame, r
 }
 
+// placementRequest returns the parameters of the next choice of an upstream.
+func (f *forwarder) placementRequest() routing.PlacementRequest {
+	route := f.call.route.Name
+	return routing.PlacementRequest{
+		Bytes: f.proxy.routes.size(route),
+		Work:  f.proxy.routes.work(route),
+		Goal:  time.Until(f.call.goal),
+		Tried: f.tried,
+		Rand:  rand.Float64,
+	}
+}
+
 // moveFromSilentPeer reports whether the request is to be sent elsewhere while the
 // peer that may run it is silent. It takes the retry from the budget. Otherwise the
 // peer's answer is awaited: giving the request up would be no better for the caller.
@@ -321,30 +327,6 @@
 	return frame, unknown
 }
 
-// candidates returns the upstreams of a service with their estimated loads, the
-// one beside this daemon included.
-func (p *Proxy) candidates(service string) []routing.Candidate {
-	all := make([]routing.Candidate, 0, 16)
-	if u := p.upstream.Load(); u.Service == service {
-		load := p.admissionController.Load()
-		all = append(all, routing.Candidate{
-			Instance:     p.cfg.Instance,
-			Version:      u.Version,
-			Self:         true,
-			Local:        true,
-			Available:    load.Open,
-			Load:         float64(load.Running + load.Waiting),
-			Slots:        p.advertisedSlots(load.Slots),
-			RateLimited:  load.RateLimited,
-			ServiceTime:  load.ServiceTime,
-			FailureShare: p.failureShare(),
-		})
-	}
-	all = p.deps.Peers.candidates(all, service)
-	routing.EstimateLoads(all)
-	return all
-}
-
 // recordNestedFailure tells the request for which a nested one was sent that this
 // one failed.
 func (c *call) recordNestedFailure() {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -15,14 +15,10 @@
 	"godwitmount/internal/event"
 	"godwitmount/internal/freshness"
 	"godwitmount/internal/hop"
-	"godwitmount/internal/routing"
 	"godwitmount/internal/shaping"
 )
 
 const (
-	// defaultServiceTime is assumed for an upstream that has reported no service
-	// time.
-	defaultServiceTime = 100 * time.Millisecond
 	// failureBackoff is how long a peer gets no requests after its connection
 	// failed one.
 	failureBackoff = 150 * time.Millisecond
@@ -349,46 +345,6 @@
 	return p.client.FetchConfig(ctx)
 }
 
-// candidates appends the upstreams of peers that belong to the service.
-func (ps *Peers) candidates(all []routing.Candidate, service string) []routing.Candidate {
-	ps.mu.RLock()
-	defer ps.mu.RUnlock()
-	now := ps.now()
-	for _, p := range ps.all {
-		state := p.state.Load()
-		if state == nil || state.GetService() != service {
-			continue
-		}
-		all = append(all, p.candidate(state, now, p.DataCentre == ps.self.DataCentre))
-	}
-	return all
-}
-
-// candidate returns the peer's upstream as a candidate. Load is not set; see
-// routing.EstimateLoads.
-func (p *peer) candidate(state *peerState, now time.Duration, local bool) routing.Candidate {
-	serviceTime := microseconds(state.GetServiceTimeUs())
-	if serviceTime == 0 {
-		serviceTime = defaultServiceTime
-	}
-	return routing.Candidate{
-		Instance:       p.Instance,
-		Version:        state.GetUpstreamVersion(),
-		Local:          local,
-		Available:      p.up.Load() && state.GetTakesWork() && !p.isDraining(state) && int64(now) >= p.backoffUntil.Load(),
-		Outstanding:    float64(p.outstanding.Load()),
-		OtherLoad:      state.otherLoad,
-		ReportAge:      now - state.at,
-		Slots:          int(state.GetSlots()),
-		RateLimited:    state.GetRateLimited(),
-		ServiceTime:    serviceTime,
-		FailureShare:   float64(state.GetFailuresPerMille()) / perMille,
-		RTT:            microseconds(state.GetLineDelayUs()),
-		LinkBacklog:    microseconds(state.GetLinkBacklogUs()),
-		PendingPingAge: p.client.UnansweredPingAge(),
-	}
-}
-
 // send sends a request to the peer and waits for its answer. It measures the
 // network round-trip time, which is the time until the answer without the time
 // at the peer, and reports the last measured one to the peer in the request. It does not
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -22,6 +22,8 @@
 	// Available reports whether the upstream is reachable, accepts requests and
 	// is not in a backoff after a failed request.
 	Available bool
+	// Unavailable says why Available is not set, where that is known.
+	Unavailable Unavailability
 	// Version is that of the upstream's program; empty if unknown.
 	Version string
 	// Load is the number of requests that run or wait there: exact for Self,
--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -5,6 +5,45 @@
 	"time"
 )
 
+// Unavailability says why an upstream is not available.
+type Unavailability uint8
+
+// The reasons why an upstream is not available.
+const (
+	// IsAvailable: it is available, or the reason is not known.
+	IsAvailable Unavailability = iota
+	// Unreachable: its daemon, or the local upstream itself, can't be reached.
+	Unreachable
+	// Silent: its daemon, or the local upstream itself, is silent.
+	Silent
+	// Draining: it takes no new requests.
+	Draining
+	// Stopping: its daemon has begun a planned stop.
+	Stopping
+	// Stalled: requests to it timed out in succession.
+	Stalled
+	// NoSlots: it runs no requests.
+	NoSlots
+	// ClosedByRollout: a rollout gives no requests to its version.
+	ClosedByRollout
+	// TakesNoRequests: its daemon reports no reason.
+	TakesNoRequests
+	// BackedOff: the connection to its daemon has just failed a request.
+	BackedOff
+)
+
+// String describes the reason.
+func (u Unavailability) String() string {
+	names := [...]string{
+		"", "can't be reached", "silent", "draining", "its daemon is stopping", "stalled", "no slots",
+		"closed by a rollout", "takes no requests", "backed off after a failed request",
+	}
+	if int(u) >= len(names) {
+		return "invalid"
+	}
+	return names[u]
+}
+
 // Basis says what decided between local and remote candidates.
 type Basis uint8
 
--- a/internal/status/route.go
+++ b/internal/status/route.go
@@ -101,6 +101,8 @@
 	// Choices holds the sets of upstreams among which a request may be placed. Without a
 	// rollout there is one.
 	Choices []Choice `json:"choices"`
+	// Excluded holds the upstreams to which the rollout gives no requests.
+	Excluded []Candidate `json:"excluded,omitempty"`
 }
 
 // TargetRollout is the rollout of a service as far as it concerns the placement.
