Add the command route to godwitmountctl

Cause: the daemon says where a request would go, but operators had no tool that asks. Change: godwitmountctl route describes a request, asks the first daemon that answers, and prints the answer as text or JSON. Asking daemons moves from status.go to daemon.go, which both commands use, and match and route parse the request alike. The daemon also says whether a route needs a key. Conclusion: a mesh on loopback shows that idle connections count as having an unanswered ping for up to a second after each ping (docs/OPERATIONS.md has such lines). That is not changed here.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -77,6 +77,7 @@
 	settings := t.add(t.parser.Command, "settings", "Commands for settings files", settingsHelp, nil)
 	t.add(settings, "check", "Check a daemon's settings file", settingsCheckHelp, &settingsCheckCommand{})
 	t.add(t.parser.Command, "status", "Show a daemon's version, upstream and peers", statusHelp, &statusCommand{})
+	t.add(t.parser.Command, "route", "Ask a daemon where a request would go now, and why", routeHelp, &routeCommand{})
 	t.add(t.parser.Command, "explain", "Trace one request through the logs of the daemons", explainHelp, &explainCommand{})
 	t.add(t.parser.Command, "completion", "Print a shell completion script", completionHelp, &completionCommand{})
 	t.add(t.parser.Command, "version", "Print the version", versionHelp, &versionCommand{})
--- a/internal/ctl/match.go
+++ b/internal/ctl/match.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"net/url"
 	"strings"
 
@@ -12,6 +11,7 @@
 
 	"godwitmount/internal/code"
 	"godwitmount/internal/manifest"
+	"godwitmount/internal/status"
 )
 
 const matchHelp = `
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	request, err := c.request()
+	request, err := parseRequest(c.Args.Method, c.Args.URL, c.Header)
 	if err != nil {
 		return nil, err
 	}
@@ -94,26 +94,22 @@
 	return strings.Join(names, ", ")
 }
 
-// request builds the request from the command line. Its path is "/" if the URL has
+// parseRequest builds a request from the command line. Its path is "/" if the URL has
 // none.
-func (c *matchCommand) request() (manifest.Request, error) {
-	target, err := url.Parse(c.Args.URL)
+func parseRequest(method, text string, headers []string) (manifest.Request, error) {
+	target, err := url.Parse(text)
 	if err != nil {
-		return manifest.Request{}, failed(ExitUsage, code.OK, "URL %q: %v", c.Args.URL, err)
+		return manifest.Request{}, failed(ExitUsage, code.OK, "URL %q: %v", text, err)
 	}
-	header := http.Header{}
-	for _, text := range c.Header {
-		name, value, ok := strings.Cut(text, ":")
-		if !ok {
-			return manifest.Request{}, failed(ExitUsage, code.OK, "header %q is not NAME:VALUE", text)
-		}
-		header.Add(strings.TrimSpace(name), strings.TrimSpace(value))
+	header, err := status.ParseHeaders(headers)
+	if err != nil {
+		return manifest.Request{}, failed(ExitUsage, code.OK, "%v", err)
 	}
 	path := target.Path
 	if path == "" {
 		path = "/"
 	}
-	return manifest.Request{Method: strings.ToUpper(c.Args.Method), Host: target.Host, Path: path, Header: header}, nil
+	return manifest.Request{Method: strings.ToUpper(method), Host: target.Host, Path: path, Header: header}, nil
 }
 
 // visibleRoutes leaves out the routes after the one taken, unless --all is set.
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 
-	"godwitmount/internal/code"
 	"godwitmount/internal/status"
 )
 
@@ -17,11 +13,8 @@
 Shows the version that a daemon has in force, its upstream, the quotas of customers that
 have sent requests lately, and what it knows of its peers. With several --daemon options, the first daemon that answers is shown.`
 
-// statusTimeout bounds the request to one daemon.
-const statusTimeout = 3 * time.Second
-
 type statusCommand struct {
-	Daemons []string `long:"daemon" value-name:"IP:PORT" env:"GODWITMOUNT_DAEMON" env-delim:"," description:"Metrics address of a daemon; may be given several times."`
+	daemonOptions
 }
 
 // statusResult is the status of the daemon that answered.
@@ -30,39 +23,12 @@
 }
 
 func (c *statusCommand) run(ctx context.Context, _ io.Writer) (output, error) {
-	if len(c.Daemons) == 0 {
-		return nil, failed(ExitUsage, code.OK, "status needs --daemon")
-	}
-	var errs []error
-	for _, address := range c.Daemons {
-		answer, err := fetchStatus(ctx, address)
-		if err == nil {
-			return answer, nil
-		}
-		errs = append(errs, err)
-	}
-	return nil, failed(ExitUnavailable, code.OK, "no daemon answered: %v", errors.Join(errs...))
-}
-
-// fetchStatus reads the status of the daemon with the given metrics address.
-func fetchStatus(ctx context.Context, address string) (*statusResult, error) {
-	bounded, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(bounded, http.MethodGet, "http://"+address+status.Path, nil)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", address, err)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", address, err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%s: status %d", address, response.StatusCode)
-	}
 	result := &statusResult{}
-	if err := json.NewDecoder(response.Body).Decode(&result.Daemon); err != nil {
-		return nil, fmt.Errorf("%s: %w", address, err)
+	err := c.ask(ctx, "status", func(address string) (*http.Request, error) {
+		return http.NewRequest(http.MethodGet, "http://"+address+status.Path, nil)
+	}, &result.Daemon)
+	if err != nil {
+		return nil, err
 	}
 	return result, nil
 }
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -34,7 +34,7 @@
 	}
 	e.describeMatches(table, request)
 	if failed == nil {
-		e.describeRoute(q)
+		e.describeRoute(q, table)
 		e.describeCustomer(q, table, verdict)
 		e.checkBody(q, table)
 		e.describeTargets()
@@ -73,7 +73,7 @@
 }
 
 // describeRoute describes the route, and sets the call's goal.
-func (e *routeExplainer) describeRoute(q *status.RouteQuery) {
+func (e *routeExplainer) describeRoute(q *status.RouteQuery, table *Table) {
 	p, route := e.proxy, e.call.route
 	timeout := route.Deadline.Std()
 	goal := goalOf(route, timeout)
@@ -83,7 +83,7 @@
 	goal = min(goal, timeout)
 	e.call.goal = e.call.started.Add(goal)
 	e.answer.Taken = &status.TakenRoute{
-		Route: route.Name, Public: route.Public, Priority: route.Priority,
+		Route: route.Name, Public: route.Public, NeedsKey: table.HasCustomers() && !route.Public, Priority: route.Priority,
 		DeadlineMS: timeout.Milliseconds(), GoalMS: goal.Milliseconds(),
 		Bytes: p.routes.size(route.Name), Work: p.routes.work(route.Name),
 	}
--- a/internal/proxy/route_targets.go
+++ b/internal/proxy/route_targets.go
@@ -171,7 +171,7 @@
 		text  string
 	}{
 		{c.Slots == 0, "no slots"},
-		{cost.Wait > 0, "no free slot"},
+		{cost.Wait > 0, "would wait for a slot"},
 		{cost.Failures > 0, "failing"},
 		{cost.Ping > 0, "ping unanswered"},
 		{cost.Late > 0, "expected after the goal"},
--- a/internal/proxy/route_test.go
+++ b/internal/proxy/route_test.go
@@ -190,10 +190,18 @@
 		}
 		delete(want, c.Instance)
 	}
-	candidates := p.candidates("s")
-	chosen := routing.Choose(candidates, routing.PlacementRequest{Goal: 5 * time.Second, Rand: func() float64 { return 0.5 }})
-	if len(want) > 0 || choice.Chosen != "i" || choice.Candidates[0].Rank != 1 || candidates[chosen].Instance != choice.Chosen {
-		t.Errorf("missing %v, chosen %s (%s), by Choose %s", want, choice.Chosen, choice.Why, candidates[chosen].Instance)
+	if len(want) > 0 || choice.Chosen != "i" {
+		t.Errorf("missing %v, chosen %s (%s)", want, choice.Chosen, choice.Why)
+	}
+	delete(p.deps.Peers.all, "without slots")
+	for _, state := range []control.UpstreamState{control.UpstreamReady, control.UpstreamDraining} {
+		p.SetUpstream(control.Upstream{ID: "u", StartTime: 1, Service: "s", Slots: 4, State: state})
+		choice = explain(t, p, status.RouteQuery{Path: "/", Key: "k2"}).Targets[0].Choices[0]
+		candidates := p.candidates("s")
+		chosen := candidates[routing.Choose(candidates, routing.PlacementRequest{Goal: 5 * time.Second, Rand: func() float64 { return 0.5 }})].Instance
+		if first := choice.Candidates[0]; choice.Chosen != chosen || first.Instance != chosen || first.Rank != 1 || (chosen == "i") != (state == control.UpstreamReady) {
+			t.Errorf("own upstream %s: chosen %s, first %+v, by Choose %s", state, choice.Chosen, first, chosen)
+		}
 	}
 }
 
--- a/internal/status/route.go
+++ b/internal/status/route.go
@@ -50,8 +50,10 @@
 // TakenRoute is the route that a request takes.
 type TakenRoute struct {
 	Route string `json:"route"`
-	// Public is whether its requests need no key.
+	// Public is whether its requests need no key, and NeedsKey whether they need one: not
+	// in a configuration without customers.
 	Public     bool  `json:"public"`
+	NeedsKey   bool  `json:"needs_key"`
 	Priority   int   `json:"priority"`
 	DeadlineMS int64 `json:"deadline_ms"`
 	// GoalMS is the time left to the goal that the placement counts with.
