Do not count an answered ping as unanswered

Cause: monitor notes the answer to a ping at its next check, up to a second later on an idle connection. Until then UnansweredPingAge counted the ping as unanswered, and placement avoided the peer. Change: an answer that has arrived counts at once; the three places that compare share receivedSince.

--- a/internal/hop/connection.go
+++ b/internal/hop/connection.go
@@ -40,6 +40,10 @@
 	err   error
 }
 
+// receivedSince reports whether data has arrived since a time. Both times are readings of
+// Hooks.Now.
+func (c *clientConn) receivedSince(now, since time.Duration) bool { return c.idleTime() < now-since }
+
 // begin makes an opened connection one of the client's and sends the Hello on it. It
 // returns an error after Close.
 func (c *Client) begin(opened net.Conn, replaces *clientConn, openedAt time.Duration) (*clientConn, error) {
--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -78,7 +78,7 @@
 	timeout := c.hooks.AdaptiveTimeout.Timeout(now)
 	pingSentAt := time.Duration(conn.pingSentAt.Load())
 	switch {
-	case pingSentAt > 0 && conn.idleTime() < now-pingSentAt:
+	case pingSentAt > 0 && conn.receivedSince(now, pingSentAt):
 		c.hooks.AdaptiveTimeout.RecordPingDelay(now, now-conn.idleTime()-pingSentAt)
 		conn.pingSentAt.Store(0)
 		if since := c.suspectSince.Load(); since <= int64(pingSentAt) {
@@ -111,8 +111,7 @@
 	c.Check()
 	now := c.now()
 	sent := conn.pingSentAt.Load()
-	answered := conn.idleTime() < now-time.Duration(sent)
-	if (sent == 0 || answered) && conn.pingSentAt.CompareAndSwap(sent, int64(now)) {
+	if (sent == 0 || conn.receivedSince(now, time.Duration(sent))) && conn.pingSentAt.CompareAndSwap(sent, int64(now)) {
 		c.sendPing(conn)
 	}
 }
@@ -134,6 +133,10 @@
 	}
 	now := c.now()
 	pingSentAt := time.Duration(conn.pingSentAt.Load())
+	if conn.receivedSince(now, pingSentAt) {
+		// It is answered; monitor notes that at its next check, up to a second later.
+		return 0
+	}
 	return c.hooks.AdaptiveTimeout.PeerIdleTime(now, now-pingSentAt)
 }
 
--- a/internal/hop/silence_test.go
+++ b/internal/hop/silence_test.go
@@ -53,3 +53,19 @@
 		t.Errorf("the request was given up after %s, before the read timeout", took)
 	}
 }
+
+// TestAnsweredPingHasNoAge covers an idle connection between the answer to a ping and the
+// next check of monitor: the ping must not add to the cost of the peer.
+func TestAnsweredPingHasNoAge(t *testing.T) {
+	handler, _, client, _ := startPair(t)
+	for handler.states.Load() == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(200 * time.Millisecond)
+	if client.conn.Load().pingSentAt.Load() == 0 {
+		t.Fatal("monitor has noted the answer already")
+	}
+	if age := client.UnansweredPingAge(); age != 0 {
+		t.Errorf("an answered ping has been unanswered for %s", age)
+	}
+}
