--- a/internal/proxy/route_test.go
+++ b/internal/proxy/route_test.go
@@ -39,7 +39,7 @@
 // that callers don't see.
 func TestExplainedRefusalIsTheOneThatACallerGets(t *testing.T) {
 	unproven := func(p *Proxy) {
-		p.deps.Freshness = freshness.NewKeeper(freshness.Config{MaxAge: time.Second}, func() time.Duration { return 0 })
+		p.deps.Freshness = freshness.NewSharedTracker(freshness.Config{MaxAge: time.Second}, func() time.Duration { return 0 })
 	}
 	for name, c := range map[string]struct {
 		prepare   func(*Proxy)
