Run the long waits of the hop tests in parallel

Cause: internal/hop takes 42 s, 13 s of which one test waits. Change: seven tests that wait for limits of seconds or use no clock call t.Parallel. All others depend on delays of 50 to 400 ms and stay sequential.

--- a/internal/hop/compress_test.go
+++ b/internal/hop/compress_test.go
@@ -22,6 +22,7 @@
 }
 
 func TestDecompressConfigRejectsInvalidInput(t *testing.T) {
+	t.Parallel()
 	large, err := CompressConfig(make([]byte, maxConfigBytes+1))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -14,6 +14,10 @@
 	"godwitmount/internal/shaping"
 )
 
+// Tests that wait long for a limit of seconds, or compute without a clock, run in parallel.
+// All others stay sequential: the state of their connections depends on pings, delays and
+// timeouts of 50 to 400 ms, and a late goroutine changes it.
+
 // largeBody is the size in bytes of the answer to the request with id "large".
 const largeBody = 200 << 10
 
@@ -195,6 +199,7 @@
 // TestDeadConnectionIsDetected covers a network partition that resets no
 // connection.
 func TestDeadConnectionIsDetected(t *testing.T) {
+	t.Parallel()
 	_, network, client, down := startPair(t)
 	network.SetFault(faultlink.Blocked)
 	start := time.Now()
@@ -219,6 +224,7 @@
 // that cannot be sent elsewhere: it waits for the silent peer until its connection
 // counts as lost.
 func TestLostConnectionEndsRequestThatWaits(t *testing.T) {
+	t.Parallel()
 	_, network, client, _ := startPair(t)
 	network.SetFault(faultlink.Blocked)
 	asked := 0
--- a/internal/hop/ledger_test.go
+++ b/internal/hop/ledger_test.go
@@ -58,6 +58,7 @@
 // A request that counts as not received must not run on any of its connections, before
 // or after that, and one that has not run may count as lost only if a session is unknown.
 func TestNoResumedRequestRunsTwice(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(300) {
 		replayResumptions(t, rand.New(rand.NewPCG(seed, 1)))
 	}
--- a/internal/hop/parts_test.go
+++ b/internal/hop/parts_test.go
@@ -87,6 +87,7 @@
 }
 
 func TestEndlessPartsEndTheConnection(t *testing.T) {
+	t.Parallel()
 	receiver := newPartReceiver()
 	part := &hopv1.Frame{Body: &hopv1.Frame_Part{Part: &hopv1.Part{Data: make([]byte, 1<<20)}}}
 	var err error
--- a/internal/hop/resume_test.go
+++ b/internal/hop/resume_test.go
@@ -218,6 +218,7 @@
 // TestEarlierReleaseIsServedAsBefore covers a peer that does not support sessions: its
 // requests are neither moved nor sent again.
 func TestEarlierReleaseIsServedAsBefore(t *testing.T) {
+	t.Parallel()
 	up := make(chan struct{}, 10)
 	client, peer := acceptRaw(t, Hooks{Up: func() { up <- struct{}{} }, StateReceived: func(*hopv1.State) {}})
 	peer.receive(t)
--- a/internal/hop/silence_test.go
+++ b/internal/hop/silence_test.go
@@ -27,6 +27,7 @@
 // TestAbandonedConnectionIsReset covers the inbound connection of a vanished peer on
 // which nothing runs: it must not stay open for good.
 func TestAbandonedConnectionIsReset(t *testing.T) {
+	t.Parallel()
 	handler, network, client, _ := startPair(t)
 	network.Silence()
 	client.Close()
