Replay seeds and cases in parallel

Cause: the replays of faults, limits and load compute one seed or case after the other. Change: each is a parallel subtest. Seeds, counts and bounds are unchanged. A failing seed of TestRolloutThroughFaults no longer hides those after it.

--- a/internal/quota/replay_test.go
+++ b/internal/quota/replay_test.go
@@ -165,6 +165,7 @@
 }
 
 func TestReplay(t *testing.T) {
+	t.Parallel()
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
@@ -239,6 +240,7 @@
 // TestReplayIsRepeatable guards against decisions that depend on anything but the
 // arguments, such as the order of a map.
 func TestReplayIsRepeatable(t *testing.T) {
+	t.Parallel()
 	s := scenario{dcs: only, disturb: killOwners, move: true}
 	first, second := s.replay(1), s.replay(1)
 	for name, st := range first.stats {
@@ -251,19 +253,23 @@
 // TestLoweredLimitBindsAfterOneWindow guards against buckets, tokens in hand and shares
 // that outlive the limit from which they came.
 func TestLoweredLimitBindsAfterOneWindow(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(*seedCount) {
-		before, lowered := testCustomers(), testCustomers()
-		lowered["c0"] = Limit{Rate: 100, Burst: 50}
-		lowered["c4"] = Limit{Rate: 3, Burst: 1}
-		m := newMesh(seed, 4, 15, before)
-		m.driveAll([]float64{1, 1, 1.3, 0.7}, func(name string, _ Limit) float64 { return 2 * before[name].Rate })
-		changed := 20 * time.Second
-		for _, n := range m.nodes {
-			m.at(changed+m.between(0, 2500*ms), func() { n.limiter.SetLimits(m.clock(n), lowered) })
-		}
-		m.run(end + time.Second)
-		m.checkBound(t, seed, before, 0, changed)
-		m.checkBound(t, seed, lowered, changed+2500*ms+testParams.Window, end)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			before, lowered := testCustomers(), testCustomers()
+			lowered["c0"] = Limit{Rate: 100, Burst: 50}
+			lowered["c4"] = Limit{Rate: 3, Burst: 1}
+			m := newMesh(seed, 4, 15, before)
+			m.driveAll([]float64{1, 1, 1.3, 0.7}, func(name string, _ Limit) float64 { return 2 * before[name].Rate })
+			changed := 20 * time.Second
+			for _, n := range m.nodes {
+				m.at(changed+m.between(0, 2500*ms), func() { n.limiter.SetLimits(m.clock(n), lowered) })
+			}
+			m.run(end + time.Second)
+			m.checkBound(t, seed, before, 0, changed)
+			m.checkBound(t, seed, lowered, changed+2500*ms+testParams.Window, end)
+		})
 	}
 }
 
@@ -272,34 +278,38 @@
 // lost while demand moves to and fro. Then the customer sends too much, so that what
 // was lost is needed.
 func TestSharesNeverExceedTheWhole(t *testing.T) {
+	t.Parallel()
 	const calm = 40 * time.Second
 	for seed := range uint64(*seedCount) {
-		most := 0.0
-		limits := map[string]Limit{"c0": {Rate: 200, Burst: 100}}
-		m := newMesh(seed, 4, 5, limits)
-		m.drive("c0", []float64{1, 1, 1, 1}, calm+40*time.Second, func() float64 {
-			if m.now < calm {
-				return 150
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			most := 0.0
+			limits := map[string]Limit{"c0": {Rate: 200, Burst: 100}}
+			m := newMesh(seed, 4, 5, limits)
+			m.drive("c0", []float64{1, 1, 1, 1}, calm+40*time.Second, func() float64 {
+				if m.now < calm {
+					return 150
+				}
+				return 300
+			})
+			for at := begin; at < calm; at += 700 * ms {
+				m.at(at, func() {
+					m.weights["c0"] = m.uneven(2, []float64{m.rng.Float64(), m.rng.Float64(), m.rng.Float64(), m.rng.Float64()})
+					m.isolate(m.rng.IntN(4), m.between(0, 300*ms))
+				})
+			}
+			m.loss = 0.2
+			m.at(calm, func() { m.loss = 0 })
+			for at := begin + time.Second; at < calm+40*time.Second; at += 10 * ms {
+				m.at(at, func() {
+					most = max(most, m.shares("c0"))
+				})
+			}
+			m.run(calm + 40*time.Second)
+			if last := m.shares("c0"); most > 1.001 || last < 0.95 {
+				t.Errorf("seed %d: the shares added up to at most %.3f, and to %.3f after 40 s without faults", seed, most, last)
 			}
-			return 300
 		})
-		for at := begin; at < calm; at += 700 * ms {
-			m.at(at, func() {
-				m.weights["c0"] = m.uneven(2, []float64{m.rng.Float64(), m.rng.Float64(), m.rng.Float64(), m.rng.Float64()})
-				m.isolate(m.rng.IntN(4), m.between(0, 300*ms))
-			})
-		}
-		m.loss = 0.2
-		m.at(calm, func() { m.loss = 0 })
-		for at := begin + time.Second; at < calm+40*time.Second; at += 10 * ms {
-			m.at(at, func() {
-				most = max(most, m.shares("c0"))
-			})
-		}
-		m.run(calm + 40*time.Second)
-		if last := m.shares("c0"); most > 1.001 || last < 0.95 {
-			t.Errorf("seed %d: the shares added up to at most %.3f, and to %.3f after 40 s without faults", seed, most, last)
-		}
 	}
 }
 
--- a/internal/rollout/faults_test.go
+++ b/internal/rollout/faults_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -303,45 +304,58 @@
 // state, nothing is completed while an old upstream is open or busy, and once the faults
 // are over all daemons agree with the store.
 func TestRolloutThroughFaults(t *testing.T) {
+	var mu sync.Mutex
 	results := map[string]int{}
-	for seed := range uint64(*faultSeeds) {
-		c := newCluster(t, seed)
-		for c.now < 20*time.Second {
-			c.advance()
-			if c.now > time.Second && c.random.IntN(12) == 0 {
-				c.drawFault()
-			}
-		}
-		c.cut, c.storeAway, c.loseAnswers = "", false, false
-		for _, n := range c.nodes {
-			if !n.alive {
-				c.start(n)
-			}
-		}
-		for end := c.now + 20*time.Second; c.now < end; {
-			c.advance()
+	// The outer subtest ends once all seeds have been replayed.
+	t.Run("seeds", func(t *testing.T) {
+		for seed := range uint64(*faultSeeds) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				final := replayFaults(t, seed)
+				mu.Lock()
+				defer mu.Unlock()
+				results[final]++
+			})
 		}
-		results[c.final]++
-		want := Completed.String()
-		if c.bad {
-			want = Reverted.String()
+	})
+	t.Logf("final states: %v", results)
+}
+
+// replayFaults replays the rollout of one seed and returns its final state at the store.
+func replayFaults(t *testing.T, seed uint64) string {
+	t.Helper()
+	c := newCluster(t, seed)
+	for c.now < 20*time.Second {
+		c.advance()
+		if c.now > time.Second && c.random.IntN(12) == 0 {
+			c.drawFault()
 		}
-		if c.final != want {
-			t.Errorf("seed %d: the store has %q, want %q; saved %+v", seed, c.final, want, c.saved)
-			for _, n := range c.nodes {
-				if s := n.core.services["desk"]; s != nil {
-					t.Logf("%s: %s, coordinates %t, waits for %q, verdict %+v", n.instance, s.Phase, s.on, s.waiting, s.verdict)
-				}
-			}
+	}
+	c.cut, c.storeAway, c.loseAnswers = "", false, false
+	for _, n := range c.nodes {
+		if !n.alive {
+			c.start(n)
 		}
+	}
+	for end := c.now + 20*time.Second; c.now < end; {
+		c.advance()
+	}
+	want := Completed.String()
+	if c.bad {
+		want = Reverted.String()
+	}
+	if c.final != want {
+		t.Errorf("seed %d: the store has %q, want %q; saved %+v", seed, c.final, want, c.saved)
 		for _, n := range c.nodes {
-			if n.view == nil || n.view.Phase.String() != c.final {
-				t.Errorf("seed %d: %s is in another phase than the store, %q", seed, n.instance, c.final)
+			if s := n.core.services["desk"]; s != nil {
+				t.Logf("%s: %s, coordinates %t, waits for %q, verdict %+v", n.instance, s.Phase, s.on, s.waiting, s.verdict)
 			}
 		}
-		if t.Failed() {
-			t.Fatalf("seed %d", seed)
+	}
+	for _, n := range c.nodes {
+		if n.view == nil || n.view.Phase.String() != c.final {
+			t.Errorf("seed %d: %s is in another phase than the store, %q", seed, n.instance, c.final)
 		}
 	}
-	t.Logf("final states: %v", results)
+	return c.final
 }
--- a/internal/routing/load_test.go
+++ b/internal/routing/load_test.go
@@ -72,12 +72,15 @@
 		{service{60, 4, unequal, 600 * ms, moderate}, 0.001, 0.93, 15 * ms, 2.6},
 		{service{60, 4, unequal, 600 * ms, peaks}, 0.025, 0.9, 130 * ms, 1.9},
 	} {
-		var sum replayResult
-		for seed := range uint64(replaySeeds) {
-			sum.add(play(b.service, seed))
-		}
-		t.Logf("%2d upstreams, speeds %v, load %.2f: %s", b.upstreams, b.speeds, b.load, sum)
-		b.check(t, sum)
+		t.Run(fmt.Sprintf("%d upstreams, speeds %v, load %.2f", b.upstreams, b.speeds, b.load), func(t *testing.T) {
+			t.Parallel()
+			var sum replayResult
+			for seed := range uint64(replaySeeds) {
+				sum.add(play(b.service, seed))
+			}
+			t.Log(sum)
+			b.check(t, sum)
+		})
 	}
 }
 
