Read the tables in full from a store at a new address

Cause: after a reload changed the store's address, the readers kept the position of the former store. Rows of the new one with positions up to that were never read, so that its configuration did not come into force. Seen as TestSettingsReload failing once in 40 runs, when the stores' positions happened to be close. Change: a new address makes both readers read their table in full and at once; an answer of the former store that arrives after the change is dropped. Conclusion: rows of members with older positions than known ones are still ignored until the next complete read marks them; daemons learn of each other by their handshakes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -135,6 +135,8 @@
 	memberCallsLeft sync.WaitGroup
 	// storeVersion is the version of the configuration that the store returned last.
 	storeVersion atomic.Uint64
+	// storeAddressChanges counts how often the store's address was changed.
+	storeAddressChanges atomic.Int64
 	// removed is set once the entry is to be removed.
 	removed atomic.Bool
 	// lastRequest is when the last request of a caller began, in nanoseconds
--- a/internal/daemon/loop_test.go
+++ b/internal/daemon/loop_test.go
@@ -138,7 +138,7 @@
 	var notified []bool
 	complete := 0
 	tableReader := &tableReader{
-		store: s, name: "t", backoff: time.Millisecond, log: asynclog.New(io.Discard, "a-1", zapcore.InfoLevel, 10),
+		store: s, name: "t", addressChanges: &atomic.Int64{}, backoff: time.Millisecond, log: asynclog.New(io.Discard, "a-1", zapcore.InfoLevel, 10),
 		notify: func(unavailable bool) { notified = append(notified, unavailable) },
 		apply: func(_ store.Rows, all bool) {
 			if all {
@@ -168,7 +168,7 @@
 	s := &scriptedStore{version: 7}
 	var applied []store.Position
 	reader := &tableReader{
-		store: s, name: "t", log: asynclog.New(io.Discard, "a-1", zapcore.InfoLevel, 10), notify: func(bool) {},
+		store: s, name: "t", addressChanges: &atomic.Int64{}, log: asynclog.New(io.Discard, "a-1", zapcore.InfoLevel, 10), notify: func(bool) {},
 		apply: func(rows store.Rows, complete bool) {
 			if complete {
 				applied = append(applied, rows.Position)
@@ -196,6 +196,45 @@
 	}
 }
 
+// TestTableIsReadAgainFromAnotherStore covers a new address of the store, set between two
+// calls of this reader and while one waits: the rows of the other store may have earlier
+// positions than those that were read, and an answer of the former store is dropped.
+func TestTableIsReadAgainFromAnotherStore(t *testing.T) {
+	s := &scriptedStore{version: 7}
+	changes := &atomic.Int64{}
+	complete := 0
+	reader := &tableReader{
+		store: s, name: "t", addressChanges: changes, log: asynclog.New(io.Discard, "a-1", zapcore.InfoLevel, 10), notify: func(bool) {},
+		apply: func(_ store.Rows, all bool) {
+			if all {
+				complete++
+			}
+		},
+	}
+	reader.poll(context.Background(), 0)
+	changes.Add(1)
+	s.version = 3
+	reader.poll(context.Background(), 0)
+	if s.reads != 2 || complete != 2 || reader.position.Version != 3 {
+		t.Errorf("%d reads, %d complete, at %+v", s.reads, complete, reader.position)
+	}
+	reader.store = movedWhileWatching{s, changes}
+	if reader.poll(context.Background(), 0) || !reader.poll(context.Background(), 0) || s.reads != 3 || complete != 3 {
+		t.Errorf("moved while watching: %d reads, %d complete", s.reads, complete)
+	}
+}
+
+// movedWhileWatching is a store whose address changes during each Watch call.
+type movedWhileWatching struct {
+	*scriptedStore
+	changes *atomic.Int64
+}
+
+func (m movedWhileWatching) Watch(ctx context.Context, table string, after store.Position, wait time.Duration) (store.Rows, error) {
+	m.changes.Add(1)
+	return m.scriptedStore.Watch(ctx, table, after, wait)
+}
+
 // restoredWhileWatching is a store that comes back from an older copy during each
 // Watch call.
 type restoredWhileWatching struct{ *scriptedStore }
@@ -261,7 +300,7 @@
 		}
 		d := &Daemon{storeWatcher: make(chan control.SetStoreWatcher, 1), readOnce: make(chan struct{}, 1), proveOnce: make(chan struct{}, 1), storeMetrics: storeMetrics}
 		reader := &tableReader{
-			store: s, name: "t", synced: true, storeTime: 10 * time.Second, storeTimeAt: time.Now(),
+			store: s, name: "t", addressChanges: &atomic.Int64{}, synced: true, storeTime: 10 * time.Second, storeTimeAt: time.Now(),
 			log: asynclog.New(io.Discard, "a-1", zapcore.InfoLevel, 10), notify: func(bool) {}, apply: func(store.Rows, bool) {},
 		}
 		began := time.Now()
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -18,13 +18,21 @@
 	d.proxy.SetService(fresh.Service)
 	d.cfg.Platform.Store.SetAddress(fresh.StoreAddress)
 	if updated.StoreAddress != d.effective.StoreAddress {
-		// The clocks of two stores cannot be compared.
-		d.freshness.Reset()
+		d.storeAddressChanged()
 	}
 	d.effective = updated
 	d.log.Event(event.SettingsReread, zap.Bool("changed", changed), zap.Bool("rest_at_next_start", updated != *fresh))
 }
 
+// storeAddressChanged makes this daemon read both tables in full: neither the clocks nor
+// the positions of two stores can be compared.
+func (d *Daemon) storeAddressChanged() {
+	d.freshness.Reset()
+	d.storeAddressChanges.Add(1)
+	setLatest(d.readOnce, struct{}{})
+	setLatest(d.readMembers, struct{}{})
+}
+
 // LogReloadError logs that the settings could not be read again. The settings in
 // force stay.
 func (d *Daemon) LogReloadError(err error) { d.log.Warn(event.SettingsReread, zap.Error(err)) }
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -67,7 +68,12 @@
 	// false when it answers again.
 	notify func(unavailable bool)
 	log    *asynclog.Logger
+	// addressChanges counts how often the store's address was changed. A position of one
+	// store means nothing to another.
+	addressChanges *atomic.Int64
 
+	// seenChanges is the value of addressChanges at the last call.
+	seenChanges int64
 	// position is the store's position up to which rows were read; it is valid
 	// while synced is set. synced is cleared when the store no longer keeps the
 	// changes since then, or has come back from an older copy.
@@ -85,11 +91,15 @@
 
 // poll reads the table or, once synced, its changes, for which it waits up to
 // wait. It reports whether the call succeeded; after a failure it first sleeps
-// for the backoff. If ctx ends during the call, it returns at once.
+// for the backoff. If ctx ends or the store's address changes during the call, it
+// returns at once.
 func (t *tableReader) poll(ctx context.Context, wait time.Duration) bool {
 	began := time.Now()
+	changes := t.addressChanges.Load()
+	t.synced = t.synced && changes == t.seenChanges
+	t.seenChanges = changes
 	rows, err := t.readOrWatch(ctx, wait)
-	if err != nil && ctx.Err() != nil {
+	if err != nil && ctx.Err() != nil || t.addressChanges.Load() != changes {
 		return false
 	}
 	if err != nil {
@@ -176,7 +186,7 @@
 // the reducer requests it.
 func (d *Daemon) watchConfig(ctx context.Context) {
 	p := d.cfg.Platform
-	t := &tableReader{store: p.Store, name: p.ConfigTable, log: d.log, backoff: minBackoff, notify: d.setStoreUnavailable, answered: d.configAnswered, apply: func(rows store.Rows, complete bool) {
+	t := &tableReader{store: p.Store, name: p.ConfigTable, log: d.log, addressChanges: &d.storeAddressChanges, backoff: minBackoff, notify: d.setStoreUnavailable, answered: d.configAnswered, apply: func(rows store.Rows, complete bool) {
 		// Before a configuration, with which the upstream gets its first requests.
 		d.rollouts.requestsRead(rows.Rows, complete)
 		for _, row := range rows.Rows {
@@ -308,7 +318,7 @@
 func (d *Daemon) watchMembers(ctx context.Context) {
 	restarted := false
 	t := &tableReader{
-		store: d.cfg.Platform.Store, name: MembersTable, log: d.log, backoff: minBackoff, notify: func(bool) {},
+		store: d.cfg.Platform.Store, name: MembersTable, log: d.log, addressChanges: &d.storeAddressChanges, backoff: minBackoff, notify: func(bool) {},
 		answered: d.clockRead,
 		apply: func(rows store.Rows, complete bool) {
 			restarted = restarted || hasRow(rows.Rows, d.cfg.Settings.Instance)
--- a/internal/daemon/watch_test.go
+++ b/internal/daemon/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,7 +66,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), watchInterval+5*watchLateAfter)
 	defer cancel()
 	s := silentStore{&scriptedStore{}}
-	d.watchOnce(ctx, &tableReader{store: s, synced: true, log: log, notify: func(bool) {}}, control.SetStoreWatcher{On: true})
+	d.watchOnce(ctx, &tableReader{store: s, synced: true, log: log, addressChanges: &atomic.Int64{}, notify: func(bool) {}}, control.SetStoreWatcher{On: true})
 	if len(peer.pings) == 0 {
 		t.Error("the peer was not checked while the watch was late")
 	}
