Check in the soak that each configuration is in force in time

Cause: the soak checked only that no process goes back to an older version and that the newest is in force at the end, not that each is in time, and not what a restarted process begins with. Of two overlapping faults of a link or the store the end of the first ended both. Change: each version of the soak's configuration has a route for each version up to its own, and reads go to the route of the newest version that is due, so that a daemon on an older one answers 404. A version is due 2.5 s after its acceptance; the time until the last disturbance of the store or of the daemon itself does not count, that of a restart, of silent connections and of other daemons does. Each plan has a publish in its first third, and ends with a publish just after all connections have fallen silent and with a kill of all daemons. Overlapping faults end one by one, also pauses of one process.

--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -26,6 +26,8 @@
 	// daemon waits 100 ms for callers after closing its listeners, and the test
 	// observes the end of the process later still.
 	stopSlack = 150 * time.Millisecond
+	// maxAttempts is the number of attempts that the routes allow.
+	maxAttempts = 3
 )
 
 // outcome is the result of one request as its caller saw it.
@@ -36,14 +38,19 @@
 	sent       time.Time
 	status     int
 	retryAfter string
+	// since is the version that the daemon had to have in force when the request was
+	// sent, and accepted when that was accepted; 0 for writes.
+	since    uint64
+	accepted time.Time
 	// err is set if the caller received no complete response.
 	err error
 }
 
 // load generates requests to all nodes and records their outcomes.
 type load struct {
-	nodes []*node
-	seed  uint64
+	nodes   []*node
+	configs *configs
+	seed    uint64
 
 	mu       sync.Mutex
 	outcomes []outcome
@@ -82,9 +89,10 @@
 // call sends one request and checks that the response belongs to it.
 func (l *load) call(client *http.Client, n *node, id string, write bool) outcome {
 	o := outcome{id: id, node: n.number, write: write, sent: time.Now()}
-	method, target := http.MethodGet, "/read/"+id
-	if write {
-		method, target = http.MethodPost, "/write/"+id
+	method, target := http.MethodPost, "/write/"+id
+	if !write {
+		o.since, o.accepted = l.configs.due(n.number, o.sent)
+		method, target = http.MethodGet, sinceRoute(o.since)+id
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+deadlineSlack)
 	defer cancel()
@@ -131,8 +139,6 @@
 			}
 		}
 	}
-	// The routes of platformtest.ShopConfig allow this number.
-	const maxAttempts = 3
 	for _, o := range l.outcomes {
 		runs := runsByID[o.id]
 		switch {
@@ -144,6 +150,9 @@
 			l.problem("request %s ran %d times", o.id, runs)
 		case o.status == http.StatusServiceUnavailable && o.retryAfter != "" && runs > 0:
 			l.problem("request %s was reported as not run but ran %d times", o.id, runs)
+		case o.status == http.StatusNotFound && o.since > 0:
+			l.problem("request %s at node %d, sent %s after the acceptance of version %d, was handled by an older one",
+				o.id, o.node, o.sent.Sub(o.accepted).Round(time.Millisecond), o.since)
 		case o.status == http.StatusNotFound:
 			l.problem("request %s matched no route", o.id)
 		}
--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -46,6 +46,9 @@
 	service      string
 	// peerLink is the network link on which other daemons reach this one.
 	peerLink *faultlink.Link
+	// linkFaults are the faults of peerLink.
+	linkFaults   faultStack[faultlink.Fault]
+	disturbances *disturbances
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -55,6 +58,8 @@
 	// disturbed is set if the process was killed or paused since it started, a
 	// planned stop in progress included.
 	disturbed bool
+	// pauses is the number of pauses of the process that are not over.
+	pauses int
 	// stops are the planned stops during which the process was not disturbed.
 	stops    []plannedStop
 	upstream *platformtest.Upstream
@@ -73,13 +78,14 @@
 
 // startNode starts a link, an upstream and a daemon. The daemon's settings and log
 // are files in dir; store is the host:port of the store.
-func startNode(dir, binary, store string, number int, dataCentre, service string) (*node, error) {
-	n := &node{number: number, binary: binary, service: service,
+func startNode(dir, binary, store string, number int, dataCentre, service string, disturbances *disturbances) (*node, error) {
+	n := &node{number: number, binary: binary, service: service, disturbances: disturbances,
 		host: host()}
 	var err error
 	if n.peerLink, err = faultlink.New(n.host+":7480", n.host+":7482"); err != nil {
 		return nil, err
 	}
+	n.linkFaults.set = n.peerLink.SetFault
 	name := fmt.Sprintf("%s-%d", dataCentre, number)
 	text, err := json.Marshal(map[string]any{
 		"mesh": "soak", "data_centre": dataCentre, "instance": name, "service": service,
@@ -132,7 +138,7 @@
 		return err
 	}
 	ended := make(chan struct{})
-	n.process, n.started, n.ended, n.disturbed = process, time.Now(), ended, false
+	n.process, n.started, n.ended, n.disturbed, n.pauses = process, time.Now(), ended, false, 0
 	go func() {
 		// The result is read from ProcessState.
 		_ = process.Wait()
@@ -161,16 +167,45 @@
 
 // kill kills the process and starts the next one.
 func (n *node) kill() {
+	defer n.disturbances.begin(process(n.number))()
 	_, ended := n.signal(syscall.SIGKILL, true)
 	n.restart(ended)
 }
 
-// pause suspends the process for the given time.
+// pause suspends the process for the given time, or until another pause is over.
 func (n *node) pause(duration time.Duration) {
-	process, _ := n.signal(syscall.SIGSTOP, true)
+	defer n.disturbances.begin(reach(n.number))()
+	process := n.addPause()
+	time.Sleep(duration)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != process {
+		// It was killed meanwhile.
+		return
+	}
+	n.pauses--
+	if n.pauses == 0 {
+		// An error means that the process has ended.
+		_ = process.Process.Signal(syscall.SIGCONT)
+	}
+}
+
+// addPause suspends the process and returns it.
+func (n *node) addPause() *exec.Cmd {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.disturbed = true
+	n.pauses++
+	// An error means that the process has ended.
+	_ = n.process.Process.Signal(syscall.SIGSTOP)
+	return n.process
+}
+
+// disturbLink gives the link a fault for the given time.
+func (n *node) disturbLink(fault faultlink.Fault, duration time.Duration) {
+	defer n.disturbances.begin(reach(n.number))()
+	defer n.linkFaults.begin(fault)()
 	time.Sleep(duration)
-	// An error means that the process was killed meanwhile.
-	_ = process.Process.Signal(syscall.SIGCONT)
 }
 
 // stop performs a planned stop of the process and starts the next one.
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -32,12 +32,15 @@
 	restoredStore     = numDrawn
 	silentConnections = numDrawn + 1
 	namedLimit        = numDrawn + 2
-	numKinds          = numDrawn + 3
+	// earlyPublish is a publish in the first third of the plan, so that each seed has a
+	// version that comes into force during the faults.
+	earlyPublish = numDrawn + 3
+	numKinds     = numDrawn + 4
 )
 
 var kindNames = [numKinds]string{"kill-daemon", "pause-daemon", "stop-daemon", "slow-link", "blocked-link", "one-way-link",
 	"reset-link", "busy-store", "unresponsive-store", "lost-write-responses", "truncated-history", "publish", "draining-upstream", "crashed-upstream",
-	"restored-store", "silent-connections", "named-limit"}
+	"restored-store", "silent-connections", "named-limit", "early-publish"}
 
 // fault is one entry of a plan.
 type fault struct {
@@ -86,6 +89,8 @@
 			node:     random.IntN(nodes),
 		})
 	}
+	random = rand.New(rand.NewPCG(seed, uint64(earlyPublish)))
+	plan = append(plan, fault{start: time.Duration(random.Int64N(int64(planLength / 3))), kind: earlyPublish})
 	slices.SortFunc(plan, func(a, b fault) int { return int(a.start - b.start) })
 	return plan
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -35,7 +35,9 @@
 	recoveryTimeout = 15 * time.Second
 	// settleTime is how long the test waits at the end for late deliveries to
 	// upstreams.
-	settleTime   = time.Second
+	settleTime = time.Second
+	// checkedTime is how long the load goes on after a change at the end of a plan.
+	checkedTime  = 500 * time.Millisecond
 	pollInterval = 100 * time.Millisecond
 	// rewriteDelay is how long operators take to write the configuration again after
 	// the store has come back from an older copy.
@@ -54,12 +56,13 @@
 	t     *testing.T
 	store *platformtest.Store
 	// storeLink is the network link on which the daemons reach the store.
-	storeLink *faultlink.Link
-	nodes     []*node
-	load      *load
-	// version is the last published version; mu guards it.
-	version uint64
-	mu      sync.Mutex
+	storeLink   *faultlink.Link
+	storeFaults faultStack[platformtest.Fault]
+	// disturbances are those of the store and of all nodes.
+	disturbances disturbances
+	configs      *configs
+	nodes        []*node
+	load         *load
 }
 
 // TestSoak runs the seeds one after the other.
@@ -86,6 +89,8 @@
 		}
 	}
 	s := &soak{t: t, store: platformtest.NewStore()}
+	s.storeFaults.set = s.store.SetFault
+	s.configs = &configs{store: s.store, disturbances: &s.disturbances}
 	server := httptest.NewServer(s.store.Handler())
 	defer server.Close()
 	defer server.CloseClientConnections()
@@ -98,43 +103,21 @@
 		{DataCentre: "dc-a", Service: "desk"}, {DataCentre: "dc-a", Service: "desk"}, {DataCentre: "dc-a", Service: "back"},
 		{DataCentre: "dc-b", Service: "desk"}, {DataCentre: "dc-b", Service: "back"},
 	}
-	s.publish()
+	s.configs.publish()
 	for i, config := range configs {
-		n, err := startNode(dir, binary, s.storeLink.Address(), i, config.DataCentre, config.Service)
+		n, err := startNode(dir, binary, s.storeLink.Address(), i, config.DataCentre, config.Service, &s.disturbances)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer n.shutdown()
 		s.nodes = append(s.nodes, n)
 	}
-	s.load = &load{nodes: s.nodes, seed: seed}
+	s.load = &load{nodes: s.nodes, configs: s.configs, seed: seed}
 	s.awaitHealthy("start", startTimeout)
 	s.runPlan(drawPlan(seed, len(s.nodes), *length))
 	s.reportProblems(seed)
 }
 
-// publish writes the next version of the configuration to the store.
-func (s *soak) publish() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version++
-	s.store.Publish(s.config())
-}
-
-// republish writes the latest version of the configuration again, as operators do
-// after the store has come back from an older copy.
-func (s *soak) republish() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.store.Publish(s.config())
-}
-
-// config returns the latest version of the configuration. The caller holds mu.
-func (s *soak) config() []byte {
-	movedTo := []string{"desk", "back"}[s.version%2]
-	return platformtest.ShopConfig(s.version, movedTo)
-}
-
 // runPlan injects the faults of a plan under load and waits until all daemons
 // are healthy again.
 func (s *soak) runPlan(plan []fault) {
@@ -152,17 +135,44 @@
 		go func() { defer injected.Done(); s.inject(fault) }()
 	}
 	injected.Wait()
-	s.store.SetFault(platformtest.NoFault)
 	s.awaitHealthy("recovery", recoveryTimeout)
+	s.publishInSilence()
+	s.restartAll()
 	cancel()
 	background.Wait()
 	time.Sleep(settleTime)
 }
 
+// silenceConnections makes all open connections between daemons and to the store carry
+// nothing any more.
+func (s *soak) silenceConnections() {
+	s.storeLink.Silence()
+	for _, n := range s.nodes {
+		n.peerLink.Silence()
+	}
+}
+
+// publishInSilence publishes a version just after all connections have fallen silent, and
+// goes on with the load until requests of each caller had to be handled by it.
+func (s *soak) publishInSilence() {
+	s.silenceConnections()
+	s.configs.publish()
+	time.Sleep(configLimit + checkedTime)
+}
+
+// restartAll kills all daemons, and goes on with the load for a while, so that each seed
+// checks what restarted daemons begin with.
+func (s *soak) restartAll() {
+	for _, n := range s.nodes {
+		n.kill()
+	}
+	s.awaitHealthy("restart", recoveryTimeout)
+	time.Sleep(checkedTime)
+}
+
 // inject performs one fault and returns when it is over. Of two faults that
 // replace the same upstream, the second waits for the first. Of two overlapping
-// faults of the store or of the same link, the second replaces the first, and the
-// end of either ends both.
+// faults of the store or of the same link, the one that began last has an effect.
 func (s *soak) inject(f fault) {
 	n := s.nodes[f.node]
 	switch f.kind {
@@ -173,35 +183,34 @@
 	case stopDaemon:
 		n.stop()
 	case slowLink, blockedLink, oneWayLink, resetLink:
-		n.peerLink.SetFault(map[kind]faultlink.Fault{slowLink: faultlink.Slow, blockedLink: faultlink.Blocked, oneWayLink: faultlink.OneWay, resetLink: faultlink.Reset}[f.kind])
-		time.Sleep(f.duration)
-		n.peerLink.SetFault(faultlink.None)
+		n.disturbLink(map[kind]faultlink.Fault{slowLink: faultlink.Slow, blockedLink: faultlink.Blocked, oneWayLink: faultlink.OneWay, resetLink: faultlink.Reset}[f.kind], f.duration)
 	case busyStore, unresponsiveStore, lostWriteResponses:
-		s.store.SetFault(map[kind]platformtest.Fault{busyStore: platformtest.Unavailable, unresponsiveStore: platformtest.Unresponsive, lostWriteResponses: platformtest.LostWriteReplies}[f.kind])
-		time.Sleep(f.duration)
-		s.store.SetFault(platformtest.NoFault)
+		s.disturbStore(map[kind]platformtest.Fault{busyStore: platformtest.Unavailable, unresponsiveStore: platformtest.Unresponsive, lostWriteResponses: platformtest.LostWriteReplies}[f.kind], f.duration)
 	case truncatedHistory:
 		s.store.TruncateHistory()
 	case restoredStore:
-		older := s.store.Copy()
-		time.Sleep(f.duration)
-		s.store.Restore(older)
-		time.Sleep(rewriteDelay)
-		s.republish()
+		s.configs.restore(f.duration)
 	case silentConnections:
-		s.storeLink.Silence()
-		for _, n := range s.nodes {
-			n.peerLink.Silence()
-		}
+		s.silenceConnections()
 	case namedLimit:
 		n.limitUpstream()
-	case publish:
-		s.publish()
+	case publish, earlyPublish:
+		s.configs.publish()
 	case drainingUpstream, crashedUpstream:
 		n.replaceUpstream(f.kind == drainingUpstream)
 	}
 }
 
+// disturbStore gives the store a fault for the given time. Lost replies to writes do not
+// excuse a late configuration.
+func (s *soak) disturbStore(fault platformtest.Fault, duration time.Duration) {
+	if fault != platformtest.LostWriteReplies {
+		defer s.disturbances.begin(theStore)()
+	}
+	defer s.storeFaults.begin(fault)()
+	time.Sleep(duration)
+}
+
 // watchVersions checks until ctx ends that no process returns to an older
 // configuration.
 func (s *soak) watchVersions(ctx context.Context) {
@@ -239,9 +248,7 @@
 	end := time.Now().Add(limit)
 	for i := 0; i < len(s.nodes); {
 		n := s.nodes[i]
-		s.mu.Lock()
-		wanted := s.version
-		s.mu.Unlock()
+		wanted, _ := s.configs.newest()
 		version := n.configVersion(client)
 		var o outcome
 		if version == wanted {
