End cancelled requests in time on connections that fall silent

Cause: a second connection to a silent peer is opened when a ping has been unanswered for as long as the longest recent delay of one, at most 0.67 s. All peers share that delay: where one was paused shortly before, a Cancel on a connection that had fallen silent came up to 0.7 s late by the resumption. The limit is 0.5 s. Change: while the peer has not confirmed the end of a cancelled request, a second connection is opened after 150 ms without an answer, and the ping is sent after 40 ms of idle time instead of 100 ms. The second connection still replaces the first only if that stays silent. TestCancellationOnSilentConnectionAfterLatePings failed in 3 of 3 runs before and passed 10 of 10 after (with the race detector). go test -race ./internal/hop passed.

--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -10,6 +10,9 @@
 	busyCheckInterval = 40 * time.Millisecond
 	// busyPingAfter is the idle time before a ping while requests are pending.
 	busyPingAfter = 100 * time.Millisecond
+	// cancelPingAfter is the idle time before a ping while the peer has not confirmed the
+	// end of a cancelled request.
+	cancelPingAfter = busyCheckInterval
 	// idlePingAfter is the idle time before a ping while no request is pending.
 	idlePingAfter = 2 * time.Second
 )
@@ -44,6 +47,9 @@
 		if often {
 			pingAfter, interval = busyPingAfter, busyCheckInterval
 		}
+		if c.Unconfirmed() > 0 {
+			pingAfter = cancelPingAfter
+		}
 		c.polling.Store(often)
 		if conn.pingSentAt.Load() > 0 || !busy && c.busy() {
 			// A ping is unanswered, or a request came in since busy was set.
@@ -88,7 +94,7 @@
 	case pingSentAt == 0 && idleTime >= pingAfter:
 		conn.pingSentAt.Store(int64(now))
 		c.sendPing(conn)
-	case pingSentAt > 0 && now-pingSentAt >= replaceAfter(timeout):
+	case pingSentAt > 0 && now-pingSentAt >= replaceAfter(timeout, c.Unconfirmed() > 0):
 		c.replace(conn)
 		// While requests are pending, the connection was idle for busyPingAfter
 		// before the ping. That time is part of the timeout. A request that was sent
--- a/internal/hop/resume.go
+++ b/internal/hop/resume.go
@@ -21,8 +21,13 @@
 // replaceAfter returns how long a ping is unanswered before a second connection is
 // opened, given the read timeout: as long as the longest recent delay of a ping. The
 // second connection replaces the first only if it is the first to answer, so that it
-// can be opened long before the peer counts as silent.
-func replaceAfter(timeout time.Duration) time.Duration {
+// can be opened long before the peer counts as silent. With cancelling, a cancelled request
+// may still run: it must end within 0.5 s also after late answers to pings, which would
+// lengthen the wait to 0.67 s.
+func replaceAfter(timeout time.Duration, cancelling bool) time.Duration {
+	if cancelling {
+		return minReplaceAfter
+	}
 	return max(timeout/delayFactor, minReplaceAfter)
 }
 
--- a/internal/hop/resume_test.go
+++ b/internal/hop/resume_test.go
@@ -114,6 +114,24 @@
 	}
 }
 
+// TestCancellationOnSilentConnectionAfterLatePings covers the same after a peer that was
+// paused: its late answers to pings must not delay the end of the request.
+func TestCancellationOnSilentConnectionAfterLatePings(t *testing.T) {
+	handler, network, client, _ := startPair(t)
+	client.hooks.AdaptiveTimeout.RecordPingDelay(client.now(), time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	result := start(ctx, client, &hopv1.Request{Id: "slow"})
+	<-handler.started
+	network.Silence()
+	cancel()
+	<-result
+	select {
+	case <-handler.cancelled:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the request runs on 0.5 s after its caller has left")
+	}
+}
+
 // TestCancellationFollowsTheRequest covers a caller that leaves after its running
 // request has moved to another connection.
 func TestCancellationFollowsTheRequest(t *testing.T) {
