Check in the soak that work ends with its caller

Cause: the soak did not check GONE. Change: one more caller for each daemon sends requests to service back that run for 1.5 s, and disconnects within 0.6 s; between them it waits for an ordinary answer, in which upstreams name their limits. A run must end within 0.5 s of the disconnection. The time until the entry or the executing daemon was last disturbed does not count. Upstreams of platformtest record when runs end, and may take a time for each target. Nested requests are not checked here.

--- a/test/soak/config_test.go
+++ b/test/soak/config_test.go
@@ -97,10 +97,12 @@
 // an older one.
 func (c *configs) text(version uint64) []byte {
 	movedTo := []string{"desk", "back"}[version%2]
-	var routes []platformtest.Route
+	route := func(prefix, service string) platformtest.Route {
+		return platformtest.Route{Prefix: prefix, Kind: platformtest.Idempotent, Service: service, TimeoutMS: 2000, GoalMS: 1000, MaxAttempts: maxAttempts}
+	}
+	routes := []platformtest.Route{route(longRoute, "back")}
 	for v := uint64(1); v <= version; v++ {
-		routes = append(routes, platformtest.Route{Prefix: sinceRoute(v), Kind: platformtest.Idempotent, Service: "desk",
-			TimeoutMS: 2000, GoalMS: 1000, MaxAttempts: maxAttempts})
+		routes = append(routes, route(sinceRoute(v), "desk"))
 	}
 	return platformtest.ShopConfig(version, movedTo, routes...)
 }
--- /dev/null
+++ b/test/soak/gone_test.go
@@ -0,0 +1,100 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"godwitmount/platform/platformtest"
+)
+
+const (
+	// goneLimit is how long after its caller has disconnected a request may run.
+	goneLimit = 500 * time.Millisecond
+	// longRoute is the prefix of a route to service back. Its requests for longTarget run
+	// for longWork if nobody ends them: longer than maxPatience and goneLimit together, and
+	// not longer than a planned stop waits for them (0.3 of its grace of 6 s).
+	longRoute  = "/long/"
+	longTarget = longRoute + "gone-"
+	longWork   = deadline
+	// maxPatience is the longest time after which a caller of longRoute disconnects.
+	maxPatience = 600 * time.Millisecond
+)
+
+// departure is a request whose caller has disconnected before the answer.
+type departure struct {
+	id   string
+	node int
+	left time.Time
+}
+
+// leaver sends requests for longRoute one after the other. It disconnects before the answers
+// of half of them and waits for those of the others: an upstream names its limit only in
+// answers.
+func (l *load) leaver(ctx context.Context, n *node, random *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	for number := 0; ctx.Err() == nil; number++ {
+		id := fmt.Sprintf("gone-%d-%d", n.number, number)
+		l.leave(client, n, "stay-"+id, deadline+deadlineSlack)
+		if l.leave(client, n, id, time.Duration(random.Int64N(int64(maxPatience)))) {
+			l.mu.Lock()
+			l.departures = append(l.departures, departure{id, n.number, time.Now()})
+			l.mu.Unlock()
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(2 * meanCallPause))))
+	}
+}
+
+// leave sends one request and closes the connection after some time. It returns false if
+// the answer came first.
+func (l *load) leave(client *http.Client, n *node, id string, patience time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	request, err := platformtest.ShopRequest(ctx, n.host+":7481", http.MethodGet, longRoute+id, id, deadline, "")
+	if err != nil {
+		l.problem("request %s: %v", id, err)
+		return false
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		// The caller has disconnected, or the daemon has ended.
+		return true
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err != nil
+}
+
+// checkDepartures reports requests that ran on at an upstream although their callers had
+// disconnected. The time until the entry and the executing daemon were last disturbed
+// does not count.
+func (l *load) checkDepartures(disturbances *disturbances) {
+	departures := map[string]departure{}
+	for _, d := range l.departures {
+		departures[d.id] = d
+	}
+	abandoned := 0
+	for _, n := range l.nodes {
+		for _, u := range n.upstreams {
+			for _, run := range u.Runs() {
+				d, left := departures[run.ID]
+				if !left {
+					continue
+				}
+				abandoned++
+				end, settled := disturbances.settled(d.left, goneLimit, reach(d.node), process(d.node), reach(n.number), process(n.number))
+				if settled && (run.Ended.IsZero() || run.Ended.After(end)) {
+					l.problem("request %s of node %d, whose caller had disconnected, ran at node %d for %s after that, %s longer than allowed",
+						d.id, d.node, n.number, run.Ended.Sub(d.left).Round(time.Millisecond), run.Ended.Sub(end).Round(time.Millisecond))
+				}
+			}
+		}
+	}
+	if abandoned == 0 {
+		l.problem("no request ran whose caller disconnected")
+	}
+}
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -54,13 +54,16 @@
 
 	mu       sync.Mutex
 	outcomes []outcome
-	problems []string
+	// departures are the requests of leavers.
+	departures []departure
+	problems   []string
 }
 
 // run sends requests until ctx ends.
 func (l *load) run(ctx context.Context) {
 	var wg sync.WaitGroup
 	for i, n := range l.nodes {
+		wg.Go(func() { l.leaver(ctx, n, rand.New(rand.NewPCG(l.seed, uint64(100*i+99)))) })
 		for caller := range callersPerNode {
 			wg.Add(1)
 			go func() {
--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -20,7 +21,7 @@
 const (
 	reportInterval = 100 * time.Millisecond
 	slots          = 4
-	// workTime is how long an upstream runs each request.
+	// workTime is how long an upstream runs each request but those for longTarget.
 	workTime = 20 * time.Millisecond
 	// restartDelay is the time between the end of a daemon or upstream and the
 	// start of the next one.
@@ -257,7 +258,7 @@
 func (n *node) startUpstream() error {
 	id := fmt.Sprintf("i-%d-%d", n.number, len(n.upstreams))
 	u, err := platformtest.NewUpstream(n.upstreamAddress(), platformtest.UpstreamConfig{
-		ID: id, Service: n.service, Slots: slots, Work: workTime, Control: n.host + ":7483",
+		ID: id, Service: n.service, Slots: slots, WorkOf: workOf, Control: n.host + ":7483",
 	})
 	if err != nil {
 		return err
@@ -269,6 +270,14 @@
 	return nil
 }
 
+// workOf returns how long a request runs.
+func workOf(target string) time.Duration {
+	if strings.HasPrefix(target, longTarget) {
+		return longWork
+	}
+	return workTime
+}
+
 // replaceUpstream ends the upstream, after draining it if planned and by a
 // crash otherwise, and starts the next one.
 func (n *node) replaceUpstream(planned bool) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -269,6 +269,7 @@
 // reportProblems fails the test for each problem found.
 func (s *soak) reportProblems(seed uint64) {
 	s.load.check()
+	s.load.checkDepartures(&s.disturbances)
 	counts := map[string]int{}
 	for _, o := range s.load.outcomes {
 		name := fmt.Sprint(o.status)
