Check a rollout in progress in the soak

Cause: no test with processes had a rollout beside faults. The test acts as the platform: it stops the old upstreams at once when it reads `completed`. Checked are the final state and that it stays, the requests at old upstreams at and after that moment, the exposure of a bad version, and the requests to a reverted one. Faults concern the first five nodes, the store and the load as before.

--- a/test/soak/config_test.go
+++ b/test/soak/config_test.go
@@ -88,6 +88,13 @@
 	return ok && !settled.After(at)
 }
 
+// drilledSince reports whether the store has come back from an older copy after a time.
+func (c *configs) drilledSince(at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.restored.After(at)
+}
+
 // lost reports whether the store has lost what it accepted at a time. The caller holds mu.
 func (c *configs) lost(accepted time.Time) bool {
 	return accepted.After(c.copied) && accepted.Before(c.restored)
--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -67,8 +67,10 @@
 	upstreams []*platformtest.Upstream
 
 	problems
-	// replacing is held while the upstream is replaced.
+	// replacing is held while the upstream is replaced. It guards retired, which is set when
+	// the upstream has no successor.
 	replacing sync.Mutex
+	retired   bool
 }
 
 // plannedStop holds when a process received SIGTERM and when it had ended.
@@ -83,6 +85,9 @@
 	// store is the host:port of the store.
 	store        string
 	strictRevoke bool
+	// version is that of the upstreams, and rollouts enables rollouts.
+	version      string
+	rollouts     bool
 	disturbances *disturbances
 }
 
@@ -95,7 +100,7 @@
 	}
 	n.linkFaults.set = n.peerLink.SetFault
 	name := fmt.Sprintf("%s-%d", c.DataCentre, c.number)
-	text, err := json.Marshal(map[string]any{
+	settings := map[string]any{
 		"mesh": "soak", "data_centre": c.DataCentre, "instance": name, "service": c.Service,
 		"caller_listen": n.host + ":7481", "peer_listen": n.host + ":7482", "peer_advertise": n.host + ":7480",
 		"announce_listen": n.host + ":7483", "ready_listen": n.host + ":7484", "metrics_listen": n.host + ":7485",
@@ -103,7 +108,11 @@
 		"shutdown_grace": "6s", "strict_revoke": c.strictRevoke,
 		// Enough for all requests of the load.
 		"log_lines_per_second": 5000,
-	})
+	}
+	if c.rollouts {
+		settings["expose_per_mille"], settings["expose_slack"], settings["rollback"] = exposePerMille, exposeSlack, rollback.String()
+	}
+	text, err := json.Marshal(settings)
 	if err != nil {
 		return nil, err
 	}
@@ -261,7 +270,7 @@
 func (n *node) startUpstream() error {
 	id := fmt.Sprintf("i-%d-%d", n.number, len(n.upstreams))
 	u, err := platformtest.NewUpstream(n.upstreamAddress(), platformtest.UpstreamConfig{
-		ID: id, Service: n.Service, Slots: slots, WorkOf: workOf, Control: n.host + ":7483",
+		ID: id, Service: n.Service, Version: n.version, Slots: slots, WorkOf: workOf, Control: n.host + ":7483",
 	})
 	if err != nil {
 		return err
@@ -286,6 +295,9 @@
 func (n *node) replaceUpstream(planned bool) {
 	n.replacing.Lock()
 	defer n.replacing.Unlock()
+	if n.retired {
+		return
+	}
 	n.cancel()
 	if planned {
 		n.drainUpstream()
@@ -297,6 +309,15 @@
 	}
 }
 
+// retireUpstream ends the upstream at once, for good.
+func (n *node) retireUpstream() {
+	n.replacing.Lock()
+	defer n.replacing.Unlock()
+	n.cancel()
+	n.upstream.Kill()
+	n.retired = true
+}
+
 const (
 	// namedRate is the limit of requests a second that an upstream names, limitNotice
 	// how long daemons may take to keep it, and limitedTime how long it is checked.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -63,6 +64,8 @@
 	configs      *configs
 	nodes        []*node
 	load         *load
+	// rollout is the seed's rollout, or nil.
+	rollout *rollout
 }
 
 // TestSoak runs the seeds one after the other.
@@ -106,7 +109,7 @@
 	s.configs.publish()
 	for i, config := range configs {
 		n, err := startNode(nodeConfig{dir: dir, binary: binary, store: s.storeLink.Address(), number: i, NodeConfig: config,
-			strictRevoke: strictRevoke(seed), disturbances: &s.disturbances})
+			strictRevoke: strictRevoke(seed), version: oldVersion, rollouts: hasRollout(seed), disturbances: &s.disturbances})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -115,6 +118,12 @@
 	}
 	s.load = &load{nodes: s.nodes, configs: s.configs, seed: seed}
 	s.awaitHealthy("start", startTimeout)
+	s.rollout = newRollout(s, seed)
+	defer func() {
+		for _, n := range s.rollout.started() {
+			n.shutdown()
+		}
+	}()
 	s.runPlan(drawPlan(seed, len(s.nodes), *length))
 	s.reportProblems(seed)
 }
@@ -127,6 +136,9 @@
 	background.Go(func() { s.load.run(ctx) })
 	background.Go(func() { s.watchVersions(ctx) })
 	background.Go(func() { s.t.Logf("the machine was too busy for %s in all", s.disturbances.watchMachine(ctx)) })
+	if s.rollout != nil {
+		background.Go(func() { s.rollout.run(ctx) })
+	}
 	began := time.Now()
 	var injected sync.WaitGroup
 	for _, fault := range plan {
@@ -137,6 +149,9 @@
 	}
 	injected.Wait()
 	s.awaitHealthy("recovery", recoveryTimeout)
+	if s.rollout != nil {
+		s.rollout.await(recoveryTimeout)
+	}
 	s.publishInSilence()
 	s.restartAll()
 	cancel()
@@ -148,7 +163,7 @@
 func strictRevoke(seed uint64) bool { return seed%2 == 0 }
 
 // silenceConnections makes all open connections between daemons and to the store carry
-// nothing any more.
+// nothing any more, but for those to the new nodes of a rollout.
 func (s *soak) silenceConnections() {
 	s.storeLink.Silence()
 	for _, n := range s.nodes {
@@ -167,7 +182,7 @@
 // restartAll kills all daemons, and goes on with the load for a while, so that each seed
 // checks what restarted daemons begin with.
 func (s *soak) restartAll() {
-	for _, n := range s.nodes {
+	for _, n := range slices.Concat(s.nodes, s.rollout.started()) {
 		n.kill()
 	}
 	s.awaitHealthy("restart", recoveryTimeout)
@@ -272,6 +287,11 @@
 
 // reportProblems fails the test for each problem found.
 func (s *soak) reportProblems(seed uint64) {
+	s.load.nodes = slices.Concat(s.nodes, s.rollout.started())
+	if s.rollout != nil {
+		s.rollout.check()
+		s.rollout.report(s.t, fmt.Sprintf("seed %d", seed))
+	}
 	s.load.check()
 	s.load.checkDepartures(&s.disturbances)
 	s.load.checkCustomers(s.t, strictRevoke(seed))
@@ -285,7 +305,7 @@
 	}
 	s.t.Logf("outcomes: %v", counts)
 	s.load.report(s.t, fmt.Sprintf("seed %d", seed))
-	for _, n := range s.nodes {
+	for _, n := range s.load.nodes {
 		n.report(s.t, fmt.Sprintf("seed %d, node %d", seed, n.number))
 	}
 }
