--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"godwitmount/platform"
 	"godwitmount/platform/platformtest"
 )
 
@@ -26,6 +27,8 @@
 	// daemon waits 100 ms for callers after closing its listeners, and the test
 	// observes the end of the process later still.
 	stopSlack = 150 * time.Millisecond
+	// maxAttempts is the number of attempts that the routes allow.
+	maxAttempts = 3
 )
 
 // outcome is the result of one request as its caller saw it.
@@ -36,59 +39,76 @@
 	sent       time.Time
 	status     int
 	retryAfter string
+	// since is the version that the daemon had to have in force when the request was
+	// sent, and accepted when that was accepted; 0 for writes.
+	since    uint64
+	accepted time.Time
+	answered time.Time
+	credential
 	// err is set if the caller received no complete response.
 	err error
 }
 
 // load generates requests to all nodes and records their outcomes.
 type load struct {
-	nodes []*node
-	seed  uint64
+	nodes   []*node
+	configs *configs
+	seed    uint64
 
 	mu       sync.Mutex
 	outcomes []outcome
-	problems []string
+	// departures are the requests of leavers.
+	departures []departure
+	problems
 }
 
 // run sends requests until ctx ends.
 func (l *load) run(ctx context.Context) {
 	var wg sync.WaitGroup
 	for i, n := range l.nodes {
+		for j, special := range []func(context.Context, *node, *rand.Rand){l.leaver, l.flooder, l.rotating} {
+			wg.Go(func() { special(ctx, n, rand.New(rand.NewPCG(l.seed, uint64(100*i+99-j)))) })
+		}
 		for caller := range callersPerNode {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
+			wg.Go(func() {
 				l.caller(ctx, n, rand.New(rand.NewPCG(l.seed, uint64(100*i+caller))), fmt.Sprintf("%d-%d", i, caller))
-			}()
+			})
 		}
 	}
 	wg.Wait()
 }
 
-// caller sends requests one after the other on one connection, which it
-// keeps until the daemon closes it.
+// caller sends requests of customer calm, and some without a valid key, until ctx ends.
 func (l *load) caller(ctx context.Context, n *node, random *rand.Rand, name string) {
+	l.repeat(ctx, n, name, random, meanCallPause, func(int) credential { return drawCredential(random) })
+}
+
+// repeat sends requests one after the other on one connection, which it keeps until the
+// daemon closes it. Draw returns the credential of the request with a number.
+func (l *load) repeat(ctx context.Context, n *node, name string, random *rand.Rand, pause time.Duration, draw func(number int) credential) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	defer client.CloseIdleConnections()
 	for number := 0; ctx.Err() == nil; number++ {
-		o := l.call(client, n, fmt.Sprintf("%s-%d", name, number), random.IntN(2) == 0)
+		o := l.call(client, n, fmt.Sprintf("%s-%d", name, number), random.IntN(2) == 0, draw(number))
 		l.mu.Lock()
 		l.outcomes = append(l.outcomes, o)
 		l.mu.Unlock()
-		time.Sleep(time.Duration(random.Int64N(int64(2 * meanCallPause))))
+		time.Sleep(time.Duration(random.Int64N(int64(2 * pause))))
 	}
 }
 
 // call sends one request and checks that the response belongs to it.
-func (l *load) call(client *http.Client, n *node, id string, write bool) outcome {
-	o := outcome{id: id, node: n.number, write: write, sent: time.Now()}
-	method, target := http.MethodGet, "/read/"+id
-	if write {
-		method, target = http.MethodPost, "/write/"+id
+func (l *load) call(client *http.Client, n *node, id string, write bool, c credential) (o outcome) {
+	o = outcome{id: id, node: n.number, write: write, sent: time.Now(), credential: c}
+	defer func() { o.answered = time.Now() }()
+	method, target := http.MethodPost, "/write/"+id
+	if !write {
+		o.since, o.accepted = l.configs.due(n.number, o.sent)
+		method, target = http.MethodGet, sinceRoute(o.since)+id
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+deadlineSlack)
 	defer cancel()
-	request, err := platformtest.ShopRequest(ctx, n.host+":7481", method, target, id, deadline, "")
+	request, err := newRequest(ctx, n, method, target, id, c.key)
 	if err != nil {
 		o.err = err
 		return o
@@ -114,10 +134,13 @@
 	return o
 }
 
-func (l *load) problem(format string, args ...any) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.problems = append(l.problems, fmt.Sprintf(format, args...))
+// newRequest returns a request with a key, or without one if it is "".
+func newRequest(ctx context.Context, n *node, method, target, id, key string) (*http.Request, error) {
+	request, err := platformtest.ShopRequest(ctx, n.host+":7481", method, target, id, deadline, "")
+	if err == nil && key != "" {
+		request.Header.Set(platform.Headers().CustomerKey, key)
+	}
+	return request, err
 }
 
 // check compares the outcomes that callers saw with the requests that the
@@ -131,8 +154,6 @@
 			}
 		}
 	}
-	// The routes of platformtest.ShopConfig allow this number.
-	const maxAttempts = 3
 	for _, o := range l.outcomes {
 		runs := runsByID[o.id]
 		switch {
@@ -144,6 +165,9 @@
 			l.problem("request %s ran %d times", o.id, runs)
 		case o.status == http.StatusServiceUnavailable && o.retryAfter != "" && runs > 0:
 			l.problem("request %s was reported as not run but ran %d times", o.id, runs)
+		case o.status == http.StatusNotFound && o.since > 0:
+			l.problem("request %s at node %d, sent %s after the acceptance of version %d, was handled by an older one",
+				o.id, o.node, o.sent.Sub(o.accepted).Round(time.Millisecond), o.since)
 		case o.status == http.StatusNotFound:
 			l.problem("request %s matched no route", o.id)
 		}
--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -20,7 +21,7 @@
 const (
 	reportInterval = 100 * time.Millisecond
 	slots          = 4
-	// workTime is how long an upstream runs each request.
+	// workTime is how long an upstream runs each request but those for longTarget.
 	workTime = 20 * time.Millisecond
 	// restartDelay is the time between the end of a daemon or upstream and the
 	// start of the next one.
@@ -37,15 +38,15 @@
 
 // node is an instance: a daemon in a process of its own, and an upstream.
 type node struct {
-	number int
-	host   string
-	binary string
+	nodeConfig
+	host string
 	// settingsFile is the path of the daemon's settings.
 	settingsFile string
 	log          *os.File
-	service      string
 	// peerLink is the network link on which other daemons reach this one.
 	peerLink *faultlink.Link
+	// linkFaults are the faults of peerLink.
+	linkFaults faultStack[faultlink.Fault]
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -55,6 +56,8 @@
 	// disturbed is set if the process was killed or paused since it started, a
 	// planned stop in progress included.
 	disturbed bool
+	// pauses is the number of pauses of the process that are not over.
+	pauses int
 	// stops are the planned stops during which the process was not disturbed.
 	stops    []plannedStop
 	upstream *platformtest.Upstream
@@ -62,40 +65,62 @@
 	cancel context.CancelFunc
 	// upstreams are all upstreams since the start, the current one last.
 	upstreams []*platformtest.Upstream
-	problems  []string
 
-	// replacing is held while the upstream is replaced.
+	problems
+	// replacing is held while the upstream is replaced. It guards retired, which is set when
+	// the upstream has no successor.
 	replacing sync.Mutex
+	retired   bool
 }
 
 // plannedStop holds when a process received SIGTERM and when it had ended.
 type plannedStop struct{ began, ended time.Time }
 
-// startNode starts a link, an upstream and a daemon. The daemon's settings and log
-// are files in dir; store is the host:port of the store.
-func startNode(dir, binary, store string, number int, dataCentre, service string) (*node, error) {
-	n := &node{number: number, binary: binary, service: service,
-		host: host()}
+// nodeConfig says how a node is started.
+type nodeConfig struct {
+	platformtest.NodeConfig
+	number int
+	// dir is for the daemon's settings and log, and binary the daemon's program.
+	dir, binary string
+	// store is the host:port of the store.
+	store        string
+	strictRevoke bool
+	// version is that of the upstreams, and rollouts enables rollouts.
+	version      string
+	rollouts     bool
+	disturbances *disturbances
+}
+
+// startNode starts a link, an upstream and a daemon.
+func startNode(c nodeConfig) (*node, error) {
+	n := &node{nodeConfig: c, host: host()}
 	var err error
 	if n.peerLink, err = faultlink.New(n.host+":7480", n.host+":7482"); err != nil {
 		return nil, err
 	}
-	name := fmt.Sprintf("%s-%d", dataCentre, number)
-	text, err := json.Marshal(map[string]any{
-		"mesh": "soak", "data_centre": dataCentre, "instance": name, "service": service,
+	n.linkFaults.set = n.peerLink.SetFault
+	name := fmt.Sprintf("%s-%d", c.DataCentre, c.number)
+	settings := map[string]any{
+		"mesh": "soak", "data_centre": c.DataCentre, "instance": name, "service": c.Service,
 		"caller_listen": n.host + ":7481", "peer_listen": n.host + ":7482", "peer_advertise": n.host + ":7480",
 		"announce_listen": n.host + ":7483", "ready_listen": n.host + ":7484", "metrics_listen": n.host + ":7485",
-		"upstream_address": n.upstreamAddress(), "store_address": store, "heartbeat": reportInterval.String(),
-		"shutdown_grace": "6s",
-	})
+		"upstream_address": n.upstreamAddress(), "store_address": c.store, "heartbeat": reportInterval.String(),
+		"shutdown_grace": "6s", "strict_revoke": c.strictRevoke,
+		// Enough for all requests of the load.
+		"log_lines_per_second": 5000,
+	}
+	if c.rollouts {
+		settings["expose_per_mille"], settings["expose_slack"], settings["rollback"] = exposePerMille, exposeSlack, rollback.String()
+	}
+	text, err := json.Marshal(settings)
 	if err != nil {
 		return nil, err
 	}
-	n.settingsFile = filepath.Join(dir, name+".hujson")
+	n.settingsFile = filepath.Join(c.dir, name+".hujson")
 	if err := os.WriteFile(n.settingsFile, text, 0o600); err != nil {
 		return nil, err
 	}
-	if n.log, err = os.Create(filepath.Join(dir, name+".log")); err != nil {
+	if n.log, err = os.Create(filepath.Join(c.dir, name+".log")); err != nil {
 		return nil, err
 	}
 	if err := n.startUpstream(); err != nil {
@@ -132,7 +157,7 @@
 		return err
 	}
 	ended := make(chan struct{})
-	n.process, n.started, n.ended, n.disturbed = process, time.Now(), ended, false
+	n.process, n.started, n.ended, n.disturbed, n.pauses = process, time.Now(), ended, false, 0
 	go func() {
 		// The result is read from ProcessState.
 		_ = process.Wait()
@@ -141,12 +166,6 @@
 	return nil
 }
 
-func (n *node) problem(format string, args ...any) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.problems = append(n.problems, fmt.Sprintf("node %d: ", n.number)+fmt.Sprintf(format, args...))
-}
-
 // signal sends a signal to the current process and returns the process and the
 // channel that is closed when it has ended. disturbs says that the signal makes
 // a planned stop in progress unfit for checking.
@@ -161,16 +180,45 @@
 
 // kill kills the process and starts the next one.
 func (n *node) kill() {
+	defer n.disturbances.begin(process(n.number))()
 	_, ended := n.signal(syscall.SIGKILL, true)
 	n.restart(ended)
 }
 
-// pause suspends the process for the given time.
+// pause suspends the process for the given time, or until another pause is over.
 func (n *node) pause(duration time.Duration) {
-	process, _ := n.signal(syscall.SIGSTOP, true)
+	defer n.disturbances.begin(reach(n.number))()
+	process := n.addPause()
+	time.Sleep(duration)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != process {
+		// It was killed meanwhile.
+		return
+	}
+	n.pauses--
+	if n.pauses == 0 {
+		// An error means that the process has ended.
+		_ = process.Process.Signal(syscall.SIGCONT)
+	}
+}
+
+// addPause suspends the process and returns it.
+func (n *node) addPause() *exec.Cmd {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.disturbed = true
+	n.pauses++
+	// An error means that the process has ended.
+	_ = n.process.Process.Signal(syscall.SIGSTOP)
+	return n.process
+}
+
+// disturbLink gives the link a fault for the given time.
+func (n *node) disturbLink(fault faultlink.Fault, duration time.Duration) {
+	defer n.disturbances.begin(reach(n.number))()
+	defer n.linkFaults.begin(fault)()
 	time.Sleep(duration)
-	// An error means that the process was killed meanwhile.
-	_ = process.Process.Signal(syscall.SIGCONT)
 }
 
 // stop performs a planned stop of the process and starts the next one.
@@ -222,7 +270,7 @@
 func (n *node) startUpstream() error {
 	id := fmt.Sprintf("i-%d-%d", n.number, len(n.upstreams))
 	u, err := platformtest.NewUpstream(n.upstreamAddress(), platformtest.UpstreamConfig{
-		ID: id, Service: n.service, Slots: slots, Work: workTime, Control: n.host + ":7483",
+		ID: id, Service: n.Service, Version: n.version, Slots: slots, WorkOf: workOf, Control: n.host + ":7483",
 	})
 	if err != nil {
 		return err
@@ -234,11 +282,22 @@
 	return nil
 }
 
+// workOf returns how long a request runs.
+func workOf(target string) time.Duration {
+	if strings.HasPrefix(target, longTarget) {
+		return longWork
+	}
+	return workTime
+}
+
 // replaceUpstream ends the upstream, after draining it if planned and by a
 // crash otherwise, and starts the next one.
 func (n *node) replaceUpstream(planned bool) {
 	n.replacing.Lock()
 	defer n.replacing.Unlock()
+	if n.retired {
+		return
+	}
 	n.cancel()
 	if planned {
 		n.drainUpstream()
@@ -250,6 +309,15 @@
 	}
 }
 
+// retireUpstream ends the upstream at once, for good.
+func (n *node) retireUpstream() {
+	n.replacing.Lock()
+	defer n.replacing.Unlock()
+	n.cancel()
+	n.upstream.Kill()
+	n.retired = true
+}
+
 const (
 	// namedRate is the limit of requests a second that an upstream names, limitNotice
 	// how long daemons may take to keep it, and limitedTime how long it is checked.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -35,7 +36,9 @@
 	recoveryTimeout = 15 * time.Second
 	// settleTime is how long the test waits at the end for late deliveries to
 	// upstreams.
-	settleTime   = time.Second
+	settleTime = time.Second
+	// checkedTime is how long the load goes on after a change at the end of a plan.
+	checkedTime  = 500 * time.Millisecond
 	pollInterval = 100 * time.Millisecond
 	// rewriteDelay is how long operators take to write the configuration again after
 	// the store has come back from an older copy.
@@ -54,12 +57,15 @@
 	t     *testing.T
 	store *platformtest.Store
 	// storeLink is the network link on which the daemons reach the store.
-	storeLink *faultlink.Link
-	nodes     []*node
-	load      *load
-	// version is the last published version; mu guards it.
-	version uint64
-	mu      sync.Mutex
+	storeLink   *faultlink.Link
+	storeFaults faultStack[platformtest.Fault]
+	// disturbances are those of the store and of all nodes.
+	disturbances disturbances
+	configs      *configs
+	nodes        []*node
+	load         *load
+	// rollout is the seed's rollout, or nil.
+	rollout *rollout
 }
 
 // TestSoak runs the seeds one after the other.
@@ -86,6 +92,8 @@
 		}
 	}
 	s := &soak{t: t, store: platformtest.NewStore()}
+	s.storeFaults.set = s.store.SetFault
+	s.configs = &configs{store: s.store, disturbances: &s.disturbances}
 	server := httptest.NewServer(s.store.Handler())
 	defer server.Close()
 	defer server.CloseClientConnections()
@@ -98,51 +106,39 @@
 		{DataCentre: "dc-a", Service: "desk"}, {DataCentre: "dc-a", Service: "desk"}, {DataCentre: "dc-a", Service: "back"},
 		{DataCentre: "dc-b", Service: "desk"}, {DataCentre: "dc-b", Service: "back"},
 	}
-	s.publish()
+	s.configs.publish()
 	for i, config := range configs {
-		n, err := startNode(dir, binary, s.storeLink.Address(), i, config.DataCentre, config.Service)
+		n, err := startNode(nodeConfig{dir: dir, binary: binary, store: s.storeLink.Address(), number: i, NodeConfig: config,
+			strictRevoke: strictRevoke(seed), version: oldVersion, rollouts: hasRollout(seed), disturbances: &s.disturbances})
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer n.shutdown()
 		s.nodes = append(s.nodes, n)
 	}
-	s.load = &load{nodes: s.nodes, seed: seed}
+	s.load = &load{nodes: s.nodes, configs: s.configs, seed: seed}
 	s.awaitHealthy("start", startTimeout)
+	s.rollout = newRollout(s, seed)
+	defer func() {
+		for _, n := range s.rollout.started() {
+			n.shutdown()
+		}
+	}()
 	s.runPlan(drawPlan(seed, len(s.nodes), *length))
 	s.reportProblems(seed)
 }
 
-// publish writes the next version of the configuration to the store.
-func (s *soak) publish() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version++
-	s.store.Publish(s.config())
-}
-
-// republish writes the latest version of the configuration again, as operators do
-// after the store has come back from an older copy.
-func (s *soak) republish() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.store.Publish(s.config())
-}
-
-// config returns the latest version of the configuration. The caller holds mu.
-func (s *soak) config() []byte {
-	movedTo := []string{"desk", "back"}[s.version%2]
-	return platformtest.ShopConfig(s.version, movedTo)
-}
-
 // runPlan injects the faults of a plan under load and waits until all daemons
 // are healthy again.
 func (s *soak) runPlan(plan []fault) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var background sync.WaitGroup
-	background.Add(2)
-	go func() { defer background.Done(); s.load.run(ctx) }()
-	go func() { defer background.Done(); s.watchVersions(ctx) }()
+	background.Go(func() { s.load.run(ctx) })
+	background.Go(func() { s.watchVersions(ctx) })
+	background.Go(func() { s.t.Logf("the machine was too busy for %s in all", s.disturbances.watchMachine(ctx)) })
+	if s.rollout != nil {
+		background.Go(func() { s.rollout.run(ctx) })
+	}
 	began := time.Now()
 	var injected sync.WaitGroup
 	for _, fault := range plan {
@@ -152,17 +148,50 @@
 		go func() { defer injected.Done(); s.inject(fault) }()
 	}
 	injected.Wait()
-	s.store.SetFault(platformtest.NoFault)
 	s.awaitHealthy("recovery", recoveryTimeout)
+	if s.rollout != nil {
+		s.rollout.await(recoveryTimeout)
+	}
+	s.publishInSilence()
+	s.restartAll()
 	cancel()
 	background.Wait()
 	time.Sleep(settleTime)
 }
 
+// strictRevoke reports whether the daemons of a seed refuse removed keys strictly.
+func strictRevoke(seed uint64) bool { return seed%2 == 0 }
+
+// silenceConnections makes all open connections between daemons and to the store carry
+// nothing any more, but for those to the new nodes of a rollout.
+func (s *soak) silenceConnections() {
+	s.storeLink.Silence()
+	for _, n := range s.nodes {
+		n.peerLink.Silence()
+	}
+}
+
+// publishInSilence publishes a version just after all connections have fallen silent, and
+// goes on with the load until requests of each caller had to be handled by it.
+func (s *soak) publishInSilence() {
+	s.silenceConnections()
+	s.configs.publish()
+	time.Sleep(configLimit + checkedTime)
+}
+
+// restartAll kills all daemons, and goes on with the load for a while, so that each seed
+// checks what restarted daemons begin with.
+func (s *soak) restartAll() {
+	for _, n := range slices.Concat(s.nodes, s.rollout.started()) {
+		n.kill()
+	}
+	s.awaitHealthy("restart", recoveryTimeout)
+	time.Sleep(checkedTime)
+}
+
 // inject performs one fault and returns when it is over. Of two faults that
 // replace the same upstream, the second waits for the first. Of two overlapping
-// faults of the store or of the same link, the second replaces the first, and the
-// end of either ends both.
+// faults of the store or of the same link, the one that began last has an effect.
 func (s *soak) inject(f fault) {
 	n := s.nodes[f.node]
 	switch f.kind {
@@ -173,35 +202,34 @@
 	case stopDaemon:
 		n.stop()
 	case slowLink, blockedLink, oneWayLink, resetLink:
-		n.peerLink.SetFault(map[kind]faultlink.Fault{slowLink: faultlink.Slow, blockedLink: faultlink.Blocked, oneWayLink: faultlink.OneWay, resetLink: faultlink.Reset}[f.kind])
-		time.Sleep(f.duration)
-		n.peerLink.SetFault(faultlink.None)
+		n.disturbLink(map[kind]faultlink.Fault{slowLink: faultlink.Slow, blockedLink: faultlink.Blocked, oneWayLink: faultlink.OneWay, resetLink: faultlink.Reset}[f.kind], f.duration)
 	case busyStore, unresponsiveStore, lostWriteResponses:
-		s.store.SetFault(map[kind]platformtest.Fault{busyStore: platformtest.Unavailable, unresponsiveStore: platformtest.Unresponsive, lostWriteResponses: platformtest.LostWriteReplies}[f.kind])
-		time.Sleep(f.duration)
-		s.store.SetFault(platformtest.NoFault)
+		s.disturbStore(map[kind]platformtest.Fault{busyStore: platformtest.Unavailable, unresponsiveStore: platformtest.Unresponsive, lostWriteResponses: platformtest.LostWriteReplies}[f.kind], f.duration)
 	case truncatedHistory:
 		s.store.TruncateHistory()
 	case restoredStore:
-		older := s.store.Copy()
-		time.Sleep(f.duration)
-		s.store.Restore(older)
-		time.Sleep(rewriteDelay)
-		s.republish()
+		s.configs.restore(f.duration)
 	case silentConnections:
-		s.storeLink.Silence()
-		for _, n := range s.nodes {
-			n.peerLink.Silence()
-		}
+		s.silenceConnections()
 	case namedLimit:
 		n.limitUpstream()
-	case publish:
-		s.publish()
+	case publish, earlyPublish:
+		s.configs.publish()
 	case drainingUpstream, crashedUpstream:
 		n.replaceUpstream(f.kind == drainingUpstream)
 	}
 }
 
+// disturbStore gives the store a fault for the given time. Lost replies to writes do not
+// excuse a late configuration.
+func (s *soak) disturbStore(fault platformtest.Fault, duration time.Duration) {
+	if fault != platformtest.LostWriteReplies {
+		defer s.disturbances.begin(theStore)()
+	}
+	defer s.storeFaults.begin(fault)()
+	time.Sleep(duration)
+}
+
 // watchVersions checks until ctx ends that no process returns to an older
 // configuration.
 func (s *soak) watchVersions(ctx context.Context) {
@@ -239,13 +267,11 @@
 	end := time.Now().Add(limit)
 	for i := 0; i < len(s.nodes); {
 		n := s.nodes[i]
-		s.mu.Lock()
-		wanted := s.version
-		s.mu.Unlock()
+		wanted, _ := s.configs.newest()
 		version := n.configVersion(client)
 		var o outcome
 		if version == wanted {
-			o = s.load.call(client, n, fmt.Sprintf("%s-%d-%d", phase, i, time.Now().UnixNano()), true)
+			o = s.load.call(client, n, fmt.Sprintf("%s-%d-%d", phase, i, time.Now().UnixNano()), true, calm)
 		}
 		if o.status == http.StatusOK {
 			i++
@@ -261,7 +287,14 @@
 
 // reportProblems fails the test for each problem found.
 func (s *soak) reportProblems(seed uint64) {
+	s.load.nodes = slices.Concat(s.nodes, s.rollout.started())
+	if s.rollout != nil {
+		s.rollout.check()
+		s.rollout.report(s.t, fmt.Sprintf("seed %d", seed))
+	}
 	s.load.check()
+	s.load.checkDepartures(&s.disturbances)
+	s.load.checkCustomers(s.t, strictRevoke(seed))
 	counts := map[string]int{}
 	for _, o := range s.load.outcomes {
 		name := fmt.Sprint(o.status)
@@ -271,16 +304,8 @@
 		counts[name]++
 	}
 	s.t.Logf("outcomes: %v", counts)
-	problems := s.load.problems
-	for _, n := range s.nodes {
-		problems = append(problems, n.problems...)
-	}
-	const maxShown = 20
-	for i, problem := range problems {
-		if i == maxShown {
-			s.t.Errorf("seed %d: %d more problems", seed, len(problems)-maxShown)
-			break
-		}
-		s.t.Errorf("seed %d: %s", seed, problem)
+	s.load.report(s.t, fmt.Sprintf("seed %d", seed))
+	for _, n := range s.load.nodes {
+		n.report(s.t, fmt.Sprintf("seed %d, node %d", seed, n.number))
 	}
 }
