Decide when peers send the parts of large frames

Cause: a daemon paces large frames by its own outbound link only, so that several senders together overload the receiver's inbound link, and small frames queue behind uploads in the network (section 7.4 of docs/design/README.md, items 1 and 3). Change: shaping.Granter decides, without I/O, what of announced frames may be sent: token bucket of the link, rank (configurations, requests within their goal and replies, others), order of arrival, at most four parts of a frame outstanding, release after 1 s without an arrival. A request that cannot arrive in time behind what ranks before it is refused with the excess. Its rate is what unasked arrivals leave. shaping.Inbound makes it usable by goroutines; Link holds one below 100 Mbit/s. The token bucket of Shaper is a type of its own that both use. Nothing calls Inbound yet.

--- a/internal/shaping/link.go
+++ b/internal/shaping/link.go
@@ -6,10 +6,15 @@
 	"time"
 )
 
+// bitsPerKilobit converts the unit of rates between daemons.
+const bitsPerKilobit = 1000
+
 // Link is a network link whose rate is shared by all goroutines that send on it. A
 // nil Link has no limit. All methods may be called from any goroutine.
 type Link struct {
-	epoch time.Time
+	epoch         time.Time
+	bitsPerSecond int64
+	inbound       *Inbound
 
 	mu     sync.Mutex
 	shaper *Shaper
@@ -23,7 +28,32 @@
 	if bitsPerSecond <= 0 {
 		return nil
 	}
-	return &Link{epoch: time.Now(), shaper: NewShaper(bitsPerSecond)}
+	return &Link{
+		epoch:         time.Now(),
+		bitsPerSecond: bitsPerSecond,
+		inbound:       newInbound(bitsPerSecond),
+		shaper:        NewShaper(bitsPerSecond),
+	}
+}
+
+// Kbps returns the rate in kilobits per second, or 0 for no limit.
+func (l *Link) Kbps() uint32 {
+	if l == nil {
+		return 0
+	}
+	return uint32(max(l.bitsPerSecond/bitsPerKilobit, 1))
+}
+
+// IsPaced reports whether a machine whose link has the given rate in kilobits per second
+// grants the large frames that it receives.
+func IsPaced(kbps uint32) bool { return kbps > 0 && int64(kbps)*bitsPerKilobit < unpacedLinkRate }
+
+// Inbound returns the receiving direction of the link; nil if it is not paced.
+func (l *Link) Inbound() *Inbound {
+	if l == nil {
+		return nil
+	}
+	return l.inbound
 }
 
 // Now returns the time on the link's clock, to be given to Await.
--- a/internal/shaping/shaper.go
+++ b/internal/shaping/shaper.go
@@ -1,9 +1,10 @@
 // Package shaping shares a machine's network link between the frames that a daemon
-// sends. Small frames are sent at once; parts of large ones wait until the link has
-// room, so that they queue here and not in the network, where small frames would
-// queue behind them.
+// sends, and between those that it receives. Small frames are sent at once; parts of
+// large ones wait until the link has room, so that they queue here and not in the
+// network, where small frames would queue behind them.
 //
-// Shaper decides and does no I/O. Link lets goroutines wait on it.
+// Shaper decides on what is sent, Granter on what is received; both do no I/O. Link and
+// Inbound make them usable by goroutines.
 package shaping
 
 import (
@@ -11,18 +12,8 @@
 	"time"
 )
 
-const (
-	// usableShare is the share of the link's rate that is used. The rest covers
-	// packet headers and what other processes of the machine send.
-	usableShare = 0.9
-	// burstTime is the time of unused rate that can be used later.
-	burstTime = 20 * time.Millisecond
-	// maxDebtTime is the time of rate that small frames can use in advance.
-	maxDebtTime = 100 * time.Millisecond
-	// maxPartWait is the longest time for which small frames keep all large ones
-	// waiting.
-	maxPartWait = 200 * time.Millisecond
-)
+// burstTime is the time of unused rate that can be used later.
+const burstTime = 20 * time.Millisecond
 
 // Turn is a part of a large frame that waits until the link has room.
 type Turn struct {
@@ -36,12 +27,7 @@
 // Shaper is a token bucket with a queue. It is not safe for concurrent use. Times
 // are on one monotonic clock.
 type Shaper struct {
-	// rate is in bytes per second.
-	rate float64
-	// credit is the number of bytes that may be sent as of at; negative while small
-	// frames have used more than there was.
-	credit float64
-	at     time.Duration
+	bucket
 	// lastGrant is when a part was last granted, or Grant found none waiting.
 	lastGrant time.Duration
 	waiting   []*Turn
@@ -52,8 +38,7 @@
 
 // NewShaper returns a shaper for a link with the given rate in bits per second.
 func NewShaper(bitsPerSecond int64) *Shaper {
-	const bitsPerByte = 8
-	return &Shaper{rate: usableShare * float64(bitsPerSecond) / bitsPerByte}
+	return &Shaper{bucket: newBucket(bitsPerSecond, burstTime)}
 }
 
 // AddBacklog counts bytes of a large frame that are to be sent; a negative number
@@ -62,13 +47,13 @@
 
 // Backlog returns how long it takes to send what waits.
 func (s *Shaper) Backlog() time.Duration {
-	return time.Duration(float64(s.backlog) / s.rate * float64(time.Second))
+	return s.time(float64(s.backlog))
 }
 
 // Consume counts a small frame, which does not wait.
 func (s *Shaper) Consume(now time.Duration, bytes int) {
 	s.refill(now)
-	s.credit = max(s.credit-float64(bytes), -s.rate*maxDebtTime.Seconds())
+	s.consume(bytes)
 }
 
 // Queue adds a part of a frame that was queued at the time order.
@@ -106,13 +91,5 @@
 		s.lastGrant = now
 		return granted, 0
 	}
-	next = min(time.Duration(-s.credit/s.rate*float64(time.Second)), s.lastGrant+maxPartWait-now)
-	return granted, max(next, time.Millisecond)
-}
-
-// refill adds the credit for the time since the last call.
-func (s *Shaper) refill(now time.Duration) {
-	s.credit += s.rate * (now - s.at).Seconds()
-	s.credit = min(s.credit, s.rate*burstTime.Seconds())
-	s.at = now
+	return granted, max(min(s.untilCredit(), s.lastGrant+maxPartWait-now), minPause)
 }
