Announce large frames and send their parts as the receiver grants them

Cause: nothing keeps several senders from overloading a receiver's inbound link (section 7.4 of docs/design/README.md, items 1 to 4 and 6). Change: Hello.link_kbps, PartAnnounce and PartGrant. A frame on a stream of its own that is larger than a part is announced to a peer whose link is known and below 100 Mbit/s (announce.go), which grants it by shaping.Inbound (grant.go). Frames without a stream and peers of earlier releases, without a link or with a fast one are served as before. A request that cannot arrive in time gets a Failure at once, recorded in the ledger like any reply; its times left are reduced by the wait for the grants and not by the age of the frame, which exceeded the range of queueDelay. A request of which not all was queued on a connection has not run: Do returns ErrNotSent when it is cancelled, past its deadline, lost, or when the peer falls silent, without asking giveUp. It no longer counts as a cancelled request whose end is to be confirmed: a peer confirms none that it has not received, so that the connection stayed busy and a planned stop waited. Grants end with their connection, at a Cancel and when a session is fenced.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -428,6 +428,11 @@
 	return h.d.proxy.ExecuteFor(ctx, request)
 }
 
+// RefuseTransfer implements hop.Handler.
+func (h hopHandler) RefuseTransfer(instance string, bytes int, excess time.Duration) *hopv1.Frame {
+	return h.d.proxy.RefuseTransfer(instance, bytes, excess)
+}
+
 // Config implements hop.Handler. The answer is empty while no configuration is
 // in force.
 func (h hopHandler) Config() *hopv1.ConfigAnswer {
--- /dev/null
+++ b/internal/hop/announce.go
@@ -0,0 +1,115 @@
+package hop
+
+import (
+	"context"
+	"sync/atomic"
+
+	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/shaping"
+)
+
+// This file is the sending side of receiver-side pacing: a large frame is announced to a
+// peer whose network link is slow, and its parts are sent as the peer grants them. The
+// granting side is in grant.go.
+
+// outgoing is an encoded frame to be sent.
+type outgoing struct {
+	stream  uint64
+	encoded []byte
+	// urgent makes its parts go before those of other frames.
+	urgent bool
+	// request holds the times left of a request; nil for other frames. sentUs is the
+	// frame's.
+	request *hopv1.Request
+	sentUs  uint64
+	// sent, if it is not nil, is set before the last byte is queued. While it is not
+	// set, the peer cannot have received the frame.
+	sent *atomic.Bool
+}
+
+// markSent records that all of the frame is queued.
+func (o *outgoing) markSent() {
+	if o.sent != nil {
+		o.sent.Store(true)
+	}
+}
+
+// announcement returns the frame that announces this one.
+func (o *outgoing) announcement() *hopv1.Frame {
+	announce := &hopv1.PartAnnounce{Bytes: uint32(len(withoutLength(o.encoded)))}
+	if o.request != nil {
+		remaining, goal := o.request.RemainingMs, o.request.GoalMs
+		announce.RemainingMs, announce.GoalMs = &remaining, &goal
+	}
+	return &hopv1.Frame{Stream: o.stream, SentUs: o.sentUs, Body: &hopv1.Frame_PartAnnounce{PartAnnounce: announce}}
+}
+
+// allowance is what the peer has granted of an announced frame and was not sent yet. One
+// goroutine takes from it.
+type allowance struct {
+	bytes atomic.Int64
+	// added holds a value after a grant.
+	added chan struct{}
+}
+
+func newAllowance() *allowance { return &allowance{added: make(chan struct{}, 1)} }
+
+// add adds a grant.
+func (a *allowance) add(bytes int) {
+	a.bytes.Add(int64(bytes))
+	select {
+	case a.added <- struct{}{}:
+	default:
+	}
+}
+
+// take waits for a grant and takes at most the given number of bytes. It returns 0 if ctx
+// ends first.
+func (a *allowance) take(ctx context.Context, most int) int {
+	for {
+		if available := a.bytes.Load(); available > 0 {
+			taken := min(available, int64(most))
+			a.bytes.Add(-taken)
+			return int(taken)
+		}
+		select {
+		case <-a.added:
+		case <-ctx.Done():
+			return 0
+		}
+	}
+}
+
+// peerSaidHello records what the peer's Hello says about large frames.
+func (s *partSender) peerSaidHello(hello *hopv1.Hello) {
+	s.paced.Store(shaping.IsPaced(hello.GetLinkKbps()))
+	s.allowed.Store(hello.GetTakesParts())
+}
+
+// announces reports whether a frame is announced. Frames without a stream of their own
+// cannot be told apart by a grant.
+func (s *partSender) announces(frame *outgoing) bool { return s.paced.Load() && frame.stream != 0 }
+
+// announce queues the announcement of a frame. The caller holds mu, so that no grant
+// precedes the frame's entry in sending.
+func (s *partSender) announce(frame *partedFrame) {
+	encoded, err := encode(frame.announcement())
+	if err != nil {
+		return
+	}
+	s.link.Consume(len(encoded))
+	// If this fails, the connection has ended, and the frame ends with it.
+	_ = s.put(encoded)
+}
+
+// grant handles a grant of the peer. It ignores one for a frame that is not being sent any
+// more. Only what is granted waits for this machine's own link: the rest waits for the
+// peer's.
+func (s *partSender) grant(stream uint64, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if frame := s.sending[stream]; frame != nil && frame.granted != nil {
+		s.addBacklog(frame, min(bytes, frame.unsent-frame.backlog))
+		frame.granted.add(bytes)
+	}
+}
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -34,7 +34,7 @@
 
 // Errors of a request that got no answer.
 var (
-	// ErrNotSent means that the request did not leave this daemon.
+	// ErrNotSent means that not all of the request left this daemon. It has not run.
 	ErrNotSent = errors.New("request was not sent")
 	// ErrConnectionLost means that the connection was lost while the request
 	// was in flight. The request may have run.
@@ -77,6 +77,9 @@
 	// DrainRecord returns this daemon's drain record of the peer's upstream, or
 	// nil.
 	DrainRecord func() *hopv1.Left
+	// LinkKbpsReceived is called at each handshake with the rate of the peer's network
+	// link, 0 if it is unknown; nil if nobody needs to know.
+	LinkKbpsReceived func(kbps uint32)
 	// HelloState returns the state to send in the handshake, State that in pings.
 	HelloState func() *hopv1.State
 	State      func() *hopv1.State
@@ -222,8 +225,9 @@
 
 // Do sends a request and returns the peer's Answer or Failure frame. Otherwise it
 // returns an error that wraps ErrNotSent, ErrConnectionLost or ErrPeerSilent. If ctx
-// ends first, it sends the peer a Cancel frame and returns ctx.Err(), or the peer's
-// failure if that says at once that the request has not run before its deadline.
+// ends first, it sends the peer a Cancel frame and returns ctx.Err(), which is wrapped
+// together with ErrNotSent if not all of the request was sent, or the peer's failure if
+// that says at once that the request has not run before its deadline.
 //
 // If the connection is lost or replaced, the request moves to the next one. If the peer
 // had not received it, it is sent again with the time that is left, which Do writes to
@@ -277,7 +281,7 @@
 	if p == nil {
 		return nil, ErrNotSent
 	}
-	if err := c.send(conn, frame); err != nil {
+	if err := c.sendTracked(conn, frame, &p.sent); err != nil {
 		c.removePending(frame.Stream)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -285,13 +289,16 @@
 		select {
 		case reply := <-p.reply:
 			if reply == nil {
-				return nil, ErrConnectionLost
+				return nil, p.lostError()
 			}
 			return reply, nil
 		case <-p.again:
 			c.sendAgain(p)
 		case <-silence:
 			silence = nil
+			if c.withdraw(p) {
+				return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrPeerSilent)
+			}
 			if giveUp() {
 				c.cancelRequest(frame.Stream)
 				return nil, ErrPeerSilent
@@ -302,10 +309,14 @@
 	}
 }
 
-// endWithContext cancels a request whose ctx has ended. If that was by its deadline, it
+// endWithContext cancels a request whose ctx has ended. If not all of it was sent, the error
+// wraps ErrNotSent as well. If ctx has ended by the deadline, it
 // waits for a moment for the peer to say that the request has not run, and returns that
 // failure, or ctx.Err().
 func (c *Client) endWithContext(ctx context.Context, p *pendingRequest) (*hopv1.Frame, error) {
+	if c.withdraw(p) {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
+	}
 	defer c.cancelRequest(p.frame.Stream)
 	if p.repeatable() || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return nil, ctx.Err()
--- a/internal/hop/connection.go
+++ b/internal/hop/connection.go
@@ -61,7 +61,7 @@
 		conn.close()
 		return nil, errConnClosed
 	}
-	hello := withState(c.hello, c.hooks.HelloState(), c.hooks.DrainRecord())
+	hello := withState(c.hello, c.hooks.HelloState(), c.hooks.DrainRecord(), c.hooks.Link)
 	hello.Session = conn.session
 	if err := c.send(conn, &hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: hello}}); err != nil {
 		conn.close()
@@ -107,8 +107,13 @@
 
 // send stamps a frame with the current time and queues it.
 func (c *Client) send(conn *clientConn, frame *hopv1.Frame) error {
+	return c.sendTracked(conn, frame, nil)
+}
+
+// sendTracked is send. It sets sent, if that is not nil, before the last byte is queued.
+func (c *Client) sendTracked(conn *clientConn, frame *hopv1.Frame, sent *atomic.Bool) error {
 	frame.SentUs = uint64(c.now().Microseconds())
-	return conn.send(frame)
+	return conn.sendTracked(frame, sent)
 }
 
 // handleFrame handles one frame from the peer. Requests use a connection only after the
@@ -138,10 +143,14 @@
 		c.hooks.StateReceived(body.Answer.GetState())
 		c.deliver(frame)
 	case *hopv1.Frame_Failure:
+		// The peer may have refused a request that was only announced.
+		conn.parts.cancel(frame.Stream)
 		c.hooks.StateReceived(body.Failure.GetState())
 		c.deliver(frame)
 	case *hopv1.Frame_ConfigAnswer, *hopv1.Frame_QuotaReply:
 		c.deliver(frame)
+	case *hopv1.Frame_PartAnnounce:
+		c.handleAnnounce(conn, frame.Stream, body.PartAnnounce)
 	case *hopv1.Frame_Resumed:
 		c.handleResumed(conn, body.Resumed)
 	}
@@ -158,6 +167,9 @@
 		conn.close()
 		return
 	}
+	if c.hooks.LinkKbpsReceived != nil {
+		c.hooks.LinkKbpsReceived(hello.GetLinkKbps())
+	}
 	c.hooks.StateReceived(hello.GetState())
 	c.hooks.DrainRecordReceived(hello.GetLeft())
 	c.hooks.Up()
--- a/internal/hop/frame.go
+++ b/internal/hop/frame.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/shaping"
 )
 
 // MaxFrame is the largest frame in bytes. It exceeds the largest answer, whose
@@ -48,21 +49,22 @@
 	return buffer, nil
 }
 
-// readFrame reads and decodes the next frame. It returns errFrameTooLarge if
-// the frame exceeds MaxFrame.
-func readFrame(r *bufio.Reader) (*hopv1.Frame, error) {
-	size, err := binary.ReadUvarint(r)
+// readFrame reads and decodes the next frame, and returns it with its encoded size. It
+// returns errFrameTooLarge if the frame exceeds MaxFrame.
+func readFrame(r *bufio.Reader) (frame *hopv1.Frame, size int, err error) {
+	length, err := binary.ReadUvarint(r)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	if size > MaxFrame {
-		return nil, errFrameTooLarge
+	if length > MaxFrame {
+		return nil, 0, errFrameTooLarge
 	}
-	buffer, err := readBytes(r, int(size))
+	buffer, err := readBytes(r, int(length))
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	return decode(buffer)
+	frame, err = decode(buffer)
+	return frame, len(buffer), err
 }
 
 // readBytes reads size bytes. It allocates memory for a large frame as its data
@@ -89,9 +91,9 @@
 	return frame, nil
 }
 
-// withState returns a copy of hello with the sender's current state and its
-// record of the receiver's draining upstream, which may be nil.
-func withState(hello *hopv1.Hello, state *hopv1.State, drainRecord *hopv1.Left) *hopv1.Hello {
+// withState returns a copy of hello with the sender's current state, its record of the
+// receiver's draining upstream, which may be nil, and the rate of its network link.
+func withState(hello *hopv1.Hello, state *hopv1.State, drainRecord *hopv1.Left, link *shaping.Link) *hopv1.Hello {
 	return &hopv1.Hello{
 		Instance:   hello.Instance,
 		DataCentre: hello.DataCentre,
@@ -100,5 +102,6 @@
 		State:      state,
 		Left:       drainRecord,
 		TakesParts: true,
+		LinkKbps:   link.Kbps(),
 	}
 }
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -87,6 +87,10 @@
 
 func (h *testHandler) DrainRecord(string) *hopv1.Left { return &hopv1.Left{Upstream: "u-1", Born: 5} }
 
+func (h *testHandler) RefuseTransfer(_ string, _ int, excess time.Duration) *hopv1.Frame {
+	return &hopv1.Frame{Body: &hopv1.Frame_Failure{Failure: &hopv1.Failure{NotRun: true, RetryMs: uint32(excess.Milliseconds())}}}
+}
+
 func (h *testHandler) Panicked(any) {}
 
 func (h *testHandler) Disconnected(instance string, _ int, _ error) { h.disconnected <- instance }
--- a/internal/hop/parts.go
+++ b/internal/hop/parts.go
@@ -11,31 +11,39 @@
 	"godwitmount/internal/shaping"
 )
 
-// partBytes is the size of a part, and that from which a frame is sent in parts. The
-// slowest network links in use transmit a part in a few milliseconds.
-const partBytes = 8 << 10
+// partBytes is the size of a part, and that from which a frame is sent in parts.
+const partBytes = shaping.PartBytes
 
-// partSender sends large frames in parts as the machine's network link has room.
+// partSender sends large frames in parts as the machine's network link, and that of a peer
+// that paces what it receives, have room.
 type partSender struct {
 	link *shaping.Link
-	// put queues an encoded frame to be written.
+	// put queues an encoded frame to be written. It does not block.
 	put func([]byte) error
 	// ctx ends with the connection.
 	ctx context.Context
-	// allowed is set once the peer has said that it takes parts.
-	allowed atomic.Bool
+	// allowed is set once the peer has said that it takes parts, paced if it grants them.
+	allowed, paced atomic.Bool
 
 	mu sync.Mutex
-	// sending holds, by stream, the frames whose parts are not all sent.
+	// sending holds, by stream, the frames whose parts are not all sent. After the end of
+	// the connection they stay there for takeUnsent.
 	sending map[uint64]*partedFrame
+	// ended is set by takeUnsent: nothing more is sent.
+	ended bool
 }
 
-// partedFrame is a frame that is sent in parts.
+// partedFrame is a frame that is sent in parts. The partSender's mu guards unsent and
+// backlog.
 type partedFrame struct {
-	// encoded is the result of encode.
-	encoded []byte
+	outgoing
 	// cancel ends the sending.
 	cancel context.CancelFunc
+	// granted is nil if the peer does not pace the frame.
+	granted *allowance
+	// unsent is the number of bytes that are not sent, backlog the part of them that
+	// counts in the backlog of the machine's network link.
+	unsent, backlog int
 }
 
 func newPartSender(ctx context.Context, link *shaping.Link, put func([]byte) error) *partSender {
@@ -51,75 +59,109 @@
 // before all frames that are not, and in the order of arrival among urgent ones.
 const urgentLead = time.Hour
 
-// start sends an encoded frame in parts in the background. The parts of an urgent frame
-// go before those of others on the machine's network link.
-func (s *partSender) start(stream uint64, encoded []byte, urgent bool) {
+// start sends a frame in parts in the background. The parts of an urgent frame go before
+// those of others on the machine's network link.
+func (s *partSender) start(frame outgoing) {
 	order := s.link.Now()
-	if urgent {
+	if frame.urgent {
 		order -= urgentLead
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
+	data := withoutLength(frame.encoded)
+	parted := &partedFrame{outgoing: frame, cancel: cancel, unsent: len(data)}
 	s.mu.Lock()
-	frame := &partedFrame{encoded, cancel}
-	s.sending[stream] = frame
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	if s.ended {
+		cancel()
+		return
+	}
+	s.sending[frame.stream] = parted
+	if s.announces(&frame) {
+		parted.granted = newAllowance()
+		s.announce(parted)
+	} else {
+		s.addBacklog(parted, len(data))
+	}
 	go func() {
-		defer s.end(stream, frame)
-		s.send(ctx, stream, withoutLength(encoded), order)
+		s.send(ctx, parted, data, order)
+		s.end(parted)
 	}()
 }
 
-// end records that all parts of a frame were sent, or that none follows.
-func (s *partSender) end(stream uint64, frame *partedFrame) {
+// send sends the parts of a frame that was queued at the time order until ctx ends.
+func (s *partSender) send(ctx context.Context, frame *partedFrame, data []byte, order time.Duration) {
+	for len(data) > 0 {
+		size := min(partBytes, len(data))
+		if frame.granted != nil {
+			size = frame.granted.take(ctx, size)
+		}
+		if !s.link.Await(ctx, order, size) || !s.sendPart(ctx, frame, data[:size]) {
+			return
+		}
+		data = data[size:]
+	}
+}
+
+// sendPart queues the next part unless ctx has ended or the connection is closed, and
+// reports whether it did. No part follows a Cancel: cancel holds mu, too.
+func (s *partSender) sendPart(ctx context.Context, frame *partedFrame, data []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.Err() != nil {
+		return false
+	}
+	last := len(data) == frame.unsent
+	encoded, err := encode(&hopv1.Frame{Stream: frame.stream, Body: &hopv1.Frame_Part{Part: &hopv1.Part{Data: data, Last: last}}})
+	if err != nil {
+		return false
+	}
+	if last {
+		frame.markSent()
+	}
+	if s.put(encoded) != nil {
+		return false
+	}
+	frame.unsent -= len(data)
+	s.addBacklog(frame, -len(data))
+	return true
+}
+
+// addBacklog counts bytes of a frame in the backlog of the machine's network link. The
+// caller holds mu.
+func (s *partSender) addBacklog(frame *partedFrame, bytes int) {
+	frame.backlog += bytes
+	s.link.AddBacklog(bytes)
+}
+
+// end records that nothing more of a frame will be sent. A frame that ends with its
+// connection stays in sending.
+func (s *partSender) end(frame *partedFrame) {
 	frame.cancel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.sending[stream] == frame {
-		delete(s.sending, stream)
+	s.addBacklog(frame, -frame.backlog)
+	if s.sending[frame.stream] == frame && frame.unsent == 0 {
+		delete(s.sending, frame.stream)
 	}
 }
 
 // takeUnsent ends the sending of all parts and returns, by stream, the encoded frames
-// of which some parts were not sent.
+// of which some parts were not sent. Nothing more is sent in parts after that.
 func (s *partSender) takeUnsent() map[uint64][]byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ended = true
 	unsent := make(map[uint64][]byte, len(s.sending))
 	for stream, frame := range s.sending {
 		frame.cancel()
-		unsent[stream] = frame.encoded
+		if frame.unsent > 0 {
+			unsent[stream] = frame.encoded
+		}
 	}
 	s.sending = map[uint64]*partedFrame{}
 	return unsent
 }
 
-// send sends the parts of a frame that was queued at the time order until ctx ends.
-func (s *partSender) send(ctx context.Context, stream uint64, encoded []byte, order time.Duration) {
-	s.link.AddBacklog(len(encoded))
-	defer func() { s.link.AddBacklog(-len(encoded)) }()
-	for len(encoded) > 0 {
-		part := encoded[:min(partBytes, len(encoded))]
-		last := len(part) == len(encoded)
-		if !s.link.Await(ctx, order, len(part)) || !s.sendPart(ctx, stream, part, last) {
-			return
-		}
-		encoded = encoded[len(part):]
-		s.link.AddBacklog(-len(part))
-	}
-}
-
-// sendPart queues one part unless ctx has ended or the connection is closed, and
-// reports whether it did. No part follows a Cancel: cancel holds mu, too.
-func (s *partSender) sendPart(ctx context.Context, stream uint64, data []byte, last bool) bool {
-	frame, err := encode(&hopv1.Frame{Stream: stream, Body: &hopv1.Frame_Part{Part: &hopv1.Part{Data: data, Last: last}}})
-	if err != nil {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return ctx.Err() == nil && s.put(frame) == nil
-}
-
 // cancel stops sending the parts of a stream, if any are left.
 func (s *partSender) cancel(stream uint64) {
 	s.mu.Lock()
--- a/internal/hop/peerconn.go
+++ b/internal/hop/peerconn.go
@@ -35,6 +35,8 @@
 	link  *shaping.Link
 	out   outbox
 	parts *partSender
+	// grants grants what the peer announces.
+	grants *partGranter
 	// done is closed by cancel, with the connection.
 	done      <-chan struct{}
 	cancel    context.CancelFunc
@@ -50,6 +52,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	pc := &peerConn{conn: conn, link: link, out: newOutbox(), done: ctx.Done(), cancel: cancel, epoch: time.Now()}
 	pc.parts = newPartSender(ctx, link, pc.put)
+	pc.grants = newPartGranter(link.Inbound(), pc.send)
 	go pc.write()
 	return pc
 }
@@ -57,7 +60,10 @@
 // send queues a frame and never blocks. It returns errFrameTooLarge for a frame
 // above MaxFrame, and errConnClosed if the connection is closed. It resets a
 // connection whose outbox is full.
-func (pc *peerConn) send(frame *hopv1.Frame) error {
+func (pc *peerConn) send(frame *hopv1.Frame) error { return pc.sendTracked(frame, nil) }
+
+// sendTracked is send. It sets sent, if that is not nil, before the last byte is queued.
+func (pc *peerConn) sendTracked(frame *hopv1.Frame, sent *atomic.Bool) error {
 	if frame.GetCancel() != nil {
 		pc.parts.cancel(frame.Stream)
 	}
@@ -66,21 +72,22 @@
 		return err
 	}
 	// A late configuration harms all requests; a late answer harms one.
-	return pc.sendEncoded(frame.Stream, buffer, frame.GetConfigAnswer() != nil)
+	urgent := frame.GetConfigAnswer() != nil
+	return pc.sendEncoded(outgoing{frame.Stream, buffer, urgent, frame.GetRequest(), frame.SentUs, sent})
 }
 
-// sendEncoded is send for the result of encode. If the frame is sent in parts, those of
-// an urgent one go before others.
-func (pc *peerConn) sendEncoded(stream uint64, buffer []byte, urgent bool) error {
+// sendEncoded is send for the result of encode.
+func (pc *peerConn) sendEncoded(frame outgoing) error {
 	if isClosed(pc.done) {
 		return errConnClosed
 	}
-	if pc.parts.takes(buffer) {
-		pc.parts.start(stream, buffer, urgent)
+	if pc.parts.takes(frame.encoded) {
+		pc.parts.start(frame)
 		return nil
 	}
-	pc.link.Consume(len(buffer))
-	return pc.put(buffer)
+	pc.link.Consume(len(frame.encoded))
+	frame.markSent()
+	return pc.put(frame.encoded)
 }
 
 // put queues an encoded frame.
@@ -119,14 +126,16 @@
 // read calls handle with each received frame until the connection ends, closes
 // it, and returns the error that ended it.
 func (pc *peerConn) read(handle func(*hopv1.Frame)) error {
+	defer pc.grants.close()
 	defer pc.close()
 	reader := bufio.NewReaderSize(pc, readBuffer)
 	parts := newPartReceiver()
 	for {
-		received, err := readFrame(reader)
+		received, size, err := readFrame(reader)
 		if err != nil {
 			return err
 		}
+		pc.grants.received(received, size)
 		frame, err := parts.receive(received)
 		if err != nil {
 			return err
@@ -134,8 +143,15 @@
 		if frame == nil {
 			continue
 		}
-		if hello := frame.GetHello(); hello != nil {
-			pc.parts.allowed.Store(hello.GetTakesParts())
+		switch body := frame.Body.(type) {
+		case *hopv1.Frame_Hello:
+			pc.parts.peerSaidHello(body.Hello)
+		case *hopv1.Frame_PartGrant:
+			pc.parts.grant(frame.Stream, int(body.PartGrant.GetBytes()))
+		case *hopv1.Frame_PartAnnounce:
+			if body.PartAnnounce.GetBytes() > MaxFrame {
+				return errFrameTooLarge
+			}
 		}
 		handle(frame)
 	}
--- a/internal/hop/pending.go
+++ b/internal/hop/pending.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"sync/atomic"
 	"time"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
@@ -15,6 +16,10 @@
 	reply chan *hopv1.Frame
 	// again receives a value when the frame is to be sent on the current connection.
 	again chan struct{}
+	// sent is set before the last byte of the frame is queued on a connection, and cleared
+	// when the peer says that it has not received the frame. While it is not set, a
+	// request has not run.
+	sent atomic.Bool
 }
 
 // isRequest reports whether it is a request for the peer's upstream.
@@ -25,6 +30,14 @@
 	return !p.isRequest() && p.frame.GetQuotaRequest() == nil
 }
 
+// lostError returns the error of a request whose reply is lost.
+func (p *pendingRequest) lostError() error {
+	if !p.sent.Load() {
+		return ErrNotSent
+	}
+	return ErrConnectionLost
+}
+
 // requestSend makes the request be sent again.
 func (p *pendingRequest) requestSend() {
 	select {
@@ -67,7 +80,7 @@
 	p.sentAt = now
 	if conn := c.conn.Load(); conn != nil {
 		// If this fails, the connection ends, and the request is resumed on the next one.
-		_ = c.send(conn, p.frame)
+		_ = c.sendTracked(conn, p.frame, &p.sent)
 	}
 }
 
@@ -100,7 +113,9 @@
 	conn := c.conn.Load()
 	p := c.pending[stream]
 	delete(c.pending, stream)
-	if p != nil && p.isRequest() && conn != nil && conn.resumable {
+	c.stopParts(stream)
+	// The peer does not confirm the end of a request that it has not received.
+	if p != nil && p.isRequest() && p.sent.Load() && conn != nil && conn.resumable {
 		c.cancelled[stream] = true
 	}
 	c.mu.Unlock()
@@ -109,6 +124,29 @@
 	}
 }
 
+// stopParts ends the sending of a frame on all connections, also on one that was replaced
+// when the sending began. After that pendingRequest.sent does not change. The caller holds
+// mu.
+func (c *Client) stopParts(stream uint64) {
+	for conn := range c.open {
+		conn.parts.cancel(stream)
+	}
+}
+
+// withdraw cancels a request of which not all was sent. It returns false if there is none
+// left to withdraw: all of it was sent, or its reply has arrived.
+func (c *Client) withdraw(p *pendingRequest) bool {
+	c.mu.Lock()
+	c.stopParts(p.frame.Stream)
+	pending := c.pending[p.frame.Stream] == p
+	c.mu.Unlock()
+	if !pending || p.sent.Load() {
+		return false
+	}
+	c.cancelRequest(p.frame.Stream)
+	return true
+}
+
 // sendCancel tells the peer that nobody waits for the reply on a stream.
 func (c *Client) sendCancel(stream uint64) {
 	if conn := c.conn.Load(); conn != nil {
--- a/internal/hop/resume.go
+++ b/internal/hop/resume.go
@@ -81,6 +81,7 @@
 	close(silent.retired)
 	// The peer ignores the rest of what is sent there.
 	silent.parts.takeUnsent()
+	silent.grants.close()
 	c.unresolve(silent)
 	if isClosed(c.silence) {
 		c.silence = make(chan struct{})
@@ -146,6 +147,7 @@
 	result.Moved = conn.wanted - result.SentAgain - result.Lost
 	for _, stream := range resumed.GetNotReceived() {
 		if p := c.pending[stream]; p != nil {
+			p.sent.Store(false)
 			p.requestSend()
 		}
 	}
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -30,6 +30,9 @@
 	// Disconnected is called when a connection on which a peer said Hello has ended,
 	// with the number of its requests that still ran.
 	Disconnected(instance string, running int, cause error)
+	// RefuseTransfer returns the Failure frame for a request of the given size that the
+	// peer has announced, and that would arrive too late by excess. It has not run.
+	RefuseTransfer(instance string, bytes int, excess time.Duration) *hopv1.Frame
 	// Panicked is called with the cause when Execute has panicked.
 	Panicked(cause any)
 	// Resumed is called when a peer has moved its requests to another connection, with
--- a/internal/hop/session.go
+++ b/internal/hop/session.go
@@ -38,6 +38,9 @@
 	ledger ledger
 	// cancels holds, by stream, the function that cancels the running request.
 	cancels map[uint64]context.CancelFunc
+	// announced holds, by stream, the requests of which not all has arrived. Only the
+	// goroutine that reads the connection uses it.
+	announced map[uint64]announcedRequest
 	// replacedBy is the session to which the requests have moved, or nil.
 	replacedBy *session
 }
@@ -49,16 +52,18 @@
 		epoch:    server.epoch,
 		ledger:   ledger{running: map[uint64]bool{}},
 		cancels:  map[uint64]context.CancelFunc{},
+
+		announced: map[uint64]announcedRequest{},
 	}
 }
 
 func (s *session) handleFrame(frame *hopv1.Frame) {
 	handler := s.server.handler
-	delay := s.queueDelay.delay(time.Since(s.epoch), time.Duration(frame.SentUs)*time.Microsecond)
+	delay := s.delayOf(frame)
 	switch body := frame.Body.(type) {
 	case *hopv1.Frame_Hello:
 		s.register(body.Hello)
-		hello := withState(s.server.hello, handler.HelloState(), handler.DrainRecord(s.peer))
+		hello := withState(s.server.hello, handler.HelloState(), handler.DrainRecord(s.peer), s.server.link)
 		hello.Session = body.Hello.GetSession()
 		_ = s.peerConn.send(&hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: hello}})
 		handler.HelloReceived(body.Hello)
@@ -73,6 +78,8 @@
 		s.start(frame.Stream, body.Request)
 	case *hopv1.Frame_QuotaRequest:
 		s.answerQuota(frame.Stream, body.QuotaRequest)
+	case *hopv1.Frame_PartAnnounce:
+		s.handleAnnounce(frame.Stream, body.PartAnnounce, delay)
 	case *hopv1.Frame_Cancel:
 		s.cancel(frame.Stream)
 	case *hopv1.Frame_RolloutReport:
@@ -147,7 +154,7 @@
 	delete(latest.cancels, reply.Stream)
 	latest.ledger.end(time.Since(s.epoch), reply.Stream, encoded)
 	// If the connection has ended, the peer may still resume the session.
-	_ = latest.peerConn.sendEncoded(reply.Stream, encoded, false)
+	_ = latest.peerConn.sendEncoded(outgoing{stream: reply.Stream, encoded: encoded})
 }
 
 // latest returns the session to which the requests of this one have moved, or itself.
@@ -184,12 +191,12 @@
 		NotReceived: result.notReceived, Lost: result.lost,
 	}}})
 	for _, reply := range result.resend {
-		_ = s.peerConn.sendEncoded(reply.stream, reply.encoded, false)
+		_ = s.peerConn.sendEncoded(outgoing{stream: reply.stream, encoded: reply.encoded})
 		delete(unsent, reply.stream)
 	}
 	for _, stream := range resume.GetWanted() {
 		if encoded := unsent[stream]; encoded != nil {
-			_ = s.peerConn.sendEncoded(stream, encoded, false)
+			_ = s.peerConn.sendEncoded(outgoing{stream: stream, encoded: encoded})
 		}
 	}
 	running := len(s.ledger.running) - len(result.unwanted)
@@ -218,6 +225,7 @@
 		s.cancels[stream] = cancel
 	}
 	earlier.cancels = map[uint64]context.CancelFunc{}
+	earlier.peerConn.grants.close()
 	for stream, encoded := range earlier.peerConn.parts.takeUnsent() {
 		unsent[stream] = encoded
 	}
@@ -238,11 +246,16 @@
 		time.AfterFunc(resumeGrace, s.cancelAll)
 	}
 	if s.id != 0 {
+		time.AfterFunc(replyRetention, s.dropUnsent)
 		time.AfterFunc(sessionRetention, s.forget)
 	}
 	return running
 }
 
+// dropUnsent discards the large replies whose parts were not all sent, unless the peer has
+// moved them to another connection.
+func (s *session) dropUnsent() { s.peerConn.parts.takeUnsent() }
+
 // forget removes the session from those that can be resumed.
 func (s *session) forget() {
 	s.server.sessionsMu.Lock()
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -34,9 +34,12 @@
 func (silentHandler) Quota(context.Context, string, *hopv1.QuotaRequest) *hopv1.QuotaReply {
 	return &hopv1.QuotaReply{}
 }
-func (silentHandler) Config() *hopv1.ConfigAnswer                        { return &hopv1.ConfigAnswer{} }
-func (silentHandler) State() *hopv1.State                                { return &hopv1.State{TakesWork: true} }
-func (silentHandler) DrainRecord(string) *hopv1.Left                     { return nil }
+func (silentHandler) Config() *hopv1.ConfigAnswer    { return &hopv1.ConfigAnswer{} }
+func (silentHandler) State() *hopv1.State            { return &hopv1.State{TakesWork: true} }
+func (silentHandler) DrainRecord(string) *hopv1.Left { return nil }
+func (silentHandler) RefuseTransfer(string, int, time.Duration) *hopv1.Frame {
+	return &hopv1.Frame{}
+}
 func (silentHandler) Panicked(any)                                       {}
 func (silentHandler) Disconnected(string, int, error)                    {}
 func (silentHandler) Resumed(string, int, int)                           {}
--- a/internal/shaping/inbound.go
+++ b/internal/shaping/inbound.go
@@ -52,6 +52,16 @@
 	return in.granter.Backlog(in.now())
 }
 
+// Transfers returns the number of announced frames of which not all has arrived.
+func (in *Inbound) Transfers() int {
+	if in == nil {
+		return 0
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return len(in.granter.transfers)
+}
+
 // Announce is Granter.Announce. From now on grant is called with the bytes that may be
 // sent, by any goroutine; it must not block.
 func (in *Inbound) Announce(a Announcement, grant func(bytes int)) (*Transfer, time.Duration) {
