Place large requests by the peer's link and report unsent ones as not run

Cause: the entry daemon does not know the rate of its peers' links nor their inbound backlog, and reports a request that its peer has not received as one that may have run (section 7.4 of docs/design/README.md, items 1, 4 and 5). Change: State.link_backlog_us is the larger of the backlogs in the two directions. The cost of a candidate on another instance includes the time that its link needs for a large request. The bodies of callers' requests count on the inbound link, except those of nested requests, which come from the same machine. A request that was withdrawn before all of it was sent is not run, without a pause of the peer; a cancelled one that has not run returns its token. A request or reply that waits for grants is not taken for a round-trip time, which would move small requests away. Two gauges show the backlogs and the announced frames.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -102,7 +102,7 @@
 	}
 	c.idempotent = route.IsIdempotent(r.Method)
 	c.service = pickTarget(route)
-	body, f := readBody(w, r, c, table.Manifest().Limits.MaxBodyBytes)
+	body, f := p.readBody(w, r, c, table.Manifest().Limits.MaxBodyBytes)
 	if f != nil {
 		return c, f
 	}
@@ -197,9 +197,24 @@
 	return kept
 }
 
+// countingReader passes the number of bytes of each read to count.
+type countingReader struct {
+	io.Reader
+	count func(bytes int)
+}
+
+// Read implements io.Reader.
+func (r countingReader) Read(buffer []byte) (int, error) {
+	n, err := r.Reader.Read(buffer)
+	r.count(n)
+	return n, err
+}
+
 // readBody reads the request's body, which must be complete by the call's
-// deadline. A limit of 0 bytes or less means defaultMaxBodyBytes.
-func readBody(w http.ResponseWriter, r *http.Request, c *call, limit int64) ([]byte, *failure) {
+// deadline. A limit of 0 bytes or less means defaultMaxBodyBytes. Bodies count as received
+// on the machine's network link as they arrive, except those of nested requests: they come
+// from the upstream on the same machine.
+func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, c *call, limit int64) ([]byte, *failure) {
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -210,7 +225,11 @@
 		return nil, newFailure(code.CallBadRequest)
 	}
 	defer func() { _ = http.NewResponseController(w).SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var limited io.Reader = http.MaxBytesReader(w, r.Body, limit)
+	if !c.nested {
+		limited = countingReader{limited, p.deps.Peers.recordReceived}
+	}
+	body, err := io.ReadAll(limited)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -164,7 +164,7 @@
 // whose caller has cancelled.
 func (f *forwarder) contextFailure(ctx context.Context) *failure {
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return newFailure(code.CallCancelled)
+		return &failure{code: code.CallCancelled, notRun: !f.mayHaveRun}
 	}
 	if f.mayHaveRun {
 		return newFailure(code.CallDeadlineUnknown)
@@ -265,6 +265,9 @@
 			p.recordLeaving(answer.GetState())
 		}
 		return notCancelled(frame)
+	case errors.Is(err, hop.ErrNotSent) && ctx.Err() != nil:
+		// The request was withdrawn while the peer had not received all of it.
+		return failureFrame(code.CallDeadlineNotRun, true, 0, nil)
 	case errors.Is(err, hop.ErrNotSent):
 		p.backOff(peers.now())
 		return failureFrame(code.CallConnectRefused, true, 0, nil)
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -77,6 +77,11 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "godwitmount_peers", Help: "Other daemons that are known.",
 		}, func() float64 { return float64(p.deps.Peers.Count()) }),
+		linkBacklogGauge("in", p.deps.Peers.inboundBacklog),
+		linkBacklogGauge("out", p.deps.Peers.LinkBacklog),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "godwitmount_link_transfers", Help: "Large frames that peers have announced and of which not all has arrived.",
+		}, func() float64 { return float64(p.deps.Peers.link.Inbound().Transfers()) }),
 		resumedCounter("sent-again", &p.deps.Peers.resumed.sentAgain),
 		resumedCounter("moved", &p.deps.Peers.resumed.moved),
 		resumedCounter("lost", &p.deps.Peers.resumed.lost),
@@ -90,6 +95,15 @@
 	return m, nil
 }
 
+// linkBacklogGauge returns the gauge of the backlog in one direction of the machine's
+// network link.
+func linkBacklogGauge(direction string, backlog func() time.Duration) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "godwitmount_link_backlog_seconds", Help: "Time that the machine's network link needs for the large frames that wait for it, by direction.",
+		ConstLabels: prometheus.Labels{"direction": direction},
+	}, func() float64 { return backlog().Seconds() })
+}
+
 // resumedCounter returns the counter of requests in flight on a lost connection for one
 // result.
 func resumedCounter(result string, count *atomic.Int64) prometheus.Collector {
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -90,6 +90,10 @@
 	// lastRTT is the network round-trip time that this daemon measured with its
 	// last request to the peer, in nanoseconds; 0 means unknown.
 	lastRTT atomic.Int64
+	// grantsReplies is set if this daemon paces what it receives.
+	grantsReplies bool
+	// linkKbps is the rate of the peer's network link; 0 means unknown.
+	linkKbps atomic.Uint32
 	// drainingUpstream is the incarnation of the peer's upstream that was last
 	// reported as draining. It is kept until the peer reports another one.
 	drainingUpstream atomic.Pointer[hopv1.Left]
@@ -166,9 +170,23 @@
 func (ps *Peers) Draining() bool { return ps.draining.Load() }
 
 // LinkBacklog returns how long this machine's network link needs for the large
-// frames that wait for it.
+// frames that wait to be sent on it.
 func (ps *Peers) LinkBacklog() time.Duration { return ps.link.Backlog() }
 
+// reportedLinkBacklog returns the larger of the backlogs in the two directions of this
+// machine's network link.
+func (ps *Peers) reportedLinkBacklog() time.Duration {
+	return max(ps.LinkBacklog(), ps.inboundBacklog())
+}
+
+// inboundBacklog returns how long this machine's network link needs for the large frames
+// that peers have announced.
+func (ps *Peers) inboundBacklog() time.Duration { return ps.link.Inbound().Backlog() }
+
+// recordReceived counts bytes that this machine has received from other machines on
+// connections other than those between daemons.
+func (ps *Peers) recordReceived(bytes int) { ps.link.Inbound().Consume(bytes) }
+
 // Count returns the number of other daemons, whether or not this daemon connects
 // to them.
 func (ps *Peers) Count() int {
@@ -220,7 +238,7 @@
 
 // connect returns a peer whose client keeps a connection to the member.
 func (ps *Peers) connect(m control.Member) *peer {
-	p := &peer{Member: m}
+	p := &peer{Member: m, grantsReplies: ps.link.Inbound() != nil}
 	p.client = hop.NewClient(m.Address, ps.hello, hop.Hooks{
 		Instance: m.Instance,
 		Up: func() {
@@ -246,6 +264,7 @@
 		StateReceived:       func(state *hopv1.State) { ps.handleState(p, state) },
 		DrainRecordReceived: ps.listener.DrainRecordReceived,
 		DrainRecord:         p.drainingUpstream.Load,
+		LinkKbpsReceived:    p.linkKbps.Store,
 		HelloState:          ps.helloState,
 		State:               ps.state,
 		AdaptiveTimeout:     ps.readTimeout,
@@ -385,6 +404,7 @@
 		FailureShare:   float64(state.GetFailuresPerMille()) / perMille,
 		RTT:            microseconds(state.GetLineDelayUs()),
 		LinkBacklog:    microseconds(state.GetLinkBacklogUs()),
+		LinkKbps:       int(p.linkKbps.Load()),
 		PendingPingAge: p.client.UnansweredPingAge(),
 	}
 }
@@ -392,7 +412,7 @@
 // send sends a request to the peer and waits for its answer. It measures the
 // network round-trip time, which is the time until the answer without the time
 // at the peer, and reports the last measured one to the peer in the request. It does not
-// measure while the connection is replaced.
+// measure while the connection is replaced, nor by frames that wait for their grants.
 // GiveUp and the errors are those of hop.Client.Do.
 func (p *peer) send(ctx context.Context, request *hopv1.Request, giveUp func() bool) (*hopv1.Frame, error) {
 	p.outstanding.Add(1)
@@ -403,7 +423,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if p.client.Resumptions() != resumptions {
+	if p.client.Resumptions() != resumptions || p.waitsForGrants(request, frame) {
 		return frame, nil
 	}
 	spent := max(frame.GetAnswer().GetSpentUs(), frame.GetFailure().GetSpentUs())
@@ -411,5 +431,12 @@
 	return frame, nil
 }
 
+// waitsForGrants reports whether a request or its reply is sent in parts that wait for the
+// grants of the peer or of this daemon.
+func (p *peer) waitsForGrants(request *hopv1.Request, reply *hopv1.Frame) bool {
+	return len(request.Body) >= shaping.PartBytes && shaping.IsPaced(p.linkKbps.Load()) ||
+		len(reply.GetAnswer().GetBody()) >= shaping.PartBytes && p.grantsReplies
+}
+
 // backOff stops new requests to the peer for failureBackoff.
 func (p *peer) backOff(now time.Duration) { p.backoffUntil.Store(int64(now + failureBackoff)) }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -297,7 +297,7 @@
 		Born:             u.StartTime,
 		LineDelayUs:      uint32(p.expectedRTT().Microseconds()),
 		FailuresPerMille: uint32(p.failureShare() * perMille),
-		LinkBacklogUs:    uint32(p.deps.Peers.LinkBacklog().Microseconds()),
+		LinkBacklogUs:    uint32(p.deps.Peers.reportedLinkBacklog().Microseconds()),
 	}
 	if t := p.table.Load(); t != nil {
 		state.ConfigVersion = t.Version
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -52,6 +52,9 @@
 	// LinkBacklog is how long the network link of the instance needs for the large
 	// answers that wait for it. A large answer waits behind them.
 	LinkBacklog time.Duration
+	// LinkKbps is the rate of the network link of the instance in kilobits per second; 0
+	// means unknown.
+	LinkKbps int
 	// PendingPingAge is how long ago the deciding daemon sent a ping that the
 	// instance has not answered, less the time since it received a frame from
 	// any daemon: while nothing arrives at all, its own network link may be at
@@ -304,7 +307,18 @@
 		delay += c.LinkBacklog
 	}
 	delay = time.Duration(c.delayFreshness() * float64(delay))
-	return c.ExpectedWait() + r.serviceTime(c) + delay + pendingPingWeight*c.PendingPingAge
+	return c.ExpectedWait() + r.serviceTime(c) + r.transferTime(c) + delay + pendingPingWeight*c.PendingPingAge
+}
+
+// transferTime returns how long the network link of the candidate needs for the request, if
+// that is large and comes from another instance.
+func (r *PlacementRequest) transferTime(c *Candidate) time.Duration {
+	if c.Self || c.LinkKbps <= 0 || r.Bytes < LargeRequestBytes {
+		return 0
+	}
+	const bitsPerByte = 8
+	// Bits by kilobits per second are milliseconds.
+	return time.Duration(r.Bytes*bitsPerByte/c.LinkKbps) * time.Millisecond
 }
 
 // serviceTime returns the expected service time of the request at the candidate.
--- a/internal/routing/goal_test.go
+++ b/internal/routing/goal_test.go
@@ -64,6 +64,33 @@
 	}
 }
 
+// TestLargeRequestsAvoidSlowLinks covers an upstream whose network link needs 720 ms for a
+// large request, beside a busier one on a fast link. Small requests do not notice the link,
+// and the upstream beside the deciding daemon needs none.
+func TestLargeRequestsAvoidSlowLinks(t *testing.T) {
+	random := rand.New(rand.NewPCG(19, 20))
+	toSlow := func(bytes int, self bool) int {
+		slow, fast := candidate("slow", true, 2, 90*ms), candidate("fast", true, 4, 90*ms)
+		slow.LinkKbps, fast.LinkKbps, slow.Self = 1000, 100_000, self
+		sent := 0
+		for range 200 {
+			if Choose([]Candidate{slow, fast}, PlacementRequest{Bytes: bytes, Goal: 800 * ms, Rand: random.Float64}) == 0 {
+				sent++
+			}
+		}
+		return sent
+	}
+	if n := toSlow(90_000, false); n > 20 {
+		t.Errorf("%d of 200 large requests were sent to the slow link", n)
+	}
+	if n := toSlow(LargeRequestBytes-1, false); n < 100 {
+		t.Errorf("%d of 200 small requests were sent to the less loaded upstream", n)
+	}
+	if n := toSlow(90_000, true); n < 100 {
+		t.Errorf("%d of 200 large requests stayed at the less loaded upstream on the same machine", n)
+	}
+}
+
 // TestEvenLoadMakesNoRequestLate covers a fast upstream with two slots left and an idle
 // one that is five times slower. Requests whose goal only the fast one keeps go there,
 // and none leaves the data centre because the slow one would be its choice.
