--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -174,7 +174,8 @@
 	// MemoryLimitBytes is the Go runtime's soft memory limit in bytes.
 	MemoryLimitBytes int64 `json:"memory_limit_bytes"`
 	// LinkKbps is the rate of the machine's network link in kilobits per second, by
-	// which large messages to other daemons are paced; 0 for no limit.
+	// which large messages to other daemons are paced, and below 100,000 also those from
+	// other daemons; 0 for no limit.
 	LinkKbps int64 `json:"link_kbps"`
 	// StrictRevoke makes the daemon refuse requests with customers' keys unless it
 	// knows that its configuration was the newest less than RevokeLimit ago.
