--- a/internal/proxy/route_targets.go
+++ b/internal/proxy/route_targets.go
@@ -149,7 +149,7 @@
 		FailureShare: rounded(c.FailureShare), RandomMS: inMilliseconds(evaluation.Random),
 		Cost: status.Cost{
 			TotalMS: inMilliseconds(cost.Total()), WaitMS: inMilliseconds(cost.Wait), ServiceMS: inMilliseconds(cost.Service),
-			NetworkMS: inMilliseconds(cost.Network), PingMS: inMilliseconds(cost.Ping), FailuresMS: inMilliseconds(cost.Failures),
+			NetworkMS: inMilliseconds(cost.Network), TransferMS: inMilliseconds(cost.Transfer), PingMS: inMilliseconds(cost.Ping), FailuresMS: inMilliseconds(cost.Failures),
 			DistanceMS: inMilliseconds(cost.Distance), LoadMS: inMilliseconds(cost.Load), LateMS: inMilliseconds(cost.Late),
 		},
 	}
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -14,6 +14,7 @@
 	"godwitmount/internal/control"
 	"godwitmount/internal/faultlink"
 	"godwitmount/internal/hop"
+	"godwitmount/internal/shaping"
 )
 
 // restoreLimit is how long connections that fell silent together may take to be
@@ -34,9 +35,12 @@
 func (silentHandler) Quota(context.Context, string, *hopv1.QuotaRequest) *hopv1.QuotaReply {
 	return &hopv1.QuotaReply{}
 }
-func (silentHandler) Config() *hopv1.ConfigAnswer                        { return &hopv1.ConfigAnswer{} }
-func (silentHandler) State() *hopv1.State                                { return &hopv1.State{TakesWork: true} }
-func (silentHandler) DrainRecord(string) *hopv1.Left                     { return nil }
+func (silentHandler) Config() *hopv1.ConfigAnswer    { return &hopv1.ConfigAnswer{} }
+func (silentHandler) State() *hopv1.State            { return &hopv1.State{TakesWork: true} }
+func (silentHandler) DrainRecord(string) *hopv1.Left { return nil }
+func (silentHandler) RefuseTransfer(string, int, time.Duration) *hopv1.Frame {
+	return &hopv1.Frame{}
+}
 func (silentHandler) Panicked(any)                                       {}
 func (silentHandler) Disconnected(string, int, error)                    {}
 func (silentHandler) Resumed(string, int, int)                           {}
@@ -53,12 +57,18 @@
 }
 
 func startPeerWith(t *testing.T, instance string, handler hop.Handler) (control.Member, *faultlink.Link) {
+	t.Helper()
+	return startPeerOn(t, instance, handler, nil)
+}
+
+// startPeerOn is startPeerWith for a peer whose machine has a network link.
+func startPeerOn(t *testing.T, instance string, handler hop.Handler, machine *shaping.Link) (control.Member, *faultlink.Link) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := hop.NewServer(&hopv1.Hello{Instance: instance}, handler, nil)
+	server := hop.NewServer(&hopv1.Hello{Instance: instance}, handler, machine)
 	go func() { _ = server.Serve(listener) }()
 	link, err := faultlink.New("127.0.0.1:0", listener.Addr().String())
 	if err != nil {
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -49,6 +49,8 @@
 	// Network is the network delay to the instance; the older the report, the less
 	// it counts.
 	Network time.Duration
+	// Transfer is how long the network link of the instance needs for a large request.
+	Transfer time.Duration
 	// Ping is the cost of a ping that the instance has not answered.
 	Ping time.Duration
 	// Failures is the cost of failures above what is tolerable.
@@ -64,7 +66,7 @@
 }
 
 // Answer returns the expected time until the answer.
-func (c *Cost) Answer() time.Duration { return c.Wait + c.Service + c.Network + c.Ping }
+func (c *Cost) Answer() time.Duration { return c.Wait + c.Service + c.Network + c.Transfer + c.Ping }
 
 // withoutPenalties returns the cost by which local and remote candidates are compared.
 func (c *Cost) withoutPenalties() time.Duration { return c.Answer() + c.Failures + c.Distance }
@@ -79,6 +81,7 @@
 		Wait:     c.ExpectedWait(),
 		Service:  r.serviceTime(c),
 		Network:  r.networkDelay(c),
+		Transfer: r.transferTime(c),
 		Ping:     pendingPingWeight * c.PendingPingAge,
 		Failures: time.Duration(failurePenalty * r.excessFailures(c) * float64(c.ServiceTime)),
 		Load:     c.loadPenalty(mean),
@@ -125,6 +128,17 @@
 	return time.Duration(c.delayFreshness() * float64(delay))
 }
 
+// transferTime returns how long the network link of the candidate needs for the request, if
+// that is large and comes from another instance.
+func (r *PlacementRequest) transferTime(c *Candidate) time.Duration {
+	if c.Self || c.LinkKbps <= 0 || r.Bytes < LargeRequestBytes {
+		return 0
+	}
+	const bitsPerByte = 8
+	// Bits by kilobits per second are milliseconds.
+	return time.Duration(r.Bytes*bitsPerByte/c.LinkKbps) * time.Millisecond
+}
+
 // serviceTime returns the expected service time of the request at the candidate.
 func (r *PlacementRequest) serviceTime(c *Candidate) time.Duration {
 	if r.Work <= 0 {
