--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -309,10 +309,9 @@
 	}
 }
 
-// endWithContext cancels a request whose ctx has ended. If not all of it was sent, the error
-// wraps ErrNotSent as well. If ctx has ended by the deadline, it
-// waits for a moment for the peer to say that the request has not run, and returns that
-// failure, or ctx.Err().
+// endWithContext cancels a request whose ctx has ended. If not all of it was sent, the
+// error wraps ErrNotSent as well. If ctx has ended by the deadline, it waits for a moment
+// for the peer to say that the request has not run, and returns that failure, or ctx.Err().
 func (c *Client) endWithContext(ctx context.Context, p *pendingRequest) (*hopv1.Frame, error) {
 	if c.withdraw(p) {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
