--- a/internal/ctl/route_text.go
+++ b/internal/ctl/route_text.go
@@ -178,7 +178,7 @@
 		name string
 		ms   float64
 	}{
-		{"wait", c.Cost.WaitMS}, {"service", c.Cost.ServiceMS}, {"network", c.Cost.NetworkMS}, {"ping", c.Cost.PingMS},
+		{"wait", c.Cost.WaitMS}, {"service", c.Cost.ServiceMS}, {"network", c.Cost.NetworkMS}, {"transfer", c.Cost.TransferMS}, {"ping", c.Cost.PingMS},
 		{"failures", c.Cost.FailuresMS}, {"distance", c.Cost.DistanceMS}, {"load", c.Cost.LoadMS}, {"late", c.Cost.LateMS},
 	} {
 		if component.ms >= smallest {
--- a/internal/proxy/candidates.go
+++ b/internal/proxy/candidates.go
@@ -97,6 +97,7 @@
 		FailureShare:   float64(state.GetFailuresPerMille()) / perMille,
 		RTT:            microseconds(state.GetLineDelayUs()),
 		LinkBacklog:    microseconds(state.GetLinkBacklogUs()),
+		LinkKbps:       int(p.linkKbps.Load()),
 		PendingPingAge: p.client.UnansweredPingAge(),
 	}
 }
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -86,6 +86,10 @@
 	// lastRTT is the network round-trip time that this daemon measured with its
 	// last request to the peer, in nanoseconds; 0 means unknown.
 	lastRTT atomic.Int64
+	// grantsReplies is set if this daemon paces what it receives.
+	grantsReplies bool
+	// linkKbps is the rate of the peer's network link; 0 means unknown.
+	linkKbps atomic.Uint32
 	// drainingUpstream is the incarnation of the peer's upstream that was last
 	// reported as draining. It is kept until the peer reports another one.
 	drainingUpstream atomic.Pointer[hopv1.Left]
@@ -161,10 +165,6 @@
 // Draining reports whether StartDraining was called.
 func (ps *Peers) Draining() bool { return ps.draining.Load() }
 
-// LinkBacklog returns how long this machine's network link needs for the large
-// frames that wait for it.
-func (ps *Peers) LinkBacklog() time.Duration { return ps.link.Backlog() }
-
 // Count returns the number of other daemons, whether or not this daemon connects
 // to them.
 func (ps *Peers) Count() int {
@@ -216,7 +216,7 @@
 
 // connect returns a peer whose client keeps a connection to the member.
 func (ps *Peers) connect(m control.Member) *peer {
-	p := &peer{Member: m}
+	p := &peer{Member: m, grantsReplies: ps.link.Inbound() != nil}
 	p.client = hop.NewClient(m.Address, ps.hello, hop.Hooks{
 		Instance: m.Instance,
 		Up: func() {
@@ -242,6 +242,7 @@
 		StateReceived:       func(state *hopv1.State) { ps.handleState(p, state) },
 		DrainRecordReceived: ps.listener.DrainRecordReceived,
 		DrainRecord:         p.drainingUpstream.Load,
+		LinkKbpsReceived:    p.linkKbps.Store,
 		HelloState:          ps.helloState,
 		State:               ps.state,
 		AdaptiveTimeout:     ps.readTimeout,
@@ -348,7 +349,7 @@
 // send sends a request to the peer and waits for its answer. It measures the
 // network round-trip time, which is the time until the answer without the time
 // at the peer, and reports the last measured one to the peer in the request. It does not
-// measure while the connection is replaced.
+// measure while the connection is replaced, nor by frames that wait for their grants.
 // GiveUp and the errors are those of hop.Client.Do.
 func (p *peer) send(ctx context.Context, request *hopv1.Request, giveUp func() bool) (*hopv1.Frame, error) {
 	p.outstanding.Add(1)
@@ -359,7 +360,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if p.client.Resumptions() != resumptions {
+	if p.client.Resumptions() != resumptions || p.waitsForGrants(request, frame) {
 		return frame, nil
 	}
 	spent := max(frame.GetAnswer().GetSpentUs(), frame.GetFailure().GetSpentUs())
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -54,6 +54,9 @@
 	// LinkBacklog is how long the network link of the instance needs for the large
 	// answers that wait for it. A large answer waits behind them.
 	LinkBacklog time.Duration
+	// LinkKbps is the rate of the network link of the instance in kilobits per second; 0
+	// means unknown.
+	LinkKbps int
 	// PendingPingAge is how long ago the deciding daemon sent a ping that the
 	// instance has not answered, less the time since it received a frame from
 	// any daemon: while nothing arrives at all, its own network link may be at
--- a/internal/status/route.go
+++ b/internal/status/route.go
@@ -177,6 +177,7 @@
 	WaitMS     float64 `json:"wait_ms"`
 	ServiceMS  float64 `json:"service_ms"`
 	NetworkMS  float64 `json:"network_ms"`
+	TransferMS float64 `json:"transfer_ms"`
 	PingMS     float64 `json:"ping_ms"`
 	FailuresMS float64 `json:"failures_ms"`
 	DistanceMS float64 `json:"distance_ms"`
