Send a report to the rollout of its service

Cause: a report named its rollout by position alone. Requests for several services that are written in one transaction share a position, and Core.applyReport took the first one in the order of a map, so that evidence, breaker and confirmation went to another service. Conclusion: rollouts are unreleased, so reports without a service need no case. completion.go compares positions within the history of one service, and needs no change.

--- a/internal/daemon/rolloutwire.go
+++ b/internal/daemon/rolloutwire.go
@@ -41,6 +41,7 @@
 
 func encodeReport(r rollout.Report) *hopv1.RolloutReport {
 	encoded := &hopv1.RolloutReport{
+		Service:         r.Service,
 		Era:             uint64(r.Position.Era),
 		Version:         r.Position.Version,
 		Phase:           uint32(r.Phase),
@@ -62,6 +63,7 @@
 
 func decodeReport(raw *hopv1.RolloutReport) rollout.Report {
 	r := rollout.Report{
+		Service:     raw.GetService(),
 		Position:    store.Position{Era: store.Era(raw.GetEra()), Version: raw.GetVersion()},
 		Phase:       rollout.Phase(min(raw.GetPhase(), uint32(rollout.Completed)+1)),
 		Version:     raw.GetUpstreamVersion(),
--- a/internal/proxy/rollout.go
+++ b/internal/proxy/rollout.go
@@ -126,6 +126,7 @@
 	}
 	load := p.admissionController.Load()
 	report := rollout.Report{
+		Service:   v.Service,
 		Position:  v.Position,
 		Phase:     v.Phase,
 		Version:   u.Version,
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -128,7 +128,7 @@
 			unreachable = []string{text(t, d, "unreachable")}
 		}
 		return []step.Event{ReportReceived{Instance: text(t, d, "instance"), Report: Report{
-			Position: position, Phase: phase, Version: text(t, d, "version"), Drained: d.HasArg("drained"), TakesWork: true, Slots: 4,
+			Service: request.Service, Position: position, Phase: phase, Version: text(t, d, "version"), Drained: d.HasArg("drained"), TakesWork: true, Slots: 4,
 			Routes: map[string]Counts{"r": counts}, Unreachable: unreachable,
 		}}}
 	case "written":
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -81,7 +81,9 @@
 
 // Report is what a daemon of the service tells the coordinator.
 type Report struct {
-	// Position identifies the rollout.
+	// Service and Position identify the rollout. Requests for several services that were
+	// written in one transaction share a position.
+	Service  string
 	Position store.Position
 	// Phase is the phase that the daemon is in.
 	Phase Phase
--- a/internal/rollout/faults_test.go
+++ b/internal/rollout/faults_test.go
@@ -265,7 +265,7 @@
 			counts.Record(c.bad && n.version == "v2" && i%3 == 0, 200*time.Millisecond, true)
 		}
 		c.step(n, ReportReceived{Instance: n.instance, Report: Report{
-			Position: n.view.Position, Phase: n.view.Phase, Version: n.version, TakesWork: open, Slots: slots[n.version],
+			Service: "desk", Position: n.view.Position, Phase: n.view.Phase, Version: n.version, TakesWork: open, Slots: slots[n.version],
 			Drained: !open && c.now >= n.closeAt, Routes: map[string]Counts{"r": counts},
 		}})
 	}
--- a/internal/rollout/replay_test.go
+++ b/internal/rollout/replay_test.go
@@ -232,11 +232,11 @@
 		}
 		closed := f.view.Phase == Full && u.version == "v1"
 		f.step(ReportReceived{Instance: u.instance, Report: Report{
-			Position: f.view.Position, Phase: f.view.Phase, Version: u.version, TakesWork: !closed, Slots: replaySlots, Routes: routes,
+			Service: "desk", Position: f.view.Position, Phase: f.view.Phase, Version: u.version, TakesWork: !closed, Slots: replaySlots, Routes: routes,
 			Drained: closed && f.core.now-f.core.services["desk"].phaseAt > 1500*time.Millisecond,
 		}})
 	}
-	f.step(ReportReceived{Instance: "coordinator", Report: Report{Position: f.view.Position, Phase: f.view.Phase, Drained: f.view.Phase == Full}})
+	f.step(ReportReceived{Instance: "coordinator", Report: Report{Service: "desk", Position: f.view.Position, Phase: f.view.Phase, Drained: f.view.Phase == Full}})
 }
 
 // replayCase is a kind of rollout.
--- a/internal/rollout/reports.go
+++ b/internal/rollout/reports.go
@@ -10,28 +10,23 @@
 // applyReport records a report for the coordinator. From this daemon's own one follows
 // whether its upstream fails, and it is sent on.
 func (c *Core) applyReport(ev ReportReceived) {
-	for _, s := range c.services {
-		if s.Position != ev.Report.Position {
-			continue
-		}
-		if s.Phase.Final() {
-			return
-		}
-		if ev.Instance == c.cfg.Instance {
-			ev.Report.Unreachable = c.unreachable(s)
-		}
-		h := s.history[ev.Instance]
-		if h == nil {
-			h = &history{}
-			s.history[ev.Instance] = h
-		}
-		h.record(c.now, ev.Report)
-		if ev.Instance == c.cfg.Instance {
-			c.checkOwnUpstream(s, h)
-			c.sendReport(s, ev.Report)
-		}
+	s := c.services[ev.Report.Service]
+	if s == nil || s.Position != ev.Report.Position || s.Phase.Final() {
 		return
 	}
+	if ev.Instance == c.cfg.Instance {
+		ev.Report.Unreachable = c.unreachable(s)
+	}
+	h := s.history[ev.Instance]
+	if h == nil {
+		h = &history{}
+		s.history[ev.Instance] = h
+	}
+	h.record(c.now, ev.Report)
+	if ev.Instance == c.cfg.Instance {
+		c.checkOwnUpstream(s, h)
+		c.sendReport(s, ev.Report)
+	}
 }
 
 // checkOwnUpstream closes the local upstream if it has the new version and fails
@@ -58,7 +53,7 @@
 		interval = newReportInterval
 	}
 	last := &c.lastReport
-	urgent := last.Position != report.Position || last.Phase != report.Phase || last.Drained != report.Drained || last.Version != report.Version
+	urgent := last.Service != report.Service || last.Position != report.Position || last.Phase != report.Phase || last.Drained != report.Drained || last.Version != report.Version
 	if last.answers() == report.answers() {
 		interval = keepAliveInterval
 	}
