Keep exposure and counts for one rollout request

Cause: an entry daemon's exposure and the counts of a daemon's runs were kept by the version of the rollout request's row. After the store has come back from an older copy, a request for another version may get a row of the same version, and took over exposure and evidence of the one before. (Two services in one transaction were no fault here: exposure is kept by service, and a daemon refuses requests of another service before it looks at exposure.) Change: both are kept by service, version `to` and version of the row (Request.Same). The same request, written again in a later era under the same version, keeps them as before.

--- a/internal/proxy/rollout.go
+++ b/internal/proxy/rollout.go
@@ -39,8 +39,8 @@
 	mu sync.Mutex
 	// exposures holds the exposure of entered requests by service.
 	exposures map[string]*rollout.Exposure
-	// counted is the version of the rollout request's row for which counts are kept.
-	counted uint64
+	// counted is the rollout request for which counts are kept, by route.
+	counted rollout.Request
 	counts  map[string]rollout.Counts
 }
 
@@ -86,8 +86,8 @@
 // exposure returns the exposure for a service's rollout request. The caller holds r.mu.
 func (r *rollouts) exposure(v *rollout.View, share float64) *rollout.Exposure {
 	e := r.exposures[v.Service]
-	if e == nil || e.Request() != v.Position.Version {
-		e = rollout.NewExposure(share, v.Position.Version)
+	if e == nil || !e.IsFor(v.Request) {
+		e = rollout.NewExposure(share, v.Request)
 		r.exposures[v.Service] = e
 	}
 	return e
@@ -133,12 +133,7 @@
 		TakesWork: load.Open && !p.deps.Peers.Draining(),
 		Slots:     load.Slots,
 		Drained:   !load.Open && load.Running == 0 && load.Waiting == 0,
-		Routes:    map[string]rollout.Counts{},
-	}
-	p.rollouts.mu.Lock()
-	defer p.rollouts.mu.Unlock()
-	if p.rollouts.counted == v.Position.Version {
-		report.Routes = maps.Clone(p.rollouts.counts)
+		Routes:    p.rollouts.routeCounts(v.Request),
 	}
 	return report, true
 }
@@ -152,21 +147,34 @@
 	}
 	age := p.now() - time.Duration(p.upstreamSince.Load())
 	p.metrics.recordRollout(u.Version == v.To, failed)
-	r := p.rollouts
+	p.rollouts.record(v.Request, request.Route, failed, took, u.Version != v.To || age >= slowStartOfVersion)
+}
+
+// record counts a run for a rollout request. Timed is clear if its time does not count.
+func (r *rollouts) record(counted rollout.Request, route string, failed bool, took time.Duration, timed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.counts == nil || r.counted != v.Position.Version {
-		r.counted, r.counts = v.Position.Version, map[string]rollout.Counts{}
+	if r.counts == nil || !r.counted.Same(counted) {
+		r.counted, r.counts = counted, map[string]rollout.Counts{}
 	}
-	route := request.Route
 	if _, known := r.counts[route]; !known && len(r.counts) >= maxRolloutRoutes {
 		route = ""
 	}
 	counts := r.counts[route]
-	counts.Record(failed, took, u.Version != v.To || age >= slowStartOfVersion)
+	counts.Record(failed, took, timed)
 	r.counts[route] = counts
 }
 
+// routeCounts returns the counts for a rollout request by route.
+func (r *rollouts) routeCounts(counted rollout.Request) map[string]rollout.Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.counts == nil || !r.counted.Same(counted) {
+		return map[string]rollout.Counts{}
+	}
+	return maps.Clone(r.counts)
+}
+
 // rolloutAttempt is what the attempts of a request have to do with a rollout.
 type rolloutAttempt struct {
 	// view is the rollout during the present attempt, or nil.
@@ -355,7 +363,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.exposure(a.view, f.proxy.cfg.ExposeShare)
-	if a.exposed && result == notSent && f.call.request.Exposed == e.Request() {
+	if a.exposed && result == notSent && f.call.request.Exposed == a.view.Position.Version {
 		e.Return()
 	}
 	a.exposed = false
--- a/internal/proxy/rollout_test.go
+++ b/internal/proxy/rollout_test.go
@@ -71,6 +71,56 @@
 	}
 }
 
+// TestExposureIsThatOfItsRequest covers exposure that was earned for one rollout request
+// and spent for another whose row has the same version: that of another service in the
+// same transaction, and one that was written after the store came back from an older
+// copy.
+func TestExposureIsThatOfItsRequest(t *testing.T) {
+	p := &Proxy{cfg: Config{ExposeShare: 0.5}, rollouts: newRollouts()}
+	view := func(service, to string, era store.Era) *rollout.View {
+		return &rollout.View{Progress: rollout.Progress{Request: rollout.Request{
+			Service: service, To: to, Period: time.Second, Position: store.Position{Era: era, Version: 5},
+		}}}
+	}
+	for range 20 {
+		p.rollouts.exposure(view("desk", "v2", 0), 0.5).Answered("r")
+	}
+	for name, c := range map[string]struct {
+		view *rollout.View
+		want bool
+	}{
+		"another service":               {view("back", "v2", 0), false},
+		"the same, again in a new era":  {view("desk", "v2", 1), true},
+		"another version in a new era":  {view("desk", "v3", 1), false},
+		"the first one after the other": {view("desk", "v2", 0), false},
+	} {
+		saved := p.rollouts.exposures["desk"]
+		if name == "the first one after the other" {
+			p.rollouts.exposure(view("desk", "v3", 1), 0.5)
+		}
+		if got := p.rollouts.exposure(c.view, 0.5).Take("r", 0); got != c.want {
+			t.Errorf("%s: there is exposure %t, want %t", name, got, c.want)
+		}
+		p.rollouts.exposures["desk"] = saved
+	}
+}
+
+// TestCountsAreThoseOfTheirRequest covers evidence that was counted for one rollout request
+// and reported for another whose row has the same version, in a later era of the store.
+func TestCountsAreThoseOfTheirRequest(t *testing.T) {
+	r := newRollouts()
+	request := rollout.Request{Service: "desk", To: "v2", Position: store.Position{Version: 5}}
+	r.record(request, "r", true, time.Millisecond, true)
+	if got := r.routeCounts(request)["r"].Failures; got != 1 {
+		t.Errorf("%d failures counted, want 1", got)
+	}
+	later := request
+	later.To, later.Position.Era = "v3", 1
+	if got := r.routeCounts(later); len(got) > 0 {
+		t.Errorf("the counts of another request are reported: %v", got)
+	}
+}
+
 // TestPhasesChooseTheVersion covers the other phases, with no upstream of one version
 // left.
 func TestPhasesChooseTheVersion(t *testing.T) {
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -260,7 +260,7 @@
 // part.
 func TestExposureIsAShareOfTheAnswers(t *testing.T) {
 	const share, requests = 0.1, 20000
-	e := NewExposure(share, 5)
+	e := NewExposure(share, Request{})
 	taken := map[string]int{}
 	total := 0
 	for i := range requests {
--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -24,9 +24,8 @@
 // trial: a share of the requests that it has brought to the service since it knows of
 // the rollout. It is not safe for concurrent use.
 type Exposure struct {
-	share float64
-	// request is the version of the rollout request's row.
-	request uint64
+	share   float64
+	request Request
 	// left is the exposure for so many requests.
 	left float64
 	// routes counts the answers by route, total all of them.
@@ -35,13 +34,13 @@
 }
 
 // NewExposure returns an exposure of no requests. Share is the share of the requests
-// that may go to the new version of the rollout request whose row has the version.
-func NewExposure(share float64, request uint64) *Exposure {
+// that may go to the new version of the rollout request.
+func NewExposure(share float64, request Request) *Exposure {
 	return &Exposure{share: share, request: request, routes: map[string]float64{}}
 }
 
-// Request returns the version of the rollout request's row.
-func (e *Exposure) Request() uint64 { return e.request }
+// IsFor reports whether the exposure is that for the rollout request.
+func (e *Exposure) IsFor(request Request) bool { return e.request.Same(request) }
 
 // Answered counts an answer of an upstream of the service, of either version.
 func (e *Exposure) Answered(route string) {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -22,6 +22,13 @@
 	Position store.Position
 }
 
+// Same reports whether other is the same request. After the store has come back from an
+// older copy the row has another era, and the version of its row may be that of another
+// request.
+func (r *Request) Same(other Request) bool {
+	return r.Service == other.Service && r.To == other.To && r.Position.Version == other.Position.Version
+}
+
 // Phase is how far a rollout is. A later one has a larger number.
 type Phase uint8
 
