Log a phase with the reason that the store has

Cause: after an accepted write the coordinator derived the reason from the phase, so that phase full of a rollout whose upstreams all have the version was logged as "no fault found" and told to peers as such, while the store has "no upstream has another version". Change: what was written is kept until its result, and the phase is entered with its reason. Figures: go test ./internal/rollout -run Transcripts/one-version failed without the change and passes with it; go test ./internal/rollout passes.

--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -72,8 +72,10 @@
 	statusVersion uint64
 	phaseVersion  uint64
 	saved         Saved
-	// writing is set while a write has no result, nextWrite the time of the next one.
+	// writing is set while a write has no result, sent is the content of the last one, and
+	// nextWrite the time of the next one.
 	writing   bool
+	sent      Saved
 	nextWrite time.Duration
 	// completing is set from a write of the completion until its outcome is known.
 	completing bool
--- a/internal/rollout/rows.go
+++ b/internal/rollout/rows.go
@@ -80,12 +80,12 @@
 		c.readRows()
 		return
 	}
-	s.writing = true
-	s.completing = s.completing || phase == Completed
 	saved := Saved{
 		Era: uint64(s.Position.Era), Version: s.Position.Version, To: s.To, From: s.From, Denied: s.Denied,
 		Phase: phase.String(), Reason: reason,
 	}
+	s.writing, s.sent = true, saved
+	s.completing = s.completing || phase == Completed
 	c.emit(Write{Request: s.Request, StatusVersion: s.statusVersion, PhaseVersion: s.phaseVersion, Saved: saved})
 }
 
@@ -105,7 +105,7 @@
 	case ev.Err == nil:
 		s.completing = false
 		s.statusVersion, s.phaseVersion = ev.Version, ev.Version
-		s.saved.Version, s.saved.To, s.saved.Phase = s.Position.Version, s.To, ev.Phase.String()
+		s.saved = s.sent
 		c.written(s, ev.Phase)
 	case errors.Is(ev.Err, store.ErrConflict):
 		c.applyConflict(s, ev.Current)
@@ -122,11 +122,7 @@
 	if phase <= s.Phase || phase < Full {
 		return
 	}
-	reason := reasonDrained
-	if phase == Full {
-		reason = reasonNoFault
-	}
-	c.enter(s, phase, reason, c.cfg.Instance)
+	c.enter(s, phase, s.sent.Reason, c.cfg.Instance)
 }
 
 // applyConflict applies the rows that have other versions than a write expected.
