Derive isolation from the times at which peers were lost

Cause: since when a daemon is isolated was a field that was only brought up to date while a rollout was in progress. After a rollout that ended while the daemon was cut off, the next one took the time of the first loss, and the old upstream was closed at once instead of 2 s after the second. Change: isolation follows from the last loss of a daemon in the data centre; the field is gone.

--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -78,9 +78,6 @@
 	// lastReport is the last report that was sent, at sentAt.
 	lastReport Report
 	sentAt     time.Duration
-	// isolatedSince is when this daemon lost the last other one of its data centre; 0 if
-	// it reaches one.
-	isolatedSince time.Duration
 }
 
 // peer is another daemon.
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // peer returns the peer with the instance.
@@ -82,22 +83,16 @@
 // isolated reports whether this daemon has for isolatedAfter reached none of several
 // other daemons in its data centre. The others may then count it as gone.
 func (c *Core) isolated(s *service) bool {
-	others, reachable := 0, 0
+	others, lastLoss := 0, time.Duration(0)
 	for _, p := range c.peers {
 		if p.DataCentre != c.cfg.DataCentre || !c.indicatesCut(s, p) {
 			continue
 		}
-		others++
 		if p.reachable {
-			reachable++
+			return false
 		}
+		others++
+		lastLoss = max(lastLoss, p.unreachableSince)
 	}
-	if others < 2 || reachable > 0 {
-		c.isolatedSince = 0
-		return false
-	}
-	if c.isolatedSince == 0 {
-		c.isolatedSince = c.now
-	}
-	return c.now-c.isolatedSince >= isolatedAfter
+	return others >= 2 && c.now-lastLoss >= isolatedAfter
 }
