Bound the versions in the first report of a rollout

Cause: union returned its first set as it was if the second was empty, so that the first report of a peer about a rollout could hold any number of versions in any order. Change: what peers and rows say is sorted and bounded on arrival, by a union without that case. Figures: go test ./internal/rollout -run VersionsAreBounded failed without the change (100 versions) and passes with it; go test ./internal/rollout passes.

--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -262,6 +262,7 @@
 	if received.Service == "" || received.To == "" || received.Phase < Trial || received.Phase > Completed {
 		return
 	}
+	received.From, received.Denied = union(received.From, nil), union(received.Denied, nil)
 	s := c.services[received.Service]
 	if s == nil {
 		c.begin(received, from)
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -222,6 +223,32 @@
 	}
 }
 
+// TestVersionsAreBounded covers a peer whose report names many versions, in any order: the
+// state that this daemon keeps and passes on must not grow with it.
+func TestVersionsAreBounded(t *testing.T) {
+	var many []string
+	for i := range 100 {
+		many = append(many, fmt.Sprint("v", 100-i))
+	}
+	request := Request{Service: "desk", To: "v2", Period: time.Second, Position: store.Position{Version: 5}}
+	later := request
+	later.Position.Version = 7
+	core := New(Config{Instance: "a-1", DataCentre: "a", Service: "desk"})
+	for _, received := range []Progress{
+		{Request: request, Phase: Trial, From: many, Denied: many},
+		{Request: request, Phase: StepOne, From: many, Denied: many},
+		{Request: later, Phase: Trial, From: many, Denied: many},
+	} {
+		core.Step(step.Env{}, ProgressReceived{Instance: "a-2", Progress: []Progress{received}})
+		s := core.services["desk"]
+		for name, set := range map[string][]string{"from": s.From, "denied": s.Denied} {
+			if len(set) > maxVersions || !slices.IsSorted(set) {
+				t.Errorf("%s of position %d holds %v", name, received.Position.Version, set)
+			}
+		}
+	}
+}
+
 // TestViewClosesVersions covers which versions the daemon beside an upstream gives
 // requests in each phase. An upstream of a version that no request or status allows
 // must get none.
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -251,9 +251,6 @@
 
 // union returns the sorted union of two sets, at most maxVersions of it.
 func union(a, b []string) []string {
-	if len(b) == 0 {
-		return a
-	}
 	all := slices.Concat(a, b)
 	slices.Sort(all)
 	all = slices.Compact(all)
