Log a phase row that cannot be read

Cause: a malformed row of godwitmount-rollouts, or one with an unknown phase, was taken for one without content, silently.

--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -359,8 +359,8 @@
 	if row.Removed {
 		return rollout.PhaseRow{}
 	}
-	if json.Unmarshal(row.Value, &decoded.Saved) != nil {
-		decoded.Saved = rollout.Saved{}
+	if err := json.Unmarshal(row.Value, &decoded.Saved); err != nil {
+		decoded.Saved, decoded.Err = rollout.Saved{}, fmt.Errorf("decode phase: %w", err)
 	}
 	return decoded
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -78,6 +78,7 @@
 	RolloutWritten        Number = 8006
 	RolloutUpstreamClosed Number = 8007
 	RolloutWaiting        Number = 8008
+	RolloutRowInvalid     Number = 8009
 )
 
 // Info describes one event.
@@ -145,6 +146,7 @@
 	{RolloutWritten, "rollout-written", "A phase of a rollout was written to the store, or the write failed; the line says why."},
 	{RolloutUpstreamClosed, "rollout-upstream-closed", "The local upstream of the new version fails beyond doubt; it gets no requests in the rollout."},
 	{RolloutWaiting, "rollout-waiting", "The next phase of a rollout waits for something; the line says for what."},
+	{RolloutRowInvalid, "rollout-row-invalid", "The row of a rollout's phase cannot be read; it is written again."},
 	{KeysUnproven, "keys-unproven", "Requests with customers' keys are refused because no recent proof of the configuration is known."},
 	{KeysProven, "keys-proven", "Requests with customers' keys are served again."},
 
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -87,6 +87,9 @@
 		return []step.Event{ConfigServices{Names: map[string]bool{"desk": true}}}
 	case "rows":
 		ev := RowsRead{Statuses: map[string]StatusRow{}, Phases: map[string]PhaseRow{}}
+		if d.HasArg("malformed") {
+			ev.Phases["desk"] = PhaseRow{Version: uint64(number(t, d, "row")), Err: errors.New("decode phase: unexpected end")}
+		}
 		if d.HasArg("phase") {
 			ev.Phases["desk"] = PhaseRow{Version: uint64(number(t, d, "row")), Saved: Saved{
 				Version: position.Version, To: request.To, From: []string{"v1"}, Phase: text(t, d, "phase"),
--- a/internal/rollout/messages.go
+++ b/internal/rollout/messages.go
@@ -39,6 +39,8 @@
 	// Version is the version of the row; 0 if there is none.
 	Version uint64
 	Saved   Saved
+	// Err says why the row's content cannot be read; Saved is empty then.
+	Err error
 }
 
 // ProgressReceived carries what a peer knows about rollouts.
--- a/internal/rollout/rows.go
+++ b/internal/rollout/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"godwitmount/internal/event"
 	"godwitmount/internal/step"
@@ -26,7 +27,7 @@
 		s.rowsKnown = true
 		s.statusVersion = ev.Statuses[name].Version
 		s.phaseVersion = ev.Phases[name].Version
-		c.adoptSaved(s, ev.Phases[name].Saved)
+		c.adoptSaved(s, ev.Phases[name])
 		s.unresolved = false
 		if !s.writing {
 			s.completing = false
@@ -36,9 +37,16 @@
 
 // adoptSaved applies the content of the phase row. If it is that of an earlier
 // rollout that was not completed, its version gets no more requests.
-func (c *Core) adoptSaved(s *service, saved Saved) {
+func (c *Core) adoptSaved(s *service, row PhaseRow) {
+	saved := row.Saved
 	s.saved = saved
 	phase, ok := ParsePhase(saved.Phase)
+	if row.Version > 0 && row.Err == nil && !ok {
+		row.Err = fmt.Errorf("unknown phase %q", saved.Phase)
+	}
+	if row.Err != nil {
+		c.log(event.RolloutRowInvalid, true, step.F("service", s.Service), step.F("error", row.Err))
+	}
 	if !ok {
 		return
 	}
@@ -142,6 +150,6 @@
 	}
 	if current.Phase != nil {
 		s.phaseVersion = current.Phase.Version
-		c.adoptSaved(s, current.Phase.Saved)
+		c.adoptSaved(s, *current.Phase)
 	}
 }
