Keep an upstream closed after a pause until its daemon is up to date

Cause: after a pause of 1.5 s the upstream was to get no requests for 0.5 s, but each publication of the reducer, such as that of the loss of a peer, counted as a refresh and ended the hold in the old phase. After a long pause, peers that were found lost counted as lost from then on, so that isolation came 2 s later, when others may have written completed. Pauses were measured by a clock that stands still while a machine is suspended. The loop tells its reducer of a pause (step.Resumed); the reducer of rollouts has the connections checked, and dates losses found within the hold to the begin of the pause. A daemon that knew of no rollout before the pause has no hold.

--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -47,17 +47,22 @@
 	core    reducer
 	perform func(step.Effect)
 	log     *asynclog.Logger
-	start   time.Time
-	events  chan item
-	done    chan struct{}
+	// clock gives the times of the steps, which are relative to start.
+	clock  func() time.Duration
+	start  time.Duration
+	events chan item
+	done   chan struct{}
+	// stepped is when the last step began; 0 before the first.
+	stepped time.Duration
 }
 
 func newLoop(core reducer, perform func(step.Effect), log *asynclog.Logger) *loop {
+	began := time.Now()
 	return &loop{
 		core:    core,
 		perform: perform,
 		log:     log,
-		start:   time.Now(),
+		clock:   func() time.Duration { return time.Since(began) },
 		events:  make(chan item, queueLength),
 		done:    make(chan struct{}),
 	}
@@ -65,8 +70,7 @@
 
 // env returns the clock readings and a random number for one step.
 func (l *loop) env() step.Env {
-	now := time.Now()
-	return step.Env{Now: now.Sub(l.start), Wall: now, Random: rand.Uint64()}
+	return step.Env{Now: l.clock() - l.start, Wall: time.Now(), Random: rand.Uint64()}
 }
 
 // post queues an event without blocking. If the queue is full, the event is
@@ -136,7 +140,18 @@
 				zap.Any("cause", cause), zap.ByteString("stack", debug.Stack()))
 		}
 	}()
-	for _, effect := range l.core.Step(l.env(), ev) {
+	env := l.env()
+	before := l.stepped
+	l.stepped = env.Now
+	if before > 0 && env.Now-before > pauseThreshold {
+		l.reduce(env, step.Resumed{PausedFrom: before})
+	}
+	l.reduce(env, ev)
+}
+
+// reduce passes one event to the core and performs the effects.
+func (l *loop) reduce(env step.Env, ev step.Event) {
+	for _, effect := range l.core.Step(env, ev) {
 		l.perform(effect)
 	}
 }
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -27,10 +27,6 @@
 	RolloutsTable = "godwitmount-rollouts"
 	// reportInterval is the time between two looks at what the local upstream has done.
 	reportInterval = 100 * time.Millisecond
-	// holdAfterPause is how long after a pause of the process the upstream gets no
-	// requests during a rollout: what peers report of the rollout arrives within that
-	// time.
-	holdAfterPause = 500 * time.Millisecond
 	// applyTimeout bounds the wait until an event about a rollout is in force.
 	applyTimeout = 300 * time.Millisecond
 )
@@ -74,6 +70,9 @@
 	r := &rolloutControl{daemon: d, progress: map[string][]rollout.Progress{}, states: map[string]rollout.PeerState{}}
 	core := rollout.New(rollout.Config{Instance: s.Instance, DataCentre: s.DataCentre, Service: s.Service, Rollback: s.Rollback.Std()})
 	r.loop = newLoop(core, r.perform, d.log)
+	// A suspended machine is a pause, too.
+	r.loop.clock = d.cfg.BootClock
+	r.loop.start = d.cfg.BootClock()
 	return r
 }
 
@@ -85,22 +84,14 @@
 	go r.loop.run(ctx)
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
-	last, holdUntil := time.Now(), time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		now := time.Now()
-		if now.Sub(last) > pauseThreshold {
-			holdUntil = now.Add(holdAfterPause)
-		}
-		last = now
 		// Until it is refreshed, the proxy gives the upstream no requests.
-		if now.After(holdUntil) {
-			r.daemon.proxy.RefreshRollouts()
-		}
+		r.daemon.proxy.RefreshRollouts()
 		if report, active := r.daemon.proxy.RolloutReport(); active {
 			r.loop.post(rollout.ReportReceived{Instance: r.daemon.cfg.Settings.Instance, Report: report})
 		}
@@ -285,6 +276,8 @@
 		d.peers.SendReport(e.To, encodeReport(e.Report))
 	case rollout.ReadRows:
 		go r.readRows()
+	case rollout.CheckPeers:
+		d.peers.Check("")
 	case rollout.ReadRequests:
 		setLatest(d.readOnce, struct{}{})
 	case rollout.Write:
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -48,7 +48,7 @@
 	if !u.AcceptsRequests() || u.Service != request.Service {
 		return p.refuse(request, code.CallDraining, 0)
 	}
-	if refusal := p.rollouts.refusal(u, request, p.now()); refusal != code.OK {
+	if refusal := p.rollouts.refusal(u, request, p.deps.BootClock); refusal != code.OK {
 		return p.refuse(request, refusal, 0)
 	}
 	if p.isQuarantined(request) {
@@ -77,7 +77,7 @@
 	if !u.AcceptsRequests() || u.Service != request.Service {
 		return p.refuse(request, code.CallDraining, 0)
 	}
-	if refusal := p.rollouts.refusal(u, request, p.now()); refusal != code.OK {
+	if refusal := p.rollouts.refusal(u, request, p.deps.BootClock); refusal != code.OK {
 		return p.refuse(request, refusal, 0)
 	}
 	var frame *hopv1.Frame
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -187,7 +187,6 @@
 		budgets:             map[string]*routing.RetryBudget{},
 		ruleBudgets:         map[string]*ruleBudget{},
 		routes:              newRouteProfiles(),
-		rollouts:            newRollouts(),
 	}
 	p.client = upstream.NewClient(upstream.Headers{
 		RequestID: cfg.Headers.RequestID,
@@ -204,6 +203,8 @@
 	if deps.BootClock == nil {
 		deps.BootClock = p.now
 	}
+	p.deps = deps
+	p.rollouts = newRollouts(deps.BootClock())
 	p.quotas = newQuotas(cfg, deps, m.quotas)
 	return p, nil
 }
--- a/internal/proxy/rollout.go
+++ b/internal/proxy/rollout.go
@@ -18,10 +18,6 @@
 	// slowStartOfVersion is how long a new upstream may be slow. Its times do not count
 	// as evidence before.
 	slowStartOfVersion = 3 * time.Second
-	// maxViewAge is the age of what this daemon knows from which an upstream gets no
-	// requests during a rollout: the process did not run, and the rollout may have gone
-	// on without it.
-	maxViewAge = 1500 * time.Millisecond
 	// maxRolloutRoutes bounds the routes that are counted apart. The counts of others are
 	// under the empty name.
 	maxRolloutRoutes = 16
@@ -32,9 +28,8 @@
 type rollouts struct {
 	// views holds the rollouts by service; nil while there are none.
 	views atomic.Pointer[map[string]*rollout.View]
-	// refreshed is when the views were last known to be current, in nanoseconds since
-	// the proxy's epoch.
-	refreshed atomic.Int64
+	// age tells whether the views are current.
+	age *rollout.ViewAge
 
 	mu sync.Mutex
 	// exposures holds the exposure of entered requests by service.
@@ -44,7 +39,11 @@
 	counts  map[string]rollout.Counts
 }
 
-func newRollouts() *rollouts { return &rollouts{exposures: map[string]*rollout.Exposure{}} }
+// newRollouts returns the state of a data path that has just started, at a time of the
+// clock that goes on while the machine is suspended.
+func newRollouts(now time.Duration) *rollouts {
+	return &rollouts{age: rollout.NewViewAge(now), exposures: map[string]*rollout.Exposure{}}
+}
 
 // view returns the rollout of a service, or nil.
 func (r *rollouts) view(service string) *rollout.View {
@@ -62,12 +61,13 @@
 }
 
 // refusal returns why the local upstream must not get the request, or code.OK.
-func (r *rollouts) refusal(u *control.Upstream, request *hopv1.Request, now time.Duration) code.Code {
+// BootClock reads the clock that goes on while the machine is suspended.
+func (r *rollouts) refusal(u *control.Upstream, request *hopv1.Request, bootClock func() time.Duration) code.Code {
 	v := r.view(u.Service)
 	switch {
 	case v == nil:
 		return code.OK
-	case !v.Opens(u.Version), v.Phase.Active() && now-time.Duration(r.refreshed.Load()) > maxViewAge:
+	case !v.Opens(u.Version), v.Phase.Active() && !r.age.Current(bootClock()):
 		return code.CallVersionClosed
 	case !v.Admits(u.Version, request.Exposed):
 		return code.CallNotExposed
@@ -105,8 +105,9 @@
 	p.updateAdmission()
 }
 
-// RefreshRollouts records that what is known of rollouts is current.
-func (p *Proxy) RefreshRollouts() { p.rollouts.refreshed.Store(int64(p.now())) }
+// RefreshRollouts records that the process runs and keeps what it knows of rollouts
+// current.
+func (p *Proxy) RefreshRollouts() { p.rollouts.age.Refresh(p.deps.BootClock()) }
 
 // RolloutShare returns the share of a service's requests that goes to the new version.
 func (p *Proxy) RolloutShare(service string) float64 {
--- a/internal/proxy/rollout_test.go
+++ b/internal/proxy/rollout_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/admission"
 	"godwitmount/internal/code"
 	"godwitmount/internal/control"
 	"godwitmount/internal/manifest"
@@ -16,7 +17,7 @@
 // rolloutForwarder returns a forwarder of a call to service desk, of which a rollout from
 // v1 to v2 is in the phase.
 func rolloutForwarder(phase rollout.Phase) (*forwarder, []routing.Candidate) {
-	p := &Proxy{cfg: Config{ExposeShare: 0.5}, routes: newRouteProfiles(), rollouts: newRollouts(), epoch: time.Now()}
+	p := &Proxy{cfg: Config{ExposeShare: 0.5}, routes: newRouteProfiles(), rollouts: newRollouts(0), epoch: time.Now()}
 	views := map[string]*rollout.View{"desk": {Gated: true, Progress: rollout.Progress{
 		Request: rollout.Request{Service: "desk", To: "v2", Position: store.Position{Version: 5}}, Phase: phase, From: []string{"v1"},
 	}}}
@@ -76,7 +77,7 @@
 // same transaction, and one that was written after the store came back from an older
 // copy.
 func TestExposureIsThatOfItsRequest(t *testing.T) {
-	p := &Proxy{cfg: Config{ExposeShare: 0.5}, rollouts: newRollouts()}
+	p := &Proxy{cfg: Config{ExposeShare: 0.5}, rollouts: newRollouts(0)}
 	view := func(service, to string, era store.Era) *rollout.View {
 		return &rollout.View{Progress: rollout.Progress{Request: rollout.Request{
 			Service: service, To: to, Period: time.Second, Position: store.Position{Era: era, Version: 5},
@@ -108,7 +109,7 @@
 // TestCountsAreThoseOfTheirRequest covers evidence that was counted for one rollout request
 // and reported for another whose row has the same version, in a later era of the store.
 func TestCountsAreThoseOfTheirRequest(t *testing.T) {
-	r := newRollouts()
+	r := newRollouts(0)
 	request := rollout.Request{Service: "desk", To: "v2", Position: store.Position{Version: 5}}
 	r.record(request, "r", true, time.Millisecond, true)
 	if got := r.routeCounts(request)["r"].Failures; got != 1 {
@@ -145,6 +146,7 @@
 	f, _ := rolloutForwarder(rollout.Trial)
 	r := f.proxy.rollouts
 	newOne, oldOne := &control.Upstream{Service: "desk", Version: "v2"}, &control.Upstream{Service: "desk", Version: "v1"}
+	const pause = 1600 * time.Millisecond
 	for name, c := range map[string]struct {
 		upstream *control.Upstream
 		exposed  uint64
@@ -155,12 +157,35 @@
 		"new, exposure of another":  {newOne, 4, 0, code.CallNotExposed},
 		"new, with exposure":        {newOne, 5, 0, code.OK},
 		"old":                       {oldOne, 0, 0, code.OK},
-		"old, after a pause":        {oldOne, 0, maxViewAge + 1, code.CallVersionClosed},
-		"another service":           {&control.Upstream{Service: "back"}, 0, maxViewAge + 1, code.OK},
-		"new, exposed, after pause": {newOne, 5, maxViewAge + 1, code.CallVersionClosed},
+		"old, after a pause":        {oldOne, 0, pause, code.CallVersionClosed},
+		"another service":           {&control.Upstream{Service: "back"}, 0, pause, code.OK},
+		"new, exposed, after pause": {newOne, 5, pause, code.CallVersionClosed},
 	} {
-		if got := r.refusal(c.upstream, &hopv1.Request{Exposed: c.exposed}, c.now); got != c.want {
+		if got := r.refusal(c.upstream, &hopv1.Request{Exposed: c.exposed}, func() time.Duration { return c.now }); got != c.want {
 			t.Errorf("%s: %s, want %s", name, got, c.want)
 		}
 	}
 }
+
+// TestPublicationAfterAPauseOpensNothing covers what the reducer publishes right after a
+// pause, such as the loss of the last peer, in the phase in which the pause began.
+func TestPublicationAfterAPauseOpensNothing(t *testing.T) {
+	now := time.Hour
+	clock := func() time.Duration { return now }
+	p := &Proxy{rollouts: newRollouts(now), deps: Deps{BootClock: clock}, admissionController: admission.NewController(time.Now())}
+	p.upstream.Store(&control.Upstream{Service: "desk", Version: "v1"})
+	view := rollout.View{Progress: rollout.Progress{Request: rollout.Request{Service: "desk", To: "v2"}, Phase: rollout.Trial}}
+	p.SetRollouts([]rollout.View{view})
+	refusal := func() code.Code { return p.rollouts.refusal(p.upstream.Load(), &hopv1.Request{}, clock) }
+	if got := refusal(); got != code.OK {
+		t.Fatalf("before the pause: %s", got)
+	}
+	now += 8 * time.Second
+	for range 20 {
+		p.SetRollouts([]rollout.View{view})
+		if got := refusal(); got != code.CallVersionClosed {
+			t.Fatalf("%s after the pause: %s", now-time.Hour-8*time.Second, got)
+		}
+		now += 100 * time.Millisecond
+	}
+}
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -75,6 +75,9 @@
 	// of which peers are notified at once. They learn of further versions with the next
 	// ping.
 	published, notified string
+	// pausedFrom is when the last pause of the process began, resumedAt when it ended; both
+	// are 0 if there was none.
+	pausedFrom, resumedAt time.Duration
 	// lastReport is the last report that was sent, at sentAt.
 	lastReport Report
 	sentAt     time.Duration
@@ -93,6 +96,8 @@
 	// when it became known.
 	reached          bool
 	unreachableSince time.Duration
+	// lostSince is the earliest time at which the peer may have ceased to be reachable.
+	lostSince time.Duration
 }
 
 // service is what is known of one service's rollout.
@@ -130,6 +135,8 @@
 	switch ev := ev.(type) {
 	case step.Tick:
 		c.tick()
+	case step.Resumed:
+		c.resume(ev)
 	case RequestsRead:
 		c.applyRequests(ev)
 	case RowsRead:
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -31,7 +31,7 @@
 			}
 			var out strings.Builder
 			for range max(number(t, d, "times"), 1) {
-				for _, ev := range parseEvents(t, d) {
+				for _, ev := range parseEvents(t, d, now) {
 					formatEffects(&out, core.Step(step.Env{Now: now}, ev))
 				}
 				if d.HasArg("every") {
@@ -67,7 +67,7 @@
 }
 
 // parseEvents parses the events of one directive.
-func parseEvents(t *testing.T, d *datadriven.TestData) []step.Event {
+func parseEvents(t *testing.T, d *datadriven.TestData, now time.Duration) []step.Event {
 	t.Helper()
 	position := store.Position{Era: store.Era(number(t, d, "era")), Version: uint64(number(t, d, "at"))}
 	request := Request{Service: "desk", To: text(t, d, "to"), Period: 12 * time.Second, Position: position}
@@ -109,6 +109,13 @@
 			ev.Members = append(ev.Members, Member{Instance: instance, DataCentre: instance[:1], Service: "desk"})
 		}
 		return []step.Event{ev}
+	case "resumed":
+		// The pause is the time given by after.
+		after, err := time.ParseDuration(text(t, d, "after"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return []step.Event{step.Resumed{PausedFrom: now - after}}
 	case "lost":
 		return []step.Event{PeerReachability{Instance: text(t, d, "instance")}}
 	case "upstream":
--- a/internal/rollout/messages.go
+++ b/internal/rollout/messages.go
@@ -181,6 +181,9 @@
 	Report Report
 }
 
+// CheckPeers finds out soon which peers are still reachable.
+type CheckPeers struct{}
+
 // ReadRows reads the rows that RowsRead carries.
 type ReadRows struct{}
 
@@ -220,6 +223,9 @@
 // EffectName implements step.Effect.
 func (SendReport) EffectName() string { return "send-report" }
 
+// EffectName implements step.Effect.
+func (CheckPeers) EffectName() string { return "check-peers" }
+
 // EffectName implements step.Effect.
 func (ReadRows) EffectName() string { return "read-rows" }
 
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -4,13 +4,15 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"godwitmount/internal/step"
 )
 
 // peer returns the peer with the instance.
 func (c *Core) peer(instance string) *peer {
 	p := c.peers[instance]
 	if p == nil {
-		p = &peer{Member: Member{Instance: instance}, rank: Rank(instance), unreachableSince: c.now}
+		p = &peer{Member: Member{Instance: instance}, rank: Rank(instance), unreachableSince: c.now, lostSince: c.now}
 		c.peers[instance] = p
 	}
 	return p
@@ -40,7 +42,23 @@
 	p.reachable = ev.Reachable
 	p.reached = p.reached || ev.Reachable
 	if !ev.Reachable {
-		p.unreachableSince = c.now
+		p.unreachableSince, p.lostSince = c.now, c.now
+		if c.resumedAt > 0 && c.now-c.resumedAt < longHold {
+			p.lostSince = c.pausedFrom
+		}
+	}
+}
+
+// resume has the peers checked after a pause. Others may have lost this daemon at its begin,
+// so that losses found within longHold, during which the upstream gets no requests, count
+// from then.
+func (c *Core) resume(ev step.Resumed) {
+	c.pausedFrom, c.resumedAt = ev.PausedFrom, max(c.now, 1)
+	for _, s := range c.services {
+		if s.Phase.Active() {
+			c.emit(CheckPeers{})
+			return
+		}
 	}
 }
 
@@ -92,7 +110,7 @@
 			return false
 		}
 		others++
-		lastLoss = max(lastLoss, p.unreachableSince)
+		lastLoss = max(lastLoss, p.lostSince)
 	}
 	return others >= 2 && c.now-lastLoss >= isolatedAfter
 }
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -36,3 +36,13 @@
 
 // EventName implements Event.
 func (Tick) EventName() string { return "tick" }
+
+// Resumed reports that the reducer had no step for longer than a tick can be late: the
+// process or the machine was suspended. It comes before the first event after that.
+type Resumed struct {
+	// PausedFrom is when the last step before began.
+	PausedFrom time.Duration
+}
+
+// EventName implements Event.
+func (Resumed) EventName() string { return "resumed" }
