Choose the upstreams of a replayed step as entry daemons do

Cause: the replay of the error rates gave the requests of a step to the first new upstreams in the order of its list, rounded down, over all data centres. Entry daemons take them by InStep in each data centre, in the order of ranks, rounded up. Change: the replay calls InStep for each data centre.

--- a/internal/rollout/replay_test.go
+++ b/internal/rollout/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -43,9 +44,9 @@
 
 // replayed is one upstream.
 type replayed struct {
-	instance string
-	version  string
-	speed    float64
+	instance, dataCentre string
+	version              string
+	speed                float64
 	// failShare is its own share of failures, slowness a factor of its times.
 	failShare, slowness float64
 	// cutFrom is when its daemon is cut off for 5 s; 0 for never.
@@ -88,14 +89,14 @@
 	ownShare := 0.001 + 0.003*f.random.Float64()
 	members := MembersChanged{}
 	for i := range 2 * upstreams {
-		u := &replayed{instance: fmt.Sprint("i-", i), version: "v1", speed: 0.5 + f.random.Float64(), failShare: ownShare, slowness: 1, counts: map[string]Counts{}}
+		u := &replayed{instance: fmt.Sprint("i-", i), dataCentre: string(rune('a' + i%3)), version: "v1", speed: 0.5 + f.random.Float64(), failShare: ownShare, slowness: 1, counts: map[string]Counts{}}
 		if i%2 == 0 {
 			u.version = "v2"
 			f.new = append(f.new, u)
 		} else {
 			f.old = append(f.old, u)
 		}
-		members.Members = append(members.Members, Member{Instance: u.instance, DataCentre: string(rune('a' + i%3)), Service: "desk"})
+		members.Members = append(members.Members, Member{Instance: u.instance, DataCentre: u.dataCentre, Service: "desk"})
 	}
 	f.step(members)
 	for _, u := range append(f.old, f.new...) {
@@ -163,7 +164,7 @@
 		}
 	}
 	if f.view.Phase == StepOne || f.view.Phase == StepTwo {
-		takers = f.new[:int(share*float64(len(f.new)))]
+		takers = f.inStep(share)
 	}
 	total := rate * replayStep.Seconds()
 	f.requests += total
@@ -172,6 +173,26 @@
 	f.give(f.old, total*(1-share), nil)
 }
 
+// inStep returns the new upstreams that get requests in a step with the share: the
+// entry daemons choose them in each data centre.
+func (f *fleet) inStep(share float64) []*replayed {
+	local := map[string][]string{}
+	for _, u := range f.new {
+		local[u.dataCentre] = append(local[u.dataCentre], u.instance)
+	}
+	chosen := map[string]bool{}
+	for _, instances := range local {
+		maps.Copy(chosen, InStep(instances, share))
+	}
+	var takers []*replayed
+	for _, u := range f.new {
+		if chosen[u.instance] {
+			takers = append(takers, u)
+		}
+	}
+	return takers
+}
+
 // give gives requests to upstreams. The fault is that of the version, nil for none.
 func (f *fleet) give(upstreams []*replayed, total float64, fault *fault) {
 	each := total / float64(len(upstreams))
