Complete a rollout only with the whole member table

Cause: completion waited for the members that the coordinator connects to. One that had just started in phase full knew none or a part of them, as it connects to the last ones over 3 s and reads the member table at its own pace, and wrote completed while other old upstreams ran requests. A daemon that stops removes its entry first and was not waited for either. Change: the members of the service without a connection are passed on, too, and whether the table was read completely. Completion waits for both, and for 4 s for a removed member that has not confirmed. The check in TestRolloutConnectsAllOfTheService fails without the field, which is new. go test ./internal/rollout ./internal/control ./internal/daemon passes. Conclusion: a member that joins while the coordinator's copy of the table is old is not waited for; it learns phase full before its upstream gets requests.

--- a/internal/control/mesh.go
+++ b/internal/control/mesh.go
@@ -41,7 +41,7 @@
 // stay connected to.
 func (c *Core) publish() (known, connections int) {
 	c.publishPending = false
-	var connected []Member
+	var connected, others []Member
 	remote := map[string][]Member{}
 	remoteCentres := map[string]bool{}
 	for key, row := range c.members {
@@ -58,13 +58,16 @@
 	}
 	for service, members := range remote {
 		chosen := c.chooseRemote(members, len(remote))
-		if service == c.cfg.Self.Service && c.rollouts[service] {
-			chosen = c.chooseForRollout(members, chosen)
+		if service == c.cfg.Self.Service {
+			if c.rollouts[service] {
+				chosen = c.chooseForRollout(members, chosen)
+			}
+			others = without(members, chosen)
 		}
 		connected = append(connected, chosen...)
 	}
 	c.publishedAt = c.now
-	c.emit(PublishMembers{Members: connected, Known: known, Remote: slices.Sorted(maps.Keys(remoteCentres)), Complete: c.membersComplete})
+	c.emit(PublishMembers{Members: connected, Others: others, Known: known, Remote: slices.Sorted(maps.Keys(remoteCentres)), Complete: c.membersComplete})
 	c.updateStoreWatcher()
 	return known, len(connected)
 }
@@ -134,6 +137,21 @@
 	return all
 }
 
+// without returns the members that are not chosen.
+func without(members, chosen []Member) []Member {
+	isChosen := make(map[string]bool, len(chosen))
+	for _, m := range chosen {
+		isChosen[m.Instance] = true
+	}
+	var left []Member
+	for _, m := range members {
+		if !isChosen[m.Instance] {
+			left = append(left, m)
+		}
+	}
+	return left
+}
+
 // pairRank returns the rendezvous hash of this daemon and m.
 func (c *Core) pairRank(m Member) uint64 {
 	return xxhash.Sum64String(c.cfg.Self.Instance + "\x00" + m.Instance)
--- a/internal/control/mesh_test.go
+++ b/internal/control/mesh_test.go
@@ -92,6 +92,10 @@
 			for _, effect := range core.Step(step.Env{Now: now}, ev) {
 				if published, ok := effect.(PublishMembers); ok {
 					count = len(published.Members)
+					// Completion waits for all of the service, connected or not.
+					if self.Service == "desk" && count+len(published.Others) != len(all) {
+						t.Errorf("%d members are connected and %d others, want %d together", count, len(published.Others), len(all))
+					}
 				}
 			}
 			return count
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -180,6 +180,8 @@
 // PublishMembers passes to the data path the daemons to stay connected to.
 type PublishMembers struct {
 	Members []Member
+	// Others holds the members of this daemon's service to which it does not connect.
+	Others []Member
 	// Known is the number of all other known daemons, connected or not.
 	Known int
 	// Remote holds the names of the other data centres, sorted.
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -37,7 +37,7 @@
 	case control.PublishMembers:
 		d.peers.SetMesh(e.Remote, e.Complete)
 		d.peers.SetMembers(e.Members, e.Known)
-		d.rollouts.post(rolloutMembers(e.Members))
+		d.rollouts.post(rollout.MembersChanged{Members: rolloutMembers(e.Members), Others: rolloutMembers(e.Others), Complete: e.Complete})
 	case control.SetUpstream:
 		d.rollouts.post(rollout.UpstreamChanged{Service: e.Upstream.Service, Version: e.Upstream.Version})
 		d.proxy.SetUpstream(e.Upstream)
@@ -70,12 +70,12 @@
 }
 
 // rolloutMembers returns the members as the reducer of rollouts takes them.
-func rolloutMembers(members []control.Member) rollout.MembersChanged {
-	ev := rollout.MembersChanged{}
-	for _, m := range members {
-		ev.Members = append(ev.Members, rollout.Member{Instance: m.Instance, DataCentre: m.DataCentre, Service: m.Service})
+func rolloutMembers(members []control.Member) []rollout.Member {
+	all := make([]rollout.Member, len(members))
+	for i, m := range members {
+		all[i] = rollout.Member{Instance: m.Instance, DataCentre: m.DataCentre, Service: m.Service}
 	}
-	return ev
+	return all
 }
 
 // writeLog writes a log line that the reducer requested.
--- a/internal/rollout/completion.go
+++ b/internal/rollout/completion.go
@@ -53,13 +53,17 @@
 		s.waiting = "requests of " + c.cfg.Instance
 		return false
 	}
+	if !c.membersComplete {
+		s.waiting = "the member table"
+		return false
+	}
 	left, first := 0, ""
 	for instance, p := range c.peers {
-		if !p.member || p.service() != s.Service || p.state.Version == s.To || c.gone(s, p) {
+		if p.service() != s.Service || p.state.Version == s.To || c.gone(s, p) || c.left(p) {
 			continue
 		}
 		h := s.history[instance]
-		if h != nil && p.reachable && c.now-h.at <= freshReport && h.confirms(s) {
+		if h != nil && (p.reachable || !p.listed) && c.now-h.at <= freshReport && h.confirms(s) {
 			continue
 		}
 		left++
@@ -79,6 +83,12 @@
 	return r.Version == s.To || r.Position == s.Position && r.Phase == Full && r.Drained
 }
 
+// left reports whether a daemon is no member, and has not been one for goneAfter. One that
+// stops removes its entry first and then ends its requests.
+func (c *Core) left(p *peer) bool {
+	return !p.listed && (p.removedAt == 0 || c.now-p.removedAt >= goneAfter)
+}
+
 // gone reports whether a member of the service is unreachable from this daemon and from
 // all daemons of its data centre that report, of which there must be one.
 func (c *Core) gone(s *service, p *peer) bool {
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -64,6 +64,8 @@
 	peers map[string]*peer
 	// upstream is the local upstream.
 	upstream UpstreamChanged
+	// membersComplete is set once the whole member table has been read.
+	membersComplete bool
 	// configured holds the configured services; nil before the first configuration.
 	configured map[string]bool
 	// requestsRead is set once the store's rollout requests were read.
@@ -86,8 +88,10 @@
 // peer is another daemon.
 type peer struct {
 	Member
-	// member is set while this daemon connects to it.
-	member bool
+	// member is set while this daemon connects to it, listed while it is in the member
+	// table. It was removed from that at removedAt; 0 if it was not.
+	member, listed bool
+	removedAt      time.Duration
 	// rank is that of the instance.
 	rank      uint64
 	state     PeerState
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -104,10 +104,14 @@
 			PeerState{Instance: instance, Service: "desk", Version: text(t, d, "version"), StoreUnavailable: d.HasArg("no-store")},
 		}
 	case "members":
-		ev := MembersChanged{}
+		ev := MembersChanged{Complete: !d.HasArg("incomplete")}
 		for _, instance := range strings.Fields(d.Input) {
 			ev.Members = append(ev.Members, Member{Instance: instance, DataCentre: instance[:1], Service: "desk"})
 		}
+		if d.HasArg("other") {
+			instance := text(t, d, "other")
+			ev.Others = []Member{{Instance: instance, DataCentre: instance[:1], Service: "desk"}}
+		}
 		return []step.Event{ev}
 	case "resumed":
 		// The pause is the time given by after.
--- a/internal/rollout/faults_test.go
+++ b/internal/rollout/faults_test.go
@@ -90,7 +90,7 @@
 func (c *cluster) start(n *node) {
 	n.core = New(Config{Instance: n.instance, DataCentre: n.dc, Service: "desk", Rollback: 5 * time.Second})
 	n.alive, n.view, n.reaches, n.ready, n.open, n.answers = true, nil, map[string]bool{}, false, false, 0
-	members := MembersChanged{}
+	members := MembersChanged{Complete: true}
 	for _, other := range c.nodes {
 		if other != n {
 			members.Members = append(members.Members, Member{Instance: other.instance, DataCentre: other.dc, Service: "desk"})
--- a/internal/rollout/messages.go
+++ b/internal/rollout/messages.go
@@ -59,6 +59,10 @@
 // MembersChanged carries the daemons that this one connects to.
 type MembersChanged struct {
 	Members []Member
+	// Others holds the members of this daemon's service that it does not connect to.
+	Others []Member
+	// Complete is set once the whole member table has been read.
+	Complete bool
 }
 
 // Member is another daemon and the service of its upstream.
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -23,17 +23,25 @@
 func (p *peer) service() string { return cmp.Or(p.state.Service, p.Member.Service) }
 
 func (c *Core) applyMembers(ev MembersChanged) {
-	kept := map[string]bool{}
+	c.membersComplete = c.membersComplete || ev.Complete
+	connected, listed := map[string]bool{}, map[string]bool{}
 	for _, m := range ev.Members {
-		kept[m.Instance] = true
+		connected[m.Instance] = true
+	}
+	for _, m := range slices.Concat(ev.Members, ev.Others) {
+		listed[m.Instance] = true
 		p := c.peer(m.Instance)
-		p.Member, p.member = m, true
+		p.Member, p.listed, p.removedAt = m, true, 0
+		p.member = connected[m.Instance]
 	}
 	for instance, p := range c.peers {
-		if !kept[instance] {
+		if !connected[instance] {
 			// Its state stays: it is reported only when it changes.
 			p.member, p.reachable, p.reached, p.unreachableSince = false, false, false, c.now
 		}
+		if p.listed && !listed[instance] {
+			p.listed, p.removedAt = false, max(c.now, 1)
+		}
 	}
 }
 
--- a/internal/rollout/replay_test.go
+++ b/internal/rollout/replay_test.go
@@ -87,7 +87,7 @@
 		core: New(Config{Instance: "coordinator", DataCentre: "a", Service: "desk", Rollback: 5 * time.Second}),
 	}
 	ownShare := 0.001 + 0.003*f.random.Float64()
-	members := MembersChanged{}
+	members := MembersChanged{Complete: true}
 	for i := range 2 * upstreams {
 		u := &replayed{instance: fmt.Sprint("i-", i), dataCentre: string(rune('a' + i%3)), version: "v1", speed: 0.5 + f.random.Float64(), failShare: ownShare, slowness: 1, counts: map[string]Counts{}}
 		if i%2 == 0 {
