Close the old upstream of a daemon that others may count as gone

Cause: a daemon beside an old upstream that was isolated opened it as soon as it reached another daemon again, before it knew what that one knew. One that was restarted while it reached the store and no daemon took nobody for lost, as its process had never reached the others; it read phase trial and stayed open after the others had counted it as gone and completed the rollout. So did one that lost the others more than 5 s before the rollout. Change: isolation ends once another daemon has been reached for 0.5 s, and counts all members of the data centre. The fault replay has faults of single daemons: pauses, cuts from the others or from the store, restarts, versions that turn bad in the move, losses that are noticed late; it checks that no old upstream is open at any time after the completion. Conclusion: the only daemon left of several in a data centre closes its old upstream during each rollout.

--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -100,8 +100,9 @@
 	// when it became known.
 	reached          bool
 	unreachableSince time.Duration
-	// lostSince is the earliest time at which the peer may have ceased to be reachable.
-	lostSince time.Duration
+	// lostSince is the earliest time at which the peer may have ceased to be reachable,
+	// reachableSince when it last became reachable.
+	lostSince, reachableSince time.Duration
 }
 
 // service is what is known of one service's rollout.
@@ -337,7 +338,7 @@
 		return v
 	}
 	v.Gated = len(s.From) > 0 || !s.hadBefore
-	v.Isolated = s.Phase.Active() && c.isolated(s)
+	v.Isolated = s.Phase.Active() && c.isolated()
 	v.NewClosed = s.broken || s.Phase == Trial && c.cutOff(s)
 	return v
 }
--- /dev/null
+++ b/internal/rollout/daemonfaults_test.go
@@ -0,0 +1,91 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+)
+
+// drawFaultOfOne begins or ends a fault of one daemon: it is cut off from the others, from the
+// store, or does not run for a while.
+func (c *cluster) drawFaultOfOne() {
+	n := c.nodes[c.random.IntN(len(c.nodes))]
+	switch c.random.IntN(4) {
+	case 0:
+		n.cut = !n.cut
+	case 1:
+		n.storeCut = !n.storeCut
+	case 2:
+		c.pause(n, time.Duration(500+c.random.IntN(9500))*time.Millisecond)
+	case 3:
+		if n.alive {
+			n.alive = false
+		} else {
+			c.start(n)
+		}
+	}
+}
+
+// TestRolloutThroughFaultsOfDaemons replays rollouts through faults of single daemons, which
+// may begin and end at each step: pauses, cuts from all others or from the store, kills and
+// restarts, together with lost answers and late writes. Every third version turns bad while
+// the service is moved. No old upstream may be open or busy from the completion on.
+func TestRolloutThroughFaultsOfDaemons(t *testing.T) {
+	results := map[string]int{}
+	for seed := range uint64(*faultSeeds) {
+		c := newCluster(t, seed+1000)
+		c.bad = seed%3 == 0
+		c.badFrom = time.Duration(6500+c.random.IntN(4000)) * time.Millisecond
+		for c.now < 20*time.Second {
+			c.advance()
+			if c.now > time.Second && c.random.IntN(12) == 0 {
+				c.drawFaultOfOne()
+			}
+			if c.random.IntN(40) == 0 {
+				c.loseAnswers = !c.loseAnswers
+			}
+		}
+		c.heal()
+		for end := c.now + 20*time.Second; c.now < end; {
+			c.advance()
+		}
+		results[c.final]++
+		for _, n := range c.nodes {
+			if n.view == nil || n.view.Phase.String() != c.final {
+				t.Errorf("seed %d: %s is in another phase than the store, %q", seed, n.instance, c.final)
+			}
+		}
+		if c.final == "" || !c.bad && c.final != Completed.String() {
+			t.Errorf("seed %d: the store has %q", seed, c.final)
+		}
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+	t.Logf("final states: %v", results)
+}
+
+// during replays the cluster to a time and calls act at each step.
+func (c *cluster) during(end time.Duration, act func()) {
+	for c.now < end {
+		c.advance()
+		act()
+	}
+}
+
+// TestRestartWithoutPeersGetsNoRequests covers a daemon beside an old upstream that was
+// restarted while it reaches the store and no other daemon. It learns the phase trial from
+// the store, and the others count it as gone: its upstream must be closed when they complete
+// the rollout.
+func TestRestartWithoutPeersGetsNoRequests(t *testing.T) {
+	c := newCluster(t, 1)
+	c.bad = false
+	c.during(3*time.Second, func() {})
+	n := c.nodes[0]
+	n.cut, n.alive = true, false
+	c.during(3500*time.Millisecond, func() {})
+	c.start(n)
+	c.during(25*time.Second, func() {})
+	if c.final != Completed.String() {
+		t.Errorf("the store has %q", c.final)
+	}
+}
--- a/internal/rollout/faults_test.go
+++ b/internal/rollout/faults_test.go
@@ -36,7 +36,9 @@
 	request Request
 	// final is the first final phase in the store.
 	final string
-	bad   bool
+	// bad is set if the new version fails from the start on, badFrom is when it begins to.
+	bad     bool
+	badFrom time.Duration
 }
 
 // node is one daemon and its upstream.
@@ -45,15 +47,25 @@
 	core                  *Core
 	alive                 bool
 	view                  *View
-	// reaches holds the peers that the daemon found reachable.
-	reaches map[string]bool
+	// reaches holds the peers that the daemon found reachable, noticeAt when it notices
+	// that a peer is so no more.
+	reaches  map[string]bool
+	noticeAt map[string]time.Duration
+	// cut is set while the daemon reaches no other one, storeCut while it does not reach the
+	// store.
+	cut, storeCut bool
+	// pausedUntil is when the process that does not run goes on, steppedAt when it last ran.
+	pausedUntil, steppedAt time.Duration
+	age                    *ViewAge
 	// ready is set once it has read the rollout requests; the upstream gets no calls before.
 	ready bool
 	// open is set while the upstream's admission controller is open; its last request
 	// ends at closeAt.
 	open    bool
 	closeAt time.Duration
+	// answers are those of the upstream, failing those from which on it fails.
 	answers uint32
+	failing uint32
 	pinged  time.Duration
 }
 
@@ -89,7 +101,9 @@
 // start starts a daemon's process.
 func (c *cluster) start(n *node) {
 	n.core = New(Config{Instance: n.instance, DataCentre: n.dc, Service: "desk", Rollback: 5 * time.Second})
-	n.alive, n.view, n.reaches, n.ready, n.open, n.answers = true, nil, map[string]bool{}, false, false, 0
+	n.alive, n.view, n.ready, n.open, n.answers, n.failing = true, nil, false, false, 0, 0
+	n.reaches, n.noticeAt = map[string]bool{}, map[string]time.Duration{}
+	n.age, n.steppedAt, n.pausedUntil = NewViewAge(c.now), c.now, 0
 	members := MembersChanged{Complete: true}
 	for _, other := range c.nodes {
 		if other != n {
@@ -102,10 +116,15 @@
 
 // linked reports whether two daemons reach each other.
 func (c *cluster) linked(a, b *node) bool {
-	return a.alive && b.alive && (a.dc == b.dc || a.dc != c.cut && b.dc != c.cut)
+	return a.alive && b.alive && !a.cut && !b.cut && !c.paused(a) && !c.paused(b) && (a.dc == b.dc || a.dc != c.cut && b.dc != c.cut)
 }
 
-func (c *cluster) hasStore(n *node) bool { return !c.storeAway && !(c.storeCut && n.dc == c.cut) }
+func (c *cluster) hasStore(n *node) bool {
+	return !c.storeAway && !n.storeCut && !(c.storeCut && n.dc == c.cut)
+}
+
+// paused reports whether a process does not run.
+func (c *cluster) paused(n *node) bool { return c.now < n.pausedUntil }
 
 // send delivers an event to another process later.
 func (c *cluster) send(to *node, ev step.Event) {
@@ -222,24 +241,63 @@
 	c.queue = nil
 	for _, d := range due {
 		switch {
-		case d.at > c.now:
+		case d.at > c.now, d.to != nil && c.paused(d.to):
 			c.queue = append(c.queue, d)
 		case d.to == nil:
 			c.apply(Write(d.ev.(lateWrite)))
 		case d.to.alive && d.to.core == d.core:
+			c.run(d.to)
 			c.step(d.to, d.ev)
 		}
 	}
 	for _, n := range c.nodes {
-		if n.alive {
+		if n.alive && !c.paused(n) {
 			c.advanceNode(n)
 		}
 	}
 }
 
+// run lets a process that may not have run go on, before anything else happens in it.
+func (c *cluster) run(n *node) {
+	if c.now-n.steppedAt > maxViewAge {
+		c.step(n, step.Resumed{PausedFrom: n.steppedAt})
+	}
+	n.steppedAt = c.now
+	n.age.Refresh(c.now)
+}
+
+// pause stops a process for a while. Its upstream goes on with the requests that it has.
+func (c *cluster) pause(n *node, length time.Duration) {
+	n.pausedUntil = c.now + length
+	if n.open {
+		n.open, n.closeAt = false, c.lastRequestEnds()
+	}
+}
+
+func (c *cluster) lastRequestEnds() time.Duration {
+	return c.now + time.Duration(300+c.random.IntN(1200))*time.Millisecond
+}
+
+// notices reports whether a daemon notices by now that a peer is reachable or not. A loss takes
+// a while to be noticed.
+func (c *cluster) notices(n, other *node, up bool) bool {
+	if up {
+		delete(n.noticeAt, other.instance)
+		return !n.reaches[other.instance]
+	}
+	if !n.reaches[other.instance] {
+		return false
+	}
+	if n.noticeAt[other.instance] == 0 {
+		n.noticeAt[other.instance] = c.now + time.Duration(c.random.IntN(1200))*time.Millisecond
+	}
+	return c.now >= n.noticeAt[other.instance]
+}
+
 func (c *cluster) advanceNode(n *node) {
+	c.run(n)
 	for _, other := range c.nodes {
-		if up := c.linked(n, other); other != n && up != n.reaches[other.instance] {
+		if up := c.linked(n, other); other != n && c.notices(n, other, up) {
 			n.reaches[other.instance] = up
 			c.step(n, PeerReachability{Instance: other.instance, Reachable: up})
 			if up {
@@ -253,16 +311,22 @@
 		c.step(n, RequestsRead{Requests: []Request{c.request}})
 	}
 	c.step(n, StoreAvailability{Unavailable: !c.hasStore(n)})
-	open := n.ready && n.view != nil && n.view.Opens(n.version)
+	open := n.ready && n.view != nil && n.view.Opens(n.version) && (!n.view.Phase.Active() || n.age.Current(c.now))
 	if n.open && !open {
-		n.closeAt = c.now + time.Duration(300+c.random.IntN(1200))*time.Millisecond
+		n.closeAt = c.lastRequestEnds()
 	}
 	n.open = open
+	if c.final == Completed.String() && open && n.version == "v1" {
+		c.t.Errorf("at %s %s is open in phase %s after the completion", c.now, n.instance, n.view.Phase)
+	}
 	if n.view != nil && n.view.Phase.Active() {
+		if c.now < c.badFrom {
+			n.failing = n.answers
+		}
 		n.answers += 6
 		counts := Counts{}
 		for i := range n.answers {
-			counts.Record(c.bad && n.version == "v2" && i%3 == 0, 200*time.Millisecond, true)
+			counts.Record(c.bad && n.version == "v2" && i >= n.failing && i%3 == 0, 200*time.Millisecond, true)
 		}
 		c.step(n, ReportReceived{Instance: n.instance, Report: Report{
 			Service: "desk", Position: n.view.Position, Phase: n.view.Phase, Version: n.version, TakesWork: open, Slots: slots[n.version],
@@ -299,6 +363,18 @@
 	}
 }
 
+// heal ends all faults.
+func (c *cluster) heal() {
+	c.cut, c.storeAway, c.loseAnswers = "", false, false
+	for _, n := range c.nodes {
+		n.cut, n.storeCut = false, false
+		n.pausedUntil = min(n.pausedUntil, c.now)
+		if !n.alive {
+			c.start(n)
+		}
+	}
+}
+
 // TestRolloutThroughFaults replays rollouts through cuts, kills, restarts, and a store
 // that is away, loses answers or performs writes late. The store never leaves a final
 // state, nothing is completed while an old upstream is open or busy, and once the faults
@@ -313,12 +389,7 @@
 				c.drawFault()
 			}
 		}
-		c.cut, c.storeAway, c.loseAnswers = "", false, false
-		for _, n := range c.nodes {
-			if !n.alive {
-				c.start(n)
-			}
-		}
+		c.heal()
 		for end := c.now + 20*time.Second; c.now < end; {
 			c.advance()
 		}
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -47,13 +47,27 @@
 
 func (c *Core) applyReachability(ev PeerReachability) {
 	p := c.peer(ev.Instance)
+	before := p.reachable
 	p.reachable = ev.Reachable
 	p.reached = p.reached || ev.Reachable
-	if !ev.Reachable {
-		p.unreachableSince, p.lostSince = c.now, c.now
-		if c.resumedAt > 0 && c.now-c.resumedAt < longHold {
-			p.lostSince = c.pausedFrom
-		}
+	switch {
+	case ev.Reachable && !before:
+		p.reachableSince = c.now
+	case !ev.Reachable:
+		p.unreachableSince = c.now
+		c.dateLoss(p)
+	}
+}
+
+// dateLoss sets since when a peer that was found unreachable may have been so.
+func (c *Core) dateLoss(p *peer) {
+	switch {
+	case c.now-p.reachableSince < shortHold && p.lostSince < p.reachableSince:
+		// What it knows may not have arrived: the loss before goes on.
+	case c.resumedAt > 0 && c.now-c.resumedAt < longHold:
+		p.lostSince = c.pausedFrom
+	default:
+		p.lostSince = c.now
 	}
 }
 
@@ -107,14 +121,17 @@
 }
 
 // isolated reports whether this daemon has for isolatedAfter reached none of several
-// other daemons in its data centre. The others may then count it as gone.
-func (c *Core) isolated(s *service) bool {
+// other daemons in its data centre. The others may then count it as gone. It is isolated until
+// it has reached one for shortHold, so that it knows what that one knows. Members that were
+// lost before the rollout, or that this process has never reached, count as well: they may
+// see each other.
+func (c *Core) isolated() bool {
 	others, lastLoss := 0, time.Duration(0)
 	for _, p := range c.peers {
-		if p.DataCentre != c.cfg.DataCentre || !c.indicatesCut(s, p) {
+		if p.DataCentre != c.cfg.DataCentre || !p.member {
 			continue
 		}
-		if p.reachable {
+		if p.reachable && c.now-p.reachableSince >= shortHold {
 			return false
 		}
 		others++
