Count a member as gone only with more than half of its data centre

Cause: a cut through a data centre, as of a rack, left daemons on the smaller side that reached each other, so that none was isolated; one witness on the other side was enough to count them as gone, and the rollout was completed while their old upstreams were open. Change: gone needs more than half of the members of the service in the data centre, and a daemon is isolated when it has reached fewer than half of them, from the start of its process on. In a data centre with two members both stay as they were. Conclusion: when half or more of a data centre's members of a service are gone for good, completion waits until they are removed or return; when more than half are, the others' old upstreams are closed during the rollout. With two members in a data centre a cut between them is still not told from the end of one.

--- a/internal/rollout/completion.go
+++ b/internal/rollout/completion.go
@@ -90,7 +90,8 @@
 }
 
 // gone reports whether a member of the service is unreachable from this daemon and from
-// all daemons of its data centre that report, of which there must be one.
+// all daemons of its data centre that report. These must be more than half of the members
+// there: then it reaches fewer than half, and has closed; see isolated.
 func (c *Core) gone(s *service, p *peer) bool {
 	if p.reachable || c.now-p.unreachableSince < goneAfter {
 		return false
@@ -108,5 +109,20 @@
 		}
 		witnesses++
 	}
-	return witnesses > 0
+	members := c.membersIn(s, p.DataCentre)
+	return witnesses > 0 && (members < minQuorum || 2*witnesses > members)
+}
+
+// membersIn returns the number of members of the service in a data centre.
+func (c *Core) membersIn(s *service, dataCentre string) int {
+	members := 0
+	if c.ownService() == s.Service && c.cfg.DataCentre == dataCentre {
+		members++
+	}
+	for _, p := range c.peers {
+		if p.listed && p.DataCentre == dataCentre && p.service() == s.Service {
+			members++
+		}
+	}
+	return members
 }
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -338,7 +338,7 @@
 		return v
 	}
 	v.Gated = len(s.From) > 0 || !s.hadBefore
-	v.Isolated = s.Phase.Active() && c.isolated()
+	v.Isolated = s.Phase.Active() && c.isolated(s)
 	v.NewClosed = s.broken || s.Phase == Trial && c.cutOff(s)
 	return v
 }
--- a/internal/rollout/daemonfaults_test.go
+++ b/internal/rollout/daemonfaults_test.go
@@ -89,3 +89,27 @@
 		t.Errorf("the store has %q", c.final)
 	}
 }
+
+// TestPartOfADataCentreIsCutOff covers a cut that goes through data centres, as of a rack with
+// a switch of its own. Daemons on the smaller side reach each other and must not take the
+// others' side for the one that is gone, nor be counted as gone while they go on.
+func TestPartOfADataCentreIsCutOff(t *testing.T) {
+	for seed := range uint64(*faultSeeds) {
+		c := newClusterOf(t, seed+3000, 15)
+		c.bad = false
+		c.during(time.Duration(c.random.IntN(8000))*time.Millisecond, func() {})
+		for _, n := range c.nodes {
+			n.side = c.random.IntN(2)
+			n.storeCut = n.side == 1 && seed%2 == 0
+		}
+		c.during(20*time.Second, func() {})
+		c.heal()
+		c.during(40*time.Second, func() {})
+		if c.final != Completed.String() {
+			t.Errorf("the store has %q", c.final)
+		}
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
--- a/internal/rollout/faults_test.go
+++ b/internal/rollout/faults_test.go
@@ -52,8 +52,9 @@
 	reaches  map[string]bool
 	noticeAt map[string]time.Duration
 	// cut is set while the daemon reaches no other one, storeCut while it does not reach the
-	// store.
+	// store. Daemons with different numbers of a side do not reach each other either.
 	cut, storeCut bool
+	side          int
 	// pausedUntil is when the process that does not run goes on, steppedAt when it last ran.
 	pausedUntil, steppedAt time.Duration
 	age                    *ViewAge
@@ -82,12 +83,16 @@
 // ones.
 var slots = map[string]int{"v1": 4, "v2": 8}
 
-func newCluster(t *testing.T, seed uint64) *cluster {
+func newCluster(t *testing.T, seed uint64) *cluster { return newClusterOf(t, seed, 9) }
+
+// newClusterOf returns a cluster of so many daemons, of which the last third is beside new
+// upstreams.
+func newClusterOf(t *testing.T, seed uint64, size int) *cluster {
 	c := &cluster{t: t, random: rand.New(rand.NewPCG(seed, 7)), bad: seed%3 == 0,
 		request: Request{Service: "desk", To: "v2", Period: 12 * time.Second, Position: store.Position{Version: 5}}}
-	for i := range 9 {
+	for i := range size {
 		n := &node{instance: fmt.Sprint("i-", i), dc: string(rune('a' + i%3)), version: "v1"}
-		if i >= 6 {
+		if i >= size*2/3 {
 			n.version = "v2"
 		}
 		c.nodes = append(c.nodes, n)
@@ -116,7 +121,7 @@
 
 // linked reports whether two daemons reach each other.
 func (c *cluster) linked(a, b *node) bool {
-	return a.alive && b.alive && !a.cut && !b.cut && !c.paused(a) && !c.paused(b) && (a.dc == b.dc || a.dc != c.cut && b.dc != c.cut)
+	return a.alive && b.alive && !a.cut && !b.cut && !c.paused(a) && !c.paused(b) && a.side == b.side && (a.dc == b.dc || a.dc != c.cut && b.dc != c.cut)
 }
 
 func (c *cluster) hasStore(n *node) bool {
@@ -367,7 +372,7 @@
 func (c *cluster) heal() {
 	c.cut, c.storeAway, c.loseAnswers = "", false, false
 	for _, n := range c.nodes {
-		n.cut, n.storeCut = false, false
+		n.cut, n.storeCut, n.side = false, false, 0
 		n.pausedUntil = min(n.pausedUntil, c.now)
 		if !n.alive {
 			c.start(n)
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"godwitmount/internal/step"
 )
@@ -120,22 +119,30 @@
 	return 2*reachable < reached
 }
 
-// isolated reports whether this daemon has for isolatedAfter reached none of several
-// other daemons in its data centre. The others may then count it as gone. It is isolated until
-// it has reached one for shortHold, so that it knows what that one knows. Members that were
-// lost before the rollout, or that this process has never reached, count as well: they may
-// see each other.
-func (c *Core) isolated() bool {
-	others, lastLoss := 0, time.Duration(0)
+// minQuorum is the number of members of the service in a data centre from which on one is
+// counted as gone, or goes on, only with a part of them. Of two, neither can tell a cut from
+// the end of the other.
+const minQuorum = 3
+
+// isolated reports whether this daemon has for isolatedAfter reached fewer than half of the
+// members of the service in its data centre, itself included. More than half of them may
+// then count it as gone; see gone. It is isolated until it has reached them for shortHold, so
+// that it knows what they know. Members that were lost before the rollout, or that this
+// process has never reached, count as well: they may reach each other.
+func (c *Core) isolated(s *service) bool {
+	members, reached := 1, 1
 	for _, p := range c.peers {
-		if p.DataCentre != c.cfg.DataCentre || !p.member {
+		if !p.member || p.DataCentre != c.cfg.DataCentre || p.service() != s.Service {
 			continue
 		}
-		if p.reachable && c.now-p.reachableSince >= shortHold {
-			return false
+		members++
+		steady := p.reachable && c.now-p.reachableSince >= shortHold
+		if steady || p.reached && c.now-p.lostSince < isolatedAfter {
+			reached++
 		}
-		others++
-		lastLoss = max(lastLoss, p.lostSince)
 	}
-	return others >= 2 && c.now-lastLoss >= isolatedAfter
+	if !c.membersComplete && reached == 1 {
+		return true
+	}
+	return members >= minQuorum && 2*reached < members
 }
