Keep an upstream closed that the completion may count on

Cause: a write of the completion may be performed seconds after its answer was lost. A coordinator that had read the rows once, or another one after it, then reverted on evidence, old upstreams opened at once, and the late write completed the rollout. A daemon that was restarted after it had confirmed took an earlier phase from a peer that did not know phase full, and opened while the coordinator still had the confirmation. A process that may follow one that has confirmed takes phases before full only from the store's row, or after 5 s. A confirmation counts only if it came since the peer was last reached. Conclusion: a version that turns bad in phase full while the store is away leaves its service without upstreams that have confirmed for 10 s: neither version may get requests.

--- a/internal/daemon/rolloutwire.go
+++ b/internal/daemon/rolloutwire.go
@@ -19,6 +19,7 @@
 		Denied:   p.Denied,
 		Phase:    uint32(p.Phase),
 		Reason:   p.Reason,
+		Stored:   p.Stored,
 		AgeMs:    uint32(p.Age.Milliseconds()),
 	}
 }
@@ -35,6 +36,7 @@
 		Denied: raw.GetDenied(),
 		Phase:  rollout.Phase(min(raw.GetPhase(), uint32(rollout.Completed)+1)),
 		Reason: raw.GetReason(),
+		Stored: raw.GetStored(),
 		Age:    time.Duration(raw.GetAgeMs()) * time.Millisecond,
 	}
 }
--- a/internal/daemon/rolloutwire_test.go
+++ b/internal/daemon/rolloutwire_test.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"testing"
+	"time"
 
 	"godwitmount/internal/rollout"
 	"godwitmount/internal/store"
@@ -21,3 +22,15 @@
 		t.Errorf("got %+v, want %+v", got, sent)
 	}
 }
+
+// TestProgressSurvivesTheWire covers a field of a rollout that is not sent: a daemon would open
+// an upstream that must stay closed, or keep one closed.
+func TestProgressSurvivesTheWire(t *testing.T) {
+	sent := rollout.Progress{
+		Request: rollout.Request{Service: "desk", To: "v2", Period: 4100 * time.Millisecond, Position: store.Position{Era: 1, Version: 5}},
+		From:    []string{"v1"}, Denied: []string{"v0"}, Phase: rollout.Reverted, Reason: "failures", Stored: true, Age: time.Second,
+	}
+	if got := decodeProgress(encodeProgress(sent)); !reflect.DeepEqual(got, sent) {
+		t.Errorf("got %+v, want %+v", got, sent)
+	}
+}
--- a/internal/rollout/completion.go
+++ b/internal/rollout/completion.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		h := s.history[instance]
-		if h != nil && (p.reachable || !p.listed) && c.now-h.at <= freshReport && h.confirms(s) {
+		if h != nil && (p.reachable || !p.listed) && h.at >= p.reachableSince && c.now-h.at <= freshReport && h.confirms(s) {
 			continue
 		}
 		left++
@@ -83,6 +83,22 @@
 	return r.Version == s.To || r.Position == s.Position && r.Phase == Full && r.Drained
 }
 
+// confirmedEarlier reports whether an earlier process of this daemon may have confirmed that
+// its upstream, of an old version, is closed, and the phase that this process was told is an
+// earlier one.
+func (c *Core) confirmedEarlier(s *service) bool {
+	isOld := c.upstream.Service == s.Service && c.upstream.Version != s.To
+	return isOld && s.confirmed && s.Phase < Full && c.now-s.beganAt < confirmationLasts
+}
+
+// keepsClosed reports whether the local upstream, of an old version, stays closed because the
+// completion may be or have been written on the word of this daemon. After a reversion that is
+// until the store has this, or can no longer perform a write of the completion.
+func (c *Core) keepsClosed(s *service) bool {
+	reverted := s.confirmed && s.Phase == Reverted && !s.Stored && c.now-s.phaseAt < lateWrites
+	return reverted || c.confirmedEarlier(s)
+}
+
 // left reports whether a daemon is no member, and has not been one for goneAfter. One that
 // stops removes its entry first and then ends its requests.
 func (c *Core) left(p *peer) bool {
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -46,6 +46,12 @@
 	// resolveWait is how long a daemon that has just started waits for a peer that knows
 	// the phase of a rollout before it reads it from the store.
 	resolveWait = 400 * time.Millisecond
+	// confirmationLasts is how long a report of an earlier process of this daemon may be taken
+	// for its present state: freshReport, and the time in which the end of that process is
+	// noticed. lateWrites is how long after a reversion the store may still perform a write
+	// of the completion whose answer was lost.
+	confirmationLasts = 5 * time.Second
+	lateWrites        = 10 * time.Second
 	// breakerBase and breakerScore decide when an upstream fails beyond doubt: its share
 	// of failures is above breakerBase with odds of exp(breakerScore).
 	breakerBase  = 0.1
@@ -118,6 +124,11 @@
 	// hadBefore is set if the local upstream had the new version when the request
 	// became known.
 	hadBefore bool
+	// confirmed is set once this daemon has reported that its old upstream is closed in phase
+	// full, and while an earlier process of it may have. beganAt is when this process
+	// learned of the request.
+	confirmed bool
+	beganAt   time.Duration
 	// broken is set once the local upstream, of the new version, was found to fail.
 	broken bool
 	// unknownService is set once the service was reported as not configured.
@@ -189,7 +200,7 @@
 func (c *Core) tick() {
 	for _, name := range c.serviceNames() {
 		s := c.services[name]
-		if s.unresolved && c.now-s.phaseAt >= resolveWait {
+		if (s.unresolved || c.confirmedEarlier(s)) && c.now-s.beganAt >= resolveWait {
 			c.readRows()
 		}
 		c.coordinate(s)
@@ -229,6 +240,7 @@
 		s = c.begin(Begin(request, before), "store")
 		// Later requests are seen as they are written, and cannot have a phase yet.
 		s.unresolved = first && before.Phase == 0
+		s.confirmed = s.confirmed || s.unresolved
 		s.rowsKnown = false
 	}
 }
@@ -236,7 +248,9 @@
 // begin makes p the rollout of its service and returns its state.
 func (c *Core) begin(p Progress, from string) *service {
 	before := c.services[p.Service]
-	s := &service{Progress: p, knownAt: c.now - p.Age, phaseAt: c.now, history: map[string]*history{}}
+	s := &service{Progress: p, knownAt: c.now - p.Age, phaseAt: c.now, beganAt: c.now, history: map[string]*history{}}
+	// A process that has not read the requests yet may have been started after this one.
+	s.confirmed = !c.requestsRead
 	s.hadBefore = c.upstream.Service == p.Service && c.upstream.Version == p.To
 	if before != nil {
 		s.coordination = before.coordination.carryOver()
@@ -244,6 +258,7 @@
 	continued := before != nil && p.continues(before.Progress)
 	if continued {
 		s.history, s.phaseAt, s.hadBefore, s.broken = before.history, before.phaseAt, before.hadBefore, before.broken
+		s.confirmed, s.beganAt = before.confirmed, before.beganAt
 	}
 	c.services[p.Service] = s
 	c.log(event.RolloutSeen, false, step.F("service", p.Service), step.F("to", p.To), step.F("period", p.Period),
@@ -301,7 +316,7 @@
 func (c *Core) enter(s *service, phase Phase, reason, from string) {
 	c.log(event.RolloutPhase, phase == Reverted, step.F("service", s.Service), step.F("to", s.To), step.F("phase", phase),
 		step.F("before", s.Phase), step.F("reason", reason), step.F("from", from), step.F("age", max(c.now-s.knownAt, 0)))
-	s.Phase, s.Reason, s.phaseAt = phase, reason, c.now
+	s.Phase, s.Reason, s.Stored, s.phaseAt = phase, reason, false, c.now
 }
 
 // learnVersions adds the versions that upstreams of the services have to those that
@@ -339,6 +354,7 @@
 	}
 	v.Gated = len(s.From) > 0 || !s.hadBefore
 	v.Isolated = s.Phase.Active() && c.isolated(s)
+	v.Confirmed = c.keepsClosed(s)
 	v.NewClosed = s.broken || s.Phase == Trial && c.cutOff(s)
 	return v
 }
@@ -354,7 +370,7 @@
 		all.Views = append(all.Views, v)
 		v.Age = 0
 		if !v.Unresolved {
-			notified += fmt.Sprintf("%+v %v %s %t %v\n", v.Request, v.Phase, v.Reason, len(v.From) > 0, v.Denied)
+			notified += fmt.Sprintf("%+v %v %s %t %v %t\n", v.Request, v.Phase, v.Reason, len(v.From) > 0, v.Denied, v.Stored)
 		}
 		published += fmt.Sprintf("%+v %+v\n", v, s.summaryKey())
 	}
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -208,6 +208,8 @@
 		{Request: request, Phase: Full, Reason: "b"},
 		{Request: request, Phase: Full, Reason: "a", From: []string{"v0"}},
 		{Request: later, Phase: StepOne, Denied: []string{"v3"}},
+		{Request: request, Phase: Reverted, Reason: "a", Stored: true},
+		{Request: later, Phase: Reverted, Reason: "b"},
 	}
 	want := ""
 	permute(all, 0, func(order []Progress) {
--- a/internal/rollout/daemonfaults_test.go
+++ b/internal/rollout/daemonfaults_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"godwitmount/internal/step"
+	"godwitmount/internal/store"
 )
 
 // drawFaultOfOne begins or ends a fault of one daemon: it is cut off from the others, from the
@@ -113,3 +116,81 @@
 		}
 	}
 }
+
+// TestLateCompletionMeetsARevert covers a write of the completion that the store performs
+// seconds later, or without an answer, while the new version turns bad and in half of the cases
+// the coordinator is killed: whatever the others decide, no old upstream may be open or busy once
+// the store has the completion, and none may be opened by a reversion that the store does not
+// have.
+func TestLateCompletionMeetsARevert(t *testing.T) {
+	results := map[string]int{}
+	for seed := range uint64(*faultSeeds) {
+		c := newCluster(t, seed+5000)
+		c.bad, c.badFrom = true, time.Hour
+		c.writing = func(n *node, e Write) {
+			if e.Saved.Phase != Completed.String() || c.badFrom < time.Hour {
+				return
+			}
+			c.loseAnswers, c.badFrom = true, c.now
+			n.alive = seed%2 == 0
+		}
+		c.during(25*time.Second, func() {
+			if c.now > c.badFrom+100*time.Millisecond {
+				c.loseAnswers = false
+			}
+		})
+		c.heal()
+		c.during(40*time.Second, func() {})
+		results[c.final]++
+		if c.final == "" {
+			t.Errorf("the store has no final state")
+		}
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+	t.Logf("final states: %v", results)
+}
+
+// TestRestartedDaemonDoesNotTrustAnEarlierPhase covers a daemon beside an old upstream that is
+// restarted after it has confirmed, and hears first from a peer that does not know phase full
+// yet. The coordinator may still have the confirmation, so that the upstream must stay closed.
+func TestRestartedDaemonDoesNotTrustAnEarlierPhase(t *testing.T) {
+	core := New(Config{Instance: "a-1", DataCentre: "a", Service: "desk"})
+	request := Request{Service: "desk", To: "v2", Period: 12 * time.Second, Position: store.Position{Version: 5}}
+	var view View
+	now := time.Duration(0)
+	run := func(events ...step.Event) {
+		for _, ev := range events {
+			for _, effect := range core.Step(step.Env{Now: now}, ev) {
+				if published, ok := effect.(Publish); ok {
+					view = published.Views[0]
+				}
+			}
+		}
+	}
+	peer := Member{Instance: "a-2", DataCentre: "a", Service: "desk"}
+	run(MembersChanged{Members: []Member{peer}, Complete: true}, UpstreamChanged{Service: "desk", Version: "v1"},
+		PeerReachability{Instance: "a-2", Reachable: true}, PeerState{Instance: "a-2", Service: "desk", Version: "v2"},
+		ProgressReceived{Instance: "a-2", Progress: []Progress{{Request: request, Phase: StepTwo}}}, RequestsRead{Requests: []Request{request}})
+	for ; now < confirmationLasts; now += 100 * time.Millisecond {
+		run(step.Tick{}, RowsRead{Err: store.ErrOutcomeUnknown})
+		if view.Opens("v1") {
+			t.Fatalf("the old upstream is open after %s, without a word of the store", now)
+		}
+	}
+	run(step.Tick{})
+	if !view.Opens("v1") {
+		t.Errorf("the old upstream is closed for longer than a confirmation lasts")
+	}
+	// The next process is told by the store that no daemon has confirmed.
+	core, now = New(core.cfg), 0
+	run(UpstreamChanged{Service: "desk", Version: "v1"}, MembersChanged{Complete: true}, RequestsRead{Requests: []Request{request}})
+	if view.Opens("v1") {
+		t.Error("the old upstream is open before the phase is known")
+	}
+	run(RowsRead{Phases: map[string]PhaseRow{"desk": {Version: 6, Saved: Saved{Version: 5, To: "v2", Phase: "trial"}}}})
+	if !view.Opens("v1") {
+		t.Error("the old upstream is closed although the store has the trial")
+	}
+}
--- a/internal/rollout/faults_test.go
+++ b/internal/rollout/faults_test.go
@@ -39,6 +39,8 @@
 	// bad is set if the new version fails from the start on, badFrom is when it begins to.
 	bad     bool
 	badFrom time.Duration
+	// writing is called with each write, if set.
+	writing func(*node, Write)
 }
 
 // node is one daemon and its upstream.
@@ -181,6 +183,9 @@
 
 // write performs a write at the store, perhaps late or without an answer.
 func (c *cluster) write(n *node, e Write) {
+	if c.writing != nil {
+		c.writing(n, e)
+	}
 	phase, _ := ParsePhase(e.Saved.Phase)
 	done := WriteDone{Service: "desk", Position: e.Request.Position, Phase: phase}
 	switch {
--- a/internal/rollout/reports.go
+++ b/internal/rollout/reports.go
@@ -24,6 +24,7 @@
 	}
 	h.record(c.now, ev.Report)
 	if ev.Instance == c.cfg.Instance {
+		s.confirmed = s.confirmed || ev.Report.Phase == Full && ev.Report.Drained
 		c.checkOwnUpstream(s, h)
 		c.sendReport(s, ev.Report)
 	}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -92,6 +92,8 @@
 	Phase  Phase
 	// Reason says why the phase was entered.
 	Reason string
+	// Stored is set in phase Reverted once the store has it.
+	Stored bool
 	// Age is the time since the first daemon learned of the request.
 	Age time.Duration
 }
@@ -109,8 +111,11 @@
 		// The store came back from an older copy, and the request was written again.
 		b.Position = a.Position
 	}
-	if b.Phase > a.Phase || b.Phase == a.Phase && b.Reason < a.Reason {
-		a.Phase, a.Reason = b.Phase, b.Reason
+	switch {
+	case b.Phase > a.Phase:
+		a.Phase, a.Reason, a.Stored = b.Phase, b.Reason, b.Stored
+	case b.Phase == a.Phase:
+		a.Reason, a.Stored = min(a.Reason, b.Reason), a.Stored || b.Stored
 	}
 	a.From = union(a.From, b.From)
 	a.Denied = union(a.Denied, b.Denied)
@@ -177,6 +182,10 @@
 	// Isolated is set while this daemon reaches no other one. A local upstream of an old
 	// version gets no requests, because the rollout may go on without it.
 	Isolated bool
+	// Confirmed is set while the completion may be or have been written because this daemon,
+	// or an earlier process of it, confirmed that its upstream is closed. A local upstream
+	// of an old version gets no requests.
+	Confirmed bool
 	// NewClosed is set while an upstream of the new version beside this daemon gets
 	// no requests: it fails, or this daemon is cut off from most of the service in
 	// the trial.
@@ -187,7 +196,7 @@
 // version is open.
 func (v *View) Opens(version string) bool {
 	isNew := version == v.To
-	if v.Unresolved || v.Isolated && !isNew || slices.Contains(v.Denied, version) {
+	if v.Unresolved || (v.Isolated || v.Confirmed) && !isNew || slices.Contains(v.Denied, version) {
 		return false
 	}
 	switch v.Phase {
--- a/internal/rollout/rows.go
+++ b/internal/rollout/rows.go
@@ -29,6 +29,10 @@
 		s.phaseVersion = ev.Phases[name].Version
 		c.adoptSaved(s, ev.Phases[name])
 		s.unresolved = false
+		if s.Phase < Full {
+			// No daemon has been in phase full, in which reports confirm.
+			s.confirmed = false
+		}
 		if !s.writing {
 			s.completing = false
 		}
@@ -52,7 +56,7 @@
 	}
 	p := Progress{
 		Request: Request{Service: s.Service, To: saved.To, Period: s.Period, Position: saved.position()},
-		From:    saved.From, Denied: saved.Denied, Phase: phase, Reason: saved.Reason,
+		From:    saved.From, Denied: saved.Denied, Phase: phase, Reason: saved.Reason, Stored: phase == Reverted,
 	}
 	switch {
 	case s.isSaved():
@@ -127,6 +131,9 @@
 
 // written enters a phase that the store has accepted.
 func (c *Core) written(s *service, phase Phase) {
+	if phase == Reverted && s.Phase == Reverted {
+		s.Stored = true
+	}
 	if phase <= s.Phase || phase < Full {
 		return
 	}
