Let a daemon that was counted as gone wait for the stored reversion

Cause: a daemon that had been isolated or suspended for so long that others may have counted it as gone, and then heard of a reversion, opened its old upstream although a write of the completion that counted on its end could still be performed: it had not confirmed itself. The replay of late completions has faults of single daemons before the write. In the transcripts isolated-again and restart, confirmed is set while the daemon is isolated. go test ./internal/rollout passes.

--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -124,8 +124,9 @@
 	// hadBefore is set if the local upstream had the new version when the request
 	// became known.
 	hadBefore bool
-	// confirmed is set once this daemon has reported that its old upstream is closed in phase
-	// full, and while an earlier process of it may have. beganAt is when this process
+	// confirmed is set once the completion may be written without a further word of this
+	// daemon: it has reported that its old upstream is closed in phase full, an earlier
+	// process of it may have, or others may have counted it as gone. beganAt is when this process
 	// learned of the request.
 	confirmed bool
 	beganAt   time.Duration
@@ -186,6 +187,7 @@
 		return c.effects
 	}
 	c.learnVersions()
+	c.noteIsolation()
 	c.publish()
 	return c.effects
 }
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -130,7 +130,7 @@
 		return []step.Event{StoreAvailability{}}
 	case "heard":
 		phase, _ := ParsePhase(text(t, d, "phase"))
-		return []step.Event{ProgressReceived{Instance: "b-1", Progress: []Progress{{Request: request, From: []string{"v1"}, Phase: phase, Reason: "told"}}}}
+		return []step.Event{ProgressReceived{Instance: "b-1", Progress: []Progress{{Request: request, From: []string{"v1"}, Phase: phase, Reason: "told", Stored: d.HasArg("stored")}}}}
 	case "report":
 		phase, _ := ParsePhase(text(t, d, "phase"))
 		counts := Counts{}
@@ -181,8 +181,8 @@
 		case Publish:
 			for i, v := range e.Views {
 				if e.NotifyPeers || v.Unresolved || v.Isolated || v.NewClosed {
-					fmt.Fprintf(out, "publish %s to=%s from=%v denied=%v gated=%t unresolved=%t isolated=%t new-closed=%t coordinator=%s\n",
-						v.Phase, v.To, v.From, v.Denied, v.Gated, v.Unresolved, v.Isolated, v.NewClosed, e.Summaries[i].Coordinator)
+					fmt.Fprintf(out, "publish %s to=%s from=%v denied=%v gated=%t unresolved=%t isolated=%t new-closed=%t%s coordinator=%s\n",
+						v.Phase, v.To, v.From, v.Denied, v.Gated, v.Unresolved, v.Isolated, v.NewClosed, confirmed(v), e.Summaries[i].Coordinator)
 				}
 			}
 		case SendReport:
@@ -197,6 +197,14 @@
 	}
 }
 
+// confirmed returns the field of a view that is set only rarely.
+func confirmed(v View) string {
+	if v.Confirmed {
+		return " confirmed=true"
+	}
+	return ""
+}
+
 // TestMergeDoesNotDependOnOrder merges the knowledge of several daemons in all orders,
 // as messages arrive.
 func TestMergeDoesNotDependOnOrder(t *testing.T) {
--- a/internal/rollout/daemonfaults_test.go
+++ b/internal/rollout/daemonfaults_test.go
@@ -119,7 +119,8 @@
 
 // TestLateCompletionMeetsARevert covers a write of the completion that the store performs
 // seconds later, or without an answer, while the new version turns bad and in half of the cases
-// the coordinator is killed: whatever the others decide, no old upstream may be open or busy once
+// the coordinator is killed. Before, daemons may be cut off, suspended or restarted, so that some
+// are counted as gone, and all reach each other again soon after. Whatever they decide, no old upstream may be open or busy once
 // the store has the completion, and none may be opened by a reversion that the store does not
 // have.
 func TestLateCompletionMeetsARevert(t *testing.T) {
@@ -137,6 +138,10 @@
 		c.during(25*time.Second, func() {
 			if c.now > c.badFrom+100*time.Millisecond {
 				c.loseAnswers = false
+				c.healDaemons()
+			}
+			if c.badFrom == time.Hour && seed%3 > 0 && c.random.IntN(15) == 0 {
+				c.drawFaultOfOne()
 			}
 		})
 		c.heal()
--- a/internal/rollout/faults_test.go
+++ b/internal/rollout/faults_test.go
@@ -376,15 +376,22 @@
 // heal ends all faults.
 func (c *cluster) heal() {
 	c.cut, c.storeAway, c.loseAnswers = "", false, false
+	c.healDaemons()
 	for _, n := range c.nodes {
-		n.cut, n.storeCut, n.side = false, false, 0
-		n.pausedUntil = min(n.pausedUntil, c.now)
 		if !n.alive {
 			c.start(n)
 		}
 	}
 }
 
+// healDaemons ends the faults of single daemons that run.
+func (c *cluster) healDaemons() {
+	for _, n := range c.nodes {
+		n.cut, n.storeCut, n.side = false, false, 0
+		n.pausedUntil = min(n.pausedUntil, c.now)
+	}
+}
+
 // TestRolloutThroughFaults replays rollouts through cuts, kills, restarts, and a store
 // that is away, loses answers or performs writes late. The store never leaves a final
 // state, nothing is completed while an old upstream is open or busy, and once the faults
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -75,12 +75,24 @@
 // from then.
 func (c *Core) resume(ev step.Resumed) {
 	c.pausedFrom, c.resumedAt = ev.PausedFrom, max(c.now, 1)
+	active := false
 	for _, s := range c.services {
 		if s.Phase.Active() {
-			c.emit(CheckPeers{})
-			return
+			active = true
+			s.confirmed = s.confirmed || c.now-ev.PausedFrom >= mayBeGoneAfter
 		}
 	}
+	if active {
+		c.emit(CheckPeers{})
+	}
+}
+
+// noteIsolation records that others may count this daemon as gone.
+func (c *Core) noteIsolation() {
+	s := c.services[c.ownService()]
+	if s != nil && s.Phase.Active() && c.isolated(s) {
+		s.confirmed = true
+	}
 }
 
 // unreachable returns the members of the service in this daemon's data centre that it
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -183,8 +183,8 @@
 	// version gets no requests, because the rollout may go on without it.
 	Isolated bool
 	// Confirmed is set while the completion may be or have been written because this daemon,
-	// or an earlier process of it, confirmed that its upstream is closed. A local upstream
-	// of an old version gets no requests.
+	// or an earlier process of it, confirmed that its upstream is closed, or was counted as
+	// gone. A local upstream of an old version gets no requests.
 	Confirmed bool
 	// NewClosed is set while an upstream of the new version beside this daemon gets
 	// no requests: it fails, or this daemon is cut off from most of the service in
