Open and close the admission controller under a lock

Cause: the control loop and the reducer of rollouts update the admission controller on different goroutines. An update that had read the state before phase full could open the controller after the other one had closed it. The check after admission still refused each request, but the upstream did not count as drained, so that the completion waited until the next update. Change: a lock around the reading of the state and the update.

--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -22,6 +22,10 @@
 // updateAdmission opens the admission controller if the upstream accepts
 // requests, within the limits of the configuration, and closes it otherwise.
 func (p *Proxy) updateAdmission() {
+	// Reports of the upstream, configurations and rollouts arrive on several goroutines. Each
+	// call comes after its change is stored, so that the last one sees all changes.
+	p.admissionMu.Lock()
+	defer p.admissionMu.Unlock()
 	u := p.upstream.Load()
 	if !u.AcceptsRequests() || !p.rollouts.opens(u) {
 		p.admissionController.Close()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -110,7 +110,9 @@
 	epoch               time.Time
 	metrics             *metrics
 	admissionController *admission.Controller
-	client              *upstream.Client
+	// admissionMu is held while it is opened or closed.
+	admissionMu sync.Mutex
+	client      *upstream.Client
 
 	// service is the instance's service in the settings.
 	service  atomic.Pointer[string]
--- a/internal/proxy/rollout_test.go
+++ b/internal/proxy/rollout_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -189,3 +190,26 @@
 		now += 100 * time.Millisecond
 	}
 }
+
+// TestConcurrentUpdatesEndInTheLastState covers the upstream's report and a phase of its rollout
+// that arrive at the same time, on two goroutines. An admission controller that is opened by
+// the older of the two states stays open in phase full, and the completion waits forever.
+func TestConcurrentUpdatesEndInTheLastState(t *testing.T) {
+	clock := func() time.Duration { return 0 }
+	p := &Proxy{rollouts: newRollouts(0), deps: Deps{BootClock: clock}, admissionController: admission.NewController(time.Now())}
+	view := func(phase rollout.Phase) []rollout.View {
+		return []rollout.View{{Progress: rollout.Progress{Request: rollout.Request{Service: "desk", To: "v2"}, Phase: phase}}}
+	}
+	upstream := &control.Upstream{ID: "u", Service: "desk", Version: "v1", Slots: 4, State: control.UpstreamReady}
+	p.upstream.Store(upstream)
+	for i := range 20000 {
+		p.SetRollouts(view(rollout.Trial))
+		var both sync.WaitGroup
+		both.Go(func() { p.upstream.Store(upstream); p.updateAdmission() })
+		both.Go(func() { p.SetRollouts(view(rollout.Full)) })
+		both.Wait()
+		if p.admissionController.Load().Open {
+			t.Fatalf("round %d: the admission controller is open in phase full", i)
+		}
+	}
+}
