--- a/internal/daemon/rolloutwire.go
+++ b/internal/daemon/rolloutwire.go
@@ -19,6 +19,7 @@
 		Denied:   p.Denied,
 		Phase:    uint32(p.Phase),
 		Reason:   p.Reason,
+		Stored:   p.Stored,
 		AgeMs:    uint32(p.Age.Milliseconds()),
 	}
 }
@@ -35,12 +36,14 @@
 		Denied: raw.GetDenied(),
 		Phase:  rollout.Phase(min(raw.GetPhase(), uint32(rollout.Completed)+1)),
 		Reason: raw.GetReason(),
+		Stored: raw.GetStored(),
 		Age:    time.Duration(raw.GetAgeMs()) * time.Millisecond,
 	}
 }
 
 func encodeReport(r rollout.Report) *hopv1.RolloutReport {
 	encoded := &hopv1.RolloutReport{
+		Service:         r.Service,
 		Era:             uint64(r.Position.Era),
 		Version:         r.Position.Version,
 		Phase:           uint32(r.Phase),
@@ -62,6 +65,7 @@
 
 func decodeReport(raw *hopv1.RolloutReport) rollout.Report {
 	r := rollout.Report{
+		Service:     raw.GetService(),
 		Position:    store.Position{Era: store.Era(raw.GetEra()), Version: raw.GetVersion()},
 		Phase:       rollout.Phase(min(raw.GetPhase(), uint32(rollout.Completed)+1)),
 		Version:     raw.GetUpstreamVersion(),
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -110,7 +110,9 @@
 	epoch               time.Time
 	metrics             *metrics
 	admissionController *admission.Controller
-	client              *upstream.Client
+	// admissionMu is held while it is opened or closed.
+	admissionMu sync.Mutex
+	client      *upstream.Client
 
 	// service is the instance's service in the settings.
 	service  atomic.Pointer[string]
@@ -187,7 +189,6 @@
 		budgets:             map[string]*routing.RetryBudget{},
 		ruleBudgets:         map[string]*ruleBudget{},
 		routes:              newRouteProfiles(),
-		rollouts:            newRollouts(),
 	}
 	p.client = upstream.NewClient(upstream.Headers{
 		RequestID: cfg.Headers.RequestID,
@@ -204,6 +205,8 @@
 	if deps.BootClock == nil {
 		deps.BootClock = p.now
 	}
+	p.deps = deps
+	p.rollouts = newRollouts(deps.BootClock())
 	p.quotas = newQuotas(cfg, deps, m.quotas)
 	return p, nil
 }
--- a/internal/proxy/rollout.go
+++ b/internal/proxy/rollout.go
@@ -18,10 +18,6 @@
 	// slowStartOfVersion is how long a new upstream may be slow. Its times do not count
 	// as evidence before.
 	slowStartOfVersion = 3 * time.Second
-	// maxViewAge is the age of what this daemon knows from which an upstream gets no
-	// requests during a rollout: the process did not run, and the rollout may have gone
-	// on without it.
-	maxViewAge = 1500 * time.Millisecond
 	// maxRolloutRoutes bounds the routes that are counted apart. The counts of others are
 	// under the empty name.
 	maxRolloutRoutes = 16
@@ -32,19 +28,22 @@
 type rollouts struct {
 	// views holds the rollouts by service; nil while there are none.
 	views atomic.Pointer[map[string]*rollout.View]
-	// refreshed is when the views were last known to be current, in nanoseconds since
-	// the proxy's epoch.
-	refreshed atomic.Int64
+	// age tells whether the views are current.
+	age *rollout.ViewAge
 
 	mu sync.Mutex
 	// exposures holds the exposure of entered requests by service.
 	exposures map[string]*rollout.Exposure
-	// counted is the version of the rollout request's row for which counts are kept.
-	counted uint64
+	// counted is the rollout request for which counts are kept, by route.
+	counted rollout.Request
 	counts  map[string]rollout.Counts
 }
 
-func newRollouts() *rollouts { return &rollouts{exposures: map[string]*rollout.Exposure{}} }
+// newRollouts returns the state of a data path that has just started, at a time of the
+// clock that goes on while the machine is suspended.
+func newRollouts(now time.Duration) *rollouts {
+	return &rollouts{age: rollout.NewViewAge(now), exposures: map[string]*rollout.Exposure{}}
+}
 
 // view returns the rollout of a service, or nil.
 func (r *rollouts) view(service string) *rollout.View {
@@ -62,12 +61,13 @@
 }
 
 // refusal returns why the local upstream must not get the request, or code.OK.
-func (r *rollouts) refusal(u *control.Upstream, request *hopv1.Request, now time.Duration) code.Code {
+// BootClock reads the clock that goes on while the machine is suspended.
+func (r *rollouts) refusal(u *control.Upstream, request *hopv1.Request, bootClock func() time.Duration) code.Code {
 	v := r.view(u.Service)
 	switch {
 	case v == nil:
 		return code.OK
-	case !v.Opens(u.Version), v.Phase.Active() && now-time.Duration(r.refreshed.Load()) > maxViewAge:
+	case !v.Opens(u.Version), v.Phase.Active() && !r.age.Current(bootClock()):
 		return code.CallVersionClosed
 	case !v.Admits(u.Version, request.Exposed):
 		return code.CallNotExposed
@@ -86,8 +86,8 @@
 // exposure returns the exposure for a service's rollout request. The caller holds r.mu.
 func (r *rollouts) exposure(v *rollout.View, share float64) *rollout.Exposure {
 	e := r.exposures[v.Service]
-	if e == nil || e.Request() != v.Position.Version {
-		e = rollout.NewExposure(share, v.Position.Version)
+	if e == nil || !e.IsFor(v.Request) {
+		e = rollout.NewExposure(share, v.Request)
 		r.exposures[v.Service] = e
 	}
 	return e
@@ -105,8 +105,9 @@
 	p.updateAdmission()
 }
 
-// RefreshRollouts records that what is known of rollouts is current.
-func (p *Proxy) RefreshRollouts() { p.rollouts.refreshed.Store(int64(p.now())) }
+// RefreshRollouts records that the process runs and keeps what it knows of rollouts
+// current.
+func (p *Proxy) RefreshRollouts() { p.rollouts.age.Refresh(p.deps.BootClock()) }
 
 // RolloutShare returns the share of a service's requests that goes to the new version.
 func (p *Proxy) RolloutShare(service string) float64 {
@@ -126,18 +127,14 @@
 	}
 	load := p.admissionController.Load()
 	report := rollout.Report{
+		Service:   v.Service,
 		Position:  v.Position,
 		Phase:     v.Phase,
 		Version:   u.Version,
 		TakesWork: load.Open && !p.deps.Peers.Draining(),
 		Slots:     load.Slots,
 		Drained:   !load.Open && load.Running == 0 && load.Waiting == 0,
-		Routes:    map[string]rollout.Counts{},
-	}
-	p.rollouts.mu.Lock()
-	defer p.rollouts.mu.Unlock()
-	if p.rollouts.counted == v.Position.Version {
-		report.Routes = maps.Clone(p.rollouts.counts)
+		Routes:    p.rollouts.routeCounts(v.Request),
 	}
 	return report, true
 }
@@ -151,21 +148,34 @@
 	}
 	age := p.now() - time.Duration(p.upstreamSince.Load())
 	p.metrics.recordRollout(u.Version == v.To, failed)
-	r := p.rollouts
+	p.rollouts.record(v.Request, request.Route, failed, took, u.Version != v.To || age >= slowStartOfVersion)
+}
+
+// record counts a run for a rollout request. Timed is clear if its time does not count.
+func (r *rollouts) record(counted rollout.Request, route string, failed bool, took time.Duration, timed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.counts == nil || r.counted != v.Position.Version {
-		r.counted, r.counts = v.Position.Version, map[string]rollout.Counts{}
+	if r.counts == nil || !r.counted.Same(counted) {
+		r.counted, r.counts = counted, map[string]rollout.Counts{}
 	}
-	route := request.Route
 	if _, known := r.counts[route]; !known && len(r.counts) >= maxRolloutRoutes {
 		route = ""
 	}
 	counts := r.counts[route]
-	counts.Record(failed, took, u.Version != v.To || age >= slowStartOfVersion)
+	counts.Record(failed, took, timed)
 	r.counts[route] = counts
 }
 
+// routeCounts returns the counts for a rollout request by route.
+func (r *rollouts) routeCounts(counted rollout.Request) map[string]rollout.Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.counts == nil || !r.counted.Same(counted) {
+		return map[string]rollout.Counts{}
+	}
+	return maps.Clone(r.counts)
+}
+
 // rolloutAttempt is what the attempts of a request have to do with a rollout.
 type rolloutAttempt struct {
 	// view is the rollout during the present attempt, or nil.
@@ -199,7 +209,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.exposures[v.Service]
-	if e == nil || e.Request() != v.Position.Version || !f.mayBeExposed(candidates) {
+	if e == nil || !e.IsFor(v.Request) || !f.mayBeExposed(candidates) {
 		return 0
 	}
 	return e.Chance(f.call.route.Name)
@@ -229,7 +239,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.exposure(a.view, f.proxy.cfg.ExposeShare)
-	if a.exposed && result == notSent && f.call.request.Exposed == e.Request() {
+	if a.exposed && result == notSent && f.call.request.Exposed == a.view.Position.Version {
 		e.Return()
 	}
 	a.exposed = false
--- a/internal/rollout/completion.go
+++ b/internal/rollout/completion.go
@@ -53,13 +53,17 @@
 		s.waiting = "requests of " + c.cfg.Instance
 		return false
 	}
+	if !c.membersComplete {
+		s.waiting = "the member table"
+		return false
+	}
 	left, first := 0, ""
 	for instance, p := range c.peers {
-		if !p.member || p.service() != s.Service || p.state.Version == s.To || c.gone(s, p) {
+		if p.service() != s.Service || p.state.Version == s.To || c.gone(s, p) || c.left(p) {
 			continue
 		}
 		h := s.history[instance]
-		if h != nil && p.reachable && c.now-h.at <= freshReport && h.confirms(s) {
+		if h != nil && (p.reachable || !p.listed) && h.at >= p.reachableSince && c.now-h.at <= freshReport && h.confirms(s) {
 			continue
 		}
 		left++
@@ -79,8 +83,31 @@
 	return r.Version == s.To || r.Position == s.Position && r.Phase == Full && r.Drained
 }
 
+// confirmedEarlier reports whether an earlier process of this daemon may have confirmed that
+// its upstream, of an old version, is closed, and the phase that this process was told is an
+// earlier one.
+func (c *Core) confirmedEarlier(s *service) bool {
+	isOld := c.upstream.Service == s.Service && c.upstream.Version != s.To
+	return isOld && s.confirmed && s.Phase < Full && c.now-s.beganAt < confirmationLasts
+}
+
+// keepsClosed reports whether the local upstream, of an old version, stays closed because the
+// completion may be or have been written on the word of this daemon. After a reversion that is
+// until the store has this, or can no longer perform a write of the completion.
+func (c *Core) keepsClosed(s *service) bool {
+	reverted := s.confirmed && s.Phase == Reverted && !s.Stored && c.now-s.phaseAt < lateWrites
+	return reverted || c.confirmedEarlier(s)
+}
+
+// left reports whether a daemon is no member, and has not been one for goneAfter. One that
+// stops removes its entry first and then ends its requests.
+func (c *Core) left(p *peer) bool {
+	return !p.listed && (p.removedAt == 0 || c.now-p.removedAt >= goneAfter)
+}
+
 // gone reports whether a member of the service is unreachable from this daemon and from
-// all daemons of its data centre that report, of which there must be one.
+// all daemons of its data centre that report. These must be more than half of the members
+// there: then it reaches fewer than half, and has closed; see isolated.
 func (c *Core) gone(s *service, p *peer) bool {
 	if p.reachable || c.now-p.unreachableSince < goneAfter {
 		return false
@@ -98,5 +125,20 @@
 		}
 		witnesses++
 	}
-	return witnesses > 0
+	members := c.membersIn(s, p.DataCentre)
+	return witnesses > 0 && (members < minQuorum || 2*witnesses > members)
+}
+
+// membersIn returns the number of members of the service in a data centre.
+func (c *Core) membersIn(s *service, dataCentre string) int {
+	members := 0
+	if c.ownService() == s.Service && c.cfg.DataCentre == dataCentre {
+		members++
+	}
+	for _, p := range c.peers {
+		if p.listed && p.DataCentre == dataCentre && p.service() == s.Service {
+			members++
+		}
+	}
+	return members
 }
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -32,20 +32,28 @@
 	// reportReceivers is the number of daemons that get the reports: the coordinator,
 	// and the one that follows it.
 	reportReceivers = 2
-	// isolatedAfter is how long a daemon that reaches no other one of its data centre
-	// goes on giving requests to its upstream during a rollout. It is well below
-	// goneAfter, after which the others no longer wait for it.
-	isolatedAfter = 2 * time.Second
+	// isolatedAfter is how long a daemon that reaches fewer than half of its data centre
+	// goes on giving requests to its upstream during a rollout. It notices a cut up to 2.4 s
+	// later than the others, as idle connections are pinged each 2 s, and the last request
+	// ends later still: the sum must be below goneAfter, after which the others no longer
+	// wait for it.
+	isolatedAfter = time.Second
 	// recentLoss is how long before a rollout a member may have become unreachable and
 	// still count as evidence that this daemon is cut off.
 	recentLoss = 5 * time.Second
 	// goneAfter is the time for which a member must be unreachable from all of its data
 	// centre before completion does not wait for it any more. Requests that it had
 	// accepted have passed their deadlines by then.
-	goneAfter = 4 * time.Second
+	goneAfter = 5 * time.Second
 	// resolveWait is how long a daemon that has just started waits for a peer that knows
 	// the phase of a rollout before it reads it from the store.
 	resolveWait = 400 * time.Millisecond
+	// confirmationLasts is how long a report of an earlier process of this daemon may be taken
+	// for its present state: freshReport, and the time in which the end of that process is
+	// noticed. lateWrites is how long after a reversion the store may still perform a write
+	// of the completion whose answer was lost.
+	confirmationLasts = 5 * time.Second
+	lateWrites        = 10 * time.Second
 	// breakerBase and breakerScore decide when an upstream fails beyond doubt: its share
 	// of failures is above breakerBase with odds of exp(breakerScore).
 	breakerBase  = 0.1
@@ -64,6 +72,8 @@
 	peers map[string]*peer
 	// upstream is the local upstream.
 	upstream UpstreamChanged
+	// membersComplete is set once the whole member table has been read.
+	membersComplete bool
 	// configured holds the configured services; nil before the first configuration.
 	configured map[string]bool
 	// requestsRead is set once the store's rollout requests were read.
@@ -75,19 +85,21 @@
 	// of which peers are notified at once. They learn of further versions with the next
 	// ping.
 	published, notified string
+	// pausedFrom is when the last pause of the process began, resumedAt when it ended; both
+	// are 0 if there was none.
+	pausedFrom, resumedAt time.Duration
 	// lastReport is the last report that was sent, at sentAt.
 	lastReport Report
 	sentAt     time.Duration
-	// isolatedSince is when this daemon lost the last other one of its data centre; 0 if
-	// it reaches one.
-	isolatedSince time.Duration
 }
 
 // peer is another daemon.
 type peer struct {
 	Member
-	// member is set while this daemon connects to it.
-	member bool
+	// member is set while this daemon connects to it, listed while it is in the member
+	// table. It was removed from that at removedAt; 0 if it was not.
+	member, listed bool
+	removedAt      time.Duration
 	// rank is that of the instance.
 	rank      uint64
 	state     PeerState
@@ -96,6 +108,9 @@
 	// when it became known.
 	reached          bool
 	unreachableSince time.Duration
+	// lostSince is the earliest time at which the peer may have ceased to be reachable,
+	// reachableSince when it last became reachable.
+	lostSince, reachableSince time.Duration
 }
 
 // service is what is known of one service's rollout.
@@ -111,6 +126,12 @@
 	// hadBefore is set if the local upstream had the new version when the request
 	// became known.
 	hadBefore bool
+	// confirmed is set once the completion may be written without a further word of this
+	// daemon: it has reported that its old upstream is closed in phase full, an earlier
+	// process of it may have, or others may have counted it as gone. beganAt is when this process
+	// learned of the request.
+	confirmed bool
+	beganAt   time.Duration
 	// broken is set once the local upstream, of the new version, was found to fail.
 	broken bool
 	// unknownService is set once the service was reported as not configured.
@@ -133,6 +154,8 @@
 	switch ev := ev.(type) {
 	case step.Tick:
 		c.tick()
+	case step.Resumed:
+		c.resume(ev)
 	case RequestsRead:
 		c.applyRequests(ev)
 	case RowsRead:
@@ -166,6 +189,7 @@
 		return c.effects
 	}
 	c.learnVersions()
+	c.noteIsolation()
 	c.publish()
 	return c.effects
 }
@@ -180,7 +204,7 @@
 func (c *Core) tick() {
 	for _, name := range c.serviceNames() {
 		s := c.services[name]
-		if s.unresolved && c.now-s.phaseAt >= resolveWait {
+		if (s.unresolved || c.confirmedEarlier(s)) && c.now-s.beganAt >= resolveWait {
 			c.readRows()
 		}
 		c.coordinate(s)
@@ -220,6 +244,7 @@
 		s = c.begin(Begin(request, before), "store")
 		// Later requests are seen as they are written, and cannot have a phase yet.
 		s.unresolved = first && before.Phase == 0
+		s.confirmed = s.confirmed || s.unresolved
 		s.rowsKnown = false
 	}
 }
@@ -227,7 +252,9 @@
 // begin makes p the rollout of its service and returns its state.
 func (c *Core) begin(p Progress, from string) *service {
 	before := c.services[p.Service]
-	s := &service{Progress: p, knownAt: c.now - p.Age, phaseAt: c.now, history: map[string]*history{}}
+	s := &service{Progress: p, knownAt: c.now - p.Age, phaseAt: c.now, beganAt: c.now, history: map[string]*history{}}
+	// A process that has not read the requests yet may have been started after this one.
+	s.confirmed = !c.requestsRead
 	s.hadBefore = c.upstream.Service == p.Service && c.upstream.Version == p.To
 	if before != nil {
 		s.coordination = before.coordination.carryOver()
@@ -235,6 +262,7 @@
 	continued := before != nil && p.continues(before.Progress)
 	if continued {
 		s.history, s.phaseAt, s.hadBefore, s.broken = before.history, before.phaseAt, before.hadBefore, before.broken
+		s.confirmed, s.beganAt = before.confirmed, before.beganAt
 	}
 	c.services[p.Service] = s
 	c.log(event.RolloutSeen, false, step.F("service", p.Service), step.F("to", p.To), step.F("period", p.Period),
@@ -265,6 +293,7 @@
 	if received.Service == "" || received.To == "" || received.Phase < Trial || received.Phase > Completed {
 		return
 	}
+	received.From, received.Denied = union(received.From, nil), union(received.Denied, nil)
 	s := c.services[received.Service]
 	if s == nil {
 		c.begin(received, from)
@@ -291,7 +320,7 @@
 func (c *Core) enter(s *service, phase Phase, reason, from string) {
 	c.log(event.RolloutPhase, phase == Reverted, step.F("service", s.Service), step.F("to", s.To), step.F("phase", phase),
 		step.F("before", s.Phase), step.F("reason", reason), step.F("from", from), step.F("age", max(c.now-s.knownAt, 0)))
-	s.Phase, s.Reason, s.phaseAt = phase, reason, c.now
+	s.Phase, s.Reason, s.Stored, s.phaseAt = phase, reason, false, c.now
 }
 
 // learnVersions adds the versions that upstreams of the services have to those that
@@ -329,6 +358,7 @@
 	}
 	v.Gated = len(s.From) > 0 || !s.hadBefore
 	v.Isolated = s.Phase.Active() && c.isolated(s)
+	v.Confirmed = c.keepsClosed(s)
 	v.NewClosed = s.broken || s.Phase == Trial && c.cutOff(s)
 	return v
 }
@@ -344,7 +374,7 @@
 		all.Views = append(all.Views, v)
 		v.Age = 0
 		if !v.Unresolved {
-			notified += fmt.Sprintf("%+v %v %s %t %v\n", v.Request, v.Phase, v.Reason, len(v.From) > 0, v.Denied)
+			notified += fmt.Sprintf("%+v %v %s %t %v %t\n", v.Request, v.Phase, v.Reason, len(v.From) > 0, v.Denied, v.Stored)
 		}
 		published += fmt.Sprintf("%+v %+v\n", v, s.summaryKey())
 	}
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -30,7 +31,7 @@
 			}
 			var out strings.Builder
 			for range max(number(t, d, "times"), 1) {
-				for _, ev := range parseEvents(t, d) {
+				for _, ev := range parseEvents(t, d, now) {
 					formatEffects(&out, core.Step(step.Env{Now: now}, ev))
 				}
 				if d.HasArg("every") {
@@ -66,7 +67,7 @@
 }
 
 // parseEvents parses the events of one directive.
-func parseEvents(t *testing.T, d *datadriven.TestData) []step.Event {
+func parseEvents(t *testing.T, d *datadriven.TestData, now time.Duration) []step.Event {
 	t.Helper()
 	position := store.Position{Era: store.Era(number(t, d, "era")), Version: uint64(number(t, d, "at"))}
 	request := Request{Service: "desk", To: text(t, d, "to"), Period: 12 * time.Second, Position: position}
@@ -86,6 +87,9 @@
 		return []step.Event{ConfigServices{Names: map[string]bool{"desk": true}}}
 	case "rows":
 		ev := RowsRead{Statuses: map[string]StatusRow{}, Phases: map[string]PhaseRow{}}
+		if d.HasArg("malformed") {
+			ev.Phases["desk"] = PhaseRow{Version: uint64(number(t, d, "row")), Err: errors.New("decode phase: unexpected end")}
+		}
 		if d.HasArg("phase") {
 			ev.Phases["desk"] = PhaseRow{Version: uint64(number(t, d, "row")), Saved: Saved{
 				Version: position.Version, To: request.To, From: []string{"v1"}, Phase: text(t, d, "phase"),
@@ -100,11 +104,22 @@
 			PeerState{Instance: instance, Service: "desk", Version: text(t, d, "version"), StoreUnavailable: d.HasArg("no-store")},
 		}
 	case "members":
-		ev := MembersChanged{}
+		ev := MembersChanged{Complete: !d.HasArg("incomplete")}
 		for _, instance := range strings.Fields(d.Input) {
 			ev.Members = append(ev.Members, Member{Instance: instance, DataCentre: instance[:1], Service: "desk"})
 		}
+		if d.HasArg("other") {
+			instance := text(t, d, "other")
+			ev.Others = []Member{{Instance: instance, DataCentre: instance[:1], Service: "desk"}}
+		}
 		return []step.Event{ev}
+	case "resumed":
+		// The pause is the time given by after.
+		after, err := time.ParseDuration(text(t, d, "after"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return []step.Event{step.Resumed{PausedFrom: now - after}}
 	case "lost":
 		return []step.Event{PeerReachability{Instance: text(t, d, "instance")}}
 	case "upstream":
@@ -115,7 +130,7 @@
 		return []step.Event{StoreAvailability{}}
 	case "heard":
 		phase, _ := ParsePhase(text(t, d, "phase"))
-		return []step.Event{ProgressReceived{Instance: "b-1", Progress: []Progress{{Request: request, From: []string{"v1"}, Phase: phase, Reason: "told"}}}}
+		return []step.Event{ProgressReceived{Instance: "b-1", Progress: []Progress{{Request: request, From: []string{"v1"}, Phase: phase, Reason: "told", Stored: d.HasArg("stored")}}}}
 	case "report":
 		phase, _ := ParsePhase(text(t, d, "phase"))
 		counts := Counts{}
@@ -128,7 +143,7 @@
 			unreachable = []string{text(t, d, "unreachable")}
 		}
 		return []step.Event{ReportReceived{Instance: text(t, d, "instance"), Report: Report{
-			Position: position, Phase: phase, Version: text(t, d, "version"), Drained: d.HasArg("drained"), TakesWork: true, Slots: 4,
+			Service: request.Service, Position: position, Phase: phase, Version: text(t, d, "version"), Drained: d.HasArg("drained"), TakesWork: true, Slots: 4,
 			Routes: map[string]Counts{"r": counts}, Unreachable: unreachable,
 		}}}
 	case "written":
@@ -166,8 +181,8 @@
 		case Publish:
 			for i, v := range e.Views {
 				if e.NotifyPeers || v.Unresolved || v.Isolated || v.NewClosed {
-					fmt.Fprintf(out, "publish %s to=%s from=%v denied=%v gated=%t unresolved=%t isolated=%t new-closed=%t coordinator=%s\n",
-						v.Phase, v.To, v.From, v.Denied, v.Gated, v.Unresolved, v.Isolated, v.NewClosed, e.Summaries[i].Coordinator)
+					fmt.Fprintf(out, "publish %s to=%s from=%v denied=%v gated=%t unresolved=%t isolated=%t new-closed=%t%s coordinator=%s\n",
+						v.Phase, v.To, v.From, v.Denied, v.Gated, v.Unresolved, v.Isolated, v.NewClosed, confirmed(v), e.Summaries[i].Coordinator)
 				}
 			}
 		case SendReport:
@@ -182,6 +197,14 @@
 	}
 }
 
+// confirmed returns the field of a view that is set only rarely.
+func confirmed(v View) string {
+	if v.Confirmed {
+		return " confirmed=true"
+	}
+	return ""
+}
+
 // TestMergeDoesNotDependOnOrder merges the knowledge of several daemons in all orders,
 // as messages arrive.
 func TestMergeDoesNotDependOnOrder(t *testing.T) {
@@ -193,6 +216,8 @@
 		{Request: request, Phase: Full, Reason: "b"},
 		{Request: request, Phase: Full, Reason: "a", From: []string{"v0"}},
 		{Request: later, Phase: StepOne, Denied: []string{"v3"}},
+		{Request: request, Phase: Reverted, Reason: "a", Stored: true},
+		{Request: later, Phase: Reverted, Reason: "b"},
 	}
 	want := ""
 	permute(all, 0, func(order []Progress) {
@@ -222,6 +247,32 @@
 	}
 }
 
+// TestVersionsAreBounded covers a peer whose report names many versions, in any order: the
+// state that this daemon keeps and passes on must not grow with it.
+func TestVersionsAreBounded(t *testing.T) {
+	var many []string
+	for i := range 100 {
+		many = append(many, fmt.Sprint("v", 100-i))
+	}
+	request := Request{Service: "desk", To: "v2", Period: time.Second, Position: store.Position{Version: 5}}
+	later := request
+	later.Position.Version = 7
+	core := New(Config{Instance: "a-1", DataCentre: "a", Service: "desk"})
+	for _, received := range []Progress{
+		{Request: request, Phase: Trial, From: many, Denied: many},
+		{Request: request, Phase: StepOne, From: many, Denied: many},
+		{Request: later, Phase: Trial, From: many, Denied: many},
+	} {
+		core.Step(step.Env{}, ProgressReceived{Instance: "a-2", Progress: []Progress{received}})
+		s := core.services["desk"]
+		for name, set := range map[string][]string{"from": s.From, "denied": s.Denied} {
+			if len(set) > maxVersions || !slices.IsSorted(set) {
+				t.Errorf("%s of position %d holds %v", name, received.Position.Version, set)
+			}
+		}
+	}
+}
+
 // TestViewClosesVersions covers which versions the daemon beside an upstream gives
 // requests in each phase. An upstream of a version that no request or status allows
 // must get none.
@@ -260,7 +311,7 @@
 // part.
 func TestExposureIsAShareOfTheAnswers(t *testing.T) {
 	const share, requests = 0.1, 20000
-	e := NewExposure(share, 5)
+	e := NewExposure(share, Request{})
 	taken := map[string]int{}
 	total := 0
 	for i := range requests {
--- a/internal/rollout/messages.go
+++ b/internal/rollout/messages.go
@@ -39,6 +39,8 @@
 	// Version is the version of the row; 0 if there is none.
 	Version uint64
 	Saved   Saved
+	// Err says why the row's content cannot be read; Saved is empty then.
+	Err error
 }
 
 // ProgressReceived carries what a peer knows about rollouts.
@@ -57,6 +59,10 @@
 // MembersChanged carries the daemons that this one connects to.
 type MembersChanged struct {
 	Members []Member
+	// Others holds the members of this daemon's service that it does not connect to.
+	Others []Member
+	// Complete is set once the whole member table has been read.
+	Complete bool
 }
 
 // Member is another daemon and the service of its upstream.
@@ -179,6 +185,9 @@
 	Report Report
 }
 
+// CheckPeers finds out soon which peers are still reachable.
+type CheckPeers struct{}
+
 // ReadRows reads the rows that RowsRead carries.
 type ReadRows struct{}
 
@@ -218,6 +227,9 @@
 // EffectName implements step.Effect.
 func (SendReport) EffectName() string { return "send-report" }
 
+// EffectName implements step.Effect.
+func (CheckPeers) EffectName() string { return "check-peers" }
+
 // EffectName implements step.Effect.
 func (ReadRows) EffectName() string { return "read-rows" }
 
--- a/internal/rollout/rows.go
+++ b/internal/rollout/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"godwitmount/internal/event"
 	"godwitmount/internal/step"
@@ -26,8 +27,12 @@
 		s.rowsKnown = true
 		s.statusVersion = ev.Statuses[name].Version
 		s.phaseVersion = ev.Phases[name].Version
-		c.adoptSaved(s, ev.Phases[name].Saved)
+		c.adoptSaved(s, ev.Phases[name])
 		s.unresolved = false
+		if s.Phase < Full {
+			// No daemon has been in phase full, in which reports confirm.
+			s.confirmed = false
+		}
 		if !s.writing {
 			s.completing = false
 		}
@@ -36,15 +41,22 @@
 
 // adoptSaved applies the content of the phase row. If it is that of an earlier
 // rollout that was not completed, its version gets no more requests.
-func (c *Core) adoptSaved(s *service, saved Saved) {
+func (c *Core) adoptSaved(s *service, row PhaseRow) {
+	saved := row.Saved
 	s.saved = saved
 	phase, ok := ParsePhase(saved.Phase)
+	if row.Version > 0 && row.Err == nil && !ok {
+		row.Err = fmt.Errorf("unknown phase %q", saved.Phase)
+	}
+	if row.Err != nil {
+		c.log(event.RolloutRowInvalid, true, step.F("service", s.Service), step.F("error", row.Err))
+	}
 	if !ok {
 		return
 	}
 	p := Progress{
 		Request: Request{Service: s.Service, To: saved.To, Period: s.Period, Position: saved.position()},
-		From:    saved.From, Denied: saved.Denied, Phase: phase, Reason: saved.Reason,
+		From:    saved.From, Denied: saved.Denied, Phase: phase, Reason: saved.Reason, Stored: phase == Reverted,
 	}
 	switch {
 	case s.isSaved():
@@ -80,12 +92,12 @@
 		c.readRows()
 		return
 	}
-	s.writing = true
-	s.completing = s.completing || phase == Completed
 	saved := Saved{
 		Era: uint64(s.Position.Era), Version: s.Position.Version, To: s.To, From: s.From, Denied: s.Denied,
 		Phase: phase.String(), Reason: reason,
 	}
+	s.writing, s.sent = true, saved
+	s.completing = s.completing || phase == Completed
 	c.emit(Write{Request: s.Request, StatusVersion: s.statusVersion, PhaseVersion: s.phaseVersion, Saved: saved})
 }
 
@@ -105,7 +117,7 @@
 	case ev.Err == nil:
 		s.completing = false
 		s.statusVersion, s.phaseVersion = ev.Version, ev.Version
-		s.saved.Version, s.saved.To, s.saved.Phase = s.Position.Version, s.To, ev.Phase.String()
+		s.saved = s.sent
 		c.written(s, ev.Phase)
 	case errors.Is(ev.Err, store.ErrConflict):
 		c.applyConflict(s, ev.Current)
@@ -119,14 +131,13 @@
 
 // written enters a phase that the store has accepted.
 func (c *Core) written(s *service, phase Phase) {
+	if phase == Reverted && s.Phase == Reverted {
+		s.Stored = true
+	}
 	if phase <= s.Phase || phase < Full {
 		return
 	}
-	reason := reasonDrained
-	if phase == Full {
-		reason = reasonNoFault
-	}
-	c.enter(s, phase, reason, c.cfg.Instance)
+	c.enter(s, phase, s.sent.Reason, c.cfg.Instance)
 }
 
 // applyConflict applies the rows that have other versions than a write expected.
@@ -146,6 +157,6 @@
 	}
 	if current.Phase != nil {
 		s.phaseVersion = current.Phase.Version
-		c.adoptSaved(s, current.Phase.Saved)
+		c.adoptSaved(s, *current.Phase)
 	}
 }
