Name why a candidate is excluded and why one is chosen

Cause: routing.Bar and routing.Basis are not terms of the field, and their texts stood apart from their values, by position. Change: Bar is Exclusion, Basis is ChoiceReason, NoneLeft is NoCandidate. The texts, which are unchanged, stand beside the names of their values, and one function looks them up. Conclusion: operators see no difference.

--- a/internal/proxy/route_targets.go
+++ b/internal/proxy/route_targets.go
@@ -75,7 +75,7 @@
 func (f *forwarder) describeChoice(set placementSet) status.Choice {
 	explained := routing.Explain(set.candidates, f.placementRequest())
 	choice := status.Choice{
-		Side: sideNames[set.side], Chance: set.chance, Sampled: set.sampled, Why: explained.Basis.String(),
+		Side: sideNames[set.side], Chance: set.chance, Sampled: set.sampled, Why: explained.Reason.String(),
 		Candidates: make([]status.Candidate, len(set.candidates)),
 	}
 	if explained.Explored {
@@ -157,12 +157,12 @@
 
 // reasonOf says why a candidate gets no request, or what is against it.
 func reasonOf(c *routing.Candidate, evaluation *routing.Evaluation) string {
-	switch evaluation.Bar {
-	case routing.NotBarred:
-	case routing.BarredUnavailable:
+	switch evaluation.Exclusion {
+	case routing.NotExcluded:
+	case routing.ExcludedUnavailable:
 		return unavailableReason(c)
 	default:
-		return evaluation.Bar.String()
+		return evaluation.Exclusion.String()
 	}
 	cost := &evaluation.Cost
 	var reasons []string
@@ -184,7 +184,7 @@
 }
 
 func unavailableReason(c *routing.Candidate) string {
-	return cmp.Or(c.Unavailable.String(), routing.BarredUnavailable.String())
+	return cmp.Or(c.Unavailable.String(), routing.ExcludedUnavailable.String())
 }
 
 // inMilliseconds returns the duration in milliseconds, rounded to microseconds.
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -121,7 +121,7 @@
 }
 
 // choose is Choose without the random candidates. It also returns what decided.
-func (r *PlacementRequest) choose(candidates []Candidate) (int, Basis) {
+func (r *PlacementRequest) choose(candidates []Candidate) (int, ChoiceReason) {
 	hasLocal := HasLocal(candidates)
 	local := r.best(candidates, isLocal)
 	cheapest, lowest := r.cheapestLocal(candidates, local)
@@ -133,7 +133,7 @@
 	})
 	switch {
 	case local < 0 && remote < 0:
-		return -1, NoneLeft
+		return -1, NoCandidate
 	case local < 0:
 		return remote, OnlyRemote
 	case remote < 0:
@@ -241,26 +241,25 @@
 // allowsRemote reports whether the remote candidate may get the request, given whether
 // there are local upstreams and whether none of them is left.
 func (r *PlacementRequest) allowsRemote(c *Candidate, hasLocal, lastResort bool) bool {
-	return !hasLocal || c.spilloverBar(r.Bytes, lastResort) == NotBarred
+	return !hasLocal || c.spilloverExclusion(r.Bytes, lastResort) == NotExcluded
 }
 
-// spilloverBar returns why the remote candidate may not get a spillover request of the
-// given size, or NotBarred: it gets one only when it most likely has a free slot, and
-// never a large one. If no local candidate is left, the request would be refused
-// otherwise; so as a last resort, a load that is known from an old report only counts
-// less.
-func (c *Candidate) spilloverBar(bytes int, lastResort bool) Bar {
+// spilloverExclusion returns why the remote candidate may not get a spillover request of
+// the given size, or NotExcluded. It gets one only when it most likely has a free slot, and
+// never a large one. LastResort says that no local candidate is left, so that the request
+// would otherwise be refused: then the load counts less, the older its report is.
+func (c *Candidate) spilloverExclusion(bytes int, lastResort bool) Exclusion {
 	if bytes >= localOnlyBytes {
-		return BarredLarge
+		return ExcludedLarge
 	}
 	load := c.Load
 	if lastResort {
 		load *= c.delayFreshness()
 	}
 	if load >= float64(c.Slots) {
-		return BarredFull
+		return ExcludedFull
 	}
-	return NotBarred
+	return NotExcluded
 }
 
 // jitter returns the largest random addition to a candidate's cost, given the mean
--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -32,25 +32,29 @@
 	BackedOff
 )
 
-// String describes the reason.
-func (u Unavailability) String() string {
-	names := [...]string{
-		"", "can't be reached", "silent", "draining", "its daemon is stopping", "stalled", "no slots",
-		"closed by a rollout", "takes no requests", "backed off after a failed request",
-	}
-	if int(u) >= len(names) {
-		return "invalid"
-	}
-	return names[u]
+var unavailabilityTexts = []string{
+	IsAvailable:     "",
+	Unreachable:     "can't be reached",
+	Silent:          "silent",
+	Draining:        "draining",
+	Stopping:        "its daemon is stopping",
+	Stalled:         "stalled",
+	NoSlots:         "no slots",
+	ClosedByRollout: "closed by a rollout",
+	TakesNoRequests: "takes no requests",
+	BackedOff:       "backed off after a failed request",
 }
 
-// Basis says what decided between local and remote candidates.
-type Basis uint8
+// String describes the reason.
+func (u Unavailability) String() string { return textOf(unavailabilityTexts, uint8(u)) }
+
+// ChoiceReason says what decided between local and remote candidates.
+type ChoiceReason uint8
 
-// The bases of a choice.
+// The reasons of a choice.
 const (
-	// NoneLeft: no candidate may be chosen.
-	NoneLeft Basis = iota
+	// NoCandidate: no candidate may be chosen.
+	NoCandidate ChoiceReason = iota
 	// KeepsGoal: a local candidate is expected to keep the goal.
 	KeepsGoal
 	// OnlyLocal: no remote candidate may be chosen.
@@ -63,52 +67,54 @@
 	RemoteCheaper
 )
 
-// String describes the basis.
-func (b Basis) String() string {
-	names := [...]string{
-		"no upstream may get the request",
-		"an upstream of the data centre is expected to keep the goal",
-		"no upstream of another data centre may get the request",
-		"no upstream of the data centre may get the request",
-		"none is certain to keep the goal, and one of the data centre costs least",
-		"none of the data centre is certain to keep the goal, and one elsewhere costs less",
-	}
-	if int(b) >= len(names) {
-		return "invalid"
-	}
-	return names[b]
+var choiceReasonTexts = []string{
+	NoCandidate:   "no upstream may get the request",
+	KeepsGoal:     "an upstream of the data centre is expected to keep the goal",
+	OnlyLocal:     "no upstream of another data centre may get the request",
+	OnlyRemote:    "no upstream of the data centre may get the request",
+	LocalCheaper:  "none is certain to keep the goal, and one of the data centre costs least",
+	RemoteCheaper: "none of the data centre is certain to keep the goal, and one elsewhere costs less",
 }
 
-// Bar says why a candidate may not get a request.
-type Bar uint8
+// String describes the reason.
+func (r ChoiceReason) String() string { return textOf(choiceReasonTexts, uint8(r)) }
+
+// Exclusion says why a candidate may not get a request.
+type Exclusion uint8
 
-// The bars.
+// The reasons for an exclusion.
 const (
-	// NotBarred: the candidate may get the request.
-	NotBarred Bar = iota
-	// BarredUnavailable: Candidate.Available is not set.
-	BarredUnavailable
-	// BarredTried: the candidate was tried before.
-	BarredTried
-	// BarredLarge: the request is too large to be sent to another data centre while
+	// NotExcluded: the candidate may get the request.
+	NotExcluded Exclusion = iota
+	// ExcludedUnavailable: Candidate.Available is not set.
+	ExcludedUnavailable
+	// ExcludedTried: the candidate was tried before.
+	ExcludedTried
+	// ExcludedLarge: the request is too large to be sent to another data centre while
 	// there are local upstreams.
-	BarredLarge
-	// BarredFull: the upstream is in another data centre and is estimated to have no
+	ExcludedLarge
+	// ExcludedFull: the upstream is in another data centre and is estimated to have no
 	// free slot.
-	BarredFull
+	ExcludedFull
 )
 
-// String describes the bar.
-func (b Bar) String() string {
-	names := [...]string{
-		"", "not available", "tried before",
-		"too large to be sent to another data centre",
-		"no free slot in the other data centre",
-	}
-	if int(b) >= len(names) {
+var exclusionTexts = []string{
+	NotExcluded:         "",
+	ExcludedUnavailable: "not available",
+	ExcludedTried:       "tried before",
+	ExcludedLarge:       "too large to be sent to another data centre",
+	ExcludedFull:        "no free slot in the other data centre",
+}
+
+// String describes the reason.
+func (e Exclusion) String() string { return textOf(exclusionTexts, uint8(e)) }
+
+// textOf returns the text of an enumerated value.
+func textOf(texts []string, value uint8) string {
+	if int(value) >= len(texts) {
 		return "invalid"
 	}
-	return names[b]
+	return texts[value]
 }
 
 // Evaluation explains the part of one candidate in a choice.
@@ -117,8 +123,8 @@
 	// Rank is the place of the candidate in the order in which it would be chosen if
 	// all before it had refused the request, from 1 on; 0 if it never would be.
 	Rank int
-	// Bar says why Rank is 0.
-	Bar Bar
+	// Exclusion is why Rank is 0.
+	Exclusion Exclusion
 	// Random is the largest random addition to the cost.
 	Random time.Duration
 }
@@ -127,7 +133,7 @@
 type Explanation struct {
 	// Chosen is the index of the candidate with rank 1, or -1.
 	Chosen int
-	Basis  Basis
+	Reason ChoiceReason
 	// Explored is set if ExplorationShare of the requests go to a random local
 	// candidate with a free slot instead.
 	Explored bool
@@ -158,7 +164,7 @@
 	e.rank(candidates, request)
 	for i := range candidates {
 		if e.Evaluations[i].Rank == 0 {
-			e.Evaluations[i].Bar = request.bar(&candidates[i], hasLocal)
+			e.Evaluations[i].Exclusion = request.exclusion(&candidates[i], hasLocal)
 		}
 	}
 	return e
@@ -167,9 +173,9 @@
 // rank sets the ranks, and what decided on the first.
 func (e *Explanation) rank(candidates []Candidate, request PlacementRequest) {
 	for rank := 1; ; rank++ {
-		i, basis := request.choose(candidates)
+		i, reason := request.choose(candidates)
 		if rank == 1 {
-			e.Chosen, e.Basis = i, basis
+			e.Chosen, e.Reason = i, reason
 		}
 		if i < 0 {
 			return
@@ -180,17 +186,17 @@
 	}
 }
 
-// bar returns why the candidate would not get the request after all others had refused
+// exclusion returns why the candidate would not get the request after all others had refused
 // it.
-func (r *PlacementRequest) bar(c *Candidate, hasLocal bool) Bar {
+func (r *PlacementRequest) exclusion(c *Candidate, hasLocal bool) Exclusion {
 	switch {
 	case !c.Available:
-		return BarredUnavailable
+		return ExcludedUnavailable
 	case r.tried(c.Instance):
-		return BarredTried
+		return ExcludedTried
 	case !c.Local && hasLocal:
-		return c.spilloverBar(r.Bytes, true)
+		return c.spilloverExclusion(r.Bytes, true)
 	default:
-		return NotBarred
+		return NotExcluded
 	}
 }
--- a/internal/routing/explain_test.go
+++ b/internal/routing/explain_test.go
@@ -35,10 +35,10 @@
 // TestExplanationAgreesWithChoose compares the explanation with the choices for random
 // upstreams: an operator must not be shown another upstream than the one that gets the
 // request. The ranks are the order in which Choose takes the candidates when each refuses
-// the request, and only candidates without a rank are barred.
+// the request, and only candidates without a rank are excluded.
 func TestExplanationAgreesWithChoose(t *testing.T) {
 	random := rand.New(rand.NewPCG(23, 24))
-	bases := map[Basis]int{}
+	reasons := map[ChoiceReason]int{}
 	for range 20_000 {
 		candidates, request := randomChoice(random)
 		// The caller may use the spare capacity of its list.
@@ -49,7 +49,7 @@
 		if !slices.Equal(candidates, before) || !slices.Equal(spare, tried) {
 			t.Fatalf("the explanation changed its input %+v, %v", before, tried)
 		}
-		bases[e.Basis]++
+		reasons[e.Reason]++
 		ranked := 0
 		for want := -1; ; ranked++ {
 			request.Rand = noExploration()
@@ -68,9 +68,9 @@
 		request.Tried = tried[:used]
 		checkEvaluations(t, candidates, request, e, ranked)
 	}
-	for b := NoneLeft; b <= RemoteCheaper; b++ {
-		if bases[b] < 100 {
-			t.Errorf("%d cases are decided by %q; want 100 or more", bases[b], b)
+	for r := NoCandidate; r <= RemoteCheaper; r++ {
+		if reasons[r] < 100 {
+			t.Errorf("%d cases are decided by %q; want 100 or more", reasons[r], r)
 		}
 	}
 }
@@ -82,8 +82,8 @@
 	t.Helper()
 	for i := range e.Evaluations {
 		v := &e.Evaluations[i]
-		if (v.Rank > 0) == (v.Bar != NotBarred) {
-			t.Fatalf("candidate %d has rank %d and bar %q", i, v.Rank, v.Bar)
+		if (v.Rank > 0) == (v.Exclusion != NotExcluded) {
+			t.Fatalf("candidate %d has rank %d and exclusion %q", i, v.Rank, v.Exclusion)
 		}
 		if v.Rank > 0 {
 			ranked--
@@ -91,8 +91,8 @@
 		if e.Chosen < 0 || v.Rank == 0 || candidates[i].Local != candidates[e.Chosen].Local {
 			continue
 		}
-		barred := !candidates[i].Local && HasLocal(candidates) && candidates[i].spilloverBar(request.Bytes, e.Basis == OnlyRemote) != NotBarred
-		if !barred && v.Cost.Total() < e.Evaluations[e.Chosen].Cost.Total() {
+		excluded := !candidates[i].Local && HasLocal(candidates) && candidates[i].spilloverExclusion(request.Bytes, e.Reason == OnlyRemote) != NotExcluded
+		if !excluded && v.Cost.Total() < e.Evaluations[e.Chosen].Cost.Total() {
 			t.Fatalf("candidate %d costs %s, the chosen %d %s", i, v.Cost.Total(), e.Chosen, e.Evaluations[e.Chosen].Cost.Total())
 		}
 	}
@@ -101,28 +101,28 @@
 	}
 }
 
-// TestExplanationSaysWhyACandidateIsBarred covers an operator who asks why an upstream
+// TestExplanationSaysWhyACandidateIsExcluded covers an operator who asks why an upstream
 // gets no requests.
-func TestExplanationSaysWhyACandidateIsBarred(t *testing.T) {
+func TestExplanationSaysWhyACandidateIsExcluded(t *testing.T) {
 	closed := candidate("closed", true, 0, 90*ms)
 	closed.Available = false
 	for name, c := range map[string]struct {
 		candidates []Candidate
 		bytes      int
 		tried      []string
-		want       Bar
+		want       Exclusion
 	}{
-		"free":                             {[]Candidate{candidate("a", true, 1, 90*ms), candidate("b", true, 1, 90*ms)}, 2000, nil, NotBarred},
-		"closed":                           {[]Candidate{candidate("a", true, 1, 90*ms), closed}, 2000, nil, BarredUnavailable},
-		"tried":                            {[]Candidate{candidate("a", true, 1, 90*ms), candidate("b", true, 1, 90*ms)}, 2000, []string{"b"}, BarredTried},
-		"remote, large":                    {[]Candidate{candidate("a", true, 1, 90*ms), candidate("b", false, 1, 90*ms)}, 90_000, nil, BarredLarge},
-		"remote, full":                     {[]Candidate{candidate("a", true, 1, 90*ms), candidate("b", false, 10, 90*ms)}, 2000, nil, BarredFull},
-		"remote, full, without a local":    {[]Candidate{closed, candidate("b", false, 10, 90*ms)}, 2000, nil, NotBarred},
-		"remote, large, without one local": {[]Candidate{closed, candidate("b", false, 10, 90*ms)}, 90_000, nil, NotBarred},
+		"free":                             {[]Candidate{candidate("a", true, 1, 90*ms), candidate("b", true, 1, 90*ms)}, 2000, nil, NotExcluded},
+		"closed":                           {[]Candidate{candidate("a", true, 1, 90*ms), closed}, 2000, nil, ExcludedUnavailable},
+		"tried":                            {[]Candidate{candidate("a", true, 1, 90*ms), candidate("b", true, 1, 90*ms)}, 2000, []string{"b"}, ExcludedTried},
+		"remote, large":                    {[]Candidate{candidate("a", true, 1, 90*ms), candidate("b", false, 1, 90*ms)}, 90_000, nil, ExcludedLarge},
+		"remote, full":                     {[]Candidate{candidate("a", true, 1, 90*ms), candidate("b", false, 10, 90*ms)}, 2000, nil, ExcludedFull},
+		"remote, full, without a local":    {[]Candidate{closed, candidate("b", false, 10, 90*ms)}, 2000, nil, NotExcluded},
+		"remote, large, without one local": {[]Candidate{closed, candidate("b", false, 10, 90*ms)}, 90_000, nil, NotExcluded},
 	} {
 		e := Explain(c.candidates, PlacementRequest{Bytes: c.bytes, Goal: 300 * ms, Tried: c.tried})
-		if got := e.Evaluations[1].Bar; got != c.want {
-			t.Errorf("%s: barred as %q, want %q", name, got, c.want)
+		if got := e.Evaluations[1].Exclusion; got != c.want {
+			t.Errorf("%s: excluded as %q, want %q", name, got, c.want)
 		}
 	}
 }
