Split the daemon's listeners and its peer handler into files

Cause: daemon.go had 500 lines and three jobs: assembling the daemon, serving its listeners and handling the messages of peers. stateForNews did not say which state it returns. Change: listeners.go has the listeners and their handlers, hophandler.go the handler of peers' messages. stateForNews is fullState, stateForPings is pingState. Conclusion: only names and places change.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,18 +5,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
@@ -32,21 +27,11 @@
 	"godwitmount/internal/rollout"
 	"godwitmount/internal/settings"
 	"godwitmount/internal/shaping"
-	"godwitmount/internal/status"
 	"godwitmount/internal/store"
 	"godwitmount/internal/version"
 )
 
 const (
-	// headerTimeout bounds reading a request's headers.
-	headerTimeout = 10 * time.Second
-	// callerIdleTimeout is longer than callers may keep a connection idle, so
-	// that the daemon does not close one just as the caller reuses it.
-	callerIdleTimeout = time.Minute
-	// maxHeaderBytes bounds the size of a request's headers.
-	maxHeaderBytes = 64 << 10
-	// reportTimeout bounds applying an upstream's report.
-	reportTimeout = 900 * time.Millisecond
 	// bitsPerKilobit converts the unit of the link's rate in the settings.
 	bitsPerKilobit = 1000
 	// percent and perMille convert percentages and thousandths to shares.
@@ -232,7 +217,7 @@
 		return fmt.Errorf("create data path: %w", err)
 	}
 	d.proxy = dataPath
-	d.peers.SetState(d.stateForNews, d.stateForPings)
+	d.peers.SetState(d.fullState, d.pingState)
 	d.peers.SetFreshness(d.freshness)
 	d.server = hop.NewServer(proxy.Hello(self), hopHandler{d}, link)
 	return nil
@@ -291,218 +276,17 @@
 }
 
 // broadcastState sends this daemon's state to all connected peers.
-func (d *Daemon) broadcastState() { d.server.Broadcast(d.stateForNews()) }
+func (d *Daemon) broadcastState() { d.server.Broadcast(d.fullState()) }
 
-// stateForNews returns the state for handshakes and broadcasts: with the crash suspects
-// and all rollouts. stateForPings has only the rollouts in progress.
-func (d *Daemon) stateForNews() *hopv1.State {
+// fullState returns the state for handshakes that this daemon begins and for broadcasts,
+// with the crash suspects and all rollouts.
+func (d *Daemon) fullState() *hopv1.State {
 	return d.rollouts.addTo(d.proxy.StateWithSuspects(), true)
 }
 
-func (d *Daemon) stateForPings() *hopv1.State { return d.rollouts.addTo(d.proxy.State(), false) }
-
-// listen opens all listeners and starts serving on them.
-func (d *Daemon) listen() error {
-	s := d.cfg.Settings
-	peerListener, err := net.Listen("tcp", s.PeerListen)
-	if err != nil {
-		return fmt.Errorf("listen for peers: %w", err)
-	}
-	d.closers = append(d.closers, peerListener.Close)
-	go func() { d.logServeError("peers", d.server.Serve(peerListener)) }()
-	d.callerServer = newServer(d.callerHandler())
-	d.callerServer.IdleTimeout = callerIdleTimeout
-	d.callerServer.ConnState = d.countConnection
-	d.callerServer.ConnContext = withConn
-	endpoints := []struct {
-		address string
-		server  *http.Server
-	}{
-		{s.CallerListen, d.callerServer},
-		{s.AnnounceListen, newServer(d.cfg.Platform.NewReportHandler(d.applyReport, d.logReportError))},
-		{s.ReadyListen, newServer(d.readyHandler())},
-		{s.MetricsListen, newServer(d.metricsHandler())},
-	}
-	for _, endpoint := range endpoints {
-		if endpoint.address == "" {
-			continue
-		}
-		listener, err := net.Listen("tcp", endpoint.address)
-		if err != nil {
-			return fmt.Errorf("listen: %w", err)
-		}
-		d.closers = append(d.closers, endpoint.server.Close)
-		go func() { d.logServeError(endpoint.address, endpoint.server.Serve(listener)) }()
-	}
-	return nil
-}
-
-// logServeError logs why a server ended, unless it was closed on purpose.
-func (d *Daemon) logServeError(listener string, err error) {
-	if !errors.Is(err, http.ErrServerClosed) && !d.stopping.Load() {
-		d.log.Warn(event.ListenFailed, zap.String("listener", listener), zap.Error(err))
-	}
-}
-
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-}
-
-// callerHandler serves callers until they leave and records the time of their last
-// request.
-func (d *Daemon) callerHandler() http.Handler {
-	handler := d.proxy.Handler()
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.lastRequest.Store(int64(time.Since(d.started)))
-		watched, stop := watchCaller(r)
-		defer stop()
-		handler.ServeHTTP(w, watched)
-	})
-}
-
-func (d *Daemon) countConnection(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		d.connections.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		d.connections.Add(-1)
-	}
-}
-
-// applyReport returns nil once the control loop has processed the upstream's
-// report, also if the report was ignored as outdated. It returns an error if that
-// takes longer than reportTimeout or the daemon has ended.
-func (d *Daemon) applyReport(report control.UpstreamReport) error {
-	ctx, cancel := context.WithTimeout(d.background, reportTimeout)
-	defer cancel()
-	return d.loop.do(ctx, report)
-}
-
-func (d *Daemon) logReportError(err error) { d.log.Warn(event.ReportRefused, zap.Error(err)) }
-
-// readyHandler serves the readiness check: status 200 while a configuration is in
-// force and the daemon is not stopping, otherwise 503.
-func (d *Daemon) readyHandler() http.Handler {
-	e := echo.New()
-	e.GET(d.cfg.Platform.ReadyPath, func(c echo.Context) error {
-		ready := d.proxy.ActiveTable() != nil && !d.stopping.Load()
-		if ready && !d.ready.Swap(true) {
-			d.log.Event(event.DaemonReady, zap.Uint64("config", d.proxy.ActiveTable().Version))
-		}
-		if !ready {
-			return c.NoContent(http.StatusServiceUnavailable)
-		}
-		return c.NoContent(http.StatusOK)
-	})
-	return e
-}
-
-func (d *Daemon) metricsHandler() http.Handler {
-	e := echo.New()
-	e.GET(status.Path, func(c echo.Context) error { return c.JSON(http.StatusOK, d.status()) })
-	e.GET(status.RoutePath, d.explainRoute)
-	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})))
-	return e
-}
-
-// status returns the status that operators see.
-func (d *Daemon) status() status.Daemon {
-	s := d.proxy.Status()
-	s.Instance = d.cfg.Settings.Instance
-	s.DataCentre = d.cfg.Settings.DataCentre
-	s.Release = version.Get().String()
-	s.Stopping = d.stopping.Load()
-	s.StoreEra = uint64(d.cfg.Platform.Store.Eras().Latest())
-	s.Rollouts = d.rollouts.status()
-	s.Peers = d.peers.Status()
-	s.Quotas = d.proxy.QuotaStatus()
-	return s
-}
+// pingState returns the state for pings and pongs, with only the rollouts in progress.
+func (d *Daemon) pingState() *hopv1.State { return d.rollouts.addTo(d.proxy.State(), false) }
 
 // UsablePeers returns the number of reachable daemons whose upstream accepts
 // requests. This daemon is not counted.
 func (d *Daemon) UsablePeers() int { return d.peers.UsablePeers() }
-
-// hopHandler handles the messages of peers that connected to this daemon.
-type hopHandler struct{ d *Daemon }
-
-// Execute implements hop.Handler.
-func (h hopHandler) Execute(ctx context.Context, request *hopv1.Request) *hopv1.Frame {
-	return h.d.proxy.ExecuteFor(ctx, request)
-}
-
-// RefuseTransfer implements hop.Handler.
-func (h hopHandler) RefuseTransfer(instance string, bytes int, excess time.Duration) *hopv1.Frame {
-	return h.d.proxy.RefuseTransfer(instance, bytes, excess)
-}
-
-// Config implements hop.Handler. The answer is empty while no configuration is
-// in force.
-func (h hopHandler) Config() *hopv1.ConfigAnswer {
-	t := h.d.proxy.ActiveTable()
-	if t == nil {
-		return &hopv1.ConfigAnswer{}
-	}
-	return &hopv1.ConfigAnswer{Version: t.Version, Packed: t.Packed}
-}
-
-// State implements hop.Handler.
-func (h hopHandler) State() *hopv1.State { return h.d.stateForPings() }
-
-// HelloState implements hop.Handler.
-func (h hopHandler) HelloState() *hopv1.State {
-	return h.d.rollouts.addTo(h.d.proxy.State(), true)
-}
-
-// RolloutReportReceived implements hop.Handler.
-func (h hopHandler) RolloutReportReceived(instance string, report *hopv1.RolloutReport) {
-	h.d.rollouts.reportReceived(instance, report)
-}
-
-// Quota implements hop.Handler.
-func (h hopHandler) Quota(ctx context.Context, instance string, request *hopv1.QuotaRequest) *hopv1.QuotaReply {
-	return h.d.proxy.AnswerQuota(ctx, instance, request)
-}
-
-// DrainRecord implements hop.Handler.
-func (h hopHandler) DrainRecord(instance string) *hopv1.Left { return h.d.peers.DrainRecord(instance) }
-
-// Disconnected implements hop.Handler.
-func (h hopHandler) Disconnected(instance string, running int, cause error) {
-	h.d.log.Event(event.PeerDisconnected, zap.String("peer", instance), zap.Int("running", running), zap.Error(cause))
-}
-
-// Resumed implements hop.Handler.
-// It checks this daemon's own connections, which may have been lost with the peer's.
-func (h hopHandler) Resumed(instance string, running, cancelled int) {
-	h.d.peers.Check("")
-	h.d.log.Event(event.SessionMoved, zap.String("peer", instance), zap.Int("running", running), zap.Int("cancelled", cancelled))
-}
-
-// Panicked implements hop.Handler.
-func (h hopHandler) Panicked(cause any) {
-	h.d.log.Warn(event.RequestPanicked, zap.Any("cause", cause), zap.ByteString("stack", debug.Stack()))
-}
-
-// HelloReceived implements hop.Handler.
-func (h hopHandler) HelloReceived(hello *hopv1.Hello) {
-	h.d.upstreamWasDraining(hello.GetLeft())
-	h.d.loop.post(control.PeerHandshake{Member: control.Member{
-		Instance:   hello.GetInstance(),
-		DataCentre: hello.GetDataCentre(),
-		Address:    hello.GetAddress(),
-		Service:    hello.GetService(),
-	}})
-	h.StateReceived(hello.GetInstance(), hello.GetState())
-}
-
-// StateReceived implements hop.Handler.
-func (h hopHandler) StateReceived(instance string, state *hopv1.State) {
-	// A daemon that this one does not connect to may know of a rollout first.
-	h.d.rollouts.peerState(instance, state)
-	if len(state.GetSuspects()) > 0 {
-		// Also those of daemons that this one does not connect to.
-		h.d.proxy.MergeSuspects(state.GetSuspects())
-	}
-	h.d.peers.StateReceived(instance, state)
-}
