Name what a client of a peer does, and split its long functions

Cause: Client.Ask, Client.Tell and Peers.Tell did not say what they send, and comments spoke of news and of who was told. Client.monitor and session.resume were long; the latter unlocked by hand in two places. A method stood between the two that a comment of hop.Handler describes together, and session.announced among fields of another lock. Change: Client.RequestState and PushState, Peers.PushState, pushSuspects; ask.go is ping.go. planCheck computes the parameters of a check of monitor, moveRequests holds the lock of a Resume, fail ends a pending request in the three places that did so. idleCheckInterval names half of idlePingAfter.

--- a/internal/hop/announce.go
+++ b/internal/hop/announce.go
@@ -44,8 +44,8 @@
 	return &hopv1.Frame{Stream: o.stream, SentUs: o.sentUs, Body: &hopv1.Frame_PartAnnounce{PartAnnounce: announce}}
 }
 
-// allowance is what the peer has granted of an announced frame and was not sent yet. One
-// goroutine takes from it.
+// allowance is the number of bytes of an announced frame that the peer has granted and that
+// have not been sent. One goroutine takes from it.
 type allowance struct {
 	bytes atomic.Int64
 	// added holds a value after a grant.
@@ -63,12 +63,12 @@
 	}
 }
 
-// take waits for a grant and takes at most the given number of bytes. It returns 0 if ctx
-// ends first.
-func (a *allowance) take(ctx context.Context, most int) int {
+// take waits for a grant, takes up to maxBytes of it and returns how many it took. It
+// returns 0 if ctx ends first.
+func (a *allowance) take(ctx context.Context, maxBytes int) int {
 	for {
 		if available := a.bytes.Load(); available > 0 {
-			taken := min(available, int64(most))
+			taken := min(available, int64(maxBytes))
 			a.bytes.Add(-taken)
 			return int(taken)
 		}
@@ -80,8 +80,9 @@
 	}
 }
 
-// peerSaidHello records what the peer's Hello says about large frames.
-func (s *partSender) peerSaidHello(hello *hopv1.Hello) {
+// helloReceived records whether the peer takes large frames in parts, and whether it grants
+// them.
+func (s *partSender) helloReceived(hello *hopv1.Hello) {
 	s.paced.Store(shaping.IsPaced(hello.GetLinkKbps()))
 	s.allowed.Store(hello.GetTakesParts())
 }
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -21,7 +21,7 @@
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
 	// cancelWait is how long a request that is past its deadline waits for the peer to
-	// say that it has not run. It exceeds the round trip between data centres.
+	// report that it has not run. It exceeds the round trip between data centres.
 	cancelWait = 50 * time.Millisecond
 	// resumePause is the pause before a new attempt to connect while requests wait to be
 	// resumed.
@@ -78,16 +78,16 @@
 	// nil.
 	DrainRecord func() *hopv1.Left
 	// LinkKbpsReceived is called at each handshake with the rate of the peer's network
-	// link, 0 if it is unknown; nil if nobody needs to know.
+	// link, 0 if it is unknown; it may be nil.
 	LinkKbpsReceived func(kbps uint32)
 	// HelloState returns the state to send in the handshake, State that in pings.
 	HelloState func() *hopv1.State
 	State      func() *hopv1.State
 	// AdaptiveTimeout is the read timeout shared by all clients of the daemon.
 	AdaptiveTimeout *AdaptiveTimeout
-	// Resumed is called when the peer has told what became of the requests of a lost or
-	// silent connection; nil if nobody needs to know. Silent is set if the connection
-	// had fallen silent and was replaced while it was open.
+	// Resumed is called when the peer has reported what became of the requests of a lost
+	// or silent connection; it may be nil. Silent is set if the connection had fallen
+	// silent and was replaced while it was open.
 	Resumed func(result Resumption, silent bool)
 	// Link is the machine's network link; nil for no limit.
 	Link *shaping.Link
@@ -263,9 +263,10 @@
 	}
 }
 
-// Tell sends the peer a state and returns once it has handled it. Its errors are those of
-// Do; it is ErrNotSent for a daemon of an earlier release, which would not confirm it.
-func (c *Client) Tell(ctx context.Context, state *hopv1.State) error {
+// PushState sends the peer a state and returns once the peer has handled it. Its errors are
+// those of Do; it is ErrNotSent for a daemon of an earlier release, which would not confirm
+// the state.
+func (c *Client) PushState(ctx context.Context, state *hopv1.State) error {
 	if conn := c.conn.Load(); conn == nil || !conn.resumable {
 		return ErrNotSent
 	}
--- a/internal/hop/connection.go
+++ b/internal/hop/connection.go
@@ -20,7 +20,7 @@
 	// when that began.
 	replaces *clientConn
 	openedAt time.Duration
-	// wanted is the number of requests that the Resume on this connection names.
+	// wanted is the number of requests that the Resume on this connection names as wanted.
 	wanted int
 	// next is the connection that has replaced this one; retired is closed then. The
 	// Client's mu guards next.
--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -1,8 +1,6 @@
 package hop
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// busyCheckInterval is the interval of idle checks while requests are
@@ -15,15 +13,14 @@
 	cancelPingAfter = busyCheckInterval
 	// idlePingAfter is the idle time before a ping while no request is pending.
 	idlePingAfter = 2 * time.Second
+	// idleCheckInterval is the interval of idle checks otherwise.
+	idleCheckInterval = idlePingAfter / 2
 )
 
 // monitor pings an idle peer, opens a second connection when the ping is not answered,
 // marks the peer as silent when no data arrives within the read timeout, and resets the
-// connection silenceLimit later, or at once before the handshake. It checks at
-// busyCheckInterval while requests are pending, after Check, or while a ping is
-// unanswered, otherwise at idlePingAfter/2. The first check after a ping without pending
-// requests still follows the longer interval. It returns when the connection has ended
-// or was replaced.
+// connection silenceLimit later, or at once before the handshake. It returns when the
+// connection has ended or was replaced.
 func (c *Client) monitor(conn *clientConn) {
 	first := idlePingAfter
 	if c.busy() {
@@ -41,22 +38,9 @@
 		case <-c.wake:
 		case <-timer.C:
 		}
-		pingAfter, interval := idlePingAfter, idlePingAfter/2
-		busy := c.busy()
-		often := busy || c.suspectSince.Load() > 0
-		if often {
-			pingAfter, interval = busyPingAfter, busyCheckInterval
-		}
-		if c.Unconfirmed() > 0 {
-			pingAfter = cancelPingAfter
-		}
-		c.polling.Store(often)
-		if conn.pingSentAt.Load() > 0 || !busy && c.busy() {
-			// A ping is unanswered, or a request came in since busy was set.
-			interval = busyCheckInterval
-		}
-		timer.Reset(interval)
-		idleTime := c.checkIdle(conn, pingAfter, busy)
+		check := c.planCheck(conn)
+		timer.Reset(check.next)
+		idleTime := c.checkIdle(conn, check.pingAfter, check.busy)
 		if idleTime == 0 {
 			continue
 		}
@@ -71,6 +55,35 @@
 	}
 }
 
+// idleCheck holds the parameters of one check of monitor.
+type idleCheck struct {
+	// busy is set while anything is expected from the peer.
+	busy bool
+	// pingAfter is the idle time before a ping, and next the time until the next check.
+	pingAfter, next time.Duration
+}
+
+// planCheck returns the parameters of the present check. The next one follows after
+// busyCheckInterval while requests are pending, after Check, or while a ping is unanswered,
+// otherwise after idleCheckInterval. The check that follows a ping without pending requests
+// still comes after the longer interval.
+func (c *Client) planCheck(conn *clientConn) idleCheck {
+	check := idleCheck{busy: c.busy(), pingAfter: idlePingAfter, next: idleCheckInterval}
+	often := check.busy || c.suspectSince.Load() > 0
+	if often {
+		check.pingAfter, check.next = busyPingAfter, busyCheckInterval
+	}
+	if c.Unconfirmed() > 0 {
+		check.pingAfter = cancelPingAfter
+	}
+	c.polling.Store(often)
+	if conn.pingSentAt.Load() > 0 || !check.busy && c.busy() {
+		// A ping is unanswered, or a request came in since busy was set.
+		check.next = busyCheckInterval
+	}
+	return check
+}
+
 // checkIdle sends a ping once the connection has been idle for pingAfter, and
 // records the delay when a ping was answered. It returns the idle time if the read
 // timeout has expired, and 0 otherwise.
@@ -107,8 +120,8 @@
 }
 
 // PingNow sends a ping with this daemon's state at once, unless one is unanswered, and
-// makes monitor find soon whether the connection is silent. It is for news that must
-// arrive in time.
+// makes monitor find soon whether the connection is silent. It is for changes of the state
+// that must reach the peer in time, such as a new configuration.
 func (c *Client) PingNow() {
 	conn := c.conn.Load()
 	if conn == nil {
--- a/internal/hop/peerconn.go
+++ b/internal/hop/peerconn.go
@@ -145,7 +145,7 @@
 		}
 		switch body := frame.Body.(type) {
 		case *hopv1.Frame_Hello:
-			pc.parts.peerSaidHello(body.Hello)
+			pc.parts.helloReceived(body.Hello)
 		case *hopv1.Frame_PartGrant:
 			pc.parts.grant(frame.Stream, int(body.PartGrant.GetBytes()))
 		case *hopv1.Frame_PartAnnounce:
--- a/internal/hop/pending.go
+++ b/internal/hop/pending.go
@@ -17,7 +17,7 @@
 	// again receives a value when the frame is to be sent on the current connection.
 	again chan struct{}
 	// sent is set before the last byte of the frame is queued on a connection, and cleared
-	// when the peer says that it has not received the frame. While it is not set, a
+	// when the peer reports that it has not received the frame. While it is not set, a
 	// request has not run.
 	sent atomic.Bool
 }
@@ -38,7 +38,7 @@
 	return ErrConnectionLost
 }
 
-// requestSend makes the request be sent again.
+// requestSend makes the goroutine that waits for the reply send the frame again.
 func (p *pendingRequest) requestSend() {
 	select {
 	case p.again <- struct{}{}:
@@ -100,12 +100,17 @@
 // failPending fails all pending requests. The caller holds mu.
 func (c *Client) failPending() {
 	for stream, p := range c.pending {
-		delete(c.pending, stream)
-		p.reply <- nil
+		c.fail(stream, p)
 	}
 }
 
-// cancelRequest stops waiting for the reply on a stream and tells the peer. Until the
+// fail ends a pending request whose reply is lost. The caller holds mu.
+func (c *Client) fail(stream uint64, p *pendingRequest) {
+	delete(c.pending, stream)
+	p.reply <- nil
+}
+
+// cancelRequest stops waiting for the reply on a stream and sends a Cancel. Until the
 // peer confirms the end, the connection counts as busy, so that its silence is noticed:
 // the next Resume then cancels the request.
 func (c *Client) cancelRequest(stream uint64) {
@@ -147,7 +152,7 @@
 	return true
 }
 
-// sendCancel tells the peer that nobody waits for the reply on a stream.
+// sendCancel sends a Cancel: no caller waits for the reply on the stream any more.
 func (c *Client) sendCancel(stream uint64) {
 	if conn := c.conn.Load(); conn != nil {
 		// If this fails, the connection ends, and with it the request.
--- a/internal/hop/ask.go
+++ b/internal/hop/ping.go
@@ -7,7 +7,7 @@
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 )
 
-// maxUnansweredPings is the number of unanswered pings from which Ask sends none.
+// maxUnansweredPings is the number of unanswered pings from which RequestState sends none.
 const maxUnansweredPings = 4
 
 // pingTimes holds the times at which the unanswered pings of a connection were sent, in
@@ -39,7 +39,8 @@
 }
 
 // sendPing sends a ping with this daemon's state. If the outbox is full, that resets the
-// connection. The lock orders the pings on the connection like their times.
+// connection. It holds the lock while it sends, so that pingTimes has the order of the
+// pings on the connection.
 func (c *Client) sendPing(conn *clientConn) {
 	frame := &hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: c.hooks.State()}}}
 	if c.hooks.PingClock == nil {
@@ -64,9 +65,9 @@
 	}
 }
 
-// Ask makes the peer send its state, by a ping. It does nothing while there is no
-// connection, or several pings are unanswered.
-func (c *Client) Ask() {
+// RequestState makes the peer send its state, by a ping. It does nothing while there is no
+// connection, or maxUnansweredPings are unanswered.
+func (c *Client) RequestState() {
 	conn := c.conn.Load()
 	if conn == nil || conn.pings.unanswered() >= maxUnansweredPings {
 		return
--- a/internal/hop/ask_test.go
+++ b/internal/hop/ping_test.go
@@ -51,10 +51,10 @@
 	var asked []time.Duration
 	for range maxUnansweredPings {
 		asked = append(asked, time.Since(start))
-		client.Ask()
+		client.RequestState()
 		time.Sleep(5 * time.Millisecond)
 	}
-	client.Ask() // More than may be unanswered: not sent.
+	client.RequestState() // More than may be unanswered: not sent.
 	for i, at := range asked {
 		select {
 		case sent := <-sentTimes:
--- a/internal/hop/resume.go
+++ b/internal/hop/resume.go
@@ -130,8 +130,7 @@
 			p.requestSend()
 		default:
 			// Tokens that were granted in a lost reply must not be granted twice.
-			delete(c.pending, stream)
-			p.reply <- nil
+			c.fail(stream, p)
 		}
 	}
 	conn.wanted = len(resume.Wanted)
@@ -158,8 +157,7 @@
 	}
 	for _, stream := range resumed.GetLost() {
 		if p := c.pending[stream]; p != nil {
-			delete(c.pending, stream)
-			p.reply <- nil
+			c.fail(stream, p)
 		}
 	}
 	for other := range c.open {
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -21,13 +21,13 @@
 	Config() *hopv1.ConfigAnswer
 	// HelloState returns the state to send in the handshake, State that in pongs.
 	HelloState() *hopv1.State
+	State() *hopv1.State
 	// Quota replies to a peer's request for tokens of a customer.
 	Quota(ctx context.Context, instance string, request *hopv1.QuotaRequest) *hopv1.QuotaReply
-	State() *hopv1.State
 	// DrainRecord returns this daemon's drain record of the peer instance's
 	// upstream, or nil.
 	DrainRecord(instance string) *hopv1.Left
-	// Disconnected is called when a connection on which a peer said Hello has ended,
+	// Disconnected is called when a connection on which a peer sent a Hello has ended,
 	// with the number of its requests that still ran.
 	Disconnected(instance string, running int, cause error)
 	// RefuseTransfer returns the Failure frame for a request of the given size that the
--- a/internal/hop/session.go
+++ b/internal/hop/session.go
@@ -16,12 +16,11 @@
 	// must not keep an upstream busy for longer than 0.5 s.
 	resumeGrace = 250 * time.Millisecond
 	// sessionRetention is how long a session is known after the end of its connection.
-	// A peer that tries to resume it later learns nothing about its requests.
+	// A peer that resumes it later is answered that its requests may have run.
 	sessionRetention = 10 * time.Second
 )
 
-// session is one connection that a peer opened, with the requests on it. The fields
-// from id on are guarded by Server.sessionsMu.
+// session is one connection that a peer opened, with the requests on it.
 type session struct {
 	server   *Server
 	peerConn *peerConn
@@ -29,8 +28,13 @@
 	// they hold Server.sessionsMu.
 	peer string
 	// epoch is the origin of the arrival times given to queueDelay and ledger.
-	epoch      time.Time
+	epoch time.Time
+	// queueDelay and announced are used only by the goroutine that reads the connection.
 	queueDelay queueDelay
+	// announced holds, by stream, the requests of which not all has arrived.
+	announced map[uint64]announcedRequest
+
+	// Server.sessionsMu guards the fields below.
 
 	// id is the session's id from the peer's Hello; 0 for a daemon of an earlier
 	// release, which cannot resume it.
@@ -38,22 +42,18 @@
 	ledger ledger
 	// cancels holds, by stream, the function that cancels the running request.
 	cancels map[uint64]context.CancelFunc
-	// announced holds, by stream, the requests of which not all has arrived. Only the
-	// goroutine that reads the connection uses it.
-	announced map[uint64]announcedRequest
 	// replacedBy is the session to which the requests have moved, or nil.
 	replacedBy *session
 }
 
 func newSession(server *Server, pc *peerConn) *session {
 	return &session{
-		server:   server,
-		peerConn: pc,
-		epoch:    server.epoch,
-		ledger:   ledger{running: map[uint64]bool{}},
-		cancels:  map[uint64]context.CancelFunc{},
-
+		server:    server,
+		peerConn:  pc,
+		epoch:     server.epoch,
 		announced: map[uint64]announcedRequest{},
+		ledger:    ledger{running: map[uint64]bool{}},
+		cancels:   map[uint64]context.CancelFunc{},
 	}
 }
 
@@ -166,13 +166,37 @@
 	return s
 }
 
-// resume moves the requests of earlier sessions to this one and tells the peer what
-// has become of them.
+// resume moves the requests of earlier sessions to this one and sends the peer what has
+// become of them, unless this session has been replaced.
 func (s *session) resume(resume *hopv1.Resume) {
+	moved := s.moveRequests(resume)
+	if moved == nil {
+		return
+	}
+	if moved.repliesResent {
+		// The states in these replies are old.
+		_ = s.peerConn.send(&hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: s.server.handler.State()}}})
+	}
+	s.server.handler.Resumed(s.peer, moved.running, moved.cancelled)
+}
+
+// movedRequests counts what a Resume has moved to a session.
+type movedRequests struct {
+	// running is the number of requests that run on, cancelled that of those that the
+	// peer did not want any more.
+	running, cancelled int
+	// repliesResent is set if any reply was sent again.
+	repliesResent bool
+}
+
+// moveRequests moves the requests of earlier sessions to this one, and sends the Resumed
+// and the replies that may have been lost. It returns nil if this session has been
+// replaced.
+func (s *session) moveRequests(resume *hopv1.Resume) *movedRequests {
 	s.server.sessionsMu.Lock()
+	defer s.server.sessionsMu.Unlock()
 	if s.ledger.fenced {
-		s.server.sessionsMu.Unlock()
-		return
+		return nil
 	}
 	unsent := map[uint64][]byte{}
 	complete := true
@@ -199,13 +223,11 @@
 			_ = s.peerConn.sendEncoded(outgoing{stream: stream, encoded: encoded})
 		}
 	}
-	running := len(s.ledger.running) - len(result.unwanted)
-	s.server.sessionsMu.Unlock()
-	if len(result.resend)+len(unsent) > 0 {
-		// The states in these replies are old.
-		_ = s.peerConn.send(&hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: s.server.handler.State()}}})
+	return &movedRequests{
+		running:       len(s.ledger.running) - len(result.unwanted),
+		cancelled:     len(result.unwanted),
+		repliesResent: len(result.resend)+len(unsent) > 0,
 	}
-	s.server.handler.Resumed(s.peer, running, len(result.unwanted))
 }
 
 // absorb moves the requests of an earlier session to this one, and to unsent the large
--- a/internal/proxy/connections.go
+++ b/internal/proxy/connections.go
@@ -14,9 +14,9 @@
 
 const (
 	// retiredCheckInterval is how often it is checked whether a peer that is no longer
-	// used still has requests, and maxRetired how long its connection stays open at most.
+	// used still has requests, and maxRetiredTime how long its connection stays open at most.
 	retiredCheckInterval = 100 * time.Millisecond
-	maxRetired           = 30 * time.Second
+	maxRetiredTime       = 30 * time.Second
 )
 
 // retire closes the connection to a peer that is no longer used, once the requests in
@@ -24,7 +24,7 @@
 func (ps *Peers) retire(p *peer) {
 	p.retired.Store(true)
 	ps.retired[p] = true
-	ps.closeWhenIdle(p, ps.now()+maxRetired)
+	ps.closeWhenIdle(p, ps.now()+maxRetiredTime)
 }
 
 // closeWhenIdle closes the connection to a retired peer without requests, or at the time
@@ -79,24 +79,22 @@
 	}
 }
 
-// Tell sends a state to all reachable peers and waits until they have handled it, at most
-// until ctx ends. Daemons of earlier releases do not confirm it and get none.
-func (ps *Peers) Tell(ctx context.Context, state *hopv1.State) {
+// PushState sends a state to all reachable peers and waits until they have handled it, at
+// most until ctx ends. Daemons of earlier releases do not confirm it and get none.
+func (ps *Peers) PushState(ctx context.Context, state *hopv1.State) {
 	ps.mu.RLock()
-	var told sync.WaitGroup
+	var pushes sync.WaitGroup
 	for _, p := range ps.all {
 		if !p.up.Load() {
 			continue
 		}
-		told.Add(1)
-		go func() {
-			defer told.Done()
-			// A peer that cannot be told is not waited for.
-			_ = p.client.Tell(ctx, state)
-		}()
+		pushes.Go(func() {
+			// A peer that cannot be reached is not waited for.
+			_ = p.client.PushState(ctx, state)
+		})
 	}
 	ps.mu.RUnlock()
-	told.Wait()
+	pushes.Wait()
 }
 
 // Check checks the connections to all peers but one, after another connection of this
--- a/internal/proxy/proof.go
+++ b/internal/proxy/proof.go
@@ -65,7 +65,7 @@
 		})
 	}
 	for _, i := range freshness.ChooseSources(sources, round) {
-		peers[i].client.Ask()
+		peers[i].client.RequestState()
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -150,9 +150,9 @@
 	// peers; suspectReportPending is set while one is to be sent.
 	nextSuspectReport    time.Duration
 	suspectReportPending bool
-	// suspectsTold is closed once peers know of the last crash of the local upstream. It
-	// is nil unless more suspects are being collected.
-	suspectsTold chan struct{}
+	// suspectsPushed is closed once pushSuspects has reported the suspects that are being
+	// collected; nil while none are.
+	suspectsPushed chan struct{}
 	// budgets holds retry budgets by service, ruleBudgets by rule name.
 	budgets     map[string]*routing.RetryBudget
 	ruleBudgets map[string]*ruleBudget
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -170,7 +170,7 @@
 		t.Errorf("got %v, error %v", got.frame, got.err)
 	}
 	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
-		if err := dropped.client.Tell(context.Background(), nil); err != nil {
+		if err := dropped.client.PushState(context.Background(), nil); err != nil {
 			break
 		}
 		if time.Now().After(end) {
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -47,7 +47,7 @@
 	if p.suspects.Add(quarantine.Suspect{Fingerprint: f, Crashes: []quarantine.Crash{crash}}, p.now()) {
 		p.deps.Log.Request(event.RequestCrashed, true, zap.String("id", request.Id), zap.Uint64("fingerprint", uint64(f)),
 			zap.String("upstream", u.ID), zap.Bool("refused", p.suspects.Quarantined(f, p.now())))
-		<-p.tellSuspects()
+		<-p.pushSuspects()
 	}
 }
 
@@ -59,27 +59,27 @@
 	suspectNoticeTime = 200 * time.Millisecond
 )
 
-// tellSuspects reports the suspects of a crash of the local upstream to all peers. The
-// channel is closed once they have confirmed it.
-func (p *Proxy) tellSuspects() <-chan struct{} {
+// pushSuspects reports the suspects of a crash of the local upstream to all peers. The
+// channel is closed once they have confirmed it, or after suspectNoticeTime.
+func (p *Proxy) pushSuspects() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.suspectsTold != nil {
-		return p.suspectsTold
+	if p.suspectsPushed != nil {
+		return p.suspectsPushed
 	}
-	told := make(chan struct{})
-	p.suspectsTold = told
+	pushed := make(chan struct{})
+	p.suspectsPushed = pushed
 	time.AfterFunc(suspectBatchTime, func() {
-		defer close(told)
+		defer close(pushed)
 		p.mu.Lock()
-		p.suspectsTold = nil
+		p.suspectsPushed = nil
 		p.mu.Unlock()
 		p.deps.BroadcastState()
 		ctx, cancel := context.WithTimeout(context.Background(), suspectNoticeTime)
 		defer cancel()
-		p.deps.Peers.Tell(ctx, p.StateWithSuspects())
+		p.deps.Peers.PushState(ctx, p.StateWithSuspects())
 	})
-	return told
+	return pushed
 }
 
 // suspectReportInterval is the shortest time between two reports of suspects to all
