Name the limits and times of the data path

Cause: a caller's time limit was called its patience, a run whose caller has disconnected was gone and given up, and four numbers had no name. Figures: go test -race ./internal/proxy passes (8.0 s). Conclusion: behaviour is unchanged.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -21,11 +21,14 @@
 	// defaultMaxBodyBytes is the largest request body when the configuration
 	// sets no limit.
 	defaultMaxBodyBytes = 8 << 20
-	// maxPatienceMs bounds the time limit that a caller names, in milliseconds.
-	maxPatienceMs = 3600 * 1000
+	// maxCallerTimeoutMs bounds the time limit that a caller names, in milliseconds.
+	maxCallerTimeoutMs = 3600 * 1000
 	// defaultGoalShare is the latency goal, as a share of the time to the
 	// deadline, when the route sets no goal.
 	defaultGoalShare = 0.5
+	// noRouteRetryTime is the time in which the caller of a request without a route, and
+	// so without a deadline, is expected to send it again.
+	noRouteRetryTime = time.Second
 )
 
 // call is one request of a caller while the entry daemon handles it.
@@ -148,9 +151,9 @@
 	timeout := c.route.Deadline.Std()
 	if ms, err := strconv.ParseFloat(r.Header.Get(p.cfg.Headers.Deadline), 64); err == nil && ms >= 0 {
 		// The comparison comes before the conversion, which a large number overflows.
-		patience := time.Duration(min(ms, maxPatienceMs) * float64(time.Millisecond))
-		c.callerDeadline = c.started.Add(patience)
-		timeout = min(timeout, patience)
+		callerTimeout := time.Duration(min(ms, maxCallerTimeoutMs) * float64(time.Millisecond))
+		c.callerDeadline = c.started.Add(callerTimeout)
+		timeout = min(timeout, callerTimeout)
 	}
 	c.key = requestKey(r)
 	c.firstSeen = p.recentRefusals.firstSeen(c.key, p.now())
@@ -171,8 +174,7 @@
 // timeToRetry returns the time left in which the caller could send the request again.
 func (c *call) timeToRetry() time.Duration {
 	if c.deadline.IsZero() {
-		// A call without a route has no deadline.
-		return time.Second
+		return noRouteRetryTime
 	}
 	if left := time.Until(c.deadline); left > 0 {
 		return left
--- a/internal/proxy/candidates.go
+++ b/internal/proxy/candidates.go
@@ -7,13 +7,17 @@
 	"godwitmount/internal/routing"
 )
 
-// defaultServiceTime is assumed for an upstream that has reported no service time.
-const defaultServiceTime = 100 * time.Millisecond
+const (
+	// defaultServiceTime is assumed for an upstream that has reported no service time.
+	defaultServiceTime = 100 * time.Millisecond
+	// usualCandidates is the number of candidates for which memory is allocated at first.
+	usualCandidates = 16
+)
 
 // candidates returns the upstreams of a service with their estimated loads, the
 // one beside this daemon included.
 func (p *Proxy) candidates(service string) []routing.Candidate {
-	all := make([]routing.Candidate, 0, 16)
+	all := make([]routing.Candidate, 0, usualCandidates)
 	if u := p.upstream.Load(); u.Service == service {
 		load := p.admissionController.Load()
 		unavailable := p.unavailability(u, load.Open)
--- a/internal/proxy/customer_metrics.go
+++ b/internal/proxy/customer_metrics.go
@@ -18,8 +18,10 @@
 	// manifest file.
 	noCustomer     = "-"
 	otherCustomers = "+"
-	// statusClass is the divisor that converts a status to its class.
-	statusClass = 100
+	// statusClass is the divisor that converts a status to its class, and maxStatusClass the
+	// largest class that has a label of its own.
+	statusClass    = 100
+	maxStatusClass = 9
 )
 
 // customerMetrics counts the answers of each customer, in a mesh with customers. The
@@ -77,5 +79,5 @@
 // statusResult returns the label of an upstream's answer, such as "2xx". The number
 // of labels is bounded whatever the upstream answers.
 func statusResult(status uint32) string {
-	return strconv.Itoa(int(min(status/statusClass, 9))) + "xx"
+	return strconv.Itoa(int(min(status/statusClass, maxStatusClass))) + "xx"
 }
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -34,7 +34,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if c.parent != nil {
-		defer context.AfterFunc(c.parent.gone, cancel)()
+		defer context.AfterFunc(c.parent.abandoned, cancel)()
 	}
 	forwarder := &forwarder{proxy: p, call: c}
 	answer, f := forwarder.forward(ctx)
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -139,7 +139,7 @@
 	p.metrics.recordRun(took, started-arrived)
 	if err != nil {
 		if errors.Is(ctx.Err(), context.Canceled) {
-			running.giveUp()
+			running.abandon()
 		}
 		if took > longRuns*mean {
 			p.client.CloseUnusedSince(p.epoch.Add(started))
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -40,7 +40,7 @@
 // RefuseTransfer returns the failure of a large request of a peer that was refused before
 // its transfer: this machine's network link would receive it too late by excess.
 func (p *Proxy) RefuseTransfer(instance string, bytes int, excess time.Duration) *hopv1.Frame {
-	retry := max(excess, time.Millisecond) // 0 is unknown
+	retry := max(excess, time.Millisecond) // 0 would mean unknown.
 	p.metrics.recordRefusal(code.CallShed)
 	p.deps.Log.Request(event.CallExecuted, true, zap.String("peer", instance), zap.Int("bytes", bytes),
 		zap.String("result", code.CallShed.String()), zap.Duration("retry_after", retry))
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -13,7 +13,7 @@
 )
 
 // ExplainRoute returns where a request would go now, and why. It sends nothing and changes
-// no state. It returns an error if the question is invalid.
+// no state. It returns an error if the query is invalid.
 func (p *Proxy) ExplainRoute(q *status.RouteQuery) (*status.Route, error) {
 	if len(q.Header.Values(p.cfg.Headers.CustomerKey)) > 0 {
 		return nil, fmt.Errorf("the header %s must not be given; the key has its own option", p.cfg.Headers.CustomerKey)
@@ -42,7 +42,7 @@
 	return e.answer, nil
 }
 
-// routeExplainer fills in the answer to one question. The call is never sent.
+// routeExplainer fills in the answer to one query. The call is never sent.
 type routeExplainer struct {
 	proxy  *Proxy
 	call   *call
--- a/internal/proxy/route_targets.go
+++ b/internal/proxy/route_targets.go
@@ -155,7 +155,7 @@
 	}
 }
 
-// reasonOf says why a candidate gets no request, or what is against it.
+// reasonOf says why a candidate gets no request, or lists what speaks against it.
 func reasonOf(c *routing.Candidate, evaluation *routing.Evaluation) string {
 	switch evaluation.Exclusion {
 	case routing.NotExcluded:
@@ -188,7 +188,13 @@
 }
 
 // inMilliseconds returns the duration in milliseconds, rounded to microseconds.
-func inMilliseconds(d time.Duration) float64 { return rounded(d.Seconds() * 1000) }
+func inMilliseconds(d time.Duration) float64 {
+	const millisecondsPerSecond = 1000
+	return rounded(d.Seconds() * millisecondsPerSecond)
+}
 
 // rounded rounds to three decimals.
-func rounded(value float64) float64 { return math.Round(value*1000) / 1000 }
+func rounded(value float64) float64 {
+	const scale = 1000
+	return math.Round(value*scale) / scale
+}
--- a/internal/proxy/running.go
+++ b/internal/proxy/running.go
@@ -22,17 +22,17 @@
 	// nestedFailed is set once a request failed that the upstream sent while it ran
 	// this one.
 	nestedFailed atomic.Bool
-	// gone ends when the run was given up because its caller has left. Nobody needs the
-	// nested requests then, even if the upstream does not cancel them.
-	gone context.Context
-	// giveUp ends gone.
-	giveUp context.CancelFunc
+	// abandoned ends when the run was abandoned because its caller has disconnected. The
+	// nested requests end then, even if the upstream does not cancel them.
+	abandoned context.Context
+	// abandon ends abandoned.
+	abandon context.CancelFunc
 }
 
 // add adds a request that is about to run; remove removes it.
 func (r *runningRequests) add(id string, retry bool) *runningRequest {
 	running := &runningRequest{retry: retry}
-	running.gone, running.giveUp = context.WithCancel(context.Background())
+	running.abandoned, running.abandon = context.WithCancel(context.Background())
 	r.byID.Store(id, running)
 	return running
 }
