Call a query to a daemon a query

Cause: the tool and the status package spoke of questions that are asked and answered, where the types are called RouteQuery and QueryError; numbers in the tool had no name. Change: fetch and fetchFrom query daemons, newRequestFunc is the type of what builds the HTTP request. percent, maxSpaces and smallestShownMS name numbers. Conclusion: output, errors and JSON are unchanged.

--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -12,25 +12,29 @@
 	"godwitmount/internal/status"
 )
 
-// daemonTimeout bounds the question to one daemon.
+// daemonTimeout bounds the query to one daemon.
 const daemonTimeout = 3 * time.Second
 
-// daemonOptions are the options of commands that ask a daemon.
+// daemonOptions are the options of commands that query a daemon.
 type daemonOptions struct {
 	Daemons []string `long:"daemon" value-name:"IP:PORT" env:"GODWITMOUNT_DAEMON" env-delim:"," description:"Metrics address of a daemon; may be given several times."`
 }
 
-// ask asks the daemons in turn until one answers, and decodes the answer into result. A
-// daemon that finds the question invalid has answered. Command is the command's name.
-func (o *daemonOptions) ask(ctx context.Context, command string, question func(address string) (*http.Request, error), result any) error {
+// newRequestFunc returns the HTTP request of a query to the daemon with a metrics address.
+type newRequestFunc func(address string) (*http.Request, error)
+
+// fetch queries the daemons in turn until one responds, and decodes the response into
+// result. A daemon that rejects the query as invalid has responded. Command is the command's
+// name.
+func (o *daemonOptions) fetch(ctx context.Context, command string, newRequest newRequestFunc, result any) error {
 	if len(o.Daemons) == 0 {
 		return failed(ExitUsage, code.OK, "%s needs --daemon", command)
 	}
 	var errs []error
 	for _, address := range o.Daemons {
-		err := askDaemon(ctx, address, question, result)
-		var answered *failure
-		if err == nil || errors.As(err, &answered) {
+		err := fetchFrom(ctx, address, newRequest, result)
+		var invalid *failure
+		if err == nil || errors.As(err, &invalid) {
 			return err
 		}
 		errs = append(errs, fmt.Errorf("%s: %w", address, err))
@@ -38,15 +42,15 @@
 	return failed(ExitUnavailable, code.OK, "no daemon answered: %v", errors.Join(errs...))
 }
 
-// daemonClient follows no redirects: a question may hold a key.
+// daemonClient follows no redirects: a query may hold a key.
 var daemonClient = &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 
-// askDaemon asks the daemon with the given metrics address. The error is a failure if the
-// daemon found the question invalid.
-func askDaemon(ctx context.Context, address string, question func(address string) (*http.Request, error), result any) error {
+// fetchFrom queries the daemon with the given metrics address. The error is a failure if the
+// daemon has rejected the query as invalid.
+func fetchFrom(ctx context.Context, address string, newRequest newRequestFunc, result any) error {
 	bounded, cancel := context.WithTimeout(ctx, daemonTimeout)
 	defer cancel()
-	request, err := question(address)
+	request, err := newRequest(address)
 	if err != nil {
 		return err
 	}
--- a/internal/ctl/route.go
+++ b/internal/ctl/route.go
@@ -21,8 +21,13 @@
 path. The customer is given by name, or by a key in a file. If no route takes the request,
 the exit code is 1.`
 
-// standardInput is the file name that stands for standard input.
-const standardInput = "-"
+const (
+	// standardInput is the file name that stands for standard input.
+	standardInput = "-"
+	// maxSpaces is the number of bytes read from a key's file beyond the longest key, for
+	// the spaces around it.
+	maxSpaces = 64
+)
 
 type routeCommand struct {
 	daemonOptions
@@ -43,13 +48,13 @@
 		return nil, err
 	}
 	result := &routeResult{}
-	if err := c.ask(ctx, "route", query.NewRequest, &result.Route); err != nil {
+	if err := c.fetch(ctx, "route", query.NewRequest, &result.Route); err != nil {
 		return nil, err
 	}
 	return result, nil
 }
 
-// query builds the question from the command line and the key's file.
+// query builds the query from the command line and the key's file.
 func (c *routeCommand) query() (*status.RouteQuery, error) {
 	request, err := parseRequest(c.Args.Method, c.Args.URL, c.Header)
 	if err != nil {
@@ -82,8 +87,7 @@
 		defer func() { _ = opened.Close() }()
 		file = opened
 	}
-	const spaces = 64
-	text, err := io.ReadAll(io.LimitReader(file, manifest.MaxKeyLength+spaces))
+	text, err := io.ReadAll(io.LimitReader(file, manifest.MaxKeyLength+maxSpaces))
 	if err != nil {
 		return "", failed(ExitUnavailable, code.OK, "%v", err)
 	}
@@ -94,7 +98,7 @@
 	return key, nil
 }
 
-// routeResult is the answer of a daemon.
+// routeResult is the response of a daemon.
 type routeResult struct {
 	status.Route
 }
--- a/internal/ctl/route_text.go
+++ b/internal/ctl/route_text.go
@@ -10,6 +10,14 @@
 	"godwitmount/internal/status"
 )
 
+const (
+	// percent converts a share to a percentage.
+	percent = 100
+	// smallestShownMS is the smallest component of a cost in milliseconds that is not
+	// written as 0.0.
+	smallestShownMS = 0.05
+)
+
 func (r *routeResult) writeText(w io.Writer) {
 	fmt.Fprintf(w, "instance  %s in %s\n", r.Instance, r.DataCentre)
 	fmt.Fprintf(w, "version   %d\n", r.ConfigVersion)
@@ -54,6 +62,7 @@
 	fmt.Fprintf(w, "request   goal in %s; mean of the route: %d bytes, %.2f of the service time\n", inDuration(t.GoalMS), t.Bytes, t.Work)
 }
 
+// inDuration returns a number of milliseconds as a duration, which formats with its unit.
 func inDuration(milliseconds int64) time.Duration {
 	return time.Duration(milliseconds) * time.Millisecond
 }
@@ -88,7 +97,7 @@
 func writeTarget(w io.Writer, t *status.Target, split bool) {
 	fmt.Fprintf(w, "service   %s", t.Service)
 	if split {
-		fmt.Fprintf(w, ", %.0f%% of the requests", t.Share*100)
+		fmt.Fprintf(w, ", %.0f%% of the requests", t.Share*percent)
 	}
 	fmt.Fprintln(w)
 	if r := t.Rollout; r != nil {
@@ -121,7 +130,7 @@
 		fmt.Fprintln(w, "random    among a few random upstreams of each side")
 	}
 	if c.ExploredShare > 0 {
-		fmt.Fprintf(w, "random    %.0f%% of the requests go to any upstream of the data centre with a free slot\n", c.ExploredShare*100)
+		fmt.Fprintf(w, "random    %.0f%% of the requests go to any upstream of the data centre with a free slot\n", c.ExploredShare*percent)
 	}
 	if len(c.Candidates) > 0 {
 		writeCandidates(w, c.Candidates)
@@ -136,14 +145,14 @@
 	for i := range candidates {
 		c := &candidates[i]
 		fmt.Fprintf(table, "  %s\t%s\t%s\t%s\t%.2f\t%d\t%.0f\t%.1f\t%.1f\t%.2f\t%.1f\t%s\t%s\n",
-			orDash(c.Rank), c.Instance, placeOf(c), textOrDash(c.Version), c.Load, c.Slots, c.ReportAgeMS, c.ServiceTimeMS, c.RTTMS,
+			rankOrDash(c.Rank), c.Instance, placeOf(c), textOrDash(c.Version), c.Load, c.Slots, c.ReportAgeMS, c.ServiceTimeMS, c.RTTMS,
 			c.FailureShare, c.Cost.TotalMS, textOrDash(c.Reason), textOrDash(componentsOf(c)))
 	}
 	_ = table.Flush()
 }
 
-// orDash returns the rank, or a dash for none.
-func orDash(rank int) string {
+// rankOrDash returns the rank, or a dash for none.
+func rankOrDash(rank int) string {
 	if rank == 0 {
 		return "-"
 	}
@@ -172,7 +181,6 @@
 // componentsOf lists the components of the cost that are not shown as 0, and the random
 // addition.
 func componentsOf(c *status.Candidate) string {
-	const smallest = 0.05
 	var parts []string
 	for _, component := range []struct {
 		name string
@@ -181,7 +189,7 @@
 		{"wait", c.Cost.WaitMS}, {"service", c.Cost.ServiceMS}, {"network", c.Cost.NetworkMS}, {"transfer", c.Cost.TransferMS}, {"ping", c.Cost.PingMS},
 		{"failures", c.Cost.FailuresMS}, {"distance", c.Cost.DistanceMS}, {"load", c.Cost.LoadMS}, {"late", c.Cost.LateMS},
 	} {
-		if component.ms >= smallest {
+		if component.ms >= smallestShownMS {
 			parts = append(parts, fmt.Sprintf("%s %.1f", component.name, component.ms))
 		}
 	}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -24,7 +24,7 @@
 
 func (c *statusCommand) run(ctx context.Context, _ io.Writer) (output, error) {
 	result := &statusResult{}
-	err := c.ask(ctx, "status", func(address string) (*http.Request, error) {
+	err := c.fetch(ctx, "status", func(address string) (*http.Request, error) {
 		return http.NewRequest(http.MethodGet, "http://"+address+status.Path, nil)
 	}, &result.Daemon)
 	if err != nil {
@@ -58,10 +58,11 @@
 	}
 }
 
+// writeRollout writes the lines of one rollout.
 func writeRollout(w io.Writer, r status.Rollout) {
-	const perSecond = 1000
+	const millisecondsPerSecond = 1000
 	fmt.Fprintf(w, "rollout   %s from %v to %s is %s (%s): %.1f s of %.1f s, share %.2f, coordinator %s\n",
-		r.Service, r.From, r.To, r.Phase, r.Reason, float64(r.ElapsedMS)/perSecond, float64(r.PeriodMS)/perSecond, r.Share, r.Coordinator)
+		r.Service, r.From, r.To, r.Phase, r.Reason, float64(r.ElapsedMS)/millisecondsPerSecond, float64(r.PeriodMS)/millisecondsPerSecond, r.Share, r.Coordinator)
 	if r.Evidence != "" {
 		fmt.Fprintf(w, "evidence  %d answers, %d failures, score %.1f: %s\n", r.Answers, r.Failures, r.Score, r.Evidence)
 	}
@@ -72,7 +73,7 @@
 
 // writeQuota writes the line of one customer's quota.
 func writeQuota(w io.Writer, q status.Quota) {
-	fmt.Fprintf(w, "quota     %s: %g a second and %g at once, %.0f%% of it here, bucket at %s", q.Customer, q.RatePerSecond, q.Burst, q.Share*100, q.Owner)
+	fmt.Fprintf(w, "quota     %s: %g a second and %g at once, %.0f%% of it here, bucket at %s", q.Customer, q.RatePerSecond, q.Burst, q.Share*percent, q.Owner)
 	if q.Held {
 		fmt.Fprintf(w, ", %.1f of %.1f tokens, %.1f requests a second", q.Level, q.Depth, q.Demand)
 	}
--- a/internal/status/query.go
+++ b/internal/status/query.go
@@ -10,11 +10,12 @@
 	"time"
 )
 
-// KeyHeader is the header of a question at RoutePath that holds the customer's key. The
+// KeyHeader is the header of a query at RoutePath that holds the customer's key. The
 // key is never part of the query string, which may be recorded.
 const KeyHeader = "Godwitmount-Customer-Key"
 
-// RouteQuery describes a request of a caller.
+// RouteQuery is a query where a request of a caller would go. Its fields describe that
+// request.
 type RouteQuery struct {
 	Method string
 	Host   string
@@ -31,12 +32,12 @@
 	Goal *time.Duration
 }
 
-// QueryError is the answer to an invalid question.
+// QueryError is the response to an invalid query.
 type QueryError struct {
 	Error string `json:"error"`
 }
 
-// Names of the parameters of a question.
+// Names of the parameters of a query.
 const (
 	methodParameter   = "method"
 	hostParameter     = "host"
@@ -47,7 +48,7 @@
 	goalParameter     = "goal"
 )
 
-// NewRequest returns the question as a request to the daemon with the metrics address.
+// NewRequest returns the query as an HTTP request to the daemon with the metrics address.
 func (q *RouteQuery) NewRequest(address string) (*http.Request, error) {
 	values := url.Values{
 		methodParameter: {q.Method}, hostParameter: {q.Host}, pathParameter: {q.Path},
@@ -71,7 +72,7 @@
 	return request, nil
 }
 
-// ParseRouteQuery reads a question. The errors never contain the key.
+// ParseRouteQuery reads a query. The errors never contain the key.
 func ParseRouteQuery(r *http.Request) (*RouteQuery, error) {
 	values, err := url.ParseQuery(r.URL.RawQuery)
 	if err != nil {
@@ -99,7 +100,7 @@
 	return q, q.Check()
 }
 
-// Check returns the first fault of the question, or nil.
+// Check returns the first fault of the query, or nil.
 func (q *RouteQuery) Check() error {
 	switch {
 	case q.Method == "":
--- a/internal/status/route.go
+++ b/internal/status/route.go
@@ -1,7 +1,7 @@
 package status
 
-// RoutePath is the HTTP path, on the metrics listener, of the question where a request
-// would go now. The query string is that of RouteQuery.
+// RoutePath is the HTTP path, on the metrics listener, of queries where a request would go
+// now. The query string is that of RouteQuery.
 const RoutePath = "/status/route"
 
 // Route says where a request would go now, and why, as the reporting daemon sees it.
