Split the soak's check of customers

Cause: checkCustomers had 60 lines and five levels of nesting, checkDepartures four, and the bound of a quota was a formula with numbers. inject built maps in its cases. Change: checkRunsOfCustomers and checkKeyOutcome do its two halves; both checks use runsOf. quotaExcess and quotaSlack name the numbers; the bound is the same. linkFaultOf and storeFaultOf hold the maps. maxPatience is maxLeaveAfter, drilledSince is restoredSince. Conclusion: checks and their texts are unchanged.

--- a/test/soak/config_test.go
+++ b/test/soak/config_test.go
@@ -8,7 +8,7 @@
 	"godwitmount/platform/platformtest"
 )
 
-// configLimit is how long after its acceptance a version may not be in force yet.
+// configLimit is the time after its acceptance within which a version must be in force.
 const configLimit = 2500 * time.Millisecond
 
 // configs publishes configurations and knows which version each daemon must have.
@@ -88,8 +88,8 @@
 	return ok && !settled.After(at)
 }
 
-// drilledSince reports whether the store has come back from an older copy after a time.
-func (c *configs) drilledSince(at time.Time) bool {
+// restoredSince reports whether the store has come back from an older copy after a time.
+func (c *configs) restoredSince(at time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.restored.After(at)
--- a/test/soak/customers_test.go
+++ b/test/soak/customers_test.go
@@ -28,9 +28,11 @@
 	// daemon: together they send some 7 times floodRate.
 	floodPause = 30 * time.Millisecond
 	// quotaWindow is the window of the quota, and quotaBound how many requests that were
-	// sent in it may run: (rate x 5 + burst) x 1.1 + 20.
+	// sent in it may run. quotaExcess and quotaSlack are the defaults of the settings.
 	quotaWindow = 5 * time.Second
-	quotaBound  = (floodRate*5+floodBurst)*1.1 + 20
+	quotaExcess = 0.1
+	quotaSlack  = 20
+	quotaBound  = (floodRate*5+floodBurst)*(1+quotaExcess) + quotaSlack
 
 	// revokeLimit is how long after the acceptance of a version that removes it a key may
 	// still have an effect with strict revocation.
@@ -98,47 +100,11 @@
 // name, and no customer gets more than its allowance. With strict, removed keys have no
 // effect from revokeLimit after the acceptance on, whatever disturbs the daemon.
 func (l *load) checkCustomers(t *testing.T, strict bool) {
-	sent := map[string]outcome{}
-	for _, o := range l.outcomes {
-		sent[o.id] = o
-	}
-	var flood []time.Time
-	ran := map[string]bool{}
+	ran, flood := l.checkRunsOfCustomers()
 	late := 0
-	for _, n := range l.nodes {
-		for _, u := range n.upstreams {
-			for _, run := range u.Runs() {
-				o, found := sent[run.ID]
-				if run.Credential != "" {
-					l.problem("request %s reached the upstream of node %d with a key", run.ID, n.number)
-				}
-				if !found {
-					continue
-				}
-				if run.Tenant != o.customer || run.Tenant == "" {
-					l.problem("request %s of customer %q ran at node %d for customer %q", run.ID, o.customer, n.number, run.Tenant)
-				}
-				if o.key == floodKey && !ran[run.ID] {
-					flood = append(flood, o.sent)
-				}
-				ran[run.ID] = true
-			}
-		}
-	}
 	for _, o := range l.outcomes {
-		accepted, removed, isRemoved := l.configs.removed(o.version)
-		if strict && isRemoved && o.sent.After(removed.Add(revokeLimit)) {
+		if l.checkKeyOutcome(o, strict, ran[o.id]) {
 			late++
-			if ran[o.id] {
-				l.problem("request %s at node %d ran, sent %s after the removal of its key", o.id, o.node, o.sent.Sub(removed).Round(time.Millisecond))
-			}
-		}
-		valid := o.customer != "" && (!isRemoved || o.answered.Before(accepted))
-		if valid && (o.status == http.StatusUnauthorized || o.status == http.StatusForbidden) {
-			l.problem("request %s at node %d with a valid key of customer %s got status %d", o.id, o.node, o.customer, o.status)
-		}
-		if o.status == http.StatusTooManyRequests && (o.key != floodKey || o.retryAfter == "") {
-			l.problem("request %s of customer %q got status 429, Retry-After %q", o.id, o.customer, o.retryAfter)
 		}
 	}
 	if strict && late == 0 {
@@ -151,6 +117,53 @@
 	}
 }
 
+// checkRunsOfCustomers checks that upstreams got the customers' names and no keys. It
+// returns the ids of the requests that ran, and when those of customer flood were sent.
+func (l *load) checkRunsOfCustomers() (ran map[string]bool, flood []time.Time) {
+	sent := map[string]outcome{}
+	for _, o := range l.outcomes {
+		sent[o.id] = o
+	}
+	ran = map[string]bool{}
+	for _, n := range l.nodes {
+		for _, run := range runsOf([]*node{n}) {
+			if run.Credential != "" {
+				l.problem("request %s reached the upstream of node %d with a key", run.ID, n.number)
+			}
+			o, found := sent[run.ID]
+			if !found {
+				continue
+			}
+			if run.Tenant != o.customer || run.Tenant == "" {
+				l.problem("request %s of customer %q ran at node %d for customer %q", run.ID, o.customer, n.number, run.Tenant)
+			}
+			if o.key == floodKey && !ran[run.ID] {
+				flood = append(flood, o.sent)
+			}
+			ran[run.ID] = true
+		}
+	}
+	return ran, flood
+}
+
+// checkKeyOutcome checks what became of one request for its key. It reports whether the
+// request was sent later than revokeLimit after the removal of the key, with strict.
+func (l *load) checkKeyOutcome(o outcome, strict, ran bool) (late bool) {
+	accepted, removed, isRemoved := l.configs.removed(o.version)
+	late = strict && isRemoved && o.sent.After(removed.Add(revokeLimit))
+	if late && ran {
+		l.problem("request %s at node %d ran, sent %s after the removal of its key", o.id, o.node, o.sent.Sub(removed).Round(time.Millisecond))
+	}
+	valid := o.customer != "" && (!isRemoved || o.answered.Before(accepted))
+	if valid && (o.status == http.StatusUnauthorized || o.status == http.StatusForbidden) {
+		l.problem("request %s at node %d with a valid key of customer %s got status %d", o.id, o.node, o.customer, o.status)
+	}
+	if o.status == http.StatusTooManyRequests && (o.key != floodKey || o.retryAfter == "") {
+		l.problem("request %s of customer %q got status 429, Retry-After %q", o.id, o.customer, o.retryAfter)
+	}
+	return late
+}
+
 // mostInWindow returns the largest number of times that lie within one window.
 func mostInWindow(times []time.Time, window time.Duration) int {
 	slices.SortFunc(times, time.Time.Compare)
--- a/test/soak/gone_test.go
+++ b/test/soak/gone_test.go
@@ -13,13 +13,13 @@
 	// goneLimit is how long after its caller has disconnected a request may run.
 	goneLimit = 500 * time.Millisecond
 	// longRoute is the prefix of a route to service back. Its requests for longTarget run
-	// for longWork if nobody ends them: longer than maxPatience and goneLimit together, and
+	// for longWork if nobody ends them: longer than maxLeaveAfter and goneLimit together, and
 	// not longer than a planned stop waits for them (0.3 of its grace of 6 s).
 	longRoute  = "/long/"
 	longTarget = longRoute + "gone-"
 	longWork   = deadline
-	// maxPatience is the longest time after which a caller of longRoute disconnects.
-	maxPatience = 600 * time.Millisecond
+	// maxLeaveAfter is the longest time after which a caller of longRoute disconnects.
+	maxLeaveAfter = 600 * time.Millisecond
 )
 
 // departure is a request whose caller has disconnected before the answer.
@@ -38,7 +38,7 @@
 	for number := 0; ctx.Err() == nil; number++ {
 		id := fmt.Sprintf("gone-%d-%d", n.number, number)
 		l.leave(client, n, "stay-"+id, deadline+deadlineSlack)
-		if l.leave(client, n, id, time.Duration(random.Int64N(int64(maxPatience)))) {
+		if l.leave(client, n, id, time.Duration(random.Int64N(int64(maxLeaveAfter)))) {
 			l.mu.Lock()
 			l.departures = append(l.departures, departure{id, n.number, time.Now()})
 			l.mu.Unlock()
@@ -47,10 +47,10 @@
 	}
 }
 
-// leave sends one request and closes the connection after some time. It returns false if
+// leave sends one request and closes the connection leaveAfter later. It returns false if
 // the answer came first.
-func (l *load) leave(client *http.Client, n *node, id string, patience time.Duration) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+func (l *load) leave(client *http.Client, n *node, id string, leaveAfter time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveAfter)
 	defer cancel()
 	request, err := newRequest(ctx, n, http.MethodGet, longRoute+id, id, calmKey)
 	if err != nil {
@@ -69,8 +69,7 @@
 
 // checkDepartures reports requests that ran on at an upstream although their callers had
 // disconnected. The time until the entry and the executing daemon were last disturbed
-// does not count, nor that
-// in which the machine was too busy to run them.
+// does not count, nor that in which the machine was too busy to run them.
 func (l *load) checkDepartures(disturbances *disturbances) {
 	departures := map[string]departure{}
 	for _, d := range l.departures {
@@ -78,18 +77,16 @@
 	}
 	abandoned := 0
 	for _, n := range l.nodes {
-		for _, u := range n.upstreams {
-			for _, run := range u.Runs() {
-				d, left := departures[run.ID]
-				if !left {
-					continue
-				}
-				abandoned++
-				end, settled := disturbances.settled(d.left, goneLimit, reach(d.node), process(d.node), reach(n.number), process(n.number), theMachine)
-				if settled && (run.Ended.IsZero() || run.Ended.After(end)) {
-					l.problem("request %s of node %d, whose caller had disconnected, ran at node %d for %s after that, %s longer than allowed",
-						d.id, d.node, n.number, run.Ended.Sub(d.left).Round(time.Millisecond), run.Ended.Sub(end).Round(time.Millisecond))
-				}
+		for _, run := range runsOf([]*node{n}) {
+			d, left := departures[run.ID]
+			if !left {
+				continue
+			}
+			abandoned++
+			end, settled := disturbances.settled(d.left, goneLimit, reach(d.node), process(d.node), reach(n.number), process(n.number), theMachine)
+			if settled && (run.Ended.IsZero() || run.Ended.After(end)) {
+				l.problem("request %s of node %d, whose caller had disconnected, ran at node %d for %s after that, %s longer than allowed",
+					d.id, d.node, n.number, run.Ended.Sub(d.left).Round(time.Millisecond), run.Ended.Sub(end).Round(time.Millisecond))
 			}
 		}
 	}
--- a/test/soak/rollout_test.go
+++ b/test/soak/rollout_test.go
@@ -113,7 +113,7 @@
 	case r.final == "" && (state == completed || state == reverted):
 		r.final, r.ended, first = state, time.Now(), true
 	case r.final != "" && state != r.final:
-		if state == completed || state == reverted || !r.soak.configs.drilledSince(r.ended) {
+		if state == completed || state == reverted || !r.soak.configs.restoredSince(r.ended) {
 			r.problem("the state is %q after %s", state, r.final)
 		}
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -189,6 +189,16 @@
 	time.Sleep(checkedTime)
 }
 
+// linkFaultOf and storeFaultOf hold the faults of links and of the store, by kind.
+var (
+	linkFaultOf = map[kind]faultlink.Fault{
+		slowLink: faultlink.Slow, blockedLink: faultlink.Blocked, oneWayLink: faultlink.OneWay, resetLink: faultlink.Reset,
+	}
+	storeFaultOf = map[kind]platformtest.Fault{
+		busyStore: platformtest.Unavailable, unresponsiveStore: platformtest.Unresponsive, lostWriteResponses: platformtest.LostWriteReplies,
+	}
+)
+
 // inject performs one fault and returns when it is over. Of two faults that
 // replace the same upstream, the second waits for the first. Of two overlapping
 // faults of the store or of the same link, the one that began last has an effect.
@@ -202,9 +212,9 @@
 	case stopDaemon:
 		n.stop()
 	case slowLink, blockedLink, oneWayLink, resetLink:
-		n.disturbLink(map[kind]faultlink.Fault{slowLink: faultlink.Slow, blockedLink: faultlink.Blocked, oneWayLink: faultlink.OneWay, resetLink: faultlink.Reset}[f.kind], f.duration)
+		n.disturbLink(linkFaultOf[f.kind], f.duration)
 	case busyStore, unresponsiveStore, lostWriteResponses:
-		s.disturbStore(map[kind]platformtest.Fault{busyStore: platformtest.Unavailable, unresponsiveStore: platformtest.Unresponsive, lostWriteResponses: platformtest.LostWriteReplies}[f.kind], f.duration)
+		s.disturbStore(storeFaultOf[f.kind], f.duration)
 	case truncatedHistory:
 		s.store.TruncateHistory()
 	case restoredStore:
