--- a/internal/proxy/route_targets.go
+++ b/internal/proxy/route_targets.go
@@ -75,7 +75,7 @@
 func (f *forwarder) describeChoice(set placementSet) status.Choice {
 	explained := routing.Explain(set.candidates, f.placementRequest())
 	choice := status.Choice{
-		Side: sideNames[set.side], Chance: set.chance, Sampled: set.sampled, Why: explained.Basis.String(),
+		Side: sideNames[set.side], Chance: set.chance, Sampled: set.sampled, Why: explained.Reason.String(),
 		Candidates: make([]status.Candidate, len(set.candidates)),
 	}
 	if explained.Explored {
@@ -155,14 +155,14 @@
 	}
 }
 
-// reasonOf says why a candidate gets no request, or what is against it.
+// reasonOf says why a candidate gets no request, or lists what speaks against it.
 func reasonOf(c *routing.Candidate, evaluation *routing.Evaluation) string {
-	switch evaluation.Bar {
-	case routing.NotBarred:
-	case routing.BarredUnavailable:
+	switch evaluation.Exclusion {
+	case routing.NotExcluded:
+	case routing.ExcludedUnavailable:
 		return unavailableReason(c)
 	default:
-		return evaluation.Bar.String()
+		return evaluation.Exclusion.String()
 	}
 	cost := &evaluation.Cost
 	var reasons []string
@@ -184,11 +184,17 @@
 }
 
 func unavailableReason(c *routing.Candidate) string {
-	return cmp.Or(c.Unavailable.String(), routing.BarredUnavailable.String())
+	return cmp.Or(c.Unavailable.String(), routing.ExcludedUnavailable.String())
 }
 
 // inMilliseconds returns the duration in milliseconds, rounded to microseconds.
-func inMilliseconds(d time.Duration) float64 { return rounded(d.Seconds() * 1000) }
+func inMilliseconds(d time.Duration) float64 {
+	const millisecondsPerSecond = 1000
+	return rounded(d.Seconds() * millisecondsPerSecond)
+}
 
 // rounded rounds to three decimals.
-func rounded(value float64) float64 { return math.Round(value*1000) / 1000 }
+func rounded(value float64) float64 {
+	const scale = 1000
+	return math.Round(value*scale) / scale
+}
