Grant no tokens before the own entry of the member table was read

Cause: daemons that start together and cannot read the member table again do not know each other. Each acted as owner of the token buckets with the whole share of its data centre. Change: View.MembersUnread and Member.MembersUnread. Such a daemon is not chosen as owner, keeps no bucket and has no share of its own; it asks the owners that it knows, and refuses if there is none. A bucket is not handed over to a daemon that, as far as known, has not read its entry. The replay of the mesh has a member table, a store that can be away, and handshakes. Conclusion: nothing sets the flags yet.

--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -58,9 +58,12 @@
 		return Decision{Action: Refuse, Wait: c.refusedUntil - now}
 	}
 	if !l.views.known() {
-		return Decision{Action: Refuse, Wait: minRefusal}
+		return Decision{Action: Refuse, Wait: minRefusal, NoOwner: true}
 	}
-	if l.ownerOf(c) == l.cfg.Instance {
+	switch l.ownerOf(c) {
+	case "":
+		return Decision{Action: Refuse, Wait: minRefusal, NoOwner: true}
+	case l.cfg.Instance:
 		return l.takeAsOwner(now, c)
 	}
 	return l.askOwner(now, c, Message{To: c.owner})
@@ -189,8 +192,12 @@
 
 // takeOwn uses the daemon's own share, which is the rate divided by the number of
 // daemons. It starts at a fraction of one token that differs between daemons, so that
-// the first tokens of all daemons come one after another, at the rate.
+// the first tokens of all daemons come one after another, at the rate. Until this daemon
+// has read the members it has none: it may not know how many daemons share the rate.
 func (l *Limiter) takeOwn(now time.Duration, c *customer) Decision {
+	if l.views.present().MembersUnread {
+		return Decision{Action: Refuse, Wait: minRefusal, own: true}
+	}
 	rate := c.limit.Rate / float64(max(l.views.present().Daemons, len(l.views.present().Members)+1))
 	if c.ownAt == 0 || now-c.ownAt > settleTime {
 		c.ownLevel = fraction(xxhash.Sum64String(l.cfg.Instance + "\x00" + c.name))
--- a/internal/quota/mesh_test.go
+++ b/internal/quota/mesh_test.go
@@ -42,6 +42,10 @@
 	// slow is the share of messages that are delayed by up to 40 ms.
 	slow  float64
 	stats map[string]*stats
+	// table is nil if all daemons know each other. With slowTable, an entry is read only
+	// by the next regular read after it was written.
+	table     *memberTable
+	slowTable bool
 	// messages counts those to daemons of the same and of other data centres.
 	messages, remoteMessages int
 }
@@ -71,6 +75,10 @@
 	// quiet holds the daemons that became unreachable without closing the connection.
 	quiet   map[int]bool
 	waiting map[string][]*waiter
+	// known holds the daemons that this one knows, if there is a member table;
+	// membersUnread is set until it has read its entry there.
+	known         map[int]bool
+	membersUnread bool
 }
 
 type waiter struct {
@@ -155,7 +163,11 @@
 	n.up, n.waiting = map[int]bool{}, map[string][]*waiter{}
 	n.limiter = New(Config{Instance: n.name, DataCentre: fmt.Sprint("dc", n.dc), Params: testParams})
 	n.limiter.SetLimits(m.clock(n), m.limits)
-	m.view(n)
+	if m.table != nil {
+		m.join(n)
+	} else {
+		m.view(n)
+	}
 	for _, other := range m.nodes {
 		if other == n || !other.alive {
 			continue
@@ -173,6 +185,16 @@
 	if to.suspended || n.suspended {
 		return
 	}
+	if !m.knownTo(n, to) {
+		return
+	}
+	if m.table != nil {
+		m.after(m.between(0, handshakeDelay), func() {
+			if n.alive && to.alive {
+				m.meet(to, n)
+			}
+		})
+	}
 	if !n.up[to.index] {
 		n.up[to.index] = true
 		m.view(n)
@@ -191,14 +213,20 @@
 }
 
 func (m *mesh) view(n *node) {
-	v := View{Daemons: len(m.nodes), Leaving: n.leaving}
+	v := View{Daemons: m.knownDaemons(n), Leaving: n.leaving, MembersUnread: n.membersUnread}
+	remote := map[int]bool{}
 	for _, other := range m.nodes {
-		if other != n && other.dc == n.dc {
-			v.Members = append(v.Members, Member{Instance: other.name, Reachable: n.up[other.index], Silent: n.quiet[other.index], Leaving: other.leaving})
+		if other == n || !m.knownTo(n, other) {
+			continue
+		}
+		if other.dc != n.dc {
+			remote[other.dc] = true
+			continue
 		}
+		v.Members = append(v.Members, Member{Instance: other.name, Reachable: n.up[other.index], Silent: n.quiet[other.index], Leaving: other.leaving, MembersUnread: other.membersUnread})
 	}
 	for dc := range m.dcs {
-		if dc != n.dc {
+		if remote[dc] {
 			v.Remote = append(v.Remote, fmt.Sprint("dc", dc))
 		}
 	}
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -95,6 +95,9 @@
 	Token Token
 	// Wait is the time until a token is expected; set for Refuse.
 	Wait time.Duration
+	// NoOwner is set for Refuse if this daemon has not read the members and knows no
+	// other one that grants tokens.
+	NoOwner bool
 	// Message is set for Ask.
 	Message Message
 	// own is set if the decision is by the daemon's own share.
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -27,7 +27,7 @@
 		case c.bucket != nil:
 			// The new owner has not asked for it yet.
 			return l.grant(now, c, r), nil
-		case r.Relayed:
+		case r.Relayed || c.owner == "":
 			return Reply{Declined: true}, nil
 		}
 		return Reply{}, relay(c.owner, r)
@@ -110,13 +110,14 @@
 }
 
 // handOver answers a Takeover. The bucket is kept, and tokens are granted from it,
-// while this daemon does not reach the new owner: others that do not reach it either
-// still ask here.
+// while this daemon does not take the sender for the new owner, because it does not reach
+// it or has not heard that it has read the members: others in the same position still ask
+// here.
 func (l *Limiter) handOver(now time.Duration, c *customer, to string, r Request) Reply {
 	if c.bucket == nil {
 		return Reply{Share: c.share}
 	}
-	if !l.views.reaches(to) {
+	if !l.views.maySucceed(to) {
 		reply := l.grant(now, c, r)
 		reply.Kept = true
 		return reply
--- a/internal/quota/preview.go
+++ b/internal/quota/preview.go
@@ -10,6 +10,8 @@
 	// Own is set if this daemon would decide by its own share, because the owner does not
 	// answer.
 	Own bool
+	// NoOwner is set for Refuse as in Decision.
+	NoOwner bool
 	// Wait is the time until the next token, set for Refuse.
 	Wait time.Duration
 	// Held is set if this daemon holds the bucket. Level is then its tokens.
@@ -39,7 +41,7 @@
 	}
 	d := trial.Take(now, name, false)
 	c := trial.customers[name]
-	p.Action, p.To, p.Own, p.Wait = d.Action, d.Message.To, d.own, d.Wait
+	p.Action, p.To, p.Own, p.NoOwner, p.Wait = d.Action, d.Message.To, d.own, d.NoOwner, d.Wait
 	if d.Action == Await {
 		p.Action, p.To = Ask, trial.ownerOf(c)
 	}
--- a/internal/quota/pull.go
+++ b/internal/quota/pull.go
@@ -209,7 +209,7 @@
 // is beyond its own demand, or a part of the difference if it has the larger share.
 func (l *Limiter) handlePull(now time.Duration, c *customer, r Request) (Reply, *Message) {
 	if l.ownerOf(c) != l.cfg.Instance {
-		if r.Relayed {
+		if r.Relayed || c.owner == "" {
 			return Reply{Declined: true}, nil
 		}
 		return Reply{}, relay(c.owner, r)
--- a/internal/quota/view.go
+++ b/internal/quota/view.go
@@ -18,14 +18,24 @@
 	Silent bool
 	// Leaving is set once the daemon has begun a planned stop.
 	Leaving bool
+	// MembersUnread is set while the daemon has not read its own entry of the member
+	// table. It grants no tokens then.
+	MembersUnread bool
 }
 
+// mayOwn reports whether buckets may be kept by the member.
+func (m Member) mayOwn() bool { return m.Reachable && !m.Leaving && !m.MembersUnread }
+
 // View is what a daemon knows of the others.
 type View struct {
 	// Members holds the other daemons of the data centre.
 	Members []Member
 	// Leaving is set once this daemon itself has begun a planned stop.
 	Leaving bool
+	// MembersUnread is set until this daemon has read its own entry of the member table.
+	// Until then others may have written theirs without either daemon knowing of the
+	// other, so that each would grant the whole share of the data centre.
+	MembersUnread bool
 	// Remote holds the names of the other data centres.
 	Remote []string
 	// Daemons is the number of all daemons, this one included.
@@ -84,8 +94,9 @@
 
 // sameOwners reports whether all customers have the same owners by both views.
 func (v View) sameOwners(other View) bool {
-	return v.Leaving == other.Leaving && slices.EqualFunc(v.Members, other.Members, func(a, b Member) bool {
-		return a.Instance == b.Instance && a.Reachable == b.Reachable && a.Leaving == b.Leaving
+	same := v.Leaving == other.Leaving && v.MembersUnread == other.MembersUnread
+	return same && slices.EqualFunc(v.Members, other.Members, func(a, b Member) bool {
+		return a.Instance == b.Instance && a.Reachable == b.Reachable && a.Leaving == b.Leaving && a.MembersUnread == b.MembersUnread
 	})
 }
 
@@ -108,7 +119,7 @@
 }
 
 // owner returns the daemon of the data centre that owns a customer's bucket by the
-// present view.
+// present view, or "" if none is known that may.
 func (v *views) owner(customer string) string { return owner(v.self, customer, v.present()) }
 
 // ownedSince returns since when this daemon has owned the customer's bucket without
@@ -121,15 +132,18 @@
 	return since
 }
 
-// owner returns the daemon with the highest rendezvous hash among those that are
-// reachable and not leaving. If there is none, it is this daemon.
+// owner returns the daemon with the highest rendezvous hash among those that may own
+// buckets. If there is none, it is this daemon, or "" if this one may not either.
 func owner(self, customer string, view View) string {
 	best, bestRank := self, uint64(0)
-	if !view.Leaving {
+	switch {
+	case view.MembersUnread:
+		best = ""
+	case !view.Leaving:
 		bestRank = rank(customer, self)
 	}
 	for _, m := range view.Members {
-		if !m.Reachable || m.Leaving {
+		if !m.mayOwn() {
 			continue
 		}
 		if r := rank(customer, m.Instance); r > bestRank {
@@ -145,11 +159,12 @@
 func (v *views) previous(customer string) string { return v.nextTo(customer, "") }
 
 // nextTo returns the reachable member with the highest rendezvous hash other than the
-// given one, or "" if there is none.
+// given one, or "" if there is none. One that has not read the members holds no bucket.
 func (v *views) nextTo(customer, instance string) string {
 	best, bestRank := "", uint64(0)
 	for _, m := range v.present().Members {
-		if r := rank(customer, m.Instance); m.Reachable && m.Instance != instance && r > bestRank {
+		candidate := m.Reachable && !m.MembersUnread && m.Instance != instance
+		if r := rank(customer, m.Instance); candidate && r > bestRank {
 			best, bestRank = m.Instance, r
 		}
 	}
@@ -170,6 +185,14 @@
 	return instance == v.self
 }
 
+// maySucceed reports whether a member may have become the owner of a bucket that this
+// daemon holds: it is reachable and has, as far as known, read the members.
+func (v *views) maySucceed(instance string) bool {
+	return slices.ContainsFunc(v.present().Members, func(m Member) bool {
+		return m.Instance == instance && m.Reachable && !m.MembersUnread
+	})
+}
+
 // weight returns the part of the data centre's share that this daemon may grant as
 // an owner: the share of the data centre's daemons that it reaches. Two daemons that
 // do not reach each other may both act as owner, for the daemons that each reaches.
