Tell the quotas and other daemons that the own entry was read

Cause: the quotas took the first complete read of the member table, or 3 s without one, as knowledge of the other daemons. In both cases others may have written their entries since. Change: the reducer records that a read has returned the entry that this process writes, and passes it on with the members. State.members_unread says so to others; it is broadcast at once where customers have limits. There, the table is read right after the entry was written, or after limits have come into force, and each second until the entry is returned; this read does not replace the one 1.2 s after the start, which finds what no handshake tells. Refusals for this reason are logged as quota-members-unread. PublishMembers.Complete, which only the quotas used, is gone, and with it the publication after a first read without members. The flag is atomic, since states are made for pings while the set of peers is locked. Conclusion: a daemon that starts with the store away uses the tokens of others.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -55,8 +55,17 @@
 	// published. The next tick publishes them together, because many daemons
 	// connect simultaneously when a fleet starts.
 	publishPending bool
-	// membersComplete is set once the whole member table has been read.
-	membersComplete bool
+	// ownEntryRead is set once a read of the member table has returned this daemon's
+	// entry. Each other daemon either wrote its entry before and was read, too, or writes
+	// it later and then reads this one. It stays set: if the store loses the entry, the
+	// daemons that know each other go on.
+	ownEntryRead bool
+	// ownEntryDue is set while the entry was written and not read since, and
+	// ownEntryReadAt is then the earliest time of the next read that is requested for it.
+	ownEntryDue    bool
+	ownEntryReadAt time.Duration
+	// limited is set while a customer of the configuration in force has a limit.
+	limited bool
 	// selfWritten is clear while this daemon's entry still has to be written to
 	// the member table: before the first write and after a failed one. It is set
 	// while a write is in progress.
@@ -148,7 +157,7 @@
 	case UpstreamLeaving:
 		c.upstreamLeaving(ev)
 	case MemberWritten:
-		c.selfWritten = ev.Err == nil
+		c.memberWritten(ev)
 	case RolloutsChanged:
 		c.applyRollouts(ev.Services)
 	case StopRequested:
@@ -180,8 +189,10 @@
 		return
 	}
 	c.version = ev.Version
+	c.limited = table.HasLimitedCustomers()
 	c.endFetch()
 	c.emit(PublishTable{Version: ev.Version, Table: table, Packed: ev.Packed})
+	c.readOwnEntryWhenDue()
 	c.log(event.ConfigApplied, false, step.F("version", ev.Version), step.F("from", ev.From), step.F("routes", len(table.Routes())))
 }
 
@@ -223,6 +234,7 @@
 	}
 	c.growRolloutMesh()
 	c.readMembersWhenDue()
+	c.readOwnEntryWhenDue()
 	c.readRemoteVersion()
 	sinceHeartbeat := c.now - c.lastHeartbeat
 	if c.upstream.State == UpstreamReady && sinceHeartbeat > silentHeartbeats*c.cfg.HeartbeatInterval {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -55,10 +55,14 @@
 		if d.HasArg("from") {
 			from = text("from")
 		}
-		return ConfigRead{Version: number("version"), From: from, Manifest: &manifest.Manifest{
+		m := &manifest.Manifest{
 			Services: []manifest.Service{{Name: "desk"}},
 			Routes:   []manifest.Route{{Name: "r", Service: text("service")}},
-		}}
+		}
+		if d.HasArg("limited") {
+			m.Customers = []manifest.Customer{{Name: "north", Keys: []manifest.Key{"k"}, RatePerSecond: 1, Burst: 1}}
+		}
+		return ConfigRead{Version: number("version"), From: from, Manifest: m}
 	case "rejected":
 		return ConfigRejected{Err: errors.New("no version"), From: "store"}
 	case "peer":
@@ -178,6 +182,9 @@
 			names = append(names, m.Instance+"@"+m.Address)
 		}
 		slices.Sort(names)
+		if e.OwnEntryRead {
+			names = append(names, "own-entry-read")
+		}
 		return strings.Join(names, " ")
 	case SetUpstream:
 		return fmt.Sprintf("%s takes=%t", e.Upstream.ID, e.Upstream.AcceptsRequests())
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -16,6 +16,10 @@
 // entry again by then.
 const missingGrace = 10 * time.Second
 
+// ownEntryInterval is the time between two reads of the member table that are requested
+// because this daemon has written its entry and not read it.
+const ownEntryInterval = time.Second
+
 // Member is an entry of the member table: the address of a daemon and the
 // service of its local upstream.
 type Member struct {
@@ -92,24 +96,19 @@
 // the known ones are ignored; a row that cannot be decoded is logged and leaves
 // the known entry unchanged.
 func (c *Core) membersRead(ev MembersRead) {
-	changed, first := false, false
+	changed := false
 	seen := map[string]bool{}
 	for _, row := range ev.Rows {
 		seen[row.Key] = true
 		changed = c.memberRead(row) || changed
 	}
 	if ev.Complete {
-		first = !c.membersComplete
-		c.membersComplete = true
 		c.markMissing(seen, ev.Position)
 		c.era.membersReadIn(ev.Position.Era)
 		c.writeSelf()
 	}
-	switch {
-	case changed:
+	if changed {
 		c.publishMembers()
-	case first:
-		c.publish()
 	}
 }
 
@@ -136,6 +135,11 @@
 		return false
 	}
 	c.members[row.Key] = memberRow{Member: member, position: row.Position, writtenVersion: row.Position.Version}
+	// An entry with another address or data centre is that of an earlier process. Whoever
+	// has read it cannot connect to this one.
+	if member == c.cfg.Self {
+		c.ownEntryRead, c.ownEntryDue = true, false
+	}
 	return member != known.Member
 }
 
@@ -199,6 +203,29 @@
 	delete(set, key)
 }
 
+// memberWritten applies the result of writing this daemon's entry. Once it is written, it
+// is to be read, unless a read has returned it before the result of the write.
+func (c *Core) memberWritten(ev MemberWritten) {
+	c.selfWritten = ev.Err == nil
+	if c.selfWritten && c.members[c.cfg.Self.Instance].Member != c.cfg.Self {
+		c.ownEntryDue = true
+		c.ownEntryReadAt = c.now
+		c.readOwnEntryWhenDue()
+	}
+}
+
+// readOwnEntryWhenDue requests a read of the member table if this daemon has written its
+// entry and not read it since, and customers have limits. Until the first such read it
+// grants no tokens, and the regular reads may come much later. After a further write the
+// read finds daemons that have written theirs at the same time.
+func (c *Core) readOwnEntryWhenDue() {
+	if !c.ownEntryDue || !c.limited || c.stopping || c.now < c.ownEntryReadAt {
+		return
+	}
+	c.ownEntryReadAt = c.now + ownEntryInterval
+	c.emit(ReadMembers{})
+}
+
 // writeSelf writes this daemon's entry unless the member table already holds it
 // or the daemon is stopping.
 func (c *Core) writeSelf() {
--- a/internal/control/mesh.go
+++ b/internal/control/mesh.go
@@ -64,7 +64,7 @@
 		connected = append(connected, chosen...)
 	}
 	c.publishedAt = c.now
-	c.emit(PublishMembers{Members: connected, Known: known, Remote: slices.Sorted(maps.Keys(remoteCentres)), Complete: c.membersComplete})
+	c.emit(PublishMembers{Members: connected, Known: known, Remote: slices.Sorted(maps.Keys(remoteCentres)), OwnEntryRead: c.ownEntryRead})
 	c.updateStoreWatcher()
 	return known, len(connected)
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -184,8 +184,9 @@
 	Known int
 	// Remote holds the names of the other data centres, sorted.
 	Remote []string
-	// Complete is set once the whole member table has been read.
-	Complete bool
+	// OwnEntryRead is set once a read of the member table has returned this daemon's own
+	// entry; see docs/design/quotas.md.
+	OwnEntryRead bool
 }
 
 // SetUpstream passes the state of the local upstream to the data path.
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -35,8 +35,11 @@
 			d.peers.Announce()
 		}
 	case control.PublishMembers:
-		d.peers.SetMesh(e.Remote, e.Complete)
 		d.peers.SetMembers(e.Members, e.Known)
+		// After the members: with its own entry read, this daemon grants tokens.
+		if d.peers.SetMesh(e.Remote, e.OwnEntryRead) && d.proxy.HasLimits() {
+			d.broadcastState()
+		}
 		d.rollouts.post(rolloutMembers(e.Members))
 	case control.SetUpstream:
 		d.rollouts.post(rollout.UpstreamChanged{Service: e.Upstream.Service, Version: e.Upstream.Version})
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -313,15 +313,17 @@
 
 // watchMembers polls the member table until ctx ends: first at
 // initialMembersPolls, then every pollInterval and when the reducer
-// requests it. If the first read returns this daemon's own entry, it was restarted, and
-// the entries of the others have long been there, too.
+// requests it; a requested read does not replace one of initialMembersPolls. If the first
+// read returns this daemon's own entry, it was restarted, and the entries of the others
+// have long been there, too.
 func (d *Daemon) watchMembers(ctx context.Context) {
-	restarted := false
+	restarted, first := false, true
 	t := &tableReader{
 		store: d.cfg.Platform.Store, name: MembersTable, log: d.log, addressChanges: &d.storeAddressChanges, backoff: minBackoff, notify: func(bool) {},
 		answered: d.clockRead,
 		apply: func(rows store.Rows, complete bool) {
-			restarted = restarted || hasRow(rows.Rows, d.cfg.Settings.Instance)
+			restarted = restarted || first && hasRow(rows.Rows, d.cfg.Settings.Instance)
+			first = false
 			d.loop.post(control.MembersRead{Rows: rows.Rows, Complete: complete, Position: rows.Position})
 		},
 	}
@@ -333,8 +335,9 @@
 		if polls < len(initialMembersPolls) && !restarted {
 			interval = initialMembersPolls[polls]
 		}
-		polls++
-		d.awaitMembersPoll(ctx, jittered(interval))
+		if !d.awaitMembersPoll(ctx, jittered(interval)) {
+			polls++
+		}
 	}
 }
 
@@ -344,15 +347,17 @@
 }
 
 // awaitMembersPoll returns after the interval, when the reducer requests a read of
-// the member table, or when ctx ends.
-func (d *Daemon) awaitMembersPoll(ctx context.Context, interval time.Duration) {
+// the member table, or when ctx ends. It reports whether the reducer has.
+func (d *Daemon) awaitMembersPoll(ctx context.Context, interval time.Duration) (requested bool) {
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-d.readMembers:
+		return true
 	}
+	return false
 }
 
 // jittered returns d shortened by a random part of up to jitterFraction.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -62,6 +62,7 @@
 	QuotaShareMoved       Number = 9023
 	QuotaOwnerUnavailable Number = 9024
 	QuotaPaused           Number = 9025
+	QuotaMembersUnread    Number = 9026
 
 	StoreLost        Number = 7001
 	StoreRecovered   Number = 7002
@@ -153,6 +154,7 @@
 	{QuotaShareMoved, "quota-share-moved", "The data centre's share of a customer's allowance changed; the line says by how much."},
 	{QuotaOwnerUnavailable, "quota-owner-unavailable", "The daemon that keeps a customer's token bucket did not answer; this daemon's own small share is used."},
 	{QuotaPaused, "quota-paused", "The process did not run for a while; its token buckets were dropped, since another daemon may keep them."},
+	{QuotaMembersUnread, "quota-members-unread", "Requests of a customer with a limit are refused: the daemon has not read its own entry of the member table and knows no other one that grants tokens."},
 }
 
 var byNumber = indexByNumber()
--- a/internal/manifest/customer.go
+++ b/internal/manifest/customer.go
@@ -75,6 +75,16 @@
 // key.
 func (t *Table) HasCustomers() bool { return len(t.customers.byName) > 0 }
 
+// HasLimitedCustomers reports whether any customer has a limit.
+func (t *Table) HasLimitedCustomers() bool {
+	for _, customer := range t.customers.byName {
+		if customer.RatePerSecond > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // CustomerByKey returns the customer with the key, or nil if there is none.
 func (t *Table) CustomerByKey(key string) *Customer { return t.customers.byKey[hashKey(key)] }
 
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -61,10 +61,11 @@
 	// total is the number of all other daemons, whether or not this daemon
 	// connects to them.
 	total int
-	// remote holds the names of the other data centres; complete is set once all
-	// daemons are known.
-	remote   []string
-	complete bool
+	// remote holds the names of the other data centres.
+	remote []string
+	// ownEntryRead is set once this daemon's own entry of the member table has been read.
+	// It is atomic because states are made while mu is held.
+	ownEntryRead atomic.Bool
 	// viewVersion changes whenever quotaView returns something else.
 	viewVersion atomic.Uint64
 }
@@ -109,6 +110,9 @@
 // stopping reports whether the peer has begun a planned stop.
 func (s *peerState) stopping() bool { return s != nil && s.GetStopping() }
 
+// membersUnread reports whether the peer has not read its own entry of the member table.
+func (s *peerState) membersUnread() bool { return s != nil && s.GetMembersUnread() }
+
 // Listener holds callbacks for what peers report. They must not block.
 type Listener struct {
 	// StateReceived is called with each state that a peer reports.
@@ -300,7 +304,7 @@
 	if before := p.state.Load(); before.storeUnavailable() != state.GetStoreLost() {
 		ps.listener.StoreAvailabilityChanged(p.Instance, state.GetStoreLost())
 	}
-	if p.state.Load().stopping() != state.GetStopping() {
+	if before := p.state.Load(); before.stopping() != state.GetStopping() || before.membersUnread() != state.GetMembersUnread() {
 		defer ps.viewVersion.Add(1)
 	}
 	load := float64(state.GetRunning() + state.GetWaiting())
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -298,6 +298,7 @@
 		LineDelayUs:      uint32(p.expectedRTT().Microseconds()),
 		FailuresPerMille: uint32(p.failureShare() * perMille),
 		LinkBacklogUs:    uint32(p.deps.Peers.LinkBacklog().Microseconds()),
+		MembersUnread:    p.deps.Peers.membersUnread(),
 	}
 	if t := p.table.Load(); t != nil {
 		state.ConfigVersion = t.Version
--- a/internal/proxy/quota.go
+++ b/internal/proxy/quota.go
@@ -55,8 +55,8 @@
 	limiter *quota.Limiter
 	// leaving is set once a planned stop has begun.
 	leaving bool
-	// viewBuilt is set once the limiter has a view, of the version viewVersion of
-	// the peers.
+	// viewBuilt is set while the limiter has the view of the version viewVersion of the
+	// peers.
 	viewBuilt   bool
 	viewVersion uint64
 	// answered holds, by customer, the channel that is closed when the message to the
@@ -108,6 +108,9 @@
 	return q.limiter.HasLimits()
 }
 
+// HasLimits reports whether any customer has a limit.
+func (p *Proxy) HasLimits() bool { return p.quotas.limited() }
+
 // beginStop makes other daemons the owners of buckets.
 func (q *quotas) beginStop() {
 	q.mu.Lock()
@@ -162,12 +165,10 @@
 	q.mu.Lock()
 	now := q.clock()
 	if version := q.peers.viewVersion.Load(); !q.viewBuilt || version != q.viewVersion {
-		view, known := q.peers.quotaView()
-		if known {
-			view.Leaving = q.leaving
-			q.limiter.SetView(now, view)
-		}
-		q.viewBuilt, q.viewVersion = known, version
+		view := q.peers.quotaView()
+		view.Leaving = q.leaving
+		q.limiter.SetView(now, view)
+		q.viewBuilt, q.viewVersion = true, version
 	}
 	return now
 }
@@ -356,6 +357,12 @@
 	if d.Action != quota.Refuse {
 		return
 	}
+	if d.NoOwner {
+		if q.mayLog(now, event.QuotaMembersUnread, customer) {
+			q.log.Event(event.QuotaMembersUnread, customerField(customer))
+		}
+		return
+	}
 	q.refused[customer]++
 	if !q.mayLog(now, event.QuotaExceeded, customer) {
 		return
--- a/internal/proxy/quota_metrics.go
+++ b/internal/proxy/quota_metrics.go
@@ -9,6 +9,10 @@
 	"godwitmount/internal/status"
 )
 
+// MembersUnread reports whether this daemon has not read its own entry of the member table,
+// so that it grants no tokens.
+func (p *Proxy) MembersUnread() bool { return p.deps.Peers.membersUnread() }
+
 // QuotaStatus returns the status of the customers with a limit that have sent requests
 // lately.
 func (p *Proxy) QuotaStatus() []status.Quota {
--- a/internal/proxy/quota_peers.go
+++ b/internal/proxy/quota_peers.go
@@ -23,18 +23,20 @@
 	}
 }
 
-// partialViewAfter is the time from the start of the process after which the quotas use
-// what is known of the other daemons, although the member table could not be read. With
-// too few of them known, shares are too large.
-const partialViewAfter = 3 * time.Second
-
-// SetMesh sets the names of the other data centres, and whether all daemons are known.
-func (ps *Peers) SetMesh(remote []string, complete bool) {
+// SetMesh sets the names of the other data centres, and whether this daemon's own entry of
+// the member table has been read. It reports whether the latter has changed.
+func (ps *Peers) SetMesh(remote []string, ownEntryRead bool) bool {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	ps.remote, ps.complete = remote, complete
+	defer ps.viewVersion.Add(1)
+	ps.remote = remote
+	return ps.ownEntryRead.Swap(ownEntryRead) != ownEntryRead
 }
 
+// membersUnread reports whether this daemon's own entry of the member table has not been
+// read.
+func (ps *Peers) membersUnread() bool { return !ps.ownEntryRead.Load() }
+
 // remoteCentres returns the names of the other data centres.
 func (ps *Peers) remoteCentres() []string {
 	ps.mu.RLock()
@@ -42,26 +44,23 @@
 	return ps.remote
 }
 
-// quotaView returns what the quotas need to know of the other daemons. It reports
-// false while too little is known.
-func (ps *Peers) quotaView() (quota.View, bool) {
+// quotaView returns what the quotas need to know of the other daemons.
+func (ps *Peers) quotaView() quota.View {
 	ps.mu.RLock()
 	defer ps.mu.RUnlock()
-	if !ps.complete && ps.now() < partialViewAfter {
-		return quota.View{}, false
-	}
-	view := quota.View{Remote: ps.remote, Daemons: ps.total + 1}
+	view := quota.View{Remote: ps.remote, Daemons: ps.total + 1, MembersUnread: ps.membersUnread()}
 	for _, p := range ps.all {
 		if p.DataCentre == ps.self.DataCentre {
 			view.Members = append(view.Members, quota.Member{
-				Instance:  p.Instance,
-				Reachable: p.up.Load(),
-				Silent:    p.silent.Load(),
-				Leaving:   p.state.Load().stopping(),
+				Instance:      p.Instance,
+				Reachable:     p.up.Load(),
+				Silent:        p.silent.Load(),
+				Leaving:       p.state.Load().stopping(),
+				MembersUnread: p.state.Load().membersUnread(),
 			})
 		}
 	}
-	return view, true
+	return view
 }
 
 // reachableIn returns a reachable daemon of a data centre, at random, or "".
--- a/internal/proxy/quota_test.go
+++ b/internal/proxy/quota_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 	"godwitmount/internal/control"
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/quota"
@@ -149,21 +150,66 @@
 }
 
 // TestUnknownMeshRefusesLimitedRequests guards against a daemon that takes itself for
-// the only one before it has read the member table.
+// the only one before it has read its own entry of the member table, however long ago it
+// was started, and against peers and operators that do not learn of that.
 func TestUnknownMeshRefusesLimitedRequests(t *testing.T) {
 	p, _ := newQuotaProxy(t)
 	p.quotas.limiter = quota.New(quota.Config{Instance: "i", Params: quota.Params{Window: time.Second, Slack: 100}})
 	p.quotas.viewBuilt = false
 	p.deps.Peers.SetMesh(nil, false)
+	p.deps.Peers.epoch = time.Now().Add(-time.Minute)
 	p.SetTable(p.ActiveTable())
+	if !p.State().GetMembersUnread() || !p.MembersUnread() {
+		t.Error("the state does not say that the members are not known")
+	}
 	if refused := send(t, p, 3, "a", "k1", ""); refused != 3 {
 		t.Errorf("%d of 3 requests refused", refused)
 	}
 	if refused := send(t, p, 3, "a", "k2", ""); refused != 0 {
 		t.Errorf("%d of 3 requests without a limit refused", refused)
 	}
-	p.deps.Peers.SetMesh(nil, true)
+	if !p.deps.Peers.SetMesh(nil, true) || p.deps.Peers.SetMesh(nil, true) {
+		t.Error("a change of what is known is not reported once")
+	}
+	if p.State().GetMembersUnread() || p.MembersUnread() {
+		t.Error("the state still says that the members are not known")
+	}
 	if refused := send(t, p, 3, "a", "k1", ""); refused != 0 {
 		t.Errorf("%d of 3 requests refused once all daemons are known", refused)
 	}
 }
+
+// TestPeerSaysWhetherItGrantsTokens guards against a peer that is chosen as owner of buckets
+// although its state says that it has not read its entry, or that is never chosen after its
+// state has changed.
+func TestPeerSaysWhetherItGrantsTokens(t *testing.T) {
+	ps := NewPeers(control.Member{Instance: "i", DataCentre: "a"}, Listener{StateReceived: func(string, *hopv1.State) {}}, nil, nil)
+	p := &peer{Member: control.Member{Instance: "p", DataCentre: "a"}}
+	ps.all["p"] = p
+	for i, unread := range []bool{true, false, false, true} {
+		before := ps.viewVersion.Load()
+		changes := p.state.Load().membersUnread() != unread
+		ps.handleState(p, &hopv1.State{MembersUnread: unread})
+		if got := ps.quotaView().Members[0].MembersUnread; got != unread {
+			t.Errorf("state %d: members unread %t, want %t", i, got, unread)
+		}
+		if changed := ps.viewVersion.Load() != before; changed != changes {
+			t.Errorf("state %d: the view has changed: %t, want %t", i, changed, changes)
+		}
+	}
+}
+
+// TestStateIsMadeWhilePeersAreLocked guards against a deadlock: pings are sent, and states
+// made for them, while the set of peers is locked for reading and a change of it waits.
+func TestStateIsMadeWhilePeersAreLocked(t *testing.T) {
+	p, _ := newQuotaProxy(t)
+	p.deps.Peers.mu.Lock()
+	defer p.deps.Peers.mu.Unlock()
+	made := make(chan *hopv1.State)
+	go func() { made <- p.State() }()
+	select {
+	case <-made:
+	case <-time.After(5 * time.Second):
+		t.Error("making a state waits for the peers")
+	}
+}
