Write the member entry again if it is removed while the daemon runs

Cause: the store may perform a removal seconds after the call. If the previous process of a daemon has removed its entry in a planned stop, the next one may read it first and then lose it; it wrote it again only when the store came back from an older copy.

--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -96,11 +96,12 @@
 // the known ones are ignored; a row that cannot be decoded is logged and leaves
 // the known entry unchanged.
 func (c *Core) membersRead(ev MembersRead) {
-	changed := false
+	changed, ownRemoved := false, false
 	seen := map[string]bool{}
 	for _, row := range ev.Rows {
 		seen[row.Key] = true
 		changed = c.memberRead(row) || changed
+		ownRemoved = ownRemoved || row.Removed && row.Key == c.cfg.Self.Instance
 	}
 	if ev.Complete {
 		c.markMissing(seen, ev.Position)
@@ -110,6 +111,10 @@
 	if changed {
 		c.publishMembers()
 	}
+	if own := c.members[c.cfg.Self.Instance]; ownRemoved && own.removed() && !ev.Complete {
+		// The previous process removed it, and the store has performed that only now.
+		c.writeSelf()
+	}
 }
 
 // memberRead applies one row of the member table and reports whether it changed
