Show operators that a daemon grants no tokens yet

Cause: a daemon that has not read its entry of the member table refuses customers with a limit; only a log line said so.

--- a/internal/ctl/route_text.go
+++ b/internal/ctl/route_text.go
@@ -64,6 +64,10 @@
 	case status.QuotaAdmit:
 		fmt.Fprint(w, "would be admitted")
 	case status.QuotaRefuse:
+		if q.NoOwner {
+			fmt.Fprint(w, "would be refused, no daemon is known that grants tokens")
+			break
+		}
 		fmt.Fprintf(w, "would be refused, next token in %.0f ms", q.WaitMS)
 	case status.QuotaAsk:
 		fmt.Fprintf(w, "%s would be asked", q.Ask)
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -39,6 +40,9 @@
 	fmt.Fprintf(w, "version   %d\n", r.ConfigVersion)
 	fmt.Fprintf(w, "store era %d\n", r.StoreEra)
 	fmt.Fprintf(w, "upstream  %s of %s is %s: %d running, %d waiting, %d slots\n", u.ID, u.Service, u.State, u.Running, u.Waiting, u.Slots)
+	if r.MembersUnread {
+		fmt.Fprintln(w, "members   own entry not read yet, grants no tokens of quotas")
+	}
 	for _, rollout := range r.Rollouts {
 		writeRollout(w, rollout)
 	}
@@ -72,7 +76,7 @@
 
 // writeQuota writes the line of one customer's quota.
 func writeQuota(w io.Writer, q status.Quota) {
-	fmt.Fprintf(w, "quota     %s: %g a second and %g at once, %.0f%% of it here, bucket at %s", q.Customer, q.RatePerSecond, q.Burst, q.Share*100, q.Owner)
+	fmt.Fprintf(w, "quota     %s: %g a second and %g at once, %.0f%% of it here, bucket at %s", q.Customer, q.RatePerSecond, q.Burst, q.Share*100, cmp.Or(q.Owner, "no known daemon"))
 	if q.Held {
 		fmt.Fprintf(w, ", %.1f of %.1f tokens, %.1f requests a second", q.Level, q.Depth, q.Demand)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -415,6 +415,7 @@
 	s.StoreEra = uint64(d.cfg.Platform.Store.Eras().Latest())
 	s.Rollouts = d.rollouts.status()
 	s.Peers = d.peers.Status()
+	s.MembersUnread = d.proxy.MembersUnread()
 	s.Quotas = d.proxy.QuotaStatus()
 	return s
 }
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -77,6 +77,14 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "godwitmount_peers", Help: "Other daemons that are known.",
 		}, func() float64 { return float64(p.deps.Peers.Count()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "godwitmount_quota_members_unread", Help: "1 while customers have limits and this daemon grants no tokens because it has not read its own entry of the member table.",
+		}, func() float64 {
+			if p.HasLimits() && p.deps.Peers.membersUnread() {
+				return 1
+			}
+			return 0
+		}),
 		resumedCounter("sent-again", &p.deps.Peers.resumed.sentAgain),
 		resumedCounter("moved", &p.deps.Peers.resumed.moved),
 		resumedCounter("lost", &p.deps.Peers.resumed.lost),
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -130,7 +130,7 @@
 	decisions := map[quota.Action]string{quota.Admit: status.QuotaAdmit, quota.Refuse: status.QuotaRefuse, quota.Ask: status.QuotaAsk}
 	return &status.RouteQuota{
 		RatePerSecond: customer.RatePerSecond, Burst: customer.Burst,
-		Decision: decisions[preview.Action], OwnShare: preview.Own, Ask: preview.To,
+		Decision: decisions[preview.Action], OwnShare: preview.Own, Ask: preview.To, NoOwner: preview.NoOwner,
 		WaitMS: inMilliseconds(preview.Wait), Held: preview.Held, Level: preview.Level,
 	}
 }
--- a/internal/status/route.go
+++ b/internal/status/route.go
@@ -85,6 +85,9 @@
 	OwnShare bool `json:"own_share"`
 	// Ask is the instance that would be asked.
 	Ask string `json:"ask,omitempty"`
+	// NoOwner is set if requests are refused because the daemon has not read its own entry
+	// of the member table and knows no other one that grants tokens.
+	NoOwner bool `json:"no_owner,omitempty"`
 	// WaitMS is the time until the next token in milliseconds, 0 if there is one or it is
 	// not known here.
 	WaitMS float64 `json:"wait_ms"`
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -20,6 +20,9 @@
 	Rollouts []Rollout `json:"rollouts,omitempty"`
 	// Peers holds the daemons to which this one stays connected.
 	Peers []Peer `json:"peers"`
+	// MembersUnread is set until the daemon has read its own entry of the member table.
+	// Until then it grants no tokens of customers' quotas.
+	MembersUnread bool `json:"members_unread,omitempty"`
 	// Quotas holds the customers with a limit that have sent requests lately.
 	Quotas []Quota `json:"quotas,omitempty"`
 }
@@ -30,7 +33,8 @@
 	// RatePerSecond and Burst are the customer's limit over all daemons.
 	RatePerSecond float64 `json:"rate_per_second"`
 	Burst         float64 `json:"burst"`
-	// Owner is the instance that keeps the token bucket of the data centre, and Share
+	// Owner is the instance that keeps the token bucket of the data centre, empty if none
+	// is known, and Share
 	// the data centre's part of the limit, 0 to 1.
 	Owner string  `json:"owner"`
 	Share float64 `json:"share"`
