--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -188,6 +188,9 @@
 	Remote []string
 	// Complete is set once the whole member table has been read.
 	Complete bool
+	// OwnEntryRead is set once a read of the member table has returned this daemon's own
+	// entry; see docs/design/quotas.md.
+	OwnEntryRead bool
 }
 
 // SetUpstream passes the state of the local upstream to the data path.
