End replaced connections with the one that replaced them

Cause: Client.serve waits for the end of the first connection, then for that of each that replaced it. The monitor of a replaced connection has ended, and only a Resumed reset it. If the second connection was lost before the Resumed arrived, the client waited for the silent first one and never connected again. Change: the end of the established connection resets the replaced ones, as a Resumed does (resetRetired). TestSecondConnectionEndsBeforeItsResumeIsAnswered is new. Conclusion: a peer is connected to again after two connections in a row have failed.

--- a/internal/hop/connection.go
+++ b/internal/hop/connection.go
@@ -210,8 +210,9 @@
 }
 
 // connectionEnded handles the end of a connection. If it was the one for requests, they
-// are resumed on the next one, unless the peer has been silent for too long. If it ended
-// before its handshake, they are failed.
+// are resumed on the next one, unless the peer has been silent for too long. Connections
+// that it has replaced end with it, since serve waits for all of them. If it ended before
+// its handshake, the requests are failed.
 func (c *Client) connectionEnded(conn *clientConn) {
 	defer close(conn.ended)
 	c.mu.Lock()
@@ -221,6 +222,7 @@
 	case isClosed(conn.retired):
 	case c.established(conn):
 		c.conn.Store(nil)
+		c.resetRetired()
 		if conn.resumable && c.hasWork() {
 			c.unresolve(conn)
 		}
--- /dev/null
+++ b/internal/hop/replace_test.go
@@ -0,0 +1,73 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+)
+
+// dialTo returns a client of the instance "server" at the listener's address.
+func dialTo(t *testing.T, listener net.Listener) *Client {
+	t.Helper()
+	start := time.Now()
+	state := func() *hopv1.State { return &hopv1.State{} }
+	client := NewClient(listener.Addr().String(), &hopv1.Hello{Instance: "client"}, Hooks{
+		Instance: "server", Up: func() {}, Down: func(error) {}, StateReceived: func(*hopv1.State) {},
+		DrainRecord: func() *hopv1.Left { return nil }, DrainRecordReceived: func(*hopv1.Left) {},
+		HelloState: state, State: state, AdaptiveTimeout: &AdaptiveTimeout{},
+		Now: func() time.Duration { return time.Since(start) },
+	})
+	t.Cleanup(client.Close)
+	return client
+}
+
+// acceptHello accepts a connection of a client and completes the handshake.
+func acceptHello(t *testing.T, listener net.Listener) *rawPeer {
+	t.Helper()
+	if err := listener.(*net.TCPListener).SetDeadline(time.Now().Add(resumeLimit)); err != nil {
+		t.Fatal(err)
+	}
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	peer := &rawPeer{conn, bufio.NewReader(conn)}
+	session := peer.receive(t).GetHello().GetSession()
+	peer.send(t, &hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: &hopv1.Hello{Instance: "server", Session: session, TakesParts: true}}})
+	return peer
+}
+
+// TestSecondConnectionEndsBeforeItsResumeIsAnswered covers a second connection that has
+// replaced a silent one and is lost before the peer has answered its Resume. The client
+// waited for the end of the silent one and never connected again.
+func TestSecondConnectionEndsBeforeItsResumeIsAnswered(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	client := dialTo(t, listener)
+	_ = acceptHello(t, listener)
+	for client.conn.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	result := start(context.Background(), client, &hopv1.Request{Id: "a"})
+	second := acceptHello(t, listener)
+	if resume := second.receive(t).GetResume(); len(resume.GetSessions()) != 1 {
+		t.Errorf("the second connection begins with %v, want a Resume of one session", resume)
+	}
+	_ = second.Close()
+	third := acceptHello(t, listener)
+	resume := third.receive(t).GetResume()
+	if len(resume.GetSessions()) != 2 || len(resume.GetWanted()) != 1 {
+		t.Fatalf("the third connection begins with %v, want a Resume of two sessions and one request", resume)
+	}
+	third.send(t, &hopv1.Frame{Body: &hopv1.Frame_Resumed{Resumed: &hopv1.Resumed{}}})
+	third.send(t, &hopv1.Frame{Stream: resume.Wanted[0], Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{Body: []byte("a")}}})
+	expectAnswer(t, result, "a")
+}
--- a/internal/hop/resume.go
+++ b/internal/hop/resume.go
@@ -160,17 +160,23 @@
 			c.fail(stream, p)
 		}
 	}
-	for other := range c.open {
-		if isClosed(other.retired) {
-			other.reset()
-		}
-	}
+	c.resetRetired()
 	c.mu.Unlock()
 	if c.hooks.Resumed != nil {
 		c.hooks.Resumed(result, conn.replaces != nil)
 	}
 }
 
+// resetRetired resets the connections that were replaced. Nothing else ends those that are
+// silent, since their monitor has ended. The caller holds mu.
+func (c *Client) resetRetired() {
+	for conn := range c.open {
+		if isClosed(conn.retired) {
+			conn.reset()
+		}
+	}
+}
+
 // resuming reports whether requests wait for the next connection.
 func (c *Client) resuming() bool {
 	c.mu.Lock()
