Send the large frames of one stream one after another

Cause: two frames above 8 KiB without a stream of their own (pings, pongs and the broadcast with many suspects) were sent by two goroutines under stream number 0. The receiver joined their parts, and the decode error ended the connection. Change: a frame waits until an earlier one of its stream has been sent or given up. This also keeps the order of pings and pongs, which pingTimes relies on. takeUnsent now also stops earlier frames of a stream, of which it knows only the last.

--- a/internal/hop/parts.go
+++ b/internal/hop/parts.go
@@ -26,8 +26,8 @@
 	allowed, paced atomic.Bool
 
 	mu sync.Mutex
-	// sending holds, by stream, the frames whose parts are not all sent. After the end of
-	// the connection they stay there for takeUnsent.
+	// sending holds, by stream, the last frame whose parts are not all sent. After the end
+	// of the connection it stays there for takeUnsent.
 	sending map[uint64]*partedFrame
 	// ended is set by takeUnsent: nothing more is sent.
 	ended bool
@@ -37,8 +37,9 @@
 // backlog.
 type partedFrame struct {
 	outgoing
-	// cancel ends the sending.
+	// cancel ends the sending; done is closed when it has ended.
 	cancel context.CancelFunc
+	done   chan struct{}
 	// granted is nil if the peer does not pace the frame.
 	granted *allowance
 	// unsent is the number of bytes that are not sent, backlog the part of them that
@@ -60,7 +61,9 @@
 const urgentLead = time.Hour
 
 // start sends a frame in parts in the background. The parts of an urgent frame go before
-// those of others on the machine's network link.
+// those of others on the machine's network link. Frames of the same stream are sent one
+// after another, since the receiver joins the parts of a stream: pings, pongs and other
+// frames without a stream of their own share one.
 func (s *partSender) start(frame outgoing) {
 	order := s.link.Now()
 	if frame.urgent {
@@ -68,13 +71,14 @@
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	data := withoutLength(frame.encoded)
-	parted := &partedFrame{outgoing: frame, cancel: cancel, unsent: len(data)}
+	parted := &partedFrame{outgoing: frame, cancel: cancel, done: make(chan struct{}), unsent: len(data)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended {
 		cancel()
 		return
 	}
+	previous := s.sending[frame.stream]
 	s.sending[frame.stream] = parted
 	if s.announces(&frame) {
 		parted.granted = newAllowance()
@@ -83,6 +87,10 @@
 		s.addBacklog(parted, len(data))
 	}
 	go func() {
+		defer close(parted.done)
+		if previous != nil {
+			<-previous.done
+		}
 		s.send(ctx, parted, data, order)
 		s.end(parted)
 	}()
@@ -107,7 +115,7 @@
 func (s *partSender) sendPart(ctx context.Context, frame *partedFrame, data []byte) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ctx.Err() != nil {
+	if s.ended || ctx.Err() != nil {
 		return false
 	}
 	last := len(data) == frame.unsent
