Never send a Resume in parts

Cause: a Resume above 8 KiB (about 1,700 wanted streams of five bytes) was sent in parts in the background. A request that was sent next arrived first, was not among the wanted streams, and was cancelled. Change: outgoing.whole keeps a frame's place among those of its connection; a Resume has it. TestLargeResumeIsNotOvertaken is new. Conclusion: a Resume of 2,000 streams delays small frames by the transfer of 10 KB at most once for each replaced connection.

--- a/internal/hop/announce.go
+++ b/internal/hop/announce.go
@@ -18,6 +18,8 @@
 	encoded []byte
 	// urgent makes its parts go before those of other frames.
 	urgent bool
+	// whole makes it precede all frames that are sent later: it is not sent in parts.
+	whole bool
 	// request holds the times left of a request; nil for other frames. sentUs is the
 	// frame's.
 	request *hopv1.Request
--- a/internal/hop/peerconn.go
+++ b/internal/hop/peerconn.go
@@ -73,7 +73,9 @@
 	}
 	// A late configuration harms all requests; a late answer harms one.
 	urgent := frame.GetConfigAnswer() != nil
-	return pc.sendEncoded(outgoing{frame.Stream, buffer, urgent, frame.GetRequest(), frame.SentUs, sent})
+	// A request that arrived before the Resume would not be among the wanted ones.
+	whole := frame.GetResume() != nil
+	return pc.sendEncoded(outgoing{frame.Stream, buffer, urgent, whole, frame.GetRequest(), frame.SentUs, sent})
 }
 
 // sendEncoded is send for the result of encode.
@@ -81,7 +83,7 @@
 	if isClosed(pc.done) {
 		return errConnClosed
 	}
-	if pc.parts.takes(frame.encoded) {
+	if !frame.whole && pc.parts.takes(frame.encoded) {
 		pc.parts.start(frame)
 		return nil
 	}
--- a/internal/hop/replace_test.go
+++ b/internal/hop/replace_test.go
@@ -71,3 +71,36 @@
 	third.send(t, &hopv1.Frame{Stream: resume.Wanted[0], Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{Body: []byte("a")}}})
 	expectAnswer(t, result, "a")
 }
+
+// TestLargeResumeIsNotOvertaken covers a connection that is replaced with so many requests
+// in flight that its Resume exceeds the size of a part. A request that was sent next
+// arrived first, was not among the wanted ones and was cancelled.
+func TestLargeResumeIsNotOvertaken(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	client := dialTo(t, listener)
+	_ = acceptHello(t, listener)
+	for client.conn.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	const inFlight = 2000
+	client.mu.Lock()
+	client.lastStream = 1 << 30 // Its streams have five bytes each.
+	client.mu.Unlock()
+	for range inFlight {
+		start(context.Background(), client, &hopv1.Request{Id: "a"})
+	}
+	for pending := 0; pending < inFlight; time.Sleep(time.Millisecond) {
+		client.mu.Lock()
+		pending = len(client.pending)
+		client.mu.Unlock()
+	}
+	second := acceptHello(t, listener)
+	first := second.receive(t)
+	if wanted := len(first.GetResume().GetWanted()); wanted != inFlight {
+		t.Errorf("the connection begins with %T of %d wanted streams, want a Resume of %d", first.Body, wanted, inFlight)
+	}
+}
