End the sending of a large answer when its request is cancelled

Cause: session.cancel cancelled only the running request. A large answer that was being sent in parts was sent to its end, and so was one that came after the Cancel; the entry daemon went on granting its parts. A caller that left during a large download occupied a slow link. Change: a session that receives a Cancel stops the parts of the answer, sends a Cancel, with which the entry daemon drops what it has and releases its grants as a receiver of requests does, and a Failure (call-cancelled), which confirms the end. The ledger records whether a caller waits for the reply of a running request; a large answer that nobody waits for is replaced by that Failure. Configurations that are fetched are treated alike; failures are sent in full, since they say whether the request has run. takeUnsent returns frames with their properties.

--- a/internal/hop/announce.go
+++ b/internal/hop/announce.go
@@ -20,6 +20,9 @@
 	urgent bool
 	// whole makes it precede all frames that are sent later: it is not sent in parts.
 	whole bool
+	// cancellable marks a reply that is of no use to a peer that has cancelled its stream.
+	// A failure is of use: it says whether the request has run.
+	cancellable bool
 	// request holds the times left of a request; nil for other frames. sentUs is the
 	// frame's.
 	request *hopv1.Request
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,9 +22,14 @@
 // largeBody is the size in bytes of the answer to the request with id "large".
 const largeBody = 200 << 10
 
+// hugeBody is the size in bytes of the answer to the request with id "huge". On the slowest
+// links, which get a part each 200 ms, its transfer takes longer than resumeLimit.
+const hugeBody = 20 * largeBody
+
 // testHandler answers each request with its id. A request with id "slow" runs
-// until it is cancelled, one with id "queued" then says that it has not run, and one with
-// id "held" runs until it is released or cancelled.
+// until it is cancelled, one with id "queued" then says that it has not run, one with id
+// "held" runs until it is released or cancelled, and one with id "large after release"
+// until it is released.
 type testHandler struct {
 	cancelled chan string
 	// disconnected receives the instance of each peer whose connection has ended.
@@ -35,7 +41,7 @@
 	remainingMs atomic.Int64
 	// started receives the id of each request that starts, if there is room.
 	started chan string
-	// release ends a request with id "held".
+	// release ends a request with id "held" or "large after release".
 	release chan struct{}
 	runs    atomic.Int64
 }
@@ -68,7 +74,13 @@
 	if request.Id == "oversized" {
 		return &hopv1.Frame{Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{Status: 200, Body: make([]byte, MaxFrame)}}}
 	}
-	if request.Id == "large" {
+	if request.Id == "large after release" {
+		<-h.release
+	}
+	if request.Id == "huge" {
+		return &hopv1.Frame{Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{Status: 200, Body: make([]byte, hugeBody)}}}
+	}
+	if strings.HasPrefix(request.Id, "large") {
 		return &hopv1.Frame{Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{Status: 200, Body: make([]byte, largeBody)}}}
 	}
 	return &hopv1.Frame{Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{Status: 200, Body: []byte(request.Id), State: h.State()}}}
@@ -116,6 +128,13 @@
 
 // startPairOn is startPair with a network link of the server's machine.
 func startPairOn(t *testing.T, link *shaping.Link) (*testHandler, *faultlink.Link, *Client, chan error) {
+	t.Helper()
+	return startPairBetween(t, link, nil)
+}
+
+// startPairBetween is startPair with the network links of the server's and the client's
+// machines.
+func startPairBetween(t *testing.T, link, clientLink *shaping.Link) (*testHandler, *faultlink.Link, *Client, chan error) {
 	t.Helper()
 	handler := &testHandler{cancelled: make(chan string, 10), disconnected: make(chan string, 10),
 		started: make(chan string, 10), release: make(chan struct{}, 10)}
@@ -145,6 +164,7 @@
 		HelloState:      func() *hopv1.State { return &hopv1.State{} },
 		State:           func() *hopv1.State { return &hopv1.State{} },
 		AdaptiveTimeout: &AdaptiveTimeout{},
+		Link:            clientLink,
 		Now:             func() time.Duration { return time.Since(start) },
 	})
 	t.Cleanup(func() {
--- a/internal/hop/ledger.go
+++ b/internal/hop/ledger.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -22,7 +23,8 @@
 	// fenced is set once the session was replaced: nothing more is received on it.
 	fenced   bool
 	received streamSet
-	running  map[uint64]bool
+	// running holds the running requests, and whether a caller waits for the reply.
+	running map[uint64]bool
 	// retained holds the replies sent last, oldest first; retainedBytes is their size.
 	retained      []retainedReply
 	retainedBytes int
@@ -48,11 +50,23 @@
 
 // cancel records a Cancel. A request that arrives after it is not run.
 func (l *ledger) cancel(stream uint64) {
-	if !l.fenced {
-		l.received.add(stream)
+	if l.fenced {
+		return
+	}
+	l.received.add(stream)
+	l.abandon(stream)
+}
+
+// abandon records that no caller waits for the reply to a request, if it still runs.
+func (l *ledger) abandon(stream uint64) {
+	if _, runs := l.running[stream]; runs {
+		l.running[stream] = false
 	}
 }
 
+// awaited reports whether a request runs and a caller waits for the reply.
+func (l *ledger) awaited(stream uint64) bool { return l.running[stream] }
+
 // end records the reply to a running request.
 func (l *ledger) end(now time.Duration, stream uint64, encoded []byte) {
 	delete(l.running, stream)
@@ -77,9 +91,7 @@
 func (l *ledger) absorb(other *ledger) {
 	other.fenced = true
 	l.received.addAll(&other.received)
-	for stream := range other.running {
-		l.running[stream] = true
-	}
+	maps.Copy(l.running, other.running)
 	l.retained = append(l.retained, other.retained...)
 	slices.SortStableFunc(l.retained, func(a, b retainedReply) int { return int(a.at - b.at) })
 	l.retainedBytes += other.retainedBytes
@@ -127,6 +139,9 @@
 			result.unwanted = append(result.unwanted, stream)
 		}
 	}
+	for _, stream := range result.unwanted {
+		l.abandon(stream)
+	}
 	slices.Sort(result.unwanted)
 	return result
 }
--- a/internal/hop/parts.go
+++ b/internal/hop/parts.go
@@ -153,23 +153,32 @@
 	}
 }
 
-// takeUnsent ends the sending of all parts and returns, by stream, the encoded frames
-// of which some parts were not sent. Nothing more is sent in parts after that.
-func (s *partSender) takeUnsent() map[uint64][]byte {
+// takeUnsent ends the sending of all parts and returns, by stream, the frames of which
+// some parts were not sent. Nothing more is sent in parts after that.
+func (s *partSender) takeUnsent() map[uint64]outgoing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ended = true
-	unsent := make(map[uint64][]byte, len(s.sending))
+	unsent := make(map[uint64]outgoing, len(s.sending))
 	for stream, frame := range s.sending {
 		frame.cancel()
 		if frame.unsent > 0 {
-			unsent[stream] = frame.encoded
+			unsent[stream] = frame.outgoing
 		}
 	}
 	s.sending = map[uint64]*partedFrame{}
 	return unsent
 }
 
+// sendsCancellable reports whether parts of a frame are left that need not be sent to a
+// peer that has cancelled the stream.
+func (s *partSender) sendsCancellable(stream uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	frame := s.sending[stream]
+	return frame != nil && frame.cancellable
+}
+
 // cancel stops sending the parts of a stream, if any are left.
 func (s *partSender) cancel(stream uint64) {
 	s.mu.Lock()
--- a/internal/hop/peerconn.go
+++ b/internal/hop/peerconn.go
@@ -71,11 +71,19 @@
 	if err != nil {
 		return err
 	}
-	// A late configuration harms all requests; a late answer harms one.
-	urgent := frame.GetConfigAnswer() != nil
-	// A request that arrived before the Resume would not be among the wanted ones.
-	whole := frame.GetResume() != nil
-	return pc.sendEncoded(outgoing{frame.Stream, buffer, urgent, whole, frame.GetRequest(), frame.SentUs, sent})
+	isConfig := frame.GetConfigAnswer() != nil
+	return pc.sendEncoded(outgoing{
+		stream:  frame.Stream,
+		encoded: buffer,
+		// A late configuration harms all requests; a late answer harms one.
+		urgent: isConfig,
+		// A request that arrived before the Resume would not be among the wanted ones.
+		whole:       frame.GetResume() != nil,
+		cancellable: isConfig,
+		request:     frame.GetRequest(),
+		sentUs:      frame.SentUs,
+		sent:        sent,
+	})
 }
 
 // sendEncoded is send for the result of encode.
--- a/internal/hop/resume_test.go
+++ b/internal/hop/resume_test.go
@@ -260,7 +260,7 @@
 	}
 	t.Cleanup(func() { _ = conn.Close() })
 	peer := &rawPeer{conn, bufio.NewReader(conn)}
-	peer.send(t, &hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: &hopv1.Hello{Instance: "raw", Session: session}}})
+	peer.send(t, &hopv1.Frame{Body: &hopv1.Frame_Hello{Hello: &hopv1.Hello{Instance: "raw", Session: session, TakesParts: true}}})
 	if got := peer.receive(t).GetHello().GetSession(); got != session {
 		t.Fatalf("the Hello has session %d", got)
 	}
--- a/internal/hop/session.go
+++ b/internal/hop/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"time"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
@@ -141,20 +142,31 @@
 	return &hopv1.Frame_Failure{Failure: &hopv1.Failure{Code: uint32(code.CallAnswerBroken)}}
 }
 
-// reply sends the reply of a request on the connection to which it has moved.
+// cancelledReply returns the failure that takes the place of an answer for which no caller
+// waits.
+func cancelledReply(stream uint64) *hopv1.Frame {
+	return &hopv1.Frame{Stream: stream, Body: &hopv1.Frame_Failure{Failure: &hopv1.Failure{Code: uint32(code.CallCancelled)}}}
+}
+
+// reply sends the reply of a request on the connection to which it has moved. A large
+// answer for which no caller waits is not sent.
 func (s *session) reply(reply *hopv1.Frame) {
 	encoded, err := encode(reply)
 	if err != nil {
 		// A failure without a text can always be encoded.
 		encoded, _ = encode(&hopv1.Frame{Stream: reply.Stream, Body: brokenAnswer()})
 	}
+	out := outgoing{stream: reply.Stream, encoded: encoded, cancellable: reply.GetAnswer() != nil}
 	s.server.sessionsMu.Lock()
 	defer s.server.sessionsMu.Unlock()
 	latest := s.latest()
-	delete(latest.cancels, reply.Stream)
-	latest.ledger.end(time.Since(s.epoch), reply.Stream, encoded)
+	if out.cancellable && !latest.ledger.awaited(out.stream) && latest.peerConn.parts.takes(encoded) {
+		out.encoded, _ = encode(cancelledReply(out.stream))
+	}
+	delete(latest.cancels, out.stream)
+	latest.ledger.end(time.Since(s.epoch), out.stream, out.encoded)
 	// If the connection has ended, the peer may still resume the session.
-	_ = latest.peerConn.sendEncoded(outgoing{stream: reply.Stream, encoded: encoded})
+	_ = latest.peerConn.sendEncoded(out)
 }
 
 // latest returns the session to which the requests of this one have moved, or itself.
@@ -198,7 +210,7 @@
 	if s.ledger.fenced {
 		return nil
 	}
-	unsent := map[uint64][]byte{}
+	unsent := map[uint64]outgoing{}
 	complete := true
 	for _, id := range resume.GetSessions() {
 		complete = s.absorb(id, unsent) && complete
@@ -219,8 +231,8 @@
 		delete(unsent, reply.stream)
 	}
 	for _, stream := range resume.GetWanted() {
-		if encoded := unsent[stream]; encoded != nil {
-			_ = s.peerConn.sendEncoded(outgoing{stream: stream, encoded: encoded})
+		if reply, found := unsent[stream]; found {
+			_ = s.peerConn.sendEncoded(reply)
 		}
 	}
 	return &movedRequests{
@@ -233,7 +245,7 @@
 // absorb moves the requests of an earlier session to this one, and to unsent the large
 // replies whose parts it has not all sent. It returns false if the session is unknown.
 // The caller holds Server.sessionsMu.
-func (s *session) absorb(id uint64, unsent map[uint64][]byte) bool {
+func (s *session) absorb(id uint64, unsent map[uint64]outgoing) bool {
 	earlier := s.server.sessions[id]
 	if earlier == nil || earlier.peer != s.peer {
 		return false
@@ -248,9 +260,7 @@
 	}
 	earlier.cancels = map[uint64]context.CancelFunc{}
 	earlier.peerConn.grants.close()
-	for stream, encoded := range earlier.peerConn.parts.takeUnsent() {
-		unsent[stream] = encoded
-	}
+	maps.Copy(unsent, earlier.peerConn.parts.takeUnsent())
 	earlier.replacedBy = s
 	return true
 }
@@ -287,7 +297,9 @@
 	}
 }
 
-// cancel cancels the request of a stream, if it still runs.
+// cancel cancels the request of a stream, if it still runs, or the sending of its large
+// reply. In that case a Cancel makes the peer drop what it has of the reply, and a failure
+// confirms the end of the request.
 func (s *session) cancel(stream uint64) {
 	s.server.sessionsMu.Lock()
 	defer s.server.sessionsMu.Unlock()
@@ -295,6 +307,11 @@
 	if cancel := s.cancels[stream]; cancel != nil {
 		cancel()
 	}
+	if s.peerConn.parts.sendsCancellable(stream) {
+		// If these fail, the connection has ended, and the reply is not moved to the next one.
+		_ = s.peerConn.send(&hopv1.Frame{Stream: stream, Body: &hopv1.Frame_Cancel{Cancel: &hopv1.Cancel{}}})
+		_ = s.peerConn.send(cancelledReply(stream))
+	}
 }
 
 // cancelAll cancels all running requests that have not moved to another session. A
