Wait for dropped peers to confirm cancellations

Cause: the connection to a peer that is no longer used was closed as soon as no request was outstanding there. A Cancel that was lost on a silent connection was never repeated, so that the request ran until the peer took this daemon for vanished (3.2 s); and CancellationsConfirmed, for which a planned stop waits, did not ask these peers. Change: the connection stays open until the peer has confirmed the end of cancelled requests, at most for 4 s without a request; CancellationsConfirmed asks dropped peers as well.

--- a/internal/proxy/connections.go
+++ b/internal/proxy/connections.go
@@ -17,20 +17,29 @@
 	// used still has requests, and maxRetiredTime how long its connection stays open at most.
 	retiredCheckInterval = 100 * time.Millisecond
 	maxRetiredTime       = 30 * time.Second
+	// maxUnconfirmedTime is how long the connection stays open for cancelled requests that
+	// the peer has not confirmed. A peer that this daemon cannot reach takes it for vanished
+	// after 3.2 s and ends them itself.
+	maxUnconfirmedTime = 4 * time.Second
 )
 
 // retire closes the connection to a peer that is no longer used, once the requests in
-// flight there have ended. The caller holds mu.
+// flight there have ended and it has confirmed the end of cancelled ones. The caller holds mu.
 func (ps *Peers) retire(p *peer) {
 	p.retired.Store(true)
 	ps.retired[p] = true
 	ps.closeWhenIdle(p, ps.now()+maxRetiredTime)
 }
 
-// closeWhenIdle closes the connection to a retired peer without requests, or at the time
-// end, and otherwise calls itself again. The caller holds mu.
+// closeWhenIdle closes the connection to a retired peer without requests and unconfirmed
+// cancellations, or at the time end, and otherwise calls itself again. The caller holds mu.
 func (ps *Peers) closeWhenIdle(p *peer, end time.Duration) {
-	if p.outstanding.Load() == 0 || ps.now() >= end {
+	now := ps.now()
+	idle := p.outstanding.Load() == 0
+	if idle {
+		end = min(end, now+maxUnconfirmedTime)
+	}
+	if idle && p.client.Unconfirmed() == 0 || now >= end {
 		p.client.Close()
 		delete(ps.retired, p)
 		return
@@ -115,7 +124,8 @@
 	}
 }
 
-// CancellationsConfirmed reports whether all cancelled requests have ended at their peers.
+// CancellationsConfirmed reports whether all cancelled requests have ended at their peers,
+// also at those that are no longer used.
 func (ps *Peers) CancellationsConfirmed() bool {
 	ps.mu.RLock()
 	defer ps.mu.RUnlock()
@@ -124,5 +134,10 @@
 			return false
 		}
 	}
+	for p := range ps.retired {
+		if p.client.Unconfirmed() > 0 {
+			return false
+		}
+	}
 	return true
 }
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -56,7 +56,7 @@
 	// all holds the peers that this daemon connects to, by instance.
 	all map[string]*peer
 	// retired holds the peers that this daemon no longer connects to, until the requests
-	// in flight there have ended.
+	// in flight there have ended and the end of cancelled ones is confirmed.
 	retired map[*peer]bool
 	// total is the number of all other daemons, whether or not this daemon
 	// connects to them.
