Wake the monitor of each connection on its own

Cause: all connections of a client shared one wake-up channel and one flag that says that the monitor checks often. The monitor of a replaced connection could take the wake-up that was meant for the next one, and left the flag as it was: serve reset it, retire did not. A request or a check that came while the new monitor was idle was then noticed up to 2 s later. Change: wake and polling belong to the connection, so that there is nothing to reset. wakeMonitor wakes the monitors of all open connections. planCheck looks again for a Check, as it did for requests, that came in while polling was still set. TestReplacedConnectionTakesNoWakeUp and TestBusyReplacedConnectionDoesNotSuppressWakeUps are new.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -130,13 +130,9 @@
 	silence chan struct{}
 	closed  bool
 	stop    chan struct{}
-	// wake makes monitor check immediately.
-	wake chan struct{}
 	// suspectSince is when Check was called, in nanoseconds of Hooks.Now, until a ping
 	// that was sent after that is answered; otherwise 0.
 	suspectSince atomic.Int64
-	// polling is set while monitor checks often.
-	polling atomic.Bool
 	// pendingSince is when the client last became busy, in nanoseconds of Hooks.Now.
 	pendingSince atomic.Int64
 	// resumptions counts the connections that were lost or replaced while requests were
@@ -156,7 +152,6 @@
 		cancelled: map[uint64]bool{},
 		silence:   make(chan struct{}),
 		stop:      make(chan struct{}),
-		wake:      make(chan struct{}, 1),
 	}
 	go c.run()
 	return c
--- a/internal/hop/connection.go
+++ b/internal/hop/connection.go
@@ -26,6 +26,10 @@
 	// Client's mu guards next.
 	next    *clientConn
 	retired chan struct{}
+	// wake makes the connection's monitor check immediately; polling is set while that
+	// checks often.
+	wake    chan struct{}
+	polling atomic.Bool
 	// pingSentAt is when the unanswered ping was sent, in nanoseconds of Hooks.Now, or 0.
 	pingSentAt atomic.Int64
 	// pings holds the times at which the unanswered pings were sent.
@@ -53,6 +57,7 @@
 		replaces: replaces,
 		openedAt: openedAt,
 		retired:  make(chan struct{}),
+		wake:     make(chan struct{}, 1),
 		ended:    make(chan struct{}),
 	}
 	c.mu.Lock()
@@ -83,7 +88,6 @@
 	}
 	c.endSilence()
 	c.suspectSince.Store(0)
-	c.polling.Store(false)
 	go c.monitor(conn)
 	c.read(conn)
 	for next := c.successor(conn); next != nil; next = c.successor(conn) {
--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -35,7 +35,7 @@
 			return
 		case <-conn.retired:
 			return
-		case <-c.wake:
+		case <-conn.wake:
 		case <-timer.C:
 		}
 		check := c.planCheck(conn)
@@ -76,9 +76,9 @@
 	if c.Unconfirmed() > 0 {
 		check.pingAfter = cancelPingAfter
 	}
-	c.polling.Store(often)
-	if conn.pingSentAt.Load() > 0 || !check.busy && c.busy() {
-		// A ping is unanswered, or a request came in since busy was set.
+	conn.polling.Store(often)
+	if conn.pingSentAt.Load() > 0 || c.busy() || c.suspectSince.Load() > 0 {
+		// A ping is unanswered, or a request or Check came in while polling was still set.
 		check.next = busyCheckInterval
 	}
 	return check
@@ -159,13 +159,19 @@
 	return c.hooks.AdaptiveTimeout.PeerIdleTime(now, now-pingSentAt)
 }
 
-// wakeMonitor makes monitor check immediately, unless it checks often already.
+// wakeMonitor makes the monitors of the open connections check immediately, unless they
+// check often already. Each connection has its own: that of a replaced one, which is about to
+// end, takes no wake-up from that of the next.
 func (c *Client) wakeMonitor() {
-	if c.polling.Swap(true) {
-		return
-	}
-	select {
-	case c.wake <- struct{}{}:
-	default:
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		if conn.polling.Swap(true) {
+			continue
+		}
+		select {
+		case conn.wake <- struct{}{}:
+		default:
+		}
 	}
 }
--- a/internal/hop/replace_test.go
+++ b/internal/hop/replace_test.go
@@ -104,3 +104,34 @@
 		t.Errorf("the connection begins with %T of %d wanted streams, want a Resume of %d", first.Body, wanted, inFlight)
 	}
 }
+
+// TestReplacedConnectionTakesNoWakeUp covers a check that is asked for while the monitor of
+// a replaced connection has not ended yet. That one took the wake-up in half of the cases,
+// and a check of the new connection came up to 2 s later.
+func TestReplacedConnectionTakesNoWakeUp(t *testing.T) {
+	client, _ := acceptClient(t, 0, Hooks{})
+	for range 100 {
+		replaced := &clientConn{peerConn: client.conn.Load().peerConn, retired: make(chan struct{}), wake: make(chan struct{}, 1)}
+		close(replaced.retired)
+		current := &clientConn{wake: make(chan struct{}, 1)}
+		c := &Client{hooks: client.hooks, open: map[*clientConn]bool{replaced: true, current: true}}
+		c.Check()
+		c.monitor(replaced)
+		if len(current.wake) == 0 {
+			t.Fatal("the monitor of the new connection is not woken")
+		}
+	}
+}
+
+// TestBusyReplacedConnectionDoesNotSuppressWakeUps covers a check that is asked for after a
+// connection was replaced whose monitor checked often. The new monitor may have found the
+// client idle.
+func TestBusyReplacedConnectionDoesNotSuppressWakeUps(t *testing.T) {
+	replaced, current := &clientConn{wake: make(chan struct{}, 1)}, &clientConn{wake: make(chan struct{}, 1)}
+	replaced.polling.Store(true)
+	c := &Client{hooks: Hooks{Now: func() time.Duration { return 0 }}, open: map[*clientConn]bool{replaced: true, current: true}}
+	c.Check()
+	if len(current.wake) == 0 {
+		t.Error("the monitor of the new connection is not woken")
+	}
+}
