Close connections that are accepted while the server closes

Cause: Server.serve registered a connection without a look at closing. One that was accepted before the listener was closed and registered after Close was closed by nobody. Change: addConn refuses a connection after Close, and serve closes it. Conclusion: no connection outlives Close.

--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -95,7 +95,8 @@
 	}
 }
 
-// Close closes all connections. It does not close the listener.
+// Close closes all connections, also those that are accepted later. It does not close the
+// listener.
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -113,9 +114,10 @@
 
 func (s *Server) serve(conn net.Conn) {
 	pc := newPeerConn(conn, s.link)
-	s.mu.Lock()
-	s.conns[pc] = true
-	s.mu.Unlock()
+	if !s.addConn(pc) {
+		pc.close()
+		return
+	}
 	defer s.removeConn(pc)
 	session := newSession(s, pc)
 	time.AfterFunc(vanishedAfter, session.watchQuiet)
@@ -127,6 +129,17 @@
 	}
 }
 
+// addConn registers a connection. It returns false after Close, which would not close it.
+func (s *Server) addConn(pc *peerConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
+	s.conns[pc] = true
+	return true
+}
+
 func (s *Server) removeConn(pc *peerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
