Return the credit of a granted part that is not sent

Cause: if the context of Link.Await ended when the turn had just been granted, Await either reported that the part may be sent, or cancelled a turn that was no longer waiting. The credit of the part, up to 8 KiB, was lost, and the next part waited for it. Change: Await reports that a part may be sent only if its context has not ended; Shaper.Cancel returns the credit of a granted turn, and waiting turns are looked at again. TestTurnGrantedAtTheEndOfItsContextReturnsItsCredit is new. Conclusion: if the context ends between Await and the sending of the part, its credit is still lost; that is one part, about 7 ms on a link of 10 Mbit/s.

--- a/internal/shaping/link.go
+++ b/internal/shaping/link.go
@@ -106,13 +106,16 @@
 	l.mu.Unlock()
 	select {
 	case <-turn.ready:
-		return true
 	case <-ctx.Done():
-		l.mu.Lock()
-		l.shaper.Cancel(turn)
-		l.mu.Unlock()
-		return false
 	}
+	if ctx.Err() == nil {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shaper.Cancel(turn)
+	l.grantDue()
+	return false
 }
 
 // grantDue wakes the turns that may be sent and sets the timer for the next one. The
--- a/internal/shaping/link_test.go
+++ b/internal/shaping/link_test.go
@@ -41,3 +41,23 @@
 		t.Error("the turn of a closed connection is left")
 	}
 }
+
+// TestTurnGrantedAtTheEndOfItsContextReturnsItsCredit covers a connection that ends at the
+// moment at which a part is granted: the part is not sent, and others must not wait for it.
+func TestTurnGrantedAtTheEndOfItsContextReturnsItsCredit(t *testing.T) {
+	link := NewLink(8_000_000)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	// Both the grant and the end of the context are there when Await looks.
+	for range 100 {
+		if link.Await(ended, 0, PartBytes) {
+			t.Fatal("the part was sent on a closed connection")
+		}
+		link.mu.Lock()
+		credit := link.shaper.credit
+		link.mu.Unlock()
+		if credit < 0 {
+			t.Fatalf("%.0f bytes of credit after a part that was not sent", credit)
+		}
+	}
+}
--- a/internal/shaping/shaper.go
+++ b/internal/shaping/shaper.go
@@ -69,11 +69,13 @@
 	return turn
 }
 
-// Cancel removes a turn that will not be used.
+// Cancel removes a turn that will not be used, or returns its credit if it was granted.
 func (s *Shaper) Cancel(turn *Turn) {
 	if i := slices.Index(s.waiting, turn); i >= 0 {
 		s.waiting = slices.Delete(s.waiting, i, i+1)
+		return
 	}
+	s.add(float64(turn.bytes))
 }
 
 // Grant removes and returns the turns that may be sent now, and how long it takes
