Hold the pongs of a test until all its pings are sent

Cause: TestPongComesWithTheTimeOfItsPing assumed that five calls of RequestState are made within the 60 ms in which the delayed link answers the first ping. On a loaded machine they took longer, and the fifth ping was rightly sent. The test was at fault, not the product. Change: the link is blocked until all calls are made, and the number of unanswered pings is checked before it carries data again. It fails if RequestState sends one ping more (5 pings are unanswered) and if a pong is taken for the answer to the last ping. Conclusion: the check is as strict as before and does not depend on the machine's speed.

--- a/internal/hop/ping_test.go
+++ b/internal/hop/ping_test.go
@@ -47,7 +47,8 @@
 		_ = listener.Close()
 	})
 	<-up
-	network.SetDelay(30 * time.Millisecond)
+	// No ping is answered until all calls are made, however long the machine takes for them.
+	network.SetFault(faultlink.Blocked)
 	var asked []time.Duration
 	for range maxUnansweredPings {
 		asked = append(asked, time.Since(start))
@@ -55,6 +56,10 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	client.RequestState() // More than may be unanswered: not sent.
+	if unanswered := client.conn.Load().pings.unanswered(); unanswered != maxUnansweredPings {
+		t.Errorf("%d pings are unanswered, want %d", unanswered, maxUnansweredPings)
+	}
+	network.SetFault(faultlink.None)
 	for i, at := range asked {
 		select {
 		case sent := <-sentTimes:
