Say that a run has not ended in the soak's failure text

Cause: checkDepartures printed the time from a departure to run.Ended, which is zero for a run that has not ended: a huge negative duration. Change: overrun describes both cases. TestOverrunOfARunThatHasNotEnded is new. Conclusion: what is checked is unchanged.

--- a/test/soak/gone_test.go
+++ b/test/soak/gone_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"testing"
 	"time"
 )
 
@@ -85,8 +86,8 @@
 			abandoned++
 			end, settled := disturbances.settled(d.left, goneLimit, reach(d.node), process(d.node), reach(n.number), process(n.number), theMachine)
 			if settled && (run.Ended.IsZero() || run.Ended.After(end)) {
-				l.problem("request %s of node %d, whose caller had disconnected, ran at node %d for %s after that, %s longer than allowed",
-					d.id, d.node, n.number, run.Ended.Sub(d.left).Round(time.Millisecond), run.Ended.Sub(end).Round(time.Millisecond))
+				l.problem("request %s of node %d, whose caller had disconnected, ran at node %d %s",
+					d.id, d.node, n.number, overrun(run.Ended, d.left, end))
 			}
 		}
 	}
@@ -94,3 +95,27 @@
 		l.problem("no request ran whose caller disconnected")
 	}
 }
+
+// overrun describes how long a run went on after its caller had left and after it had to end.
+// Ended is zero for a run that has not ended.
+func overrun(ended, left, end time.Time) string {
+	if ended.IsZero() {
+		return "and has not ended"
+	}
+	return fmt.Sprintf("for %s after that, %s longer than allowed",
+		ended.Sub(left).Round(time.Millisecond), ended.Sub(end).Round(time.Millisecond))
+}
+
+// TestOverrunOfARunThatHasNotEnded covers the failure text, which gave a huge negative time.
+func TestOverrunOfARunThatHasNotEnded(t *testing.T) {
+	left := time.Now()
+	end := left.Add(goneLimit)
+	for ended, want := range map[time.Time]string{
+		{}:                             "and has not ended",
+		end.Add(20 * time.Millisecond): "for 520ms after that, 20ms longer than allowed",
+	} {
+		if got := overrun(ended, left, end); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
