Queue parts only as the connection takes them

Cause: on a machine whose link has no limit, or a higher one than the connection carries, the parts of a large frame were queued as fast as they could be encoded. A frame above 32 MiB overflowed the outbox, which reset the connection, and did so again on each next one, until its request was lost. Change: a part waits until less than 64 KiB is queued on its connection (outbox.awaitRoom). TestPartsWaitForTheConnection and TestOutboxHasRoomOnceItIsDrained are new. Conclusion: what the connection does not take also stays cancellable, and small frames wait behind 64 KiB of parts at most.

--- a/internal/hop/outbox.go
+++ b/internal/hop/outbox.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"context"
 	"net"
 	"sync"
 )
@@ -13,6 +14,9 @@
 	// transmit it in a fraction of writeTimeout, even when a hundred connections
 	// share the link.
 	maxBatchBytes = 64 << 10
+	// maxQueuedParts is the number of queued bytes up to which a part of a large frame is
+	// queued. One batch waits while another is written.
+	maxQueuedParts = maxBatchBytes
 )
 
 // outbox is a queue of encoded frames that wait to be written. It holds no
@@ -24,6 +28,9 @@
 	mu          sync.Mutex
 	frames      [][]byte
 	queuedBytes int
+	// drained is closed when queuedBytes falls below maxQueuedParts; nil if nothing waits
+	// for that.
+	drained chan struct{}
 }
 
 func newOutbox() outbox { return outbox{ready: make(chan struct{}, 1)} }
@@ -45,12 +52,36 @@
 	return true
 }
 
+// awaitRoom returns once less than maxQueuedParts is queued, or once ctx ends. It reports
+// whether there is room. Parts wait here, since the queue would overflow if they were
+// produced faster than the connection carries them.
+func (o *outbox) awaitRoom(ctx context.Context) bool {
+	for {
+		o.mu.Lock()
+		if o.queuedBytes < maxQueuedParts {
+			o.mu.Unlock()
+			return ctx.Err() == nil
+		}
+		if o.drained == nil {
+			o.drained = make(chan struct{})
+		}
+		drained := o.drained
+		o.mu.Unlock()
+		select {
+		case <-drained:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // nextBatch removes and returns at most maxBatchBytes from the head of the
 // queue. A frame that does not fit is split across batches. The batch is empty
 // when the queue is.
 func (o *outbox) nextBatch() net.Buffers {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	defer o.signalRoom()
 	var batch net.Buffers
 	remaining := maxBatchBytes
 	for len(o.frames) > 0 && remaining > 0 {
@@ -72,3 +103,11 @@
 	}
 	return batch
 }
+
+// signalRoom wakes what awaitRoom holds if there is room. The caller holds mu.
+func (o *outbox) signalRoom() {
+	if o.drained != nil && o.queuedBytes < maxQueuedParts {
+		close(o.drained)
+		o.drained = nil
+	}
+}
--- a/internal/hop/outbox_test.go
+++ b/internal/hop/outbox_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"testing"
+	"time"
 )
 
 // TestOutboxPreservesOrder queues small frames around one that is split across
@@ -55,3 +57,36 @@
 		t.Error("an emptied outbox rejected a frame")
 	}
 }
+
+// TestOutboxHasRoomOnceItIsDrained covers parts of large frames, which wait until less is
+// queued, and a connection that ends meanwhile.
+func TestOutboxHasRoomOnceItIsDrained(t *testing.T) {
+	o := newOutbox()
+	ctx, cancel := context.WithCancel(context.Background())
+	if !o.awaitRoom(ctx) {
+		t.Error("an empty outbox has no room")
+	}
+	o.put(make([]byte, maxQueuedParts+maxBatchBytes))
+	const waiting = 3
+	results := make(chan bool, waiting)
+	for range waiting {
+		go func() { results <- o.awaitRoom(ctx) }()
+	}
+	o.nextBatch()
+	select {
+	case <-results:
+		t.Error("there is room beside maxQueuedParts bytes")
+	case <-time.After(20 * time.Millisecond):
+	}
+	o.nextBatch()
+	for range waiting {
+		if !<-results {
+			t.Error("a drained outbox has no room")
+		}
+	}
+	o.put(make([]byte, maxQueuedParts))
+	cancel()
+	if o.awaitRoom(ctx) {
+		t.Error("there is room on a connection that has ended")
+	}
+}
--- a/internal/hop/parts.go
+++ b/internal/hop/parts.go
@@ -20,6 +20,9 @@
 	link *shaping.Link
 	// put queues an encoded frame to be written. It does not block.
 	put func([]byte) error
+	// awaitRoom waits until there is room for a part in the queue, or ctx ends, and reports
+	// whether there is.
+	awaitRoom func(ctx context.Context) bool
 	// ctx ends with the connection.
 	ctx context.Context
 	// allowed is set once the peer has said that it takes parts, paced if it grants them.
@@ -47,8 +50,8 @@
 	unsent, backlog int
 }
 
-func newPartSender(ctx context.Context, link *shaping.Link, put func([]byte) error) *partSender {
-	return &partSender{ctx: ctx, link: link, put: put, sending: map[uint64]*partedFrame{}}
+func newPartSender(ctx context.Context, link *shaping.Link, put func([]byte) error, awaitRoom func(context.Context) bool) *partSender {
+	return &partSender{ctx: ctx, link: link, put: put, awaitRoom: awaitRoom, sending: map[uint64]*partedFrame{}}
 }
 
 // takes reports whether an encoded frame is to be sent in parts.
@@ -103,7 +106,7 @@
 		if frame.granted != nil {
 			size = frame.granted.take(ctx, size)
 		}
-		if !s.link.Await(ctx, order, size) || !s.sendPart(ctx, frame, data[:size]) {
+		if !s.awaitRoom(ctx) || !s.link.Await(ctx, order, size) || !s.sendPart(ctx, frame, data[:size]) {
 			return
 		}
 		data = data[size:]
--- a/internal/hop/parts_test.go
+++ b/internal/hop/parts_test.go
@@ -1,9 +1,11 @@
 package hop
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
+	"net"
 	"testing"
 	"time"
 
@@ -14,7 +16,9 @@
 // collect returns a partSender on a link and the frames that it puts.
 func collect(link *shaping.Link) (*partSender, chan []byte) {
 	out := make(chan []byte, 1000)
-	sender := newPartSender(context.Background(), link, func(frame []byte) error { out <- frame; return nil })
+	sender := newPartSender(context.Background(), link,
+		func(frame []byte) error { out <- frame; return nil },
+		func(context.Context) bool { return true })
 	sender.allowed.Store(true)
 	return sender, out
 }
@@ -157,3 +161,28 @@
 		}
 	}
 }
+
+// TestPartsWaitForTheConnection covers an answer that is larger than what may be queued, on
+// a machine whose link has no limit. Its parts overflowed the queue, which reset the
+// connection, and again each time when the request had moved to the next one.
+func TestPartsWaitForTheConnection(t *testing.T) {
+	sending, receiving := net.Pipe()
+	pc := newPeerConn(sending, nil)
+	defer pc.close()
+	pc.parts.allowed.Store(true)
+	const size = maxQueuedBytes + 8<<20
+	if err := pc.send(&hopv1.Frame{Stream: 1, Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{Body: make([]byte, size)}}}); err != nil {
+		t.Fatal(err)
+	}
+	// A peer that reads late: meanwhile all parts were queued.
+	time.Sleep(200 * time.Millisecond)
+	reader := bufio.NewReader(receiving)
+	for received, last := 0, false; !last; {
+		frame, _, err := readFrame(reader)
+		if err != nil {
+			t.Fatalf("after %d of %d bytes: %v", received, size, err)
+		}
+		received += len(frame.GetPart().GetData())
+		last = frame.GetPart().GetLast()
+	}
+}
--- a/internal/hop/peerconn.go
+++ b/internal/hop/peerconn.go
@@ -51,7 +51,7 @@
 func newPeerConn(conn net.Conn, link *shaping.Link) *peerConn {
 	ctx, cancel := context.WithCancel(context.Background())
 	pc := &peerConn{conn: conn, link: link, out: newOutbox(), done: ctx.Done(), cancel: cancel, epoch: time.Now()}
-	pc.parts = newPartSender(ctx, link, pc.put)
+	pc.parts = newPartSender(ctx, link, pc.put, pc.out.awaitRoom)
 	pc.grants = newPartGranter(link.Inbound(), pc.send)
 	go pc.write()
 	return pc
