Keep incomplete frames within the limit of the receiver

Cause: a receiver ends a connection on which incomplete frames exceed MaxFrame together, and a sender did not know of that: two answers of 50 MiB that were sent by turns ended the connection, and again each time when they had moved to the next one. Change: a frame waits until it fits beside the others that the peer has in part (incompleteFrames). One that was stopped counts until its Cancel is queued, with which the peer drops it.

--- a/internal/hop/grant_test.go
+++ b/internal/hop/grant_test.go
@@ -68,15 +68,26 @@
 	}
 }
 
-// expectNothingSent checks that no frame waits to be sent in parts on the connection.
+// expectNothingSent checks that no frame waits to be sent in parts on the connection, and
+// waits until none counts as incomplete at the peer.
 func expectNothingSent(t *testing.T, client *Client) {
 	t.Helper()
 	parts := client.conn.Load().parts
 	parts.mu.Lock()
-	defer parts.mu.Unlock()
 	if len(parts.sending) > 0 {
 		t.Errorf("%d frames still wait for grants", len(parts.sending))
 	}
+	parts.mu.Unlock()
+	incomplete := func() int {
+		parts.incomplete.mu.Lock()
+		defer parts.incomplete.mu.Unlock()
+		return parts.incomplete.bytes
+	}
+	for end := time.Now().Add(resumeLimit); incomplete() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("frames of %d bytes still count as incomplete", incomplete())
+		}
+	}
 }
 
 // TestLargeRequestsAreGranted covers several large requests to a machine with a slow link:
--- a/internal/hop/parts.go
+++ b/internal/hop/parts.go
@@ -32,6 +32,10 @@
 	// sending holds, by stream, the last frame whose parts are not all sent. After the end
 	// of the connection it stays there for takeUnsent.
 	sending map[uint64]*partedFrame
+	// incomplete bounds what the peer has of incomplete frames; stopped holds, by stream,
+	// those that will not be completed, until the Cancel with which the peer drops them.
+	incomplete incompleteFrames
+	stopped    map[uint64]*partedFrame
 	// ended is set by takeUnsent: nothing more is sent.
 	ended bool
 }
@@ -45,13 +49,17 @@
 	done   chan struct{}
 	// granted is nil if the peer does not pace the frame.
 	granted *allowance
-	// unsent is the number of bytes that are not sent, backlog the part of them that
-	// counts in the backlog of the machine's network link.
-	unsent, backlog int
+	// size is the number of bytes in parts, unsent that of those that are not sent, backlog
+	// the part of these that counts in the backlog of the machine's network link.
+	size, unsent, backlog int
 }
 
+// partlySent reports whether the peer has some parts of the frame and not all.
+func (f *partedFrame) partlySent() bool { return 0 < f.unsent && f.unsent < f.size }
+
 func newPartSender(ctx context.Context, link *shaping.Link, put func([]byte) error, awaitRoom func(context.Context) bool) *partSender {
-	return &partSender{ctx: ctx, link: link, put: put, awaitRoom: awaitRoom, sending: map[uint64]*partedFrame{}}
+	return &partSender{ctx: ctx, link: link, put: put, awaitRoom: awaitRoom,
+		sending: map[uint64]*partedFrame{}, stopped: map[uint64]*partedFrame{}, incomplete: newIncompleteFrames()}
 }
 
 // takes reports whether an encoded frame is to be sent in parts.
@@ -74,7 +82,7 @@
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	data := withoutLength(frame.encoded)
-	parted := &partedFrame{outgoing: frame, cancel: cancel, done: make(chan struct{}), unsent: len(data)}
+	parted := &partedFrame{outgoing: frame, cancel: cancel, done: make(chan struct{}), size: len(data), unsent: len(data)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended {
@@ -94,7 +102,10 @@
 		if previous != nil {
 			<-previous.done
 		}
-		s.send(ctx, parted, data, order)
+		if s.incomplete.begin(ctx, parted.size) {
+			s.send(ctx, parted, data, order)
+			s.incompleteEnds(parted)
+		}
 		s.end(parted)
 	}()
 }
@@ -144,6 +155,28 @@
 	s.link.AddBacklog(bytes)
 }
 
+// incompleteEnds records that the sending of a frame has ended. If the peer has some parts of
+// it, these count until the Cancel.
+func (s *partSender) incompleteEnds(frame *partedFrame) {
+	s.mu.Lock()
+	partly := frame.partlySent()
+	s.mu.Unlock()
+	if !partly {
+		s.incomplete.end(frame.size)
+	}
+}
+
+// cancelSent records that a Cancel is queued, which makes the peer drop what it has of the
+// frame of a stream.
+func (s *partSender) cancelSent(stream uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if frame := s.stopped[stream]; frame != nil {
+		delete(s.stopped, stream)
+		s.incomplete.end(frame.size)
+	}
+}
+
 // end records that nothing more of a frame will be sent. A frame that ends with its
 // connection stays in sending.
 func (s *partSender) end(frame *partedFrame) {
@@ -182,13 +215,19 @@
 	return frame != nil && frame.cancellable
 }
 
-// cancel stops sending the parts of a stream, if any are left.
+// cancel stops sending the parts of a stream, if any are left. A Cancel has to follow if the
+// peer has some of them.
 func (s *partSender) cancel(stream uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if frame := s.sending[stream]; frame != nil {
-		frame.cancel()
-		delete(s.sending, stream)
+	frame := s.sending[stream]
+	if frame == nil {
+		return
+	}
+	frame.cancel()
+	delete(s.sending, stream)
+	if frame.partlySent() {
+		s.stopped[stream] = frame
 	}
 }
 
--- a/internal/hop/peerconn.go
+++ b/internal/hop/peerconn.go
@@ -66,6 +66,7 @@
 func (pc *peerConn) sendTracked(frame *hopv1.Frame, sent *atomic.Bool) error {
 	if frame.GetCancel() != nil {
 		pc.parts.cancel(frame.Stream)
+		defer pc.parts.cancelSent(frame.Stream)
 	}
 	buffer, err := encode(frame)
 	if err != nil {
