--- a/internal/hop/parts.go
+++ b/internal/hop/parts.go
@@ -20,15 +20,22 @@
 	link *shaping.Link
 	// put queues an encoded frame to be written. It does not block.
 	put func([]byte) error
+	// awaitRoom waits until there is room for a part in the queue, or ctx ends, and reports
+	// whether there is.
+	awaitRoom func(ctx context.Context) bool
 	// ctx ends with the connection.
 	ctx context.Context
 	// allowed is set once the peer has said that it takes parts, paced if it grants them.
 	allowed, paced atomic.Bool
 
 	mu sync.Mutex
-	// sending holds, by stream, the frames whose parts are not all sent. After the end of
-	// the connection they stay there for takeUnsent.
+	// sending holds, by stream, the last frame whose parts are not all sent. After the end
+	// of the connection it stays there for takeUnsent.
 	sending map[uint64]*partedFrame
+	// incomplete bounds what the peer has of incomplete frames; stopped holds, by stream,
+	// those that will not be completed, until the Cancel with which the peer drops them.
+	incomplete incompleteFrames
+	stopped    map[uint64]*partedFrame
 	// ended is set by takeUnsent: nothing more is sent.
 	ended bool
 }
@@ -37,17 +44,22 @@
 // backlog.
 type partedFrame struct {
 	outgoing
-	// cancel ends the sending.
+	// cancel ends the sending; done is closed when it has ended.
 	cancel context.CancelFunc
+	done   chan struct{}
 	// granted is nil if the peer does not pace the frame.
 	granted *allowance
-	// unsent is the number of bytes that are not sent, backlog the part of them that
-	// counts in the backlog of the machine's network link.
-	unsent, backlog int
+	// size is the number of bytes in parts, unsent that of those that are not sent, backlog
+	// the part of these that counts in the backlog of the machine's network link.
+	size, unsent, backlog int
 }
 
-func newPartSender(ctx context.Context, link *shaping.Link, put func([]byte) error) *partSender {
-	return &partSender{ctx: ctx, link: link, put: put, sending: map[uint64]*partedFrame{}}
+// partlySent reports whether the peer has some parts of the frame and not all.
+func (f *partedFrame) partlySent() bool { return 0 < f.unsent && f.unsent < f.size }
+
+func newPartSender(ctx context.Context, link *shaping.Link, put func([]byte) error, awaitRoom func(context.Context) bool) *partSender {
+	return &partSender{ctx: ctx, link: link, put: put, awaitRoom: awaitRoom,
+		sending: map[uint64]*partedFrame{}, stopped: map[uint64]*partedFrame{}, incomplete: newIncompleteFrames()}
 }
 
 // takes reports whether an encoded frame is to be sent in parts.
@@ -60,7 +72,9 @@
 const urgentLead = time.Hour
 
 // start sends a frame in parts in the background. The parts of an urgent frame go before
-// those of others on the machine's network link.
+// those of others on the machine's network link. Frames of the same stream are sent one
+// after another, since the receiver joins the parts of a stream: pings, pongs and other
+// frames without a stream of their own share one.
 func (s *partSender) start(frame outgoing) {
 	order := s.link.Now()
 	if frame.urgent {
@@ -68,13 +82,14 @@
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	data := withoutLength(frame.encoded)
-	parted := &partedFrame{outgoing: frame, cancel: cancel, unsent: len(data)}
+	parted := &partedFrame{outgoing: frame, cancel: cancel, done: make(chan struct{}), size: len(data), unsent: len(data)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended {
 		cancel()
 		return
 	}
+	previous := s.sending[frame.stream]
 	s.sending[frame.stream] = parted
 	if s.announces(&frame) {
 		parted.granted = newAllowance()
@@ -83,7 +98,14 @@
 		s.addBacklog(parted, len(data))
 	}
 	go func() {
-		s.send(ctx, parted, data, order)
+		defer close(parted.done)
+		if previous != nil {
+			<-previous.done
+		}
+		if s.incomplete.begin(ctx, parted.size) {
+			s.send(ctx, parted, data, order)
+			s.incompleteEnds(parted)
+		}
 		s.end(parted)
 	}()
 }
@@ -95,7 +117,7 @@
 		if frame.granted != nil {
 			size = frame.granted.take(ctx, size)
 		}
-		if !s.link.Await(ctx, order, size) || !s.sendPart(ctx, frame, data[:size]) {
+		if !s.awaitRoom(ctx) || !s.link.Await(ctx, order, size) || !s.sendPart(ctx, frame, data[:size]) {
 			return
 		}
 		data = data[size:]
@@ -107,7 +129,7 @@
 func (s *partSender) sendPart(ctx context.Context, frame *partedFrame, data []byte) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ctx.Err() != nil {
+	if s.ended || ctx.Err() != nil {
 		return false
 	}
 	last := len(data) == frame.unsent
@@ -133,6 +155,28 @@
 	s.link.AddBacklog(bytes)
 }
 
+// incompleteEnds records that the sending of a frame has ended. If the peer has some parts of
+// it, these count until the Cancel.
+func (s *partSender) incompleteEnds(frame *partedFrame) {
+	s.mu.Lock()
+	partly := frame.partlySent()
+	s.mu.Unlock()
+	if !partly {
+		s.incomplete.end(frame.size)
+	}
+}
+
+// cancelSent records that a Cancel is queued, which makes the peer drop what it has of the
+// frame of a stream.
+func (s *partSender) cancelSent(stream uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if frame := s.stopped[stream]; frame != nil {
+		delete(s.stopped, stream)
+		s.incomplete.end(frame.size)
+	}
+}
+
 // end records that nothing more of a frame will be sent. A frame that ends with its
 // connection stays in sending.
 func (s *partSender) end(frame *partedFrame) {
@@ -145,30 +189,45 @@
 	}
 }
 
-// takeUnsent ends the sending of all parts and returns, by stream, the encoded frames
-// of which some parts were not sent. Nothing more is sent in parts after that.
-func (s *partSender) takeUnsent() map[uint64][]byte {
+// takeUnsent ends the sending of all parts and returns, by stream, the frames of which
+// some parts were not sent. Nothing more is sent in parts after that.
+func (s *partSender) takeUnsent() map[uint64]outgoing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ended = true
-	unsent := make(map[uint64][]byte, len(s.sending))
+	unsent := make(map[uint64]outgoing, len(s.sending))
 	for stream, frame := range s.sending {
 		frame.cancel()
 		if frame.unsent > 0 {
-			unsent[stream] = frame.encoded
+			unsent[stream] = frame.outgoing
 		}
 	}
 	s.sending = map[uint64]*partedFrame{}
 	return unsent
 }
 
-// cancel stops sending the parts of a stream, if any are left.
+// sendsCancellable reports whether parts of a frame are left that need not be sent to a
+// peer that has cancelled the stream.
+func (s *partSender) sendsCancellable(stream uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	frame := s.sending[stream]
+	return frame != nil && frame.cancellable
+}
+
+// cancel stops sending the parts of a stream, if any are left. A Cancel has to follow if the
+// peer has some of them.
 func (s *partSender) cancel(stream uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if frame := s.sending[stream]; frame != nil {
-		frame.cancel()
-		delete(s.sending, stream)
+	frame := s.sending[stream]
+	if frame == nil {
+		return
+	}
+	frame.cancel()
+	delete(s.sending, stream)
+	if frame.partlySent() {
+		s.stopped[stream] = frame
 	}
 }
 
--- a/internal/hop/peerconn.go
+++ b/internal/hop/peerconn.go
@@ -51,7 +51,7 @@
 func newPeerConn(conn net.Conn, link *shaping.Link) *peerConn {
 	ctx, cancel := context.WithCancel(context.Background())
 	pc := &peerConn{conn: conn, link: link, out: newOutbox(), done: ctx.Done(), cancel: cancel, epoch: time.Now()}
-	pc.parts = newPartSender(ctx, link, pc.put)
+	pc.parts = newPartSender(ctx, link, pc.put, pc.out.awaitRoom)
 	pc.grants = newPartGranter(link.Inbound(), pc.send)
 	go pc.write()
 	return pc
@@ -66,14 +66,25 @@
 func (pc *peerConn) sendTracked(frame *hopv1.Frame, sent *atomic.Bool) error {
 	if frame.GetCancel() != nil {
 		pc.parts.cancel(frame.Stream)
+		defer pc.parts.cancelSent(frame.Stream)
 	}
 	buffer, err := encode(frame)
 	if err != nil {
 		return err
 	}
-	// A late configuration harms all requests; a late answer harms one.
-	urgent := frame.GetConfigAnswer() != nil
-	return pc.sendEncoded(outgoing{frame.Stream, buffer, urgent, frame.GetRequest(), frame.SentUs, sent})
+	isConfig := frame.GetConfigAnswer() != nil
+	return pc.sendEncoded(outgoing{
+		stream:  frame.Stream,
+		encoded: buffer,
+		// A late configuration harms all requests; a late answer harms one.
+		urgent: isConfig,
+		// A request that arrived before the Resume would not be among the wanted ones.
+		whole:       frame.GetResume() != nil,
+		cancellable: isConfig,
+		request:     frame.GetRequest(),
+		sentUs:      frame.SentUs,
+		sent:        sent,
+	})
 }
 
 // sendEncoded is send for the result of encode.
@@ -81,7 +92,7 @@
 	if isClosed(pc.done) {
 		return errConnClosed
 	}
-	if pc.parts.takes(frame.encoded) {
+	if !frame.whole && pc.parts.takes(frame.encoded) {
 		pc.parts.start(frame)
 		return nil
 	}
