Give up large requests that are not transferred in time

Cause: a request whose goal passed while it waited for the peer's grants ranked behind all that still met theirs, and waited until its deadline. Change: the sender withdraws a request that is not transferred 0.5 s after its goal (and twice its transfer), reports it as not run, and does not offer it to further upstreams.

--- a/internal/hop/announce.go
+++ b/internal/hop/announce.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 	"godwitmount/internal/shaping"
@@ -12,6 +13,11 @@
 // peer whose network link is slow, and its parts are sent as the peer grants them. The
 // granting side is in grant.go.
 
+// maxLateTransfer is how long after its goal a request may wait for the peer's grants.
+// Requests that still meet their goal are granted first, so that it might wait until its
+// deadline otherwise.
+const maxLateTransfer = 500 * time.Millisecond
+
 // outgoing is an encoded frame to be sent.
 type outgoing struct {
 	stream  uint64
@@ -88,13 +94,29 @@
 // helloReceived records whether the peer takes large frames in parts, and whether it grants
 // them.
 func (s *partSender) helloReceived(hello *hopv1.Hello) {
-	s.paced.Store(shaping.IsPaced(hello.GetLinkKbps()))
+	s.linkKbps.Store(hello.GetLinkKbps())
 	s.allowed.Store(hello.GetTakesParts())
 }
 
 // announces reports whether a frame is announced. Frames without a stream of their own
 // cannot be told apart by a grant.
-func (s *partSender) announces(frame *outgoing) bool { return s.paced.Load() && frame.stream != 0 }
+func (s *partSender) announces(frame *outgoing) bool { return s.paced() && frame.stream != 0 }
+
+// paced reports whether the peer grants the parts of large frames.
+func (s *partSender) paced() bool { return shaping.IsPaced(s.linkKbps.Load()) }
+
+// transferLimit returns how long the transfer of a request to the peer may take: until
+// maxLateTransfer after its goal, and for a large one twice what the peer's link needs. It
+// returns 0 for a request that is not announced, which has no limit.
+func (s *partSender) transferLimit(request *hopv1.Request) time.Duration {
+	if len(request.GetBody()) < partBytes || !s.paced() {
+		return 0
+	}
+	const bitsPerByte = 8
+	// Bits by kilobits per second are milliseconds.
+	transfer := time.Duration(len(request.Body)*bitsPerByte/int(s.linkKbps.Load())) * time.Millisecond
+	return milliseconds(request.GoalMs) + maxLateTransfer + 2*transfer
+}
 
 // announce queues the announcement of a frame. The caller holds mu, so that no grant
 // precedes the frame's entry in sending.
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -42,6 +42,9 @@
 	// ErrPeerSilent means that nothing has arrived from the peer for the read
 	// timeout. The request may have run. The connection stays open for silenceLimit.
 	ErrPeerSilent = errors.New("peer is silent while the request is in flight")
+	// ErrTransferLate means that the peer's network link had no room for a large request
+	// until well after its goal. It did not leave this daemon as a whole.
+	ErrTransferLate = errors.New("request was not transferred in time")
 	// ErrInstanceMismatch means that an instance other than Hooks.Instance
 	// answers at the address.
 	ErrInstanceMismatch = errors.New("another instance answers at the peer's address")
@@ -281,6 +284,12 @@
 		c.removePending(frame.Stream)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	var late <-chan time.Time
+	if limit := conn.parts.transferLimit(frame.GetRequest()); limit > 0 {
+		timer := time.NewTimer(limit)
+		defer timer.Stop()
+		late = timer.C
+	}
 	for {
 		select {
 		case reply := <-p.reply:
@@ -299,6 +308,10 @@
 				c.cancelRequest(frame.Stream)
 				return nil, ErrPeerSilent
 			}
+		case <-late:
+			if c.withdraw(p) {
+				return nil, ErrTransferLate
+			}
 		case <-ctx.Done():
 			return c.endWithContext(ctx, p)
 		}
--- a/internal/hop/grant_test.go
+++ b/internal/hop/grant_test.go
@@ -328,3 +328,30 @@
 		granted += int(got.GetPartGrant().GetBytes())
 	}
 }
+
+// TestUploadWithoutGrantsIsWithdrawn covers a large request past its goal at a peer whose
+// link is taken by frames that rank before it: it must not wait until its deadline.
+func TestUploadWithoutGrantsIsWithdrawn(t *testing.T) {
+	link := shaping.NewLink(8_000_000)
+	handler, _, client, _ := startPairOn(t, link)
+	// Ten seconds of a frame that arrives as it is granted.
+	grants := make(chan int, 100)
+	other, _ := link.Inbound().Announce(shaping.Announcement{Kind: shaping.ReplyFrame, Bytes: 9_000_000}, func(bytes int) { grants <- bytes })
+	go func() {
+		for granted := range grants {
+			link.Inbound().Arrived(other, granted)
+		}
+	}()
+	defer link.Inbound().End(other)
+	request := upload("a")
+	request.GoalMs = 0
+	began := time.Now()
+	_, err := client.Do(context.Background(), request, always)
+	if took := time.Since(began); !errors.Is(err, ErrTransferLate) || took < maxLateTransfer || took > 10*maxLateTransfer {
+		t.Errorf("got error %v after %s, want ErrTransferLate", err, took)
+	}
+	if handler.runs.Load() > 0 {
+		t.Error("the request ran")
+	}
+	expectNothingSent(t, client)
+}
--- a/internal/hop/incomplete_test.go
+++ b/internal/hop/incomplete_test.go
@@ -44,7 +44,7 @@
 // one waits: the peer keeps what it has of the first until the Cancel.
 func TestStoppedFrameCountsUntilItsCancel(t *testing.T) {
 	sender, out := collect(nil)
-	sender.paced.Store(true)
+	sender.linkKbps.Store(10_000)
 	const size = MaxFrame * 5 / 8
 	begin := func(stream uint64) {
 		sender.start(outgoing{stream: stream, encoded: make([]byte, size)})
--- a/internal/hop/parts.go
+++ b/internal/hop/parts.go
@@ -25,8 +25,11 @@
 	awaitRoom func(ctx context.Context) bool
 	// ctx ends with the connection.
 	ctx context.Context
-	// allowed is set once the peer has said that it takes parts, paced if it grants them.
-	allowed, paced atomic.Bool
+	// allowed is set once the peer has said that it takes parts.
+	allowed atomic.Bool
+	// linkKbps is the rate of the peer's network link in kilobits per second; 0 is unknown.
+	// It decides whether the peer grants parts.
+	linkKbps atomic.Uint32
 
 	mu sync.Mutex
 	// sending holds, by stream, the last frame whose parts are not all sent. After the end
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -69,6 +69,9 @@
 	retryAfter time.Duration
 	// lastInstance is the instance of the last attempt.
 	lastInstance string
+	// transferLate is set once the request was not transferred in time. Other upstreams
+	// would keep it past its goal as well.
+	transferLate bool
 	// retryTaken is set while the next retry is already counted in the budget.
 	retryTaken bool
 	// rollout is what the attempts have to do with a rollout of the service.
@@ -88,7 +91,7 @@
 		if step == retryWithBudget && !f.takeRetry() {
 			step = finish
 		}
-		if step == finish || frame == nil {
+		if step == finish || frame == nil || f.transferLate {
 			return f.finish(frame)
 		}
 		f.remember(frame)
@@ -274,6 +277,9 @@
 	case errors.Is(err, hop.ErrNotSent) && ctx.Err() != nil:
 		// The request was withdrawn while the peer had not received all of it.
 		return failureFrame(code.CallDeadlineNotRun, true, 0, nil)
+	case errors.Is(err, hop.ErrTransferLate):
+		f.transferLate = true
+		return failureFrame(code.CallShed, true, 0, nil)
 	case errors.Is(err, hop.ErrNotSent):
 		p.backOff(peers.now())
 		return failureFrame(code.CallConnectRefused, true, 0, nil)
--- a/internal/proxy/link_test.go
+++ b/internal/proxy/link_test.go
@@ -130,6 +130,34 @@
 	}
 }
 
+// TestLateTransferEndsTheAttempts covers an upload past its goal at a peer whose link is
+// taken by other frames: it is given up long before its deadline, as not run, and is not
+// offered to further upstreams, which would keep it waiting as well.
+func TestLateTransferEndsTheAttempts(t *testing.T) {
+	machine := shaping.NewLink(8_000_000)
+	p, _, runs := startLinkedPeer(t, machine)
+	grants := make(chan int, 100)
+	other, _ := machine.Inbound().Announce(shaping.Announcement{Kind: shaping.ReplyFrame, Bytes: 9_000_000}, func(bytes int) { grants <- bytes })
+	go func() {
+		for granted := range grants {
+			machine.Inbound().Arrived(other, granted)
+		}
+	}()
+	defer machine.Inbound().End(other)
+	f := newUpload(p, time.Minute)
+	f.call.request.GoalMs = 0
+	frame, r := f.recordOutcome(f.sendTo(context.Background(), "b"))
+	if failed := frame.GetFailure(); r != notSent || code.Code(failed.GetCode()) != code.CallShed || !failed.GetNotRun() || !f.transferLate {
+		t.Errorf("got %v, result %s, late %t; want call-shed, not run, late", frame, r, f.transferLate)
+	}
+	if p.deps.Peers.get("b").backoffUntil.Load() > 0 {
+		t.Error("the peer is avoided for its busy link")
+	}
+	if len(runs) > 0 {
+		t.Error("the request ran")
+	}
+}
+
 // TestWaitForGrantsIsNoRoundTripTime covers a large request to a slow link: the time of its
 // transfer must not count as the distance of the peer, by which small ones are placed.
 func TestWaitForGrantsIsNoRoundTripTime(t *testing.T) {
