Log and count requests that end without an answer

Change: event call-unanswered (4006) with the stage (unserved, undelivered), who closed the connection and the error, and the counter godwitmount_unanswered_requests_total. Answers are flushed by the handler, which so learns of a failed write; it is the write that net/http made after the handler.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -51,6 +51,7 @@
 	CallRetried  Number = 4004
 
 	RequestPanicked Number = 4005
+	CallUnanswered  Number = 4006
 
 	RequestCrashed Number = 6001
 
@@ -129,6 +130,7 @@
 	{CallAnswered, "call-answered", "A request received its final answer."},
 	{CallRetried, "call-retried", "A request is retried on another upstream; the line says why."},
 	{RequestPanicked, "request-panicked", "Handling a peer's request panicked; the peer was told that it may have run."},
+	{CallUnanswered, "call-unanswered", "A caller's connection ended before the answer to a request; the line says at which stage and who closed it."},
 
 	{RequestCrashed, "request-crashed", "A request was running when the upstream crashed; it is refused after its second crash."},
 
--- a/internal/pipeline/branch.go
+++ b/internal/pipeline/branch.go
@@ -49,7 +49,10 @@
 	for len(b.unsent) >= maxUnsent && !b.front.ended {
 		b.front.changed.Wait()
 	}
-	if b.front.ended || b.done {
+	if b.front.ended {
+		return 0, b.front.cause
+	}
+	if b.done {
 		return 0, net.ErrClosed
 	}
 	b.unsent = append(b.unsent, p...)
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -49,6 +49,8 @@
 	// after the last branch.
 	ended   bool
 	closing bool
+	// cause says why the connection has ended.
+	cause error
 	// deadline is that of net/http for Read. While interrupted is set, another one is set on
 	// the connection, which ends a Read that waits for data.
 	deadline    time.Time
@@ -128,6 +130,7 @@
 // drop forgets a branch that net/http does not serve, since the server is stopping. Its
 // request counts as not read. The caller holds mu.
 func (c *Conn) drop(b *branch) {
+	c.listener.unserved([][]byte{b.head}, net.ErrClosed)
 	c.branches = slices.DeleteFunc(c.branches, func(other *branch) bool { return other == b })
 	c.last = true
 	c.closing = true
@@ -175,7 +178,7 @@
 		c.interrupted = false
 		return c.Conn.SetReadDeadline(c.deadline)
 	default:
-		_ = c.end()
+		_ = c.end(err)
 		return err
 	}
 }
@@ -251,7 +254,7 @@
 		_, err := c.Conn.Write(unsent)
 		c.mu.Lock()
 		if err != nil {
-			_ = c.end()
+			_ = c.end(err)
 		}
 		c.changed.Broadcast()
 		return true
@@ -299,7 +302,7 @@
 		c.changed.Broadcast()
 		return nil
 	}
-	return c.end()
+	return c.end(net.ErrClosed)
 }
 
 // CloseWrite ends the sending direction. Package net/http calls it before Close, so that
@@ -311,14 +314,25 @@
 	return nil
 }
 
-// end closes the connection and ends the branches. The caller holds mu.
-func (c *Conn) end() error {
+// end closes the connection and ends the branches. Cause is net.ErrClosed if the server
+// ends it, and otherwise the error of the connection. The caller holds mu.
+func (c *Conn) end(cause error) error {
 	if c.ended {
 		return nil
 	}
+	c.setEnded(cause)
+	return c.Conn.Close()
+}
+
+// setEnded records the end of the connection and reports the requests that were not served.
+// The caller holds mu.
+func (c *Conn) setEnded(cause error) {
 	c.ended = true
+	c.cause = cause
 	c.changed.Broadcast()
-	return c.Conn.Close()
+	if unserved := heads(c.ahead[min(c.deliver, len(c.ahead)):]); len(unserved) > 0 && !c.passThrough {
+		c.listener.unserved(unserved, cause)
+	}
 }
 
 // endSoon is end, but leaves the caller time to read the last answer. The caller holds mu.
@@ -326,8 +340,7 @@
 	if c.ended {
 		return
 	}
-	c.ended = true
-	c.changed.Broadcast()
+	c.setEnded(net.ErrClosed)
 	// If this fails, the caller has closed the connection.
 	_ = c.CloseWrite()
 	time.AfterFunc(lingerTime, func() { _ = c.Conn.Close() })
--- a/internal/pipeline/head.go
+++ b/internal/pipeline/head.go
@@ -22,6 +22,16 @@
 	return 0
 }
 
+// heads returns the complete heads that data begins with.
+func heads(data []byte) [][]byte {
+	var all [][]byte
+	for end := headEnd(data); end > 0; end = headEnd(data) {
+		all = append(all, data[:end])
+		data = data[end:]
+	}
+	return all
+}
+
 // refusedFields are parts of header fields with which a request is not split off: those of
 // a body, and those that concern the connection. They are searched for in the whole head, in
 // lower case, so that no spelling hides one of them.
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -33,6 +33,8 @@
 type Listener struct {
 	net.Listener
 	accepted chan accepted
+	// unserved is called with the requests that were read and not served; see NewListener.
+	unserved func(heads [][]byte, cause error)
 	// ended is closed when the listener is closed.
 	ended chan struct{}
 	once  sync.Once
@@ -44,9 +46,12 @@
 	err  error
 }
 
-// NewListener returns a listener for the connections that inner accepts.
-func NewListener(inner net.Listener) *Listener {
-	l := &Listener{Listener: inner, accepted: make(chan accepted), ended: make(chan struct{})}
+// NewListener returns a listener for the connections that inner accepts. Unserved is called
+// with the heads of the requests that were read and not served when their connection ended,
+// and with the cause of that: net.ErrClosed if the server ended it, and otherwise the error
+// of the connection. It must not block.
+func NewListener(inner net.Listener, unserved func(heads [][]byte, cause error)) *Listener {
+	l := &Listener{Listener: inner, unserved: unserved, accepted: make(chan accepted), ended: make(chan struct{})}
 	go l.acceptAll()
 	return l
 }
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -25,7 +25,7 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
 	listener := inner
 	if pipelined {
-		listener = NewListener(inner)
+		listener = NewListener(inner, ignoreUnserved)
 		server.ConnState = ConnState
 		server.ConnContext = ConnContext
 	}
@@ -34,6 +34,8 @@
 	return inner.Addr().String()
 }
 
+func ignoreUnserved([][]byte, error) {}
+
 // dial connects and sends data at once.
 func dial(t testing.TB, address, data string) *net.TCPConn {
 	t.Helper()
@@ -235,7 +237,7 @@
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "served") }),
 		ErrorLog: log.New(io.Discard, "", 0)}
-	go func() { _ = server.Serve(NewListener(&exhaustedListener{Listener: inner})) }()
+	go func() { _ = server.Serve(NewListener(&exhaustedListener{Listener: inner}, ignoreUnserved)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	conn := dial(t, inner.Addr().String(), get("/"))
 	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -360,7 +360,7 @@
 		zap.Uint64("config", c.version), zap.Duration("retry_after", delay)}
 	p.deps.Log.Request(event.CallAnswered, true, append(fields, f.fields()...)...)
 	w.Header().Set(p.cfg.Headers.RequestID, c.id)
-	failed.write(r.Context(), w, delay)
+	p.recordDelivery(c.id, failed.write(r.Context(), w, delay))
 }
 
 // fields returns the log fields of the call and its attempts; a nil forwarder
@@ -396,7 +396,5 @@
 			zap.Duration("took", time.Since(c.started)), zap.Uint64("config", c.version)}, f.fields())...)
 	p.routes.recordSize(c.route.Name, len(answer.Body)+len(c.request.Body))
 	p.routes.recordWork(c.route.Name, microseconds(answer.RanUs), microseconds(answer.State.GetServiceTimeUs()))
-	w.WriteHeader(int(answer.Status))
-	// The caller may have disconnected; there is nobody to report the error to.
-	_, _ = w.Write(answer.Body)
+	p.recordDelivery(c.id, writeWhole(w, int(answer.Status), answer.Body))
 }
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -27,8 +27,8 @@
 
 // write sends the failure to the caller. For codes that ask for a retry, it sets
 // Retry-After, in seconds with three decimals, and closes the connection unless requests
-// behind this one are served on it. Ctx is that of the request.
-func (f *failure) write(ctx context.Context, w http.ResponseWriter, retryAfter time.Duration) {
+// behind this one are served on it. Ctx is that of the request. The error is that of writeWhole.
+func (f *failure) write(ctx context.Context, w http.ResponseWriter, retryAfter time.Duration) error {
 	info := f.code.Info()
 	header := w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
@@ -42,9 +42,7 @@
 	}
 	text := info.Name + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(text)))
-	w.WriteHeader(info.Status)
-	// The caller may have disconnected; there is nobody to report the error to.
-	_, _ = w.Write([]byte(text))
+	return writeWhole(w, info.Status, []byte(text))
 }
 
 const (
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -18,6 +18,7 @@
 	latency      prometheus.Histogram
 	waits        prometheus.Histogram
 	serviceTimes prometheus.Histogram
+	unanswered   *prometheus.CounterVec
 	customers    *customerMetrics
 	quotas       *quotaMetrics
 }
@@ -30,8 +31,9 @@
 // included.
 func newMetrics(registerer prometheus.Registerer, p *Proxy) (*metrics, error) {
 	m := &metrics{
-		customers: newCustomerMetrics(),
-		quotas:    newQuotaMetrics(),
+		unanswered: newUnansweredCounter(),
+		customers:  newCustomerMetrics(),
+		quotas:     newQuotaMetrics(),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "godwitmount_answers_total", Help: "Answers to callers by status or result.",
 		}, []string{"result"}),
@@ -95,7 +97,7 @@
 		resumedCounter("lost", &p.deps.Peers.resumed.lost),
 	}
 	gauges = append(gauges, m.quotas.collectors()...)
-	for _, c := range append(gauges, m.answers, m.customers.answers, m.refusals, m.rollouts, m.latency, m.waits, m.serviceTimes) {
+	for _, c := range append(gauges, m.answers, m.unanswered, m.customers.answers, m.refusals, m.rollouts, m.latency, m.waits, m.serviceTimes) {
 		if err := registerer.Register(c); err != nil {
 			return nil, fmt.Errorf("register metric: %w", err)
 		}
