Answer requests that wait on a connection before it is closed

Cause: callers that had sent requests behind one another got no answer at a planned stop. Change: a request that was read belongs to its connection until it is answered. Branches that the closed listener does not take are served one after the other. With bodies in chunks, Expect or heads in pieces, requests behind another are still left to net/http: the answer before them says that the connection ends.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"godwitmount/internal/freshness"
 	"godwitmount/internal/hop"
 	"godwitmount/internal/manifest"
+	"godwitmount/internal/pipeline"
 	"godwitmount/internal/proxy"
 	"godwitmount/internal/quota"
 	"godwitmount/internal/rollout"
@@ -95,9 +96,10 @@
 	loop  *loop
 	peers *proxy.Peers
 	proxy *proxy.Proxy
-	// server serves peers, callerServer callers.
+	// server serves peers, callerServer callers, whose connections callers holds.
 	server       *hop.Server
 	callerServer *http.Server
+	callers      *pipeline.Listener
 	// closers close the listeners and the servers on them.
 	closers  []func() error
 	registry *prometheus.Registry
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -64,7 +64,8 @@
 			return fmt.Errorf("listen: %w", err)
 		}
 		if endpoint.server == d.callerServer {
-			listener = pipeline.NewListener(listener, d.proxy.RecordUnserved)
+			d.callers = pipeline.NewListener(listener, d.proxy.RecordUnserved)
+			listener = d.callers
 		}
 		d.closers = append(d.closers, endpoint.server.Close)
 		go func() { d.logServeError(endpoint.address, endpoint.server.Serve(listener)) }()
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -27,9 +27,11 @@
 	closeEntryShare = 0.65
 	exitShare       = 0.95
 	// drainNoticeTime is how long Stop waits for peers to receive the notice that
-	// the daemon accepts no more requests. It also bounds closing the connections
-	// of callers.
+	// the daemon accepts no more requests.
 	drainNoticeTime = 100 * time.Millisecond
+	// closeCallersTime bounds closing the connections of callers. Callers have it to read
+	// their last answers.
+	closeCallersTime = 100 * time.Millisecond
 	// cancelNoticeTime is how long Stop waits for peers to confirm cancellations. If the
 	// machine ends with the process, what is still to be sent is lost.
 	cancelNoticeTime = 300 * time.Millisecond
@@ -100,16 +102,17 @@
 	return time.Since(d.started)-last >= quietPeriod && d.idle()
 }
 
-// idle reports whether no request of a caller or of a peer is in flight.
+// idle reports whether no request of a caller or of a peer is in flight, or waits on the
+// connection on which it was received.
 func (d *Daemon) idle() bool {
 	entering, running := d.proxy.InFlight()
-	return entering+running == 0
+	return entering+running == 0 && d.callers.AllAnswered()
 }
 
-// close closes the connections of callers, waiting up to drainNoticeTime for
+// close closes the connections of callers, waiting up to closeCallersTime for
 // active ones, and then everything else.
 func (d *Daemon) close(ctx context.Context) {
-	bounded, cancel := context.WithTimeout(ctx, drainNoticeTime)
+	bounded, cancel := context.WithTimeout(ctx, closeCallersTime)
 	defer cancel()
 	if err := d.callerServer.Shutdown(bounded); err != nil {
 		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the connections of callers"), zap.Error(err))
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -10,12 +10,8 @@
 	"time"
 )
 
-const (
-	// lingerTime is how long a connection stays open after the last answer of a branch.
-	lingerTime = 500 * time.Millisecond
-	// readBytes is the number of bytes that are read at a time while a request is served.
-	readBytes = 2 << 10
-)
+// readBytes is the number of bytes that are read at a time while a request is served.
+const readBytes = 2 << 10
 
 // longAgo is a deadline that has passed.
 var longAgo = time.Unix(1, 0)
@@ -31,19 +27,22 @@
 	changed sync.Cond
 	// ahead holds the bytes that were read and not delivered.
 	ahead []byte
-	// deliver is the number of bytes at the start of ahead that belong to the head being
-	// delivered.
+	// deliver is the number of bytes of the request being delivered that net/http has not
+	// read. Part of its body may not have arrived.
 	deliver int
 	// passThrough is set once the connection is left to net/http alone.
 	passThrough bool
-	// serving is set while net/http serves a request that it has read from the connection.
-	serving bool
+	// serving is set while net/http serves a request that it has read from the connection, and
+	// alone while it is one beside which no other is served.
+	serving, alone bool
 	// branches are those whose answers are not sent yet, in the order of the requests.
 	branches []*branch
+	// unsplit is set once the listener is closed, so that no further branch is served.
+	unsplit bool
 	// flushing is set while a goroutine sends the answers of branches.
 	flushing bool
-	// last is set once no further request is to be served. What arrives is still read, as
-	// unread data would make the system discard the last answer.
+	// last is set once no further request is to be served, and so none is to be read: of one
+	// that was not read, its caller knows that it has not run.
 	last bool
 	// ended is set when the connection fails or is closed, and closing when it is to be closed
 	// after the last branch.
@@ -51,6 +50,8 @@
 	closing bool
 	// cause says why the connection has ended.
 	cause error
+	// reading is set while a goroutine waits for data.
+	reading bool
 	// deadline is that of net/http for Read. While interrupted is set, another one is set on
 	// the connection, which ends a Read that waits for data.
 	deadline    time.Time
@@ -63,7 +64,7 @@
 	return c
 }
 
-// Read implements net.Conn. It delivers one head at a time. While a request is served, it
+// Read implements net.Conn. It delivers one request at a time. While that is served, it
 // makes branches of those that arrive, and returns only when the connection fails or its
 // deadline passes.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -71,77 +72,81 @@
 	defer c.mu.Unlock()
 	for {
 		if c.passThrough && len(c.ahead) == 0 {
-			return c.readDirectly(p)
+			if n, err := c.receive(p); n > 0 || err != nil {
+				return n, err
+			}
+			continue
 		}
 		if c.isFree() {
 			c.beginRequest()
-		} else {
-			c.split()
+		} else if !c.split() {
+			continue
 		}
 		if n := c.take(p); n > 0 {
 			return n, nil
 		}
+		if c.deliver > 0 {
+			if n, err := c.receiveBody(p); n > 0 || err != nil {
+				return n, err
+			}
+			continue
+		}
 		if err := c.fill(p); err != nil {
 			return 0, err
 		}
 	}
 }
 
-// readDirectly reads from the connection. The caller holds mu, which is released meanwhile.
-func (c *Conn) readDirectly(p []byte) (int, error) {
-	c.mu.Unlock()
-	defer c.mu.Lock()
-	return c.Conn.Read(p)
-}
-
 // isFree reports whether net/http may read a request from the connection.
 func (c *Conn) isFree() bool { return !c.serving && len(c.branches) == 0 }
 
-// beginRequest delivers the head that ahead begins with, or leaves the connection to
+// beginRequest delivers the request that ahead begins with, or leaves the connection to
 // net/http. The caller holds mu.
 func (c *Conn) beginRequest() {
 	if len(c.ahead) == 0 || c.passThrough || c.last {
 		return
 	}
 	c.serving = true
-	c.deliver = headEnd(c.ahead)
-	c.passThrough = c.deliver == 0 || !isSimple(c.ahead[:c.deliver])
+	head := c.ahead[:headEnd(c.ahead)]
+	body, known := bodyLength(head)
+	if len(head) == 0 || !known {
+		c.passThrough = true
+		return
+	}
+	c.alone = !isSimple(head)
+	c.deliver = len(head) + body
 }
 
-// split makes branches of the requests in ahead. The caller holds mu.
-func (c *Conn) split() {
-	for c.deliver == 0 && !c.passThrough && !c.last && !c.ended && len(c.branches) < maxBranches {
+// split makes branches of the requests in ahead. It returns false if one of these is not
+// served, since the listener is closed: it stays in ahead. The caller holds mu, which is
+// released meanwhile.
+func (c *Conn) split() bool {
+	for c.deliver == 0 && !c.alone && !c.unsplit && !c.passThrough && !c.last && !c.ended && len(c.branches) < maxBranches {
 		end := headEnd(c.ahead)
 		if end == 0 || !isSimple(c.ahead[:end]) {
-			return
+			return true
 		}
 		b := &branch{front: c, head: slices.Clone(c.ahead[:end])}
-		c.ahead = c.ahead[end:]
 		c.branches = append(c.branches, b)
 		c.mu.Unlock()
 		delivered := c.listener.deliver(b)
 		c.mu.Lock()
 		if !delivered {
-			c.drop(b)
+			c.branches = slices.DeleteFunc(c.branches, func(other *branch) bool { return other == b })
+			c.unsplit = true
+			c.flush()
+			return false
 		}
+		c.ahead = c.ahead[end:]
 	}
-}
-
-// drop forgets a branch that net/http does not serve, since the server is stopping. Its
-// request counts as not read. The caller holds mu.
-func (c *Conn) drop(b *branch) {
-	c.listener.unserved([][]byte{b.head}, net.ErrClosed)
-	c.branches = slices.DeleteFunc(c.branches, func(other *branch) bool { return other == b })
-	c.last = true
-	c.closing = true
-	c.flush()
+	return true
 }
 
 // take copies deliverable bytes from ahead. The caller holds mu.
 func (c *Conn) take(p []byte) int {
 	available := c.ahead
 	if !c.passThrough {
-		available = c.ahead[:c.deliver]
+		available = c.ahead[:min(c.deliver, len(c.ahead))]
 	}
 	n := copy(p, available)
 	c.ahead = c.ahead[n:]
@@ -151,42 +156,58 @@
 	return n
 }
 
+// receiveBody reads from the body of the request being delivered; see receive.
+func (c *Conn) receiveBody(p []byte) (int, error) {
+	n, err := c.receive(p[:min(len(p), c.deliver)])
+	c.deliver -= n
+	return n, err
+}
+
 // fill waits for more data. It returns nil if there is some, or if a state has changed. The
 // caller holds mu, which is released meanwhile.
 func (c *Conn) fill(p []byte) error {
 	if c.ended {
 		return net.ErrClosed
 	}
-	if len(c.ahead) >= maxAhead {
+	if len(c.ahead) >= maxAhead || c.last {
 		return c.awaitChange()
 	}
 	// Package net/http waits for the end of the connection with a buffer of one byte.
 	if len(c.ahead) > 0 {
 		p = make([]byte, readBytes)
 	}
+	n, err := c.receive(p)
+	c.ahead = append(c.ahead, p[:n]...)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		_ = c.end(err)
+	}
+	return err
+}
+
+// receive reads from the connection. It returns 0 and nil if wake has interrupted it. The
+// caller holds mu, which is released meanwhile.
+func (c *Conn) receive(p []byte) (int, error) {
+	c.reading = true
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
-	c.ahead = append(c.ahead, p[:n]...)
-	switch {
-	case n > 0:
-		return nil
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		if !c.interrupted {
-			return err
-		}
+	c.reading = false
+	if n > 0 {
+		return n, nil
+	}
+	if c.interrupted && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.interrupted = false
-		return c.Conn.SetReadDeadline(c.deadline)
-	default:
-		_ = c.end(err)
-		return err
+		return 0, c.Conn.SetReadDeadline(c.deadline)
 	}
+	return 0, err
 }
 
 // awaitChange waits until a state changes. The caller holds mu, which is released meanwhile.
 func (c *Conn) awaitChange() error {
-	if !c.deadline.IsZero() && !c.deadline.After(time.Now()) {
-		return os.ErrDeadlineExceeded
+	if !c.deadline.IsZero() {
+		if !c.deadline.After(time.Now()) {
+			return os.ErrDeadlineExceeded
+		}
 	}
 	c.changed.Wait()
 	return nil
@@ -198,6 +219,9 @@
 	defer c.mu.Unlock()
 	c.deadline = t
 	c.changed.Broadcast()
+	if c.ended {
+		return net.ErrClosed
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -217,131 +241,3 @@
 	}
 	return inner.SyscallConn()
 }
-
-// answered is called when net/http has answered the request that it read from the
-// connection.
-func (c *Conn) answered() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.serving = false
-	c.flush()
-}
-
-// flush sends the answers of branches as far as they are there in the order of the
-// requests. The caller holds mu, which is released meanwhile.
-func (c *Conn) flush() {
-	if c.flushing || c.serving {
-		return
-	}
-	c.flushing = true
-	for len(c.branches) > 0 && !c.ended && c.flushFirst() {
-	}
-	c.flushing = false
-	if len(c.branches) == 0 && c.closing {
-		c.endSoon()
-	}
-	c.wake()
-}
-
-// flushFirst sends what there is of the first branch's answer, or removes the branch. It
-// returns false if there is nothing to do yet. The caller holds mu.
-func (c *Conn) flushFirst() bool {
-	first := c.branches[0]
-	if len(first.unsent) > 0 {
-		unsent := first.unsent
-		first.unsent = nil
-		c.mu.Unlock()
-		_, err := c.Conn.Write(unsent)
-		c.mu.Lock()
-		if err != nil {
-			_ = c.end(err)
-		}
-		c.changed.Broadcast()
-		return true
-	}
-	if !first.done {
-		return false
-	}
-	c.branches = c.branches[1:]
-	if first.last {
-		c.endSoon()
-	}
-	return true
-}
-
-// wake lets a Read that waits for data look at the state again. The caller holds mu.
-func (c *Conn) wake() {
-	c.changed.Broadcast()
-	if len(c.ahead) > 0 && c.isFree() && !c.ended {
-		c.interrupted = true
-		// If this fails, the connection has ended, and so has the Read.
-		_ = c.Conn.SetReadDeadline(longAgo)
-	}
-}
-
-// closeAfter is CloseAfter for the request of b, or with nil for that on the connection
-// itself.
-func (c *Conn) closeAfter(b *branch) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if n := len(c.branches); n > 0 && c.branches[n-1] != b {
-		return false
-	}
-	c.last = true
-	return true
-}
-
-// Close implements net.Conn. While answers of branches are outstanding, an idle connection
-// is closed after them.
-func (c *Conn) Close() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.serving && len(c.branches) > 0 && !c.ended {
-		c.closing = true
-		c.last = true
-		c.changed.Broadcast()
-		return nil
-	}
-	return c.end(net.ErrClosed)
-}
-
-// CloseWrite ends the sending direction. Package net/http calls it before Close, so that
-// unread data does not make the system discard the answer.
-func (c *Conn) CloseWrite() error {
-	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return inner.CloseWrite()
-	}
-	return nil
-}
-
-// end closes the connection and ends the branches. Cause is net.ErrClosed if the server
-// ends it, and otherwise the error of the connection. The caller holds mu.
-func (c *Conn) end(cause error) error {
-	if c.ended {
-		return nil
-	}
-	c.setEnded(cause)
-	return c.Conn.Close()
-}
-
-// setEnded records the end of the connection and reports the requests that were not served.
-// The caller holds mu.
-func (c *Conn) setEnded(cause error) {
-	c.ended = true
-	c.cause = cause
-	c.changed.Broadcast()
-	if unserved := heads(c.ahead[min(c.deliver, len(c.ahead)):]); len(unserved) > 0 && !c.passThrough {
-		c.listener.unserved(unserved, cause)
-	}
-}
-
-// endSoon is end, but leaves the caller time to read the last answer. The caller holds mu.
-func (c *Conn) endSoon() {
-	if c.ended {
-		return
-	}
-	c.setEnded(net.ErrClosed)
-	// If this fails, the caller has closed the connection.
-	_ = c.CloseWrite()
-	time.AfterFunc(lingerTime, func() { _ = c.Conn.Close() })
-}
--- a/internal/pipeline/head.go
+++ b/internal/pipeline/head.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -32,27 +34,60 @@
 	return all
 }
 
-// refusedFields are parts of header fields with which a request is not split off: those of
-// a body, and those that concern the connection. They are searched for in the whole head, in
-// lower case, so that no spelling hides one of them.
-var refusedFields = []string{"content-length", "transfer-encoding", "expect", "upgrade", "close"}
+// maxLengthDigits bounds the digits of a body's length that is interpreted here.
+const maxLengthDigits = 15
+
+// foreignFields are parts of header fields with which the end of a request is left to
+// net/http, and refusedFields those with which a request is not split off: also those of a
+// body. They are searched for in the whole head, in lower case, so that no spelling hides
+// one of them.
+var (
+	foreignFields = []string{"transfer-encoding", "expect", "upgrade", "close"}
+	refusedFields = append([]string{lengthField}, foreignFields...)
+)
+
+// lengthField is the name of the field with a body's length, in lower case.
+const lengthField = "content-length"
 
 // isSimple reports whether the head is that of a request that can be served on a
 // connection of its own: idempotent, without a body, and for a connection that stays open.
 func isSimple(head []byte) bool {
-	line, fields, _ := strings.Cut(string(head), "\n")
-	line = strings.TrimSuffix(line, "\r")
-	if !strings.HasSuffix(line, " HTTP/1.1") {
+	line, fields, ok := splitHead(head)
+	if !ok || !strings.HasPrefix(line, "GET ") && !strings.HasPrefix(line, "HEAD ") {
 		return false
 	}
-	if !strings.HasPrefix(line, "GET ") && !strings.HasPrefix(line, "HEAD ") {
-		return false
+	return !containsAny(fields, refusedFields)
+}
+
+// bodyLength returns the length of the body behind the head, for a connection that stays
+// open. It returns false if the length is not given in one plain field.
+func bodyLength(head []byte) (int, bool) {
+	_, fields, ok := splitHead(head)
+	if !ok || containsAny(fields, foreignFields) {
+		return 0, false
 	}
-	fields = strings.ToLower(fields)
-	for _, refused := range refusedFields {
-		if strings.Contains(fields, refused) {
-			return false
-		}
+	before, after, found := strings.Cut(fields, lengthField)
+	if !found {
+		return 0, true
+	}
+	value, rest, _ := strings.Cut(after, "\n")
+	digits, isPlain := strings.CutPrefix(strings.TrimSuffix(value, "\r"), ": ")
+	startsLine := before == "" || strings.HasSuffix(before, "\n")
+	if !isPlain || !startsLine || strings.Contains(rest, lengthField) || len(digits) > maxLengthDigits {
+		return 0, false
 	}
-	return true
+	length, err := strconv.ParseUint(digits, 10, 63)
+	return int(length), err == nil
+}
+
+// splitHead returns the request line and, in lower case, the fields. It returns false
+// unless the request is of HTTP/1.1.
+func splitHead(head []byte) (line, fields string, ok bool) {
+	line, fields, _ = strings.Cut(string(head), "\n")
+	line = strings.TrimSuffix(line, "\r")
+	return line, strings.ToLower(fields), strings.HasSuffix(line, " HTTP/1.1")
+}
+
+func containsAny(text string, parts []string) bool {
+	return slices.ContainsFunc(parts, func(part string) bool { return strings.Contains(text, part) })
 }
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -5,15 +5,22 @@
 // The caller's connection is split: while a request on it is served, each further one
 // that is complete and has no body becomes a connection of its own for net/http, a
 // branch. The answers of the branches are sent on the caller's connection in the order
-// of the requests. Everything else passes through unchanged: once a request has a body,
-// or its head does not arrive at once, the connection is left to net/http alone. So no
-// length of a body is interpreted here, and a request cannot hide in another one.
+// of the requests. A request with a body waits until those before it are answered, and
+// those behind it wait for it. Where the end of a request is not known, as with a body in
+// chunks or a head that does not arrive at once, the connection is left to net/http alone.
+// All bytes reach net/http in the order in which they came, apart from the heads of
+// branches, so a request cannot hide in the body of another one.
+//
+// A request that was read is answered before its connection is closed, unless it cannot be
+// known here that it was read: then, the answer before it says that the connection ends.
 package pipeline
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 )
 
@@ -38,6 +45,10 @@
 	// ended is closed when the listener is closed.
 	ended chan struct{}
 	once  sync.Once
+
+	mu sync.Mutex
+	// conns are the connections that are not closed.
+	conns map[*Conn]bool
 }
 
 // accepted is a result of Accept.
@@ -51,7 +62,7 @@
 // and with the cause of that: net.ErrClosed if the server ended it, and otherwise the error
 // of the connection. It must not block.
 func NewListener(inner net.Listener, unserved func(heads [][]byte, cause error)) *Listener {
-	l := &Listener{Listener: inner, unserved: unserved, accepted: make(chan accepted), ended: make(chan struct{})}
+	l := &Listener{Listener: inner, unserved: unserved, accepted: make(chan accepted), ended: make(chan struct{}), conns: map[*Conn]bool{}}
 	go l.acceptAll()
 	return l
 }
@@ -67,13 +78,40 @@
 			}
 			continue
 		}
-		if !l.deliver(newConn(conn, l)) {
-			_ = conn.Close()
+		c := newConn(conn, l)
+		l.add(c)
+		if !l.deliver(c) {
+			_ = c.Close()
 			return
 		}
 	}
 }
 
+func (l *Listener) add(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = true
+}
+
+func (l *Listener) forget(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// open returns the connections that are not closed.
+func (l *Listener) open() []*Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.conns))
+}
+
+// AllAnswered reports whether no request that was read from a connection waits for its
+// answer.
+func (l *Listener) AllAnswered() bool {
+	return !slices.ContainsFunc(l.open(), (*Conn).isUnanswered)
+}
+
 // deliver hands a connection to Accept. It returns false once the listener is closed.
 func (l *Listener) deliver(conn net.Conn) bool { return l.pass(accepted{conn: conn}) }
 
@@ -104,14 +142,18 @@
 
 // ConnState must be called by the server with each change of a connection's state.
 func ConnState(conn net.Conn, state http.ConnState) {
-	if state != http.StateIdle {
-		return
-	}
 	switch c := conn.(type) {
 	case *Conn:
-		c.answered()
+		switch state {
+		case http.StateActive:
+			c.begun()
+		case http.StateIdle:
+			c.answered()
+		}
 	case *branch:
-		c.finish()
+		if state == http.StateIdle {
+			c.finish()
+		}
 	}
 }
 
@@ -130,8 +172,8 @@
 }
 
 // CloseAfter reports whether the answer to the request with this context may end its
-// connection. It returns false while requests behind it are served: they would be cut off.
-// After true, no further request is served.
+// connection. It returns false while requests behind it are served or wait: they would get no
+// answer. After true, no further request is served.
 func CloseAfter(ctx context.Context) bool {
 	switch c := ctx.Value(connKey{}).(type) {
 	case *Conn:
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -23,9 +23,6 @@
 func (p *Proxy) serve(w http.ResponseWriter, r *http.Request) {
 	p.entryRequests.Add(1)
 	defer p.entryRequests.Add(-1)
-	if p.stopping.Load() && pipeline.CloseAfter(r.Context()) {
-		w.Header().Set("Connection", "close")
-	}
 	c, f := p.newCall(w, r)
 	if f != nil {
 		p.returnToken(c.token)
@@ -46,7 +43,15 @@
 		p.writeFailure(w, r, c, f, forwarder)
 		return
 	}
-	p.writeAnswer(w, c, answer, forwarder)
+	p.writeAnswer(w, r, c, answer, forwarder)
+}
+
+// closeIfStopping makes the answer to a request the last one of its connection if the daemon
+// stops and no other request waits there.
+func (p *Proxy) closeIfStopping(w http.ResponseWriter, r *http.Request) {
+	if p.stopping.Load() && pipeline.CloseAfter(r.Context()) {
+		w.Header().Set("Connection", "close")
+	}
 }
 
 // forwarder sends one call to upstreams, in one or more attempts.
@@ -360,6 +365,7 @@
 		zap.Uint64("config", c.version), zap.Duration("retry_after", delay)}
 	p.deps.Log.Request(event.CallAnswered, true, append(fields, f.fields()...)...)
 	w.Header().Set(p.cfg.Headers.RequestID, c.id)
+	p.closeIfStopping(w, r)
 	p.recordDelivery(c.id, failed.write(r.Context(), w, delay))
 }
 
@@ -374,7 +380,7 @@
 }
 
 // writeAnswer sends an upstream's answer to the caller.
-func (p *Proxy) writeAnswer(w http.ResponseWriter, c *call, answer *hopv1.Answer, f *forwarder) {
+func (p *Proxy) writeAnswer(w http.ResponseWriter, r *http.Request, c *call, answer *hopv1.Answer, f *forwarder) {
 	header := w.Header()
 	for _, h := range answer.Headers {
 		header[h.Name] = append(header[h.Name], h.Value)
@@ -396,5 +402,6 @@
 			zap.Duration("took", time.Since(c.started)), zap.Uint64("config", c.version)}, f.fields())...)
 	p.routes.recordSize(c.route.Name, len(answer.Body)+len(c.request.Body))
 	p.routes.recordWork(c.route.Name, microseconds(answer.RanUs), microseconds(answer.State.GetServiceTimeUs()))
+	p.closeIfStopping(w, r)
 	p.recordDelivery(c.id, writeWhole(w, int(answer.Status), answer.Body))
 }
