End callers' connections only when all that was read is answered

Cause: at the end of a planned stop, http.Server.Shutdown drops every request that it reads from then on: it reads the head, sees that the server ends, and closes the connection without an answer; it also counts a connection as idle until the head of the next request is parsed. This meets single requests on kept connections, and first ones on new connections, for up to 100 ms. Change: the connections decide, under their own lock, whether something was read (pipeline.Listener.Drain): one that is idle ends, one with a request ends after its answer. Nothing is read and then dropped; what was not read, its caller can send again.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -109,13 +109,16 @@
 	return entering+running == 0 && d.callers.AllAnswered()
 }
 
-// close closes the connections of callers, waiting up to closeCallersTime for
-// active ones, and then everything else.
+// close closes the connections of callers, once each request that was read from them is
+// answered, and then everything else. It waits up to closeCallersTime.
 func (d *Daemon) close(ctx context.Context) {
-	bounded, cancel := context.WithTimeout(ctx, closeCallersTime)
-	defer cancel()
-	if err := d.callerServer.Shutdown(bounded); err != nil {
-		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the connections of callers"), zap.Error(err))
+	if err := d.callers.Close(); err != nil {
+		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the listener for callers"), zap.Error(err))
+	}
+	d.callers.Drain()
+	waitUntil(ctx, time.Now().Add(closeCallersTime), func() bool { return d.callers.Open() == 0 })
+	if open := d.callers.Open(); open > 0 {
+		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the connections of callers"), zap.Int("open", open))
 	}
 	d.closeAll()
 }
--- a/internal/pipeline/answers.go
+++ b/internal/pipeline/answers.go
@@ -62,7 +62,7 @@
 // wake lets a Read that waits for data look at the state again. The caller holds mu.
 func (c *Conn) wake() {
 	c.changed.Broadcast()
-	if c.isFree() && len(c.ahead) > 0 && !c.ended {
+	if c.isFree() && (len(c.ahead) > 0 || c.draining) && !c.ended {
 		c.interrupted = true
 		// If this fails, the connection has ended, and so has the Read.
 		_ = c.Conn.SetReadDeadline(longAgo)
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"slices"
@@ -44,6 +45,8 @@
 	// last is set once no further request is to be served, and so none is to be read: of one
 	// that was not read, its caller knows that it has not run.
 	last bool
+	// draining is set once the connection is to end when nothing on it waits for an answer.
+	draining bool
 	// ended is set when the connection fails or is closed, and closing when it is to be closed
 	// after the last branch.
 	ended   bool
@@ -71,6 +74,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for {
+		if c.draining && c.isQuiet() {
+			return 0, io.EOF
+		}
 		if c.passThrough && len(c.ahead) == 0 {
 			if n, err := c.receive(p); n > 0 || err != nil {
 				return n, err
@@ -100,6 +106,9 @@
 // isFree reports whether net/http may read a request from the connection.
 func (c *Conn) isFree() bool { return !c.serving && len(c.branches) == 0 }
 
+// isQuiet reports whether nothing that was read waits for an answer.
+func (c *Conn) isQuiet() bool { return c.isFree() && len(c.ahead) == 0 }
+
 // beginRequest delivers the request that ahead begins with, or leaves the connection to
 // net/http. The caller holds mu.
 func (c *Conn) beginRequest() {
--- a/internal/pipeline/end.go
+++ b/internal/pipeline/end.go
@@ -11,6 +11,14 @@
 // on it, for its caller to read the last answer.
 const lingerTime = 500 * time.Millisecond
 
+// drain ends the connection once nothing on it waits for an answer.
+func (c *Conn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
+	c.wake()
+}
+
 // isUnanswered reports whether requests that were read wait for an answer.
 func (c *Conn) isUnanswered() bool {
 	c.mu.Lock()
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -106,12 +106,23 @@
 	return slices.Collect(maps.Keys(l.conns))
 }
 
+// Open returns the number of connections that are not closed.
+func (l *Listener) Open() int { return len(l.open()) }
+
 // AllAnswered reports whether no request that was read from a connection waits for its
 // answer.
 func (l *Listener) AllAnswered() bool {
 	return !slices.ContainsFunc(l.open(), (*Conn).isUnanswered)
 }
 
+// Drain ends each connection as soon as no request that was read from it waits for its
+// answer. It must be called after Close.
+func (l *Listener) Drain() {
+	for _, c := range l.open() {
+		c.drain()
+	}
+}
+
 // deliver hands a connection to Accept. It returns false once the listener is closed.
 func (l *Listener) deliver(conn net.Conn) bool { return l.pass(accepted{conn: conn}) }
 
