End a read of a full connection at its deadline

Cause: while as much waits on a connection as is read ahead, a Read waits for a change of state, and nothing woke it when its deadline passed; net/http then waits beyond its idle time. Change: a timer wakes it. Conclusion: found while the ends of a caller's connection were looked through; not seen elsewhere.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -211,17 +211,27 @@
 	return 0, err
 }
 
-// awaitChange waits until a state changes. The caller holds mu, which is released meanwhile.
+// awaitChange waits until a state changes or the deadline passes. The caller holds mu, which
+// is released meanwhile.
 func (c *Conn) awaitChange() error {
 	if !c.deadline.IsZero() {
-		if !c.deadline.After(time.Now()) {
+		left := time.Until(c.deadline)
+		if left <= 0 {
 			return os.ErrDeadlineExceeded
 		}
+		defer time.AfterFunc(left, c.wakeAll).Stop()
 	}
 	c.changed.Wait()
 	return nil
 }
 
+// wakeAll lets everything that waits look at the state again.
+func (c *Conn) wakeAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changed.Broadcast()
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/internal/pipeline/drain_test.go
+++ b/internal/pipeline/drain_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -136,3 +137,29 @@
 		t.Errorf("after the last answer: %v", err)
 	}
 }
+
+// TestDeadlinePassesWhileMuchWaits covers a caller that has sent as much as is read ahead:
+// nothing else ends the Read then.
+func TestDeadlinePassesWhileMuchWaits(t *testing.T) {
+	caller, server := net.Pipe()
+	defer func() { _ = caller.Close() }()
+	c := newConn(server, &Listener{unserved: ignoreUnserved, conns: map[*Conn]bool{}})
+	c.serving = true
+	c.ahead = make([]byte, maxAhead)
+	if err := c.SetReadDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	result := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 1))
+		result <- err
+	}()
+	select {
+	case err := <-result:
+		if err != os.ErrDeadlineExceeded {
+			t.Error(err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the read goes on")
+	}
+}
