Wait for replies to be written before a planned stop ends

Cause: a planned stop ended once no request ran at the upstream. Replies to peers that were still queued, or sent in parts through a slow link, were discarded with the connection: the caller of a request that had run was answered 502. Change: hop.Server.AllReplied; Stop counts a request as in flight until its reply was written. A peer that takes nothing can delay the stop up to its limit.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -102,11 +102,11 @@
 	return time.Since(d.started)-last >= quietPeriod && d.idle()
 }
 
-// idle reports whether no request of a caller or of a peer is in flight, or waits on the
-// connection on which it was received.
+// idle reports whether no request of a caller or of a peer is in flight, waits on the
+// connection on which it was received, or has an answer that was not written.
 func (d *Daemon) idle() bool {
 	entering, running := d.proxy.InFlight()
-	return entering+running == 0 && d.callers.AllAnswered()
+	return entering+running == 0 && d.callers.AllAnswered() && d.server.AllReplied()
 }
 
 // close closes the connections of callers, once each request that was read from them is
--- a/internal/hop/outbox.go
+++ b/internal/hop/outbox.go
@@ -28,6 +28,8 @@
 	mu          sync.Mutex
 	frames      [][]byte
 	queuedBytes int
+	// writing is set while a batch that nextBatch has returned is written.
+	writing bool
 	// drained is closed when queuedBytes falls below maxQueuedParts; nil if nothing waits
 	// for that.
 	drained chan struct{}
@@ -75,12 +77,20 @@
 	}
 }
 
+// allWritten reports whether no frame waits or is being written.
+func (o *outbox) allWritten() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.queuedBytes == 0 && !o.writing
+}
+
 // nextBatch removes and returns at most maxBatchBytes from the head of the
 // queue. A frame that does not fit is split across batches. The batch is empty
-// when the queue is.
+// when the queue is. The call says that the batch before it was written.
 func (o *outbox) nextBatch() net.Buffers {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.writing = len(o.frames) > 0
 	defer o.signalRoom()
 	var batch net.Buffers
 	remaining := maxBatchBytes
--- a/internal/hop/parts.go
+++ b/internal/hop/parts.go
@@ -88,6 +88,13 @@
 // before all frames that are not, and in the order of arrival among urgent ones.
 const urgentLead = time.Hour
 
+// allQueued reports whether no frame has parts that are not queued.
+func (s *partSender) allQueued() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sending) == 0
+}
+
 // start sends a frame in parts in the background. The parts of an urgent frame go before
 // those of others on the machine's network link. Frames of the same stream are sent one
 // after another, since the receiver joins the parts of a stream: pings, pongs and other
--- a/internal/hop/peerconn.go
+++ b/internal/hop/peerconn.go
@@ -113,6 +113,9 @@
 	return nil
 }
 
+// allWritten reports whether all frames were written, those in parts included.
+func (pc *peerConn) allWritten() bool { return pc.parts.allQueued() && pc.out.allWritten() }
+
 // write writes queued frames in batches until the connection is closed.
 func (pc *peerConn) write() {
 	defer pc.reset()
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -106,6 +106,34 @@
 	}
 }
 
+// AllReplied reports whether no request of a peer runs and each reply was written on its
+// connection, if that is open.
+func (s *Server) AllReplied() bool { return !s.anyRunning() && s.allWritten() }
+
+// anyRunning reports whether a request of a peer runs, or has no reply that was queued.
+func (s *Server) anyRunning() bool {
+	s.sessionsMu.Lock()
+	defer s.sessionsMu.Unlock()
+	for _, session := range s.sessions {
+		if len(session.ledger.running) > 0 && !isClosed(session.peerConn.done) {
+			return true
+		}
+	}
+	return false
+}
+
+// allWritten reports whether nothing waits to be written on an open connection.
+func (s *Server) allWritten() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for pc := range s.conns {
+		if !isClosed(pc.done) && !pc.allWritten() {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Server) isClosing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
