Answer requests that a planned stop cuts off

Cause: at 0.95 of the grace a planned stop closed the connections of the requests that were still in flight. Their callers got no answer, and could not tell a request that waited for a slot, which they may send again, from one that ran. Change: at that time the requests in flight are ended, each with an answer: 503 for one that has not run, 502 (call-stopped, 526) for one that may have. Peers get the same as replies. Conclusion: the caller's outcome is honest. That such requests are taken at all is the next fault.

--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -73,6 +73,7 @@
 	CallQuotaExceeded   Code = 523
 	CallNotExposed      Code = 524
 	CallVersionClosed   Code = 525
+	CallStopped         Code = 526
 )
 
 // Info describes one code.
@@ -139,6 +140,7 @@
 	{CallQuotaExceeded, "call-quota-exceeded", "The customer has used its allowance.", NotRun, http.StatusTooManyRequests, true},
 	{CallNotExposed, "call-not-exposed", "The upstream has a new version on trial, and the request does not belong to the trial.", NotRun, http.StatusServiceUnavailable, true},
 	{CallVersionClosed, "call-version-closed", "A rollout gives no requests to the version of the upstream.", NotRun, http.StatusServiceUnavailable, true},
+	{CallStopped, "call-stopped", "A planned stop reached its time limit while the request may have been running.", Unknown, http.StatusBadGateway, false},
 }
 
 var byCode = indexByCode()
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -29,6 +29,8 @@
 	// drainNoticeTime is how long Stop waits for peers to receive the notice that
 	// the daemon accepts no more requests.
 	drainNoticeTime = 100 * time.Millisecond
+	// cutOffTime bounds answering the requests that are cut off at exitShare.
+	cutOffTime = 100 * time.Millisecond
 	// closeCallersTime bounds closing the connections of callers. Callers have it to read
 	// their last answers.
 	closeCallersTime = 100 * time.Millisecond
@@ -45,7 +47,7 @@
 // daemons, their requests are refused and peers are notified to send none. The
 // daemon ends once no request is in flight. Stop returns an error if requests
 // were still in flight at exitShare of the shutdown grace period, or when ctx
-// ended.
+// ended. These are cut off, and answered as such.
 func (d *Daemon) Stop(ctx context.Context) error {
 	began := time.Now()
 	grace := d.cfg.Settings.ShutdownGrace.Std()
@@ -53,10 +55,11 @@
 	if err := d.loop.do(ctx, control.StopRequested{}); err != nil {
 		d.log.Warn(event.DaemonStopping, zap.Error(err))
 	}
-	d.proxy.BeginStop()
+	knownAt := began.Add(minUnreadyTime)
 	closeEntryAt := began.Add(time.Duration(closeEntryShare * float64(grace)))
 	exitAt := began.Add(time.Duration(exitShare * float64(grace)))
-	waitUntil(ctx, closeEntryAt, func() bool { return time.Since(began) >= minUnreadyTime && d.callersQuiet() })
+	d.proxy.BeginStop()
+	waitUntil(ctx, closeEntryAt, func() bool { return !time.Now().Before(knownAt) && d.callersQuiet() })
 	d.proxy.CloseEntry()
 	d.peers.StartDraining()
 	d.broadcastState()
@@ -66,6 +69,10 @@
 	waitUntil(ctx, earlier(exitAt, cancelledAt), d.peers.CancellationsConfirmed)
 	d.awaitMemberCalls(ctx, exitAt)
 	entering, running := d.proxy.InFlight()
+	if !d.idle() {
+		d.proxy.CutOff()
+		waitUntil(ctx, time.Now().Add(cutOffTime), d.idle)
+	}
 	d.log.Event(event.DaemonStopped, zap.Int64("entering", entering), zap.Int64("running", running),
 		zap.Duration("took", time.Since(began)))
 	d.close(ctx)
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -29,7 +29,9 @@
 		p.writeFailure(w, r, c, f, nil)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	uncut, end := p.untilCutOff(r.Context())
+	defer end()
+	ctx, cancel := context.WithDeadline(uncut, c.deadline)
 	defer cancel()
 	if c.parent != nil {
 		defer context.AfterFunc(c.parent.abandoned, cancel)()
@@ -90,6 +92,9 @@
 	f.proxy.recordRequest(f.call)
 	for {
 		frame, r := f.attempt(ctx)
+		if f.proxy.isCutOff() && r != answered {
+			return nil, cutOffFailure(f.mayHaveRun)
+		}
 		if ctx.Err() != nil && r != answered {
 			return nil, f.contextFailure(ctx)
 		}
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -25,6 +25,8 @@
 	if p.deps.Peers.Draining() {
 		return p.refuse(request, code.CallDraining, 0)
 	}
+	ctx, cancel := p.untilCutOff(ctx)
+	defer cancel()
 	frame := p.Execute(ctx, request)
 	spent := uint32((p.now() - arrived).Microseconds())
 	switch body := frame.Body.(type) {
@@ -67,7 +69,7 @@
 		Spillover:        request.Visiting,
 	})
 	if refusal != nil {
-		return p.refuse(request, refusalCode(refusal.Reason, p.now() >= deadline), refusal.RetryAfter)
+		return p.refuse(request, p.refusalCode(refusal.Reason, p.now() >= deadline), refusal.RetryAfter)
 	}
 	upstreamFailed := true
 	defer func() { slot.Release(upstreamFailed) }()
@@ -89,9 +91,9 @@
 
 // refusalCode returns the result code for a request that got no slot. A request
 // that could not start within its goal is shed unless its deadline has passed.
-func refusalCode(reason admission.Reason, deadlinePassed bool) code.Code {
+func (p *Proxy) refusalCode(reason admission.Reason, deadlinePassed bool) code.Code {
 	switch {
-	case reason == admission.Closed:
+	case reason == admission.Closed, p.isCutOff():
 		return code.CallDraining
 	case deadlinePassed:
 		return code.CallDeadlineNotRun
@@ -118,7 +120,9 @@
 	if !request.Idempotent {
 		// A request that must not run twice continues when its caller cancels:
 		// it may already have taken effect.
-		ctx = context.WithoutCancel(ctx)
+		var end func()
+		ctx, end = p.untilCutOff(context.WithoutCancel(ctx))
+		defer end()
 	}
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -167,12 +171,14 @@
 	notRun := false
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
-		failed, notRun = refusalCode(admission.Cancelled, errors.Is(ctx.Err(), context.DeadlineExceeded)), true
+		failed, notRun = p.refusalCode(admission.Cancelled, errors.Is(ctx.Err(), context.DeadlineExceeded)), true
 	case errors.Is(err, upstream.ErrUnreachable):
 		failed, notRun = code.CallConnectRefused, true
 		if ctx.Err() == nil {
 			p.deps.ReportUnreachable(u.ID)
 		}
+	case p.isCutOff():
+		failed = code.CallStopped
 	case ctx.Err() == nil && p.client.Unreachable(ctx):
 		failed = code.CallUpstreamLost
 		p.deps.ReportUnreachable(u.ID)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -5,6 +5,7 @@
 package proxy
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -125,6 +126,9 @@
 	// connection; once entryClosed is set, callers' requests are refused.
 	stopping    atomic.Bool
 	entryClosed atomic.Bool
+	// cut ends with cutOff: requests in flight are cut off.
+	cut    context.Context
+	cutOff context.CancelFunc
 	// storeUnavailable is set while the store does not answer this daemon.
 	storeUnavailable atomic.Bool
 	// storeEra is the latest era of the store that this daemon has seen.
@@ -195,6 +199,7 @@
 		Signature: cfg.Headers.Signature,
 		NotRun:    cfg.Headers.NotRun,
 	})
+	p.cut, p.cutOff = context.WithCancel(context.Background())
 	p.upstream.Store(&control.Upstream{})
 	p.SetService(cfg.Service)
 	m, err := newMetrics(deps.Registerer, p)
@@ -254,21 +259,6 @@
 // SetStoreEra sets the store's era that this daemon reports to peers.
 func (p *Proxy) SetStoreEra(era store.Era) { p.storeEra.Store(uint64(era)) }
 
-// BeginStop makes the answer to each further request of a caller close its
-// connection.
-func (p *Proxy) BeginStop() {
-	p.stopping.Store(true)
-	p.quotas.beginStop()
-	if p.quotas.limited() {
-		// Other daemons become the owners of buckets.
-		p.deps.BroadcastState()
-	}
-}
-
-// CloseEntry refuses new requests of callers. Requests in flight continue, and nested
-// ones that they need are still served.
-func (p *Proxy) CloseEntry() { p.entryClosed.Store(true) }
-
 // InFlight returns the numbers of requests in flight: those of callers, and
 // those that run at the upstream or wait for a slot.
 func (p *Proxy) InFlight() (entryRequests, executingRequests int64) {
