Refuse requests that may outlive a planned stop

Cause: until 0.65 of the grace after SIGTERM (3.9 of 6 s) a daemon accepted each request, whatever its deadline, and cut it off at 0.95 (5.7 s) if it still ran. Change: a StopPlan decides. Once callers know that the daemon stops (2.2 s), it accepts only what ends before it does, by its deadline; callers' requests and peers' alike. Conclusion: what is accepted after callers know ends in time. What was accepted before that and still runs at the end is answered as such.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -9,6 +9,7 @@
 
 	"godwitmount/internal/control"
 	"godwitmount/internal/event"
+	"godwitmount/internal/proxy"
 )
 
 const (
@@ -58,7 +59,7 @@
 	knownAt := began.Add(minUnreadyTime)
 	closeEntryAt := began.Add(time.Duration(closeEntryShare * float64(grace)))
 	exitAt := began.Add(time.Duration(exitShare * float64(grace)))
-	d.proxy.BeginStop()
+	d.proxy.BeginStop(proxy.StopPlan{KnownAt: knownAt, EndsAt: exitAt})
 	waitUntil(ctx, closeEntryAt, func() bool { return !time.Now().Before(knownAt) && d.callersQuiet() })
 	d.proxy.CloseEntry()
 	d.peers.StartDraining()
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -88,6 +88,9 @@
 		return c, f
 	}
 	p.setTimes(c, r)
+	if !c.nested && !p.acceptsUntil(c.deadline) {
+		return c, newFailure(code.CallDraining)
+	}
 	if f = p.identifyCustomer(c, r.Header, table, verdict); f != nil {
 		return c, f
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -126,6 +126,8 @@
 	// connection; once entryClosed is set, callers' requests are refused.
 	stopping    atomic.Bool
 	entryClosed atomic.Bool
+	// stopPlan is that of a planned stop; nil before it.
+	stopPlan atomic.Pointer[StopPlan]
 	// cut ends with cutOff: requests in flight are cut off.
 	cut    context.Context
 	cutOff context.CancelFunc
--- a/internal/proxy/stopping.go
+++ b/internal/proxy/stopping.go
@@ -2,12 +2,31 @@
 
 import (
 	"context"
+	"time"
 
 	"godwitmount/internal/code"
 )
 
-// BeginStop makes the answers to callers' requests close their connections.
-func (p *Proxy) BeginStop() {
+// StopPlan says which requests are accepted during a planned stop.
+type StopPlan struct {
+	// KnownAt is when callers know that the daemon stops. Until then, each request is
+	// accepted: its caller could not send it elsewhere.
+	KnownAt time.Time
+	// EndsAt is when requests that are still in flight are cut off. After KnownAt, only
+	// requests whose deadline is before it are accepted.
+	EndsAt time.Time
+}
+
+// accepts reports whether a request that arrives at now is accepted. Without a plan, the
+// daemon does not stop.
+func (s *StopPlan) accepts(now, deadline time.Time) bool {
+	return s == nil || now.Before(s.KnownAt) || !deadline.After(s.EndsAt)
+}
+
+// BeginStop makes the answers to callers' requests close their connections, and refuses
+// requests according to the plan.
+func (p *Proxy) BeginStop(plan StopPlan) {
+	p.stopPlan.Store(&plan)
 	p.stopping.Store(true)
 	p.quotas.beginStop()
 	if p.quotas.limited() {
@@ -16,6 +35,11 @@
 	}
 }
 
+// acceptsUntil reports whether a planned stop lets a request in that ends at deadline.
+func (p *Proxy) acceptsUntil(deadline time.Time) bool {
+	return p.stopPlan.Load().accepts(time.Now(), deadline)
+}
+
 // CloseEntry refuses new requests of callers. Requests in flight continue, and nested
 // ones that they need are still served.
 func (p *Proxy) CloseEntry() { p.entryClosed.Store(true) }
