Let peers confirm that they send no more requests

Cause: a planned stop told its peers that it takes no more requests, waited 100 ms and ended when nothing was in flight. Requests that peers had sent before they knew, and that were on the way or waited unread on a busy machine, were lost with the connection. Change: a daemon that learns that a peer stops and takes none sends no more requests on the connection and confirms it there, behind all that it has sent (Ping.drain_confirmed). Stop waits until all connected peers have confirmed, up to 1 s, and then for what they had sent. Peers of earlier releases do not confirm.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -27,9 +27,9 @@
 	// between the two to finish.
 	closeEntryShare = 0.65
 	exitShare       = 0.95
-	// drainNoticeTime is how long Stop waits for peers to receive the notice that
-	// the daemon accepts no more requests.
-	drainNoticeTime = 100 * time.Millisecond
+	// drainNoticeTime bounds waiting for peers to confirm the notice that the daemon
+	// accepts no more requests.
+	drainNoticeTime = time.Second
 	// cutOffTime bounds answering the requests that are cut off at exitShare.
 	cutOffTime = 100 * time.Millisecond
 	// closeCallersTime bounds closing the connections of callers. Callers have it to read
@@ -64,7 +64,7 @@
 	d.proxy.CloseEntry()
 	d.peers.StartDraining()
 	d.broadcastState()
-	sleep(ctx, drainNoticeTime)
+	waitUntil(ctx, earlier(exitAt, time.Now().Add(drainNoticeTime)), d.server.DrainConfirmed)
 	waitUntil(ctx, exitAt, d.idle)
 	cancelledAt := time.Now().Add(cancelNoticeTime)
 	waitUntil(ctx, earlier(exitAt, cancelledAt), d.peers.CancellationsConfirmed)
--- a/internal/hop/connection.go
+++ b/internal/hop/connection.go
@@ -34,6 +34,9 @@
 	pingSentAt atomic.Int64
 	// pings holds the times at which the unanswered pings were sent.
 	pings pingTimes
+	// drained is set, under the Client's mu, once the peer has said that it stops and takes
+	// no requests.
+	drained atomic.Bool
 	// resetAfter is the idle time in nanoseconds after which monitor reset the connection;
 	// 0 if it ended otherwise.
 	resetAfter atomic.Int64
@@ -147,6 +150,7 @@
 		c.deliver(frame)
 	case *hopv1.Frame_Ping:
 		c.hooks.StateReceived(body.Ping.GetState())
+		c.confirmDrain(conn, body.Ping.GetState())
 	case *hopv1.Frame_Answer:
 		c.hooks.StateReceived(body.Answer.GetState())
 		c.deliver(frame)
@@ -181,6 +185,7 @@
 	c.hooks.StateReceived(hello.GetState())
 	c.hooks.DrainRecordReceived(hello.GetLeft())
 	c.hooks.Up()
+	c.confirmDrain(conn, hello.GetState())
 }
 
 // established reports whether the connection is the one for requests.
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -44,6 +44,8 @@
 	// release ends a request with id "held" or "large after release".
 	release chan struct{}
 	runs    atomic.Int64
+	// server is the one that calls the handler.
+	server *Server
 }
 
 func (h *testHandler) Execute(ctx context.Context, request *hopv1.Request) *hopv1.Frame {
@@ -143,6 +145,7 @@
 		t.Fatal(err)
 	}
 	server := NewServer(&hopv1.Hello{Instance: "server"}, handler, link)
+	handler.server = server
 	go func() { _ = server.Serve(listener) }()
 	network, err := faultlink.New("127.0.0.1:0", listener.Addr().String())
 	if err != nil {
--- a/internal/hop/peerconn.go
+++ b/internal/hop/peerconn.go
@@ -45,7 +45,9 @@
 	// lastReceived is when data last arrived, lastWritten when a batch was last written,
 	// in nanoseconds since epoch.
 	lastReceived atomic.Int64
-	lastWritten  atomic.Int64
+	// drainConfirmed is set once the peer has confirmed that it sends no more requests.
+	drainConfirmed atomic.Bool
+	lastWritten    atomic.Int64
 }
 
 func newPeerConn(conn net.Conn, link *shaping.Link) *peerConn {
--- a/internal/hop/pending.go
+++ b/internal/hop/pending.go
@@ -52,7 +52,7 @@
 	p := &pendingRequest{frame: frame, sentAt: c.now(), reply: make(chan *hopv1.Frame, 1), again: make(chan struct{}, 1)}
 	c.mu.Lock()
 	conn, silence := c.conn.Load(), c.silence
-	if conn == nil || c.closed || isClosed(silence) {
+	if conn == nil || c.closed || isClosed(silence) || conn.drained.Load() && p.isRequest() {
 		c.mu.Unlock()
 		return nil, nil, nil
 	}
--- a/internal/hop/ping.go
+++ b/internal/hop/ping.go
@@ -42,7 +42,7 @@
 // connection. It holds the lock while it sends, so that pingTimes has the order of the
 // pings on the connection.
 func (c *Client) sendPing(conn *clientConn) {
-	frame := &hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: c.hooks.State()}}}
+	frame := &hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: c.hooks.State(), DrainConfirmed: conn.drained.Load()}}}
 	if c.hooks.PingClock == nil {
 		_ = c.send(conn, frame)
 		return
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -106,6 +106,20 @@
 	}
 }
 
+// DrainConfirmed reports whether all connected peers know that this daemon stops and takes no
+// requests, and all that they had sent before was received. Daemons of earlier releases do
+// not confirm it.
+func (s *Server) DrainConfirmed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for pc := range s.conns {
+		if !isClosed(pc.done) && !pc.drainConfirmed.Load() {
+			return false
+		}
+	}
+	return true
+}
+
 // AllReplied reports whether no request of a peer runs and each reply was written on its
 // connection, if that is open.
 func (s *Server) AllReplied() bool { return !s.anyRunning() && s.allWritten() }
--- a/internal/hop/session.go
+++ b/internal/hop/session.go
@@ -70,6 +70,9 @@
 		handler.HelloReceived(body.Hello)
 	case *hopv1.Frame_Ping:
 		handler.StateReceived(s.peer, body.Ping.GetState())
+		if body.Ping.GetDrainConfirmed() {
+			s.peerConn.drainConfirmed.Store(true)
+		}
 		_ = s.peerConn.send(&hopv1.Frame{Stream: frame.Stream, Body: &hopv1.Frame_Pong{Pong: &hopv1.Pong{State: handler.State()}}})
 	case *hopv1.Frame_Request:
 		// The sender computed the time left until the deadline and the latency goal
