Refuse a request whose body comes too late, at its deadline

Callers saw: a request whose body stops half-way on an open connection got no answer at all while the connection was open, neither at its deadline nor later; nor did one that was refused (404, 400, 413) before its body had arrived. Cause: readBody set the call's deadline for the body and took it back when it failed. Package net/http then reads the rest of a body before it sends the answer, to keep the connection, and now without a deadline: the answer waited in its buffer for bytes that did not come, and the request counted as in flight at a planned stop. Refusals before the body is read had no deadline at all. Change: the deadline is taken back only when the body is complete, which net/http needs: it watches the connection from then on. With a refusal, the rest of the body may take 0.2 s, and no longer than the call's deadline; then the connection is closed after the answer. A body that is late counts as call-deadline-not-run (503, Retry-After) instead of call-bad-request (400, never sent again by callers): the request is proper and has not run.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -26,6 +27,9 @@
 	// defaultGoalShare is the latency goal, as a share of the time to the
 	// deadline, when the route sets no goal.
 	defaultGoalShare = 0.5
+	// unreadBodyTime is how long the answer to a request that is not served waits for the rest
+	// of its body.
+	unreadBodyTime = 200 * time.Millisecond
 	// noRouteRetryTime is the time in which the caller of a request without a route, and
 	// so without a deadline, is expected to send it again.
 	noRouteRetryTime = time.Second
@@ -242,13 +246,12 @@
 // deadline. Bodies count as received on the machine's network link as they arrive,
 // except those of nested requests: they come from the upstream on the same machine.
 func (p *Proxy) readBody(w http.ResponseWriter, r *http.Request, c *call, limit int64) ([]byte, *failure) {
-	if r.Body == nil || r.ContentLength == 0 {
+	if !hasBody(r) {
 		return nil, nil
 	}
 	if err := http.NewResponseController(w).SetReadDeadline(c.deadline); err != nil {
 		return nil, newFailure(code.CallBadRequest)
 	}
-	defer func() { _ = http.NewResponseController(w).SetReadDeadline(time.Time{}) }()
 	var limited io.Reader = http.MaxBytesReader(w, r.Body, limit)
 	if !c.nested {
 		limited = countingReader{limited, p.deps.Peers.recordReceived}
@@ -258,8 +261,31 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, newFailure(code.CallBodyTooLarge)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, newFailure(code.CallDeadlineNotRun)
 	case err != nil:
 		return nil, newFailure(code.CallBadRequest)
 	}
+	// The server watches the connection while the request is served: a deadline that passes
+	// then would count as the caller's leaving.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
+
+// hasBody reports whether the request has a body, which may not have arrived yet.
+func hasBody(r *http.Request) bool { return r.Body != nil && r.ContentLength != 0 }
+
+// limitUnreadBody bounds the time for which the answer to a call waits for the rest of the
+// request's body: package net/http reads that first, to keep the connection. Without the
+// rest, the connection is closed after the answer.
+func (c *call) limitUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if !hasBody(r) {
+		return
+	}
+	end := time.Now().Add(unreadBodyTime)
+	if !c.deadline.IsZero() && c.deadline.Before(end) {
+		end = c.deadline
+	}
+	// If this fails, the connection has ended.
+	_ = http.NewResponseController(w).SetReadDeadline(end)
+}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -370,6 +370,7 @@
 		zap.Uint64("config", c.version), zap.Duration("retry_after", delay)}
 	p.deps.Log.Request(event.CallAnswered, true, append(fields, f.fields()...)...)
 	w.Header().Set(p.cfg.Headers.RequestID, c.id)
+	c.limitUnreadBody(w, r)
 	p.closeIfStopping(w, r)
 	p.recordDelivery(c.id, failed.write(r.Context(), w, delay))
 }
