Send a refused id on another connection

What callers could see: "not run" (503, 429 or 421) for a request that its upstream was running.

Cause: the client of the upstream tells answers apart by the request's id only. If an id comes again and goes out on the connection on which the upstream has refused it, a second copy of that refusal can't be told from the answer to the second request, and the client believed it.

Change: a connection remembers (by hash) the ids that were refused on it, and isn't reused for these; it ends after 256 refusals, which bounds the memory. A connection that an id has to avoid is closed, so that a caller which repeats one id does not add an idle connection each time. Refusals of different ids cost no connection, so that full upstreams are not dialed more often; not reusing any connection after a refusal was the alternative.

Conclusion: mended for a copy on the connection of the refusal, whenever it is written. A copy that an upstream writes on a new connection, after the same id was sent there, can't be told from an answer.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -100,7 +100,7 @@
 // ErrInvalidResponse. When ctx ends, the connection is reset, upon which most
 // upstreams abandon the request.
 func (c *Client) Do(ctx context.Context, call Call) (*hopv1.Answer, error) {
-	connection, err := c.pool.get(ctx, call.Idempotent)
+	connection, err := c.pool.get(ctx, call.Id, call.Idempotent)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
@@ -214,9 +214,12 @@
 			Body:    body,
 			NotRun:  response.Header.Get(c.headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest,
 		}
+		if answer.NotRun {
+			connection.recordRefusal(id)
+		}
 		framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 		connection.keepAliveTimeout = parseKeepAlive(response.Header.Get("Keep-Alive"))
-		return answer, clean && framed && !response.Close && connection.healthy(), nil
+		return answer, clean && framed && !response.Close && connection.canRecordRefusal() && connection.healthy(), nil
 	}
 	return nil, false, fmt.Errorf("%w: only responses to other requests", ErrInvalidResponse)
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,6 +1,7 @@
 // Package upstream sends requests to the local upstream and reads its responses
 // strictly: a response counts only if it is complete and carries the id of its
-// request. A connection on which anything else arrived is not reused.
+// request. A connection on which anything else arrived is not reused, nor for a request
+// that was refused on it before.
 package upstream
 
 import (
@@ -8,10 +9,13 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Sizes of a connection's buffers in bytes.
@@ -24,6 +28,10 @@
 // and what is read ahead of its body included.
 const maxHead = 128 << 10
 
+// maxRefusals is the number of refused requests after which a connection is not reused. It
+// bounds what the connection remembers of them.
+const maxRefusals = 256
+
 // errHeadTooLarge is returned for a response whose head exceeds maxHead.
 var errHeadTooLarge = fmt.Errorf("head of the response exceeds %d bytes", maxHead)
 
@@ -43,6 +51,8 @@
 	// keepAliveTimeout is how long the upstream keeps the connection open while
 	// it is idle, from the Keep-Alive header; 0 for unknown.
 	keepAliveTimeout time.Duration
+	// refused holds the hashes of the ids that the upstream has refused on the connection.
+	refused []uint64
 }
 
 func newConn(c net.Conn, address string) *conn {
@@ -51,6 +61,19 @@
 	return result
 }
 
+// recordRefusal records that the upstream has refused the request with the id.
+func (c *conn) recordRefusal(id string) { c.refused = append(c.refused, xxhash.Sum64String(id)) }
+
+// hasRefused reports whether the upstream has refused a request with the id on the
+// connection. It is not sent there again: if the upstream wrote that refusal once more, it
+// could not be distinguished from the answer to the second request.
+func (c *conn) hasRefused(id string) bool {
+	return slices.Contains(c.refused, xxhash.Sum64String(id))
+}
+
+// canRecordRefusal reports whether a further refusal can be recorded.
+func (c *conn) canRecordRefusal() bool { return len(c.refused) < maxRefusals }
+
 // beginHead limits what is read until endHead to maxHead.
 func (c *conn) beginHead() { c.headLeft, c.inHead = maxHead, true }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -74,15 +74,15 @@
 }
 
 // get returns the most recently used idle connection that is still reusable for
-// the request, or a new connection. It closes those that are not reusable.
-func (p *pool) get(ctx context.Context, idempotent bool) (*conn, error) {
+// the request with the id, or a new connection. It closes those that are not reusable.
+func (p *pool) get(ctx context.Context, id string, idempotent bool) (*conn, error) {
 	for {
 		c, address := p.take()
 		if c == nil {
 			return dial(ctx, address)
 		}
 		idle := time.Since(c.idleSince)
-		if idle > c.reuseLimit() || !idempotent && idle > maxIdleNonIdempotent || !c.healthy() {
+		if idle > c.reuseLimit() || !idempotent && idle > maxIdleNonIdempotent || c.hasRefused(id) || !c.healthy() {
 			_ = c.Close()
 			continue
 		}
