--- a/internal/proxy/upstreams_test.go
+++ b/internal/proxy/upstreams_test.go
@@ -102,14 +102,14 @@
 
 // callerAnswer is an answer as a caller reads it.
 type callerAnswer struct {
-	status            int
-	id, signature     string
-	body              string
-	promisesNotRun    bool
-	declared, chunked bool
+	status        int
+	id, signature string
+	body          string
+	// promisesNotRun is set if the status says that the request has not run.
+	promisesNotRun bool
 }
 
-// call sends a request on a new connection and returns the answer that the caller reads. The
+// callEntry sends a request on a new connection and returns the answer that the caller reads. The
 // error is that of an answer that is not complete.
 func callEntry(t *testing.T, address, method, id string) (callerAnswer, error) {
 	t.Helper()
@@ -132,7 +132,6 @@
 	return callerAnswer{
 		status: response.StatusCode, id: response.Header.Get("Request-Id"), signature: response.Header.Get("Signature"), body: string(body),
 		promisesNotRun: notRunStatuses[response.StatusCode],
-		declared:       response.ContentLength >= 0, chunked: len(response.TransferEncoding) > 0,
 	}, err
 }
 
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -72,12 +72,13 @@
 }
 
 func do(client *Client, id string, idempotent bool) (*hopv1.Answer, error) {
+	return doCall(client, &hopv1.Request{Id: id, Method: http.MethodGet, Target: "/a%2Fb?x=1", Host: "h", Idempotent: idempotent})
+}
+
+func doCall(client *Client, request *hopv1.Request) (*hopv1.Answer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	return client.Do(ctx, Call{
-		Request:      &hopv1.Request{Id: id, Method: http.MethodGet, Target: "/a%2Fb?x=1", Host: "h", Idempotent: idempotent},
-		ExtraHeaders: []*hopv1.Header{{Name: "Request-Id", Value: id}},
-	})
+	return client.Do(ctx, Call{Request: request, ExtraHeaders: []*hopv1.Header{{Name: "Request-Id", Value: request.Id}}})
 }
 
 func TestConnectionIsReused(t *testing.T) {
