Refuse answers with invalid header names

What a caller could get: a 200 with a short body, framed as whole.

Cause: package http keeps a space before the colon as part of a header's name. An answer with "Content-Length : 10" or "Transfer-Encoding : chunked" counted as one without a length, which ends with its connection: cut and closed, it looked complete, and chunks were passed on with their sizes.

Change: the client of the upstream refuses an answer with a header name that isn't valid.

Figures: `go test -race -p 2 ./internal/upstream -run Contrad` before: both cases of a space before the colon answered with 200 and the bodies "ab" (of 3 announced) and "3\r\nab". After: `go test -race -p 2 -count 3 ./internal/upstream` ok.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 )
 
@@ -234,12 +236,27 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHeaderNames(response.Header); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
 }
 
+// checkHeaderNames rejects names that are not valid. Package http keeps a space before the
+// colon as part of the name, so that it does not know a Content-Length or Transfer-Encoding
+// there: an answer that ends early would look complete.
+func checkHeaderNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("invalid header name %q", name)
+		}
+	}
+	return nil
+}
+
 // checkResponse rejects a success (2xx) response without the upstream's
 // signature, and any response with a Content-Encoding: bodies must be unencoded.
 func (c *Client) checkResponse(response *http.Response) error {
--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -112,6 +112,8 @@
 		"chunk size that is no size": "Transfer-Encoding: chunked\r\n\r\nx\r\nabc\r\n0\r\n\r\n",
 		"negative chunk size":        "Transfer-Encoding: chunked\r\n\r\n-3\r\nabc\r\n0\r\n\r\n",
 		"chunk larger than its size": "Transfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n",
+		"space before colon, length": "Content-Length : 3\r\n\r\nab",
+		"space before colon, chunks": "Transfer-Encoding : chunked\r\n\r\n3\r\nab",
 		"line without a colon":       "Content-Length\r\n\r\nabc",
 	} {
 		t.Run(name, func(t *testing.T) {
