--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -123,3 +124,35 @@
 		})
 	}
 }
+
+// TestChunksOfAnOlderProtocolAreRejected covers a Transfer-Encoding in an answer before
+// HTTP/1.1, where it means nothing: the body would be chunks with their sizes, of which the end
+// may be missing.
+func TestChunksOfAnOlderProtocolAreRejected(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/0.9"} {
+		for _, length := range []string{"", "Content-Length: 13\r\n"} {
+			text := strings.Replace(cutHead, "HTTP/1.1", version, 1) + length + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+			if answer, err := doText(t, text); err == nil {
+				t.Errorf("%s %q: got an answer: %v", version, length, answer)
+			}
+		}
+	}
+}
+
+// TestConnectionOfAnOlderProtocolIsNotReused covers answers of HTTP/1.0, after which bytes may
+// have been read ahead.
+func TestConnectionOfAnOlderProtocolIsNotReused(t *testing.T) {
+	u, client := startRawUpstream(t, func(conn net.Conn, request *http.Request, _ int) bool {
+		id := request.Header.Get("Request-Id")
+		text := strings.Replace(responseText(id, "own answer of "+id), "HTTP/1.1 200 OK", "HTTP/1.0 200 OK\r\nConnection: keep-alive", 1)
+		return writeText(conn, text+responseText("b", "extra"), "")
+	})
+	for _, id := range []string{"a", "b"} {
+		if answer, err := do(client, id, true); err != nil || string(answer.Body) != "own answer of "+id {
+			t.Errorf("%s: %v %v", id, answer, err)
+		}
+	}
+	if n := u.accepted.Load(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
