--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -13,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 )
 
@@ -100,7 +103,7 @@
 // ErrInvalidResponse. When ctx ends, the connection is reset, upon which most
 // upstreams abandon the request.
 func (c *Client) Do(ctx context.Context, call Call) (*hopv1.Answer, error) {
-	connection, err := c.pool.get(ctx, call.Idempotent)
+	connection, err := c.pool.get(ctx, call.Id, call.Idempotent)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
@@ -214,9 +217,12 @@
 			Body:    body,
 			NotRun:  response.Header.Get(c.headers.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest,
 		}
+		if answer.NotRun {
+			connection.recordRefusal(id)
+		}
 		framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 		connection.keepAliveTimeout = parseKeepAlive(response.Header.Get("Keep-Alive"))
-		return answer, clean && framed && !response.Close && connection.healthy(), nil
+		return answer, clean && framed && !response.Close && connection.canRecordRefusal() && connection.healthy(), nil
 	}
 	return nil, false, fmt.Errorf("%w: only responses to other requests", ErrInvalidResponse)
 }
@@ -227,16 +233,66 @@
 	connection.beginHead()
 	defer connection.endHead()
 	for {
-		response, err := http.ReadResponse(connection.reader, request)
+		response, err := readResponse(connection.reader, request)
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHeaderNames(response.Header); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
 }
 
+// oldVersion begins a response of HTTP/1.0.
+const oldVersion = "HTTP/1.0"
+
+// errOldFraming is returned for a response before HTTP/1.1 whose end is not known.
+var errOldFraming = errors.New("response of HTTP/1.0 with Transfer-Encoding, or of an earlier version")
+
+// readResponse reads the head of a response of HTTP/1.1 or HTTP/1.0.
+func readResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	if version, err := reader.Peek(len(oldVersion)); err == nil && string(version) == oldVersion {
+		return readOldResponse(reader, request)
+	}
+	response, err := http.ReadResponse(reader, request)
+	if err == nil && !response.ProtoAtLeast(1, 1) {
+		return nil, errOldFraming
+	}
+	return response, err
+}
+
+// readOldResponse reads a response of HTTP/1.0 as one of HTTP/1.1: package http would ignore
+// its Transfer-Encoding, for which it is rejected. Its connection is not reused.
+func readOldResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	if _, err := reader.Discard(len(oldVersion)); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(io.MultiReader(strings.NewReader("HTTP/1.1"), reader)), request)
+	if err != nil {
+		return nil, err
+	}
+	if len(response.TransferEncoding) > 0 {
+		return nil, errOldFraming
+	}
+	response.Close = true
+	return response, nil
+}
+
+// checkHeaderNames rejects names that are not valid. Package http keeps a space before the
+// colon as part of the name, so that it does not know a Content-Length or Transfer-Encoding
+// there: an answer that ends early would look complete.
+func checkHeaderNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("invalid header name %q", name)
+		}
+	}
+	return nil
+}
+
 // checkResponse rejects a success (2xx) response without the upstream's
 // signature, and any response with a Content-Encoding: bodies must be unencoded.
 func (c *Client) checkResponse(response *http.Response) error {
