Let an odd row of the store cost only itself

Cause: the client decoded each answer of the store as a whole. One row of another writer that cannot be read (a value that is not base64, a key that is a number, a version of 1e40, a value nested 11,000 deep) failed the answer, and so whoever followed that table stopped following it while the row was there: the member table, the configuration and rollout requests, the phases and statuses of rollouts. A key that is not UTF-8 was decoded to another key, and a version larger than the newest one would have made all later versions of its row count as older.

A row whose key can be read is returned with an error, one whose key cannot is counted (store.Rows.Unnamed). What holds of them: an unreadable row is neither removed nor absent; what is known of it stays in use (member, configuration in force, rollout). While a key is unreadable, no member counts as missing from a complete read. Unreadable rows are read a second time after 0.1 s, since only the answer may be damaged, then the position moves on; event 7007 store-row-unreadable is logged once, not with each read.

An answer that is no JSON at all still fails the call, and a configuration that cannot be read is treated like one that was rejected: the one in force stays and counts as the newest.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -78,7 +78,7 @@
 		return FetchFailed{}
 	case "members":
 		era := store.Era(number("era"))
-		return MembersRead{Rows: parseRows(d.Input, era), Complete: d.HasArg("whole"), Position: store.Position{Era: era, Version: number("at")}}
+		return MembersRead{Rows: parseRows(d.Input, era), Complete: d.HasArg("whole"), Unnamed: d.HasArg("unnamed"), Position: store.Position{Era: era, Version: number("at")}}
 	case "era":
 		return StoreEra{Era: store.Era(number("is"))}
 	case "peer-era":
@@ -136,7 +136,7 @@
 }
 
 // parseRows parses lines "KEY VERSION VALUE" of rows read in an era; the value "-"
-// marks a removed row.
+// marks a removed row, and "?" one that cannot be read.
 func parseRows(input string, era store.Era) []store.Row {
 	var all []store.Row
 	for _, line := range strings.Split(input, "\n") {
@@ -149,6 +149,9 @@
 		if _, err := fmt.Sscan(parts[1], &row.Position.Version); err != nil {
 			panic(err)
 		}
+		if parts[2] == "?" {
+			row.Value, row.Err = nil, errors.New("not base64")
+		}
 		all = append(all, row)
 	}
 	return all
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -106,7 +106,7 @@
 	if ev.Complete {
 		first = !c.membersComplete
 		c.membersComplete = true
-		c.markMissing(seen, ev.Position)
+		c.markMissing(seen, ev)
 		c.era.membersReadIn(ev.Position.Era)
 		c.writeSelf()
 	}
@@ -123,10 +123,10 @@
 }
 
 // memberRead applies one row of the member table and reports whether it changed
-// the member.
+// the member. A row that cannot be read leaves the known one.
 func (c *Core) memberRead(row store.Row) bool {
 	known := c.members[row.Key]
-	if !row.Position.After(known.position) {
+	if row.Err != nil || !row.Position.After(known.position) {
 		return false
 	}
 	if row.Removed {
@@ -153,11 +153,12 @@
 	return member != known.Member
 }
 
-// markMissing marks the entries that a complete read of the member table at a
-// position did not return. A member that answers is still used: the store may have
-// lost its entry. A member known only from its handshake may not have written one
-// yet. This daemon's own entry is forgotten, so that it is written again.
-func (c *Core) markMissing(seen map[string]bool, at store.Position) {
+// markMissing marks the entries that a complete read of the member table did not return.
+// A member that answers is still used: the store may have lost its entry. A member known
+// only from its handshake may not have written one yet, and the entry of another may be a
+// row whose key cannot be read. This daemon's own entry is forgotten, so that it is written
+// again.
+func (c *Core) markMissing(seen map[string]bool, read MembersRead) {
 	for key, known := range c.members {
 		unwritten := known.position == store.Position{}
 		if seen[key] || known.Instance == "" || unwritten {
@@ -167,7 +168,10 @@
 			delete(c.members, key)
 			continue
 		}
-		known.position = at
+		if read.Unnamed {
+			continue
+		}
+		known.position = read.Position
 		if !known.missing {
 			known.missing, known.unreachableSince = true, c.now
 		}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -59,6 +59,9 @@
 	Rows []store.Row
 	// Complete is set when Rows is the complete table, not only its changes.
 	Complete bool
+	// Unnamed is set when there are rows whose key cannot be read. An entry that is not in
+	// Rows may be one of them.
+	Unnamed bool
 	// Position is the store's position up to which Rows is complete.
 	Position store.Position
 }
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -126,6 +126,9 @@
 			continue
 		}
 		request, isRequest, err := r.daemon.cfg.Platform.Rollouts.ParseRequest(row.Key, row.Value)
+		if isRequest && row.Err != nil {
+			err = row.Err
+		}
 		switch {
 		case err != nil:
 			ev.Rejected = append(ev.Rejected, rollout.RejectedRequest{Key: row.Key, Err: err})
@@ -352,7 +355,11 @@
 	if row.Removed {
 		return rollout.PhaseRow{}
 	}
-	if err := json.Unmarshal(row.Value, &decoded.Saved); err != nil {
+	err := row.Err
+	if err == nil {
+		err = json.Unmarshal(row.Value, &decoded.Saved)
+	}
+	if err != nil {
 		decoded.Saved, decoded.Err = rollout.Saved{}, fmt.Errorf("decode phase: %w", err)
 	}
 	return decoded
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -85,6 +86,8 @@
 	storeTime   time.Duration
 	storeTimeAt time.Time
 	changed     bool
+	// unreadable describes the rows that could not be read when there were last any.
+	unreadable string
 	// backoff is the delay after the next failure.
 	backoff time.Duration
 }
@@ -99,6 +102,11 @@
 	t.synced = t.synced && changes == t.seenChanges
 	t.seenChanges = changes
 	rows, err := t.readOrWatch(ctx, wait)
+	if err == nil && t.newUnreadable(rows) {
+		// The rows may be sound and only this answer was not. If not, go on without them.
+		sleep(ctx, minBackoff)
+		rows, err = t.readOrWatch(ctx, wait)
+	}
 	if err != nil && ctx.Err() != nil || t.addressChanges.Load() != changes {
 		return false
 	}
@@ -125,6 +133,31 @@
 	return true
 }
 
+// newUnreadable logs the rows that cannot be read, if they are not those of the last answer
+// that had any, and reports whether it has.
+func (t *tableReader) newUnreadable(rows store.Rows) bool {
+	count, first := len(rows.Unnamed), ""
+	if count > 0 {
+		first = rows.Unnamed[0].Error()
+	}
+	for _, row := range rows.Rows {
+		if row.Err == nil {
+			continue
+		}
+		if count == 0 {
+			first = fmt.Sprintf("%q: %v", row.Key, row.Err)
+		}
+		count++
+	}
+	unreadable := fmt.Sprintf("%d rows, the first: %s", count, first)
+	if count == 0 || unreadable == t.unreadable {
+		return false
+	}
+	t.unreadable = unreadable
+	t.log.Warn(event.StoreRowUnreadable, zap.String("table", t.name), zap.Int("rows", count), zap.String("error", first))
+	return true
+}
+
 // storeNow estimates the present time of the store's clock; 0 is unknown.
 func (t *tableReader) storeNow() time.Duration {
 	if t.storeTime == 0 {
@@ -190,7 +223,11 @@
 		// Before a configuration, with which the upstream gets its first requests.
 		d.rollouts.requestsRead(rows.Rows, complete)
 		for _, row := range rows.Rows {
-			if row.Key == p.ConfigKey && !row.Removed {
+			switch {
+			case row.Key != p.ConfigKey || row.Removed:
+			case row.Err != nil:
+				_ = d.loop.do(d.background, control.ConfigRejected{Err: row.Err, From: control.FromStore})
+			default:
 				d.readConfig(row.Value)
 			}
 		}
@@ -324,7 +361,7 @@
 		apply: func(rows store.Rows, complete bool) {
 			restarted = restarted || first && hasRow(rows.Rows, d.cfg.Settings.Instance)
 			first = false
-			d.loop.post(control.MembersRead{Rows: rows.Rows, Complete: complete, Position: rows.Position})
+			d.loop.post(control.MembersRead{Rows: rows.Rows, Complete: complete, Unnamed: len(rows.Unnamed) > 0, Position: rows.Position})
 		},
 	}
 	for polls := 0; ctx.Err() == nil; {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -72,6 +72,8 @@
 	StoreEraMissing  Number = 7005
 	StoreCallFailed  Number = 7006
 
+	StoreRowUnreadable Number = 7007
+
 	RolloutSeen           Number = 8001
 	RolloutRejected       Number = 8002
 	RolloutPhase          Number = 8003
@@ -140,6 +142,7 @@
 	{StoreEraAdvanced, "store-era-advanced", "The store came back from an older copy; the member table is read again."},
 	{StoreEraMissing, "store-era-missing", "The store's answers carry no valid era; it counts as era 0."},
 	{StoreCallFailed, "store-call-failed", "A call to the store failed while it is unavailable; the line says how, after how long and on which connection."},
+	{StoreRowUnreadable, "store-row-unreadable", "Rows of the store cannot be read; what is known of them stays in use, and the others are applied."},
 
 	{RolloutSeen, "rollout-seen", "A new rollout request is known; the line says from whom."},
 	{RolloutRejected, "rollout-rejected", "A rollout request is invalid or names an unknown service; no requests are moved."},
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -17,6 +17,9 @@
 	Position Position
 	// Removed is set when the row was removed; Value is then empty.
 	Removed bool
+	// Err says why the row cannot be read. The row exists or was removed; Value is empty
+	// and Removed is not set. Position is zero if it cannot be read either.
+	Err error
 }
 
 // Reading is a reading of the store's clock: an answer to a call. StoreTime is what the
@@ -43,6 +46,9 @@
 // Rows holds all rows of a table, or the rows changed after an earlier version.
 type Rows struct {
 	Rows []Row
+	// Unnamed says of each row whose key cannot be read why. Each may be one that is not
+	// in Rows, so that such a row need not be absent.
+	Unnamed []error
 	// Position is the one up to which Rows is complete. Rows may hold some later
 	// changes as well; a Watch after Position returns these again.
 	Position Position
