Follow an upstream again after an odd sequence

Cause: a report of another writer in the name of the upstream, with a sequence that the upstream will not reach, made all its later reports count as outdated until it was started again. Its draining report was among them, so that it got requests until it ended.

Change: draining is final for an incarnation, so a draining report is applied however late it is (if the start time says which incarnation it is of). Other reports with an earlier sequence count again once no report has been applied for three intervals (takeoverHeartbeats, the rule that holds for start times) and they go on in order: a single delayed report, or one that arrives twice, does not make a silent upstream ready. One that is draining never becomes ready again, as before.

Conclusion: what remains is that a report in the upstream's name that says draining cannot be told from its own.

--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -53,6 +53,9 @@
 	Stalled bool
 	// sequence is the sequence number of its last report.
 	sequence uint64
+	// lateSequence is that of the last report of this incarnation that was ignored since
+	// then; 0 if none was.
+	lateSequence uint64
 	// deregisteredAt is when it deregistered, in Unix milliseconds; set only if
 	// its start time is unknown. The upstream runs on the same machine, so its
 	// later start times are comparable.
@@ -105,6 +108,9 @@
 	sameIncarnation := c.upstream.sameIncarnation(ev)
 	if c.outdated(ev, sameIncarnation) {
 		c.log(event.UpstreamIgnored, false, step.F("upstream", ev.Upstream), step.F("sequence", ev.Sequence), step.F("why", "outdated"))
+		if sameIncarnation {
+			c.upstream.lateSequence = ev.Sequence
+		}
 		return
 	}
 	before := c.upstream
@@ -120,7 +126,7 @@
 		c.unreachableUntil = 0
 	}
 	changed := before
-	changed.sequence = ev.Sequence
+	changed.sequence, changed.lateSequence = ev.Sequence, 0
 	if changed != c.upstream {
 		c.publishUpstream()
 	}
@@ -140,7 +146,8 @@
 }
 
 // outdated reports whether ev is older than the known state. An incarnation
-// that is draining or has deregistered never becomes ready again.
+// that is draining or has deregistered never becomes ready again, and one that reports
+// draining is draining, however late the report is.
 func (c *Core) outdated(ev UpstreamReport, sameIncarnation bool) bool {
 	known := &c.upstream
 	if known.State == UpstreamUnknown {
@@ -152,10 +159,22 @@
 		// reporting.
 		return ev.StartTime < known.StartTime && c.now-c.lastHeartbeat < takeoverHeartbeats*c.cfg.HeartbeatInterval
 	}
-	if ev.Sequence <= known.sequence {
-		return true
+	late := ev.Sequence <= known.sequence
+	switch {
+	case known.Draining():
+		return late || ev.State == UpstreamReady
+	case late && ev.State == UpstreamDraining && ev.StartTime != 0:
+		return false
 	}
-	return known.Draining() && ev.State == UpstreamReady
+	return late && !c.sequenceResumed(ev)
+}
+
+// sequenceResumed reports whether a report with an earlier sequence shows that the known one
+// was not the upstream's: nobody has continued that for some time, and the reports behind it
+// go on. A single delayed report shows nothing.
+func (c *Core) sequenceResumed(ev UpstreamReport) bool {
+	known := &c.upstream
+	return known.lateSequence != 0 && ev.Sequence > known.lateSequence && c.now-c.lastHeartbeat >= takeoverHeartbeats*c.cfg.HeartbeatInterval
 }
 
 // deregister marks the upstream as deregistered, even if it has not reported to
