Pass on headers and targets that are not UTF-8

Cause: between daemons, header values and the target were protobuf strings, which must be UTF-8. HTTP allows other bytes in both. A frame with such a request could not be encoded; that counted as a peer that cannot be reached, so each peer that the request was tried at got no requests for the backoff. One caller's odd request took all peers from the requests of the others. The header of an answer is the same type; its path was not tried alone.

Change: Header.value and Request.target are bytes, the same on the wire. The id stays a string, as everything knows it by that; a request whose id is not UTF-8 gets 400 (call-bad-request) at its entry.

Conclusion: what one caller sends no longer decides about the requests of others.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 
@@ -77,6 +78,10 @@
 	if c.id == "" {
 		c.id = uuid.NewString()
 	}
+	if !utf8.ValidString(c.id) {
+		// It would have to be changed on its way to another daemon.
+		return c, newFailure(code.CallBadRequest)
+	}
 	c.parent = p.running.get(p.cfg.ParentID(c.id))
 	c.nested = c.parent != nil
 	// A request that runs here needs its nested ones to end.
@@ -105,7 +110,7 @@
 	c.request = &hopv1.Request{
 		Id:            c.id,
 		Method:        r.Method,
-		Target:        r.RequestURI,
+		Target:        []byte(r.RequestURI),
 		Host:          r.Host,
 		Headers:       p.forwardedHeaders(r.Header, table.HasCustomers()),
 		Body:          body,
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -377,7 +377,7 @@
 func (p *Proxy) writeAnswer(w http.ResponseWriter, c *call, answer *hopv1.Answer, f *forwarder) {
 	header := w.Header()
 	for _, h := range answer.Headers {
-		header[h.Name] = append(header[h.Name], h.Value)
+		header[h.Name] = append(header[h.Name], string(h.Value))
 	}
 	// A nil value keeps net/http from adding a detected Content-Type.
 	if _, set := header["Content-Type"]; !set {
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -126,13 +126,13 @@
 	defer p.running.remove(request.Id)
 	mean := p.admissionController.Load().ServiceTime
 	extra := []*hopv1.Header{
-		{Name: p.cfg.Headers.RequestID, Value: request.Id},
-		{Name: p.cfg.Headers.Deadline, Value: upstream.FormatMilliseconds(timeout)},
-		{Name: p.cfg.Headers.Upstream, Value: u.ID},
-		{Name: p.cfg.Headers.CallerService, Value: request.CallerService},
+		{Name: p.cfg.Headers.RequestID, Value: []byte(request.Id)},
+		{Name: p.cfg.Headers.Deadline, Value: []byte(upstream.FormatMilliseconds(timeout))},
+		{Name: p.cfg.Headers.Upstream, Value: []byte(u.ID)},
+		{Name: p.cfg.Headers.CallerService, Value: []byte(request.CallerService)},
 	}
 	if request.Customer != "" {
-		extra = append(extra, &hopv1.Header{Name: p.cfg.Headers.Customer, Value: request.Customer})
+		extra = append(extra, &hopv1.Header{Name: p.cfg.Headers.Customer, Value: []byte(request.Customer)})
 	}
 	answer, err := p.client.Do(bounded, upstream.Call{Request: request, ExtraHeaders: extra})
 	took := p.now() - started
--- a/internal/proxy/limits_test.go
+++ b/internal/proxy/limits_test.go
@@ -88,7 +88,7 @@
 		Address: unresponsive.Addr().String()})
 	started := time.Now()
 	frame := p.Execute(context.Background(), &hopv1.Request{
-		Id: "id", Method: "GET", Target: "/", Service: "s", Idempotent: true, RemainingMs: 20_000, GoalMs: 20_000,
+		Id: "id", Method: "GET", Target: []byte("/"), Service: "s", Idempotent: true, RemainingMs: 20_000, GoalMs: 20_000,
 		AttemptMs: attemptMilliseconds(p.ActiveTable().Routes()[0].Rule),
 	})
 	if got := code.Code(frame.GetFailure().GetCode()); got != code.CallDeadlineUnknown {
--- a/internal/proxy/notice.go
+++ b/internal/proxy/notice.go
@@ -34,14 +34,14 @@
 	for _, h := range answer.GetHeaders() {
 		switch h.Name {
 		case p.cfg.Headers.RateLimit:
-			rate, err := parseRate(h.Value)
+			rate, err := parseRate(string(h.Value))
 			if err != nil {
 				n.problem = err.Error()
 				continue
 			}
 			n.limited, n.ratePerSecond = true, rate
 		case p.cfg.Headers.Leaving:
-			n.leaving = h.Value == "1"
+			n.leaving = string(h.Value) == "1"
 		}
 	}
 	return n
--- a/internal/proxy/notice_test.go
+++ b/internal/proxy/notice_test.go
@@ -25,10 +25,10 @@
 	} {
 		answer := &hopv1.Answer{}
 		if c.limit != "" {
-			answer.Headers = append(answer.Headers, &hopv1.Header{Name: "Limit", Value: c.limit})
+			answer.Headers = append(answer.Headers, &hopv1.Header{Name: "Limit", Value: []byte(c.limit)})
 		}
 		if c.leaving != "" {
-			answer.Headers = append(answer.Headers, &hopv1.Header{Name: "Leaving", Value: c.leaving})
+			answer.Headers = append(answer.Headers, &hopv1.Header{Name: "Leaving", Value: []byte(c.leaving)})
 		}
 		if got := p.noticeOf(answer); got != c.want {
 			t.Errorf("limit %q, leaving %q: got %+v, want %+v", c.limit, c.leaving, got, c.want)
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -44,7 +44,7 @@
 func TestDrainingDaemonRefusesPeers(t *testing.T) {
 	p, count := newExecutingProxy(t)
 	p.deps.Peers.StartDraining()
-	frame := p.ExecuteFor(context.Background(), &hopv1.Request{Id: "a", Method: "GET", Target: "/", Service: "s", RemainingMs: 1000, GoalMs: 1000})
+	frame := p.ExecuteFor(context.Background(), &hopv1.Request{Id: "a", Method: "GET", Target: []byte("/"), Service: "s", RemainingMs: 1000, GoalMs: 1000})
 	if failed := frame.GetFailure(); !failed.GetNotRun() || code.Code(failed.GetCode()) != code.CallDraining || count.Load() != 0 {
 		t.Errorf("frame %v, %d runs; want call-draining, not run", frame, count.Load())
 	}
@@ -76,7 +76,7 @@
 // of a request and its run. The request's time is over, on an open connection, too.
 func TestExpiredRequestIsNotSent(t *testing.T) {
 	p, count := newExecutingProxy(t)
-	request := &hopv1.Request{Id: "a", Method: "GET", Target: "/", Service: "s", RemainingMs: 1000, GoalMs: 1000, Idempotent: true}
+	request := &hopv1.Request{Id: "a", Method: "GET", Target: []byte("/"), Service: "s", RemainingMs: 1000, GoalMs: 1000, Idempotent: true}
 	if frame := p.Execute(context.Background(), request); frame.GetAnswer().GetStatus() != http.StatusOK {
 		t.Fatalf("frame %v", frame)
 	}
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -19,7 +19,7 @@
 // host, target and body.
 func fingerprint(request *hopv1.Request) quarantine.Fingerprint {
 	digest := xxhash.New()
-	for _, text := range []string{request.CallerService, request.Method, request.Host, request.Target} {
+	for _, text := range []string{request.CallerService, request.Method, request.Host, string(request.Target)} {
 		var length [8]byte
 		binary.LittleEndian.PutUint64(length[:], uint64(len(text)))
 		// Writing to a digest never fails.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -161,10 +161,10 @@
 func (c *Client) request(call Call) *http.Request {
 	header := make(http.Header, len(call.Headers)+len(call.ExtraHeaders)+1)
 	for _, h := range call.Headers {
-		header[h.Name] = append(header[h.Name], h.Value)
+		header[h.Name] = append(header[h.Name], string(h.Value))
 	}
 	for _, h := range call.ExtraHeaders {
-		header[h.Name] = []string{h.Value}
+		header[h.Name] = []string{string(h.Value)}
 	}
 	if _, set := header["User-Agent"]; !set {
 		// An empty value keeps net/http from adding its default User-Agent.
@@ -172,7 +172,7 @@
 	}
 	request := &http.Request{
 		Method:        call.Method,
-		URL:           &url.URL{Opaque: call.Target},
+		URL:           &url.URL{Opaque: string(call.Target)},
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
@@ -272,7 +272,7 @@
 			continue
 		}
 		for _, value := range values {
-			all = append(all, &hopv1.Header{Name: name, Value: value})
+			all = append(all, &hopv1.Header{Name: name, Value: []byte(value)})
 		}
 	}
 	return all
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -75,8 +75,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	return client.Do(ctx, Call{
-		Request:      &hopv1.Request{Id: id, Method: http.MethodGet, Target: "/a%2Fb?x=1", Host: "h", Idempotent: idempotent},
-		ExtraHeaders: []*hopv1.Header{{Name: "Request-Id", Value: id}},
+		Request:      &hopv1.Request{Id: id, Method: http.MethodGet, Target: []byte("/a%2Fb?x=1"), Host: "h", Idempotent: idempotent},
+		ExtraHeaders: []*hopv1.Header{{Name: "Request-Id", Value: []byte(id)}},
 	})
 }
 
@@ -276,8 +276,8 @@
 		return true
 	})
 	call := func(id string) Call {
-		return Call{Request: &hopv1.Request{Id: id, Method: "GET", Target: "/", Host: "h", Idempotent: true},
-			ExtraHeaders: []*hopv1.Header{{Name: "Request-Id", Value: id}}}
+		return Call{Request: &hopv1.Request{Id: id, Method: "GET", Target: []byte("/"), Host: "h", Idempotent: true},
+			ExtraHeaders: []*hopv1.Header{{Name: "Request-Id", Value: []byte(id)}}}
 	}
 	if _, err := client.Do(context.Background(), call("a")); err != nil {
 		t.Fatal(err)
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -43,7 +43,7 @@
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
-	if _, err := client.Do(ctx, Call{Request: &hopv1.Request{Id: "silent", Method: http.MethodGet, Target: "/", Host: "h", Idempotent: true}}); err == nil {
+	if _, err := client.Do(ctx, Call{Request: &hopv1.Request{Id: "silent", Method: http.MethodGet, Target: []byte("/"), Host: "h", Idempotent: true}}); err == nil {
 		t.Fatal("got an answer on a silent connection")
 	}
 	client.CloseUnusedSince(sent)
