--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -59,7 +59,7 @@
 }
 
 func doMethod(client *Client, method string) (*hopv1.Answer, error) {
-	return doCall(client, &hopv1.Request{Id: "id", Method: method, Target: "/", Host: "h", Idempotent: true})
+	return doCall(client, &hopv1.Request{Id: "id", Method: method, Target: []byte("/"), Host: "h", Idempotent: true})
 }
 
 // doText sends a request to an upstream that answers with the text and closes the connection.
