Connect the peer of a test after its data path is set up

Cause: the stand-in peer of TestPeerRefusesUploadBeforeItsTransfer answered pings while the test still set a field of the data path that it reads: a data race, reported in runs with -race -count=6 on. Change: the field is set before the peer is started. The checks are the same. Conclusion: a fault of the test.

--- a/internal/proxy/link_test.go
+++ b/internal/proxy/link_test.go
@@ -39,9 +39,9 @@
 	t.Helper()
 	p := newTestProxy(t, manifest.Service{Name: "s"}, manifest.RetryRule{Name: "rule", Attempts: 2})
 	runs := make(chan string, 10)
-	member, network := startPeerOn(t, "b", answeringHandler{silentHandler{"b", make(chan string, 10)}, p, runs}, machine)
 	peers := newTestPeers(t)
 	p.deps.Peers = peers
+	member, network := startPeerOn(t, "b", answeringHandler{silentHandler{"b", make(chan string, 10)}, p, runs}, machine)
 	peers.SetMembers([]control.Member{member}, 1)
 	for peers.UsablePeers() < 1 {
 		time.Sleep(time.Millisecond)
