Decide on a last answer only when it can be sent

Cause: during a planned stop, the answer to the last request on a connection ends it. With requests served side by side this was decided when the handler ended, while answers before it were still outstanding: from then on nothing more was served, though the caller could not know it. A request that was sent meanwhile stayed for as long as the first one ran, and its connection ended without an answer. Change: CloseAfter waits until the answers before it are sent, which the answer has to do anyway, and decides then.

--- a/internal/pipeline/answers.go
+++ b/internal/pipeline/answers.go
@@ -70,10 +70,14 @@
 }
 
 // closeAfter is CloseAfter for the request of b, or with nil for that on the connection
-// itself.
+// itself. It waits until the answer can be sent: until then, its caller does not know that it
+// is the last one, and may send more.
 func (c *Conn) closeAfter(b *branch) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for b != nil && !c.ended && !c.isNext(b) {
+		c.changed.Wait()
+	}
 	if n := len(c.branches); n > 0 && c.branches[n-1] != b {
 		return false
 	}
@@ -84,6 +88,11 @@
 	return true
 }
 
+// isNext reports whether all answers before that of b were sent. The caller holds mu.
+func (c *Conn) isNext(b *branch) bool {
+	return !c.serving && len(c.branches) > 0 && c.branches[0] == b
+}
+
 // unserved returns the heads of the requests that were read and that nobody serves. The
 // caller holds mu.
 func (c *Conn) unserved() [][]byte {
--- a/internal/pipeline/drain_test.go
+++ b/internal/pipeline/drain_test.go
@@ -5,10 +5,12 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -42,13 +44,20 @@
 
 // serveCounted serves the handler through a countingListener.
 func serveCounted(t *testing.T, handler http.HandlerFunc) (*countingListener, *Listener) {
+	t.Helper()
+	return serveReporting(t, ignoreUnserved, handler)
+}
+
+// serveReporting is serveCounted with a function that is called with the requests that were not
+// served.
+func serveReporting(t *testing.T, unserved func([][]byte, error), handler http.HandlerFunc) (*countingListener, *Listener) {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	counted := &countingListener{Listener: inner}
-	listener := NewListener(counted, ignoreUnserved)
+	listener := NewListener(counted, unserved)
 	server := &http.Server{Handler: handler, ConnState: ConnState, ConnContext: ConnContext}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -163,3 +172,162 @@
 		t.Error("the read goes on")
 	}
 }
+
+// closeIfLast marks the answer to a request as the last one of its connection if it may be.
+func closeIfLast(w http.ResponseWriter, r *http.Request) {
+	if CloseAfter(r.Context()) {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// TestAnswerThatWaitsForOthersDoesNotEndTheConnection covers a stop while the first request of
+// a caller runs and one behind it is answered: the caller does not know that, and sends more.
+func TestAnswerThatWaitsForOthersDoesNotEndTheConnection(t *testing.T) {
+	release, answered := make(chan bool), make(chan bool)
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/0" {
+			<-release
+		}
+		if r.URL.Path == "/1" {
+			close(answered)
+		}
+		closeIfLast(w, r)
+		fmt.Fprint(w, r.URL.Path)
+	}, true)
+	conn := dial(t, address, get("/0")+get("/1"))
+	<-answered
+	time.Sleep(20 * time.Millisecond)
+	_, _ = io.WriteString(conn, get("/2"))
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	expectAnswers(t, bufio.NewReader(conn), "/0", "/1", "/2")
+}
+
+// TestRequestEndsWhenItsCallerLeavesBehindAnAnsweredOne covers a caller that leaves during a
+// stop, after a request behind the one that runs was answered.
+func TestRequestEndsWhenItsCallerLeavesBehindAnAnsweredOne(t *testing.T) {
+	answered, ended := make(chan bool), make(chan bool)
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/0" {
+			<-r.Context().Done()
+			close(ended)
+			return
+		}
+		close(answered)
+		closeIfLast(w, r)
+		fmt.Fprint(w, r.URL.Path)
+	}, true)
+	conn := dial(t, address, get("/0")+get("/1"))
+	<-answered
+	time.Sleep(20 * time.Millisecond)
+	_ = conn.Close()
+	select {
+	case <-ended:
+	case <-time.After(3 * time.Second):
+		t.Error("the request goes on after its caller has left")
+	}
+}
+
+// callerOfMany sends requests behind one another on one connection, some with bodies and, if
+// pieces is set, cut in pieces.
+type callerOfMany struct {
+	name   string
+	pieces bool
+	conn   *net.TCPConn
+}
+
+// send sends the requests until the connection ends.
+func (c *callerOfMany) send(requests int) {
+	for i := range requests {
+		text := get(c.path(i))
+		if rand.IntN(3) == 0 {
+			body := strings.Repeat("b", rand.IntN(6000))
+			text = fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", c.path(i), len(body), body)
+		}
+		for c.pieces && rand.IntN(3) == 0 {
+			cut := rand.IntN(len(text))
+			if _, err := io.WriteString(c.conn, text[:cut]); err != nil {
+				return
+			}
+			text = text[cut:]
+			time.Sleep(time.Millisecond)
+		}
+		if _, err := io.WriteString(c.conn, text); err != nil {
+			return
+		}
+	}
+}
+
+func (c *callerOfMany) path(i int) string { return fmt.Sprintf("/%s/%d", c.name, i) }
+
+// receive reads answers until the connection ends, slowly, and calls first before the first
+// one. It returns their number, and an error if one is not that to the next request.
+func (c *callerOfMany) receive(first func()) (int, error) {
+	reader := bufio.NewReader(c.conn)
+	_, _ = reader.Peek(1)
+	first()
+	for i := 0; ; i++ {
+		response, err := http.ReadResponse(reader, nil)
+		if err == io.ErrUnexpectedEOF || err == io.EOF {
+			return i, nil
+		}
+		if err != nil {
+			return i, err
+		}
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			return i, err
+		}
+		if got := strings.TrimRight(string(body), "x"); got != c.path(i) {
+			return i, fmt.Errorf("answer %d: %q; want %q", i, got, c.path(i))
+		}
+		time.Sleep(time.Duration(rand.IntN(2)) * time.Millisecond)
+	}
+}
+
+// TestEachRequestThatBeganIsAnsweredAsTheServerEnds covers many callers that send behind one
+// another, in pieces and with bodies that are not always read, and read slowly.
+func TestEachRequestThatBeganIsAnsweredAsTheServerEnds(t *testing.T) {
+	const callers, requests = 60, 40
+	var ran, unserved, answered atomic.Int64
+	var stopping atomic.Bool
+	counted, listener := serveReporting(t, func(heads [][]byte, cause error) {
+		if cause == net.ErrClosed {
+			unserved.Add(int64(len(heads)))
+		}
+	}, func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		if rand.IntN(4) > 0 {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+		time.Sleep(time.Duration(rand.IntN(30)) * time.Millisecond)
+		if stopping.Load() {
+			closeIfLast(w, r)
+		}
+		fmt.Fprint(w, r.URL.Path, strings.Repeat("x", rand.IntN(3)*9000))
+	})
+	var served, ended sync.WaitGroup
+	for i := range callers {
+		c := &callerOfMany{name: fmt.Sprint(i), pieces: i%2 == 0, conn: dial(t, counted.Addr().String(), "")}
+		_ = c.conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+		served.Add(1)
+		go c.send(requests)
+		ended.Go(func() {
+			n, err := c.receive(served.Done)
+			answered.Add(int64(n))
+			if err != nil {
+				t.Errorf("caller %s: %v", c.name, err)
+			}
+		})
+	}
+	served.Wait()
+	stopping.Store(true)
+	time.Sleep(20 * time.Millisecond)
+	_ = listener.Close()
+	listener.Drain()
+	ended.Wait()
+	if ran.Load() != answered.Load() || unserved.Load() > 0 {
+		t.Errorf("%d requests began, %d were answered, %d read and not begun", ran.Load(), answered.Load(), unserved.Load())
+	}
+}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -184,7 +184,8 @@
 
 // CloseAfter reports whether the answer to the request with this context may end its
 // connection. It returns false while requests behind it are served or wait: they would get no
-// answer. After true, no further request is served.
+// answer. After true, no further request is served. It must be called just before the answer
+// is written, and waits until those before it are sent.
 func CloseAfter(ctx context.Context) bool {
 	switch c := ctx.Value(connKey{}).(type) {
 	case *Conn:
