Count only whole heads as requests that a stop waits for

Cause: a request whose head does not arrive at once counted as read from its first byte on. A caller that has sent a part of a head, or a line end behind a body, as some do, held each planned stop up until its last moment, and requests were refused later than need be; at the end, its connection was cut. Change: a connection waits for an answer only from the end of a head on. A connection that is drained is ended by itself, not by net/http, which would answer the part of a head with 400.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -75,6 +75,8 @@
 	defer c.mu.Unlock()
 	for {
 		if c.draining && c.isQuiet() {
+			// Package net/http would answer a part of a head.
+			c.endSoon()
 			return 0, io.EOF
 		}
 		if c.passThrough && len(c.ahead) == 0 {
@@ -115,10 +117,11 @@
 	if len(c.ahead) == 0 || c.passThrough || c.last {
 		return
 	}
-	c.serving = true
 	head := c.ahead[:headEnd(c.ahead)]
+	// A part of a head is no request yet.
+	c.serving = len(head) > 0
 	body, known := bodyLength(head)
-	if len(head) == 0 || !known {
+	if !known {
 		c.passThrough = true
 		return
 	}
--- a/internal/pipeline/drain_test.go
+++ b/internal/pipeline/drain_test.go
@@ -331,3 +331,30 @@
 		t.Errorf("%d requests began, %d were answered, %d read and not begun", ran.Load(), answered.Load(), unserved.Load())
 	}
 }
+
+// TestPartOfAHeadIsNoRequestThatWaits covers callers that send a line end behind a body, or
+// the beginning of a request: a stop must not wait for what may never come.
+func TestPartOfAHeadIsNoRequestThatWaits(t *testing.T) {
+	for name, rest := range map[string]string{"line end": "\r\n", "beginning": "GET /1 HTTP/1.1\r\nHo"} {
+		t.Run(name, func(t *testing.T) {
+			counted, listener := serveCounted(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadAll(r.Body)
+				fmt.Fprint(w, r.URL.Path)
+			})
+			conn := dial(t, counted.Addr().String(), "POST /0 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"+rest)
+			reader := bufio.NewReader(conn)
+			expectAnswers(t, reader, "/0")
+			for end := time.Now().Add(2 * time.Second); !listener.AllAnswered(); time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("a request waits")
+				}
+			}
+			_ = listener.Close()
+			listener.Drain()
+			_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+			if _, err := reader.ReadByte(); err != io.EOF {
+				t.Errorf("after the stop: %v", err)
+			}
+		})
+	}
+}
