Serve no request beside one that net/http refuses

Cause: requests behind one another are served side by side. If net/http refuses the head of one of them (no host, an odd field), it closes the connection after its answer, and a request behind it that already ran got no answer. Change: a request is split off only if net/http accepts its head. One that it refuses waits until those before it are answered, and nothing behind it runs. Callers that send only proper requests do not meet it.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -135,7 +135,7 @@
 func (c *Conn) split() bool {
 	for c.deliver == 0 && !c.alone && !c.unsplit && !c.passThrough && !c.last && !c.ended && len(c.branches) < maxBranches {
 		end := headEnd(c.ahead)
-		if end == 0 || !isSimple(c.ahead[:end]) {
+		if end == 0 || !isSimple(c.ahead[:end]) || !isAccepted(c.ahead[:end]) {
 			return true
 		}
 		b := &branch{front: c, head: slices.Clone(c.ahead[:end])}
--- a/internal/pipeline/head.go
+++ b/internal/pipeline/head.go
@@ -1,10 +1,14 @@
 package pipeline
 
 import (
+	"bufio"
 	"bytes"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // headEnd returns the length of the head of a request that data begins with, or 0 if it is
@@ -59,6 +63,25 @@
 	return !containsAny(fields, refusedFields)
 }
 
+// isAccepted reports whether net/http accepts the head. After one that it refuses it closes the
+// connection, so that requests behind it would get no answer.
+func isAccepted(head []byte) bool {
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	if err != nil || r.Host == "" || !httpguts.ValidHostHeader(r.Host) {
+		return false
+	}
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) || !allValid(values) {
+			return false
+		}
+	}
+	return true
+}
+
+func allValid(values []string) bool {
+	return !slices.ContainsFunc(values, func(value string) bool { return !httpguts.ValidHeaderFieldValue(value) })
+}
+
 // bodyLength returns the length of the body behind the head, for a connection that stays
 // open. It returns false if the length is not given in one plain field.
 func bodyLength(head []byte) (int, bool) {
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -299,3 +299,41 @@
 	}
 	return answers
 }
+
+// TestNoRequestRunsBehindOneThatEndsTheConnection covers a head that net/http refuses: it closes
+// the connection, so a request behind it gets no answer.
+func TestNoRequestRunsBehindOneThatEndsTheConnection(t *testing.T) {
+	for name, refused := range map[string]string{
+		"no host":     "GET /bad HTTP/1.1\r\n\r\n",
+		"two hosts":   "GET /bad HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
+		"odd name":    "GET /bad HTTP/1.1\r\nHost: h\r\nA b: c\r\n\r\n",
+		"odd value":   "GET /bad HTTP/1.1\r\nHost: h\r\nX: a\x00\r\n\r\n",
+		"odd target":  "GET /% HTTP/1.1\r\nHost: h\r\n\r\n",
+		"odd host":    "GET /bad HTTP/1.1\r\nHost: a b\r\n\r\n",
+		"no colon":    "GET /bad HTTP/1.1\r\nHost: h\r\nnocolon\r\n\r\n",
+		"three parts": "GET /bad x HTTP/1.1\r\nHost: h\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			ran := make(chan string, 10)
+			address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				ran <- r.URL.Path
+				time.Sleep(50 * time.Millisecond)
+				fmt.Fprint(w, r.URL.Path)
+			}, true)
+			conn := dial(t, address, get("/0")+refused+get("/1"))
+			answers, err := io.ReadAll(conn)
+			if served := bytes.Count(answers, []byte(" 200 OK")); err != nil || served != 1 || len(ran) != served {
+				t.Errorf("%d ran, answers %q, %v", len(ran), answers, err)
+			}
+		})
+	}
+}
+
+func BenchmarkIsAccepted(b *testing.B) {
+	head := []byte("GET /some/path?query=1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: 123456\r\nDeadline-Ms: 1000\r\nCustomer: c\r\n\r\n")
+	for b.Loop() {
+		if !isAccepted(head) {
+			b.Fatal("refused")
+		}
+	}
+}
