Test that the beginning of a frame is no answer

Cause: looked for the class "an answer that ends early and looks complete" between daemons, where large answers are sent in parts.

Conclusion: it cannot happen here: the length of the answer is within the frame.

--- a/internal/hop/parts_test.go
+++ b/internal/hop/parts_test.go
@@ -186,3 +186,21 @@
 		last = frame.GetPart().GetLast()
 	}
 }
+
+// TestBeginningOfAnAnswerIsNone covers a frame whose last part comes too early: what has arrived
+// must not count as an answer with a shorter body.
+func TestBeginningOfAnAnswerIsNone(t *testing.T) {
+	encoded, err := encode(&hopv1.Frame{Stream: 7, Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{
+		Status: 200, Headers: []*hopv1.Header{{Name: "A", Value: "b"}}, Body: bytes.Repeat([]byte("abc"), 300), RanUs: 5,
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole := withoutLength(encoded)
+	for size := range len(whole) {
+		part := &hopv1.Frame{Stream: 7, Body: &hopv1.Frame_Part{Part: &hopv1.Part{Data: whole[:size], Last: true}}}
+		if frame, err := newPartReceiver().receive(part); err == nil && frame.GetAnswer() != nil {
+			t.Errorf("%d of %d bytes: %v", size, len(whole), frame)
+		}
+	}
+}
