Let peers receive the last replies before their connections are closed

Cause: a stop ended the connections of peers once all replies were written. Written is not received: what the peer sends to a closed connection, such as its next ping, resets it, and the system discards what it has not sent yet. The caller of a request that has run then gets 502. Change: the stop ends only the writing on these connections and waits until the peers have closed them, 500 ms at most and not beyond exitShare of the grace. Conclusion: fixed for stops that end before exitShare; one that ends then closes at once, as before. A peer that is cut off delays the stop by the 500 ms.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -35,6 +35,9 @@
 	// closeCallersTime bounds closing the connections of callers. Callers have it to read
 	// their last answers.
 	closeCallersTime = 100 * time.Millisecond
+	// closePeersTime bounds closing the connections of peers, which have it to receive their
+	// last replies.
+	closePeersTime = 500 * time.Millisecond
 	// cancelNoticeTime is how long Stop waits for peers to confirm cancellations. If the
 	// machine ends with the process, what is still to be sent is lost.
 	cancelNoticeTime = 300 * time.Millisecond
@@ -76,7 +79,7 @@
 	}
 	d.log.Event(event.DaemonStopped, zap.Int64("entering", entering), zap.Int64("running", running),
 		zap.Duration("took", time.Since(began)))
-	d.close(ctx)
+	d.close(ctx, exitAt)
 	if entering+running > 0 {
 		return fmt.Errorf("%d requests of callers and %d at the upstream were cut off", entering, running)
 	}
@@ -118,8 +121,9 @@
 }
 
 // close closes the connections of callers, once each request that was read from them is
-// answered, and then everything else. It waits up to closeCallersTime.
-func (d *Daemon) close(ctx context.Context) {
+// answered, then those of peers, and then everything else. It waits up to closeCallersTime
+// for callers, and up to closePeersTime for peers, but not beyond end.
+func (d *Daemon) close(ctx context.Context, end time.Time) {
 	if err := d.callers.Close(); err != nil {
 		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the listener for callers"), zap.Error(err))
 	}
@@ -128,6 +132,9 @@
 	if open := d.callers.Open(); open > 0 {
 		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the connections of callers"), zap.Int("open", open))
 	}
+	bounded, cancel := context.WithDeadline(ctx, earlier(end, time.Now().Add(closePeersTime)))
+	defer cancel()
+	d.server.CloseGently(bounded)
 	d.closeAll()
 }
 
--- a/internal/hop/peerconn.go
+++ b/internal/hop/peerconn.go
@@ -41,7 +41,9 @@
 	done      <-chan struct{}
 	cancel    context.CancelFunc
 	closeOnce sync.Once
-	epoch     time.Time
+	// writeClosed is set by closeWrite.
+	writeClosed atomic.Bool
+	epoch       time.Time
 	// lastReceived is when data last arrived, lastWritten when a batch was last written,
 	// in nanoseconds since epoch.
 	lastReceived atomic.Int64
@@ -91,7 +93,7 @@
 
 // sendEncoded is send for the result of encode.
 func (pc *peerConn) sendEncoded(frame outgoing) error {
-	if isClosed(pc.done) {
+	if isClosed(pc.done) || pc.writeClosed.Load() {
 		return errConnClosed
 	}
 	if !frame.whole && pc.parts.takes(frame.encoded) {
@@ -105,7 +107,7 @@
 
 // put queues an encoded frame.
 func (pc *peerConn) put(buffer []byte) error {
-	if isClosed(pc.done) {
+	if isClosed(pc.done) || pc.writeClosed.Load() {
 		return errConnClosed
 	}
 	if !pc.out.put(buffer) {
@@ -194,6 +196,16 @@
 	return time.Since(pc.epoch) - time.Duration(last)
 }
 
+// closeWrite ends the writing: frames are not sent any more. The connection stays open for the
+// peer to close it. All frames must have been written.
+func (pc *peerConn) closeWrite() {
+	pc.writeClosed.Store(true)
+	if inner, ok := pc.conn.(interface{ CloseWrite() error }); ok {
+		// If this fails, the connection has ended.
+		_ = inner.CloseWrite()
+	}
+}
+
 // close closes the connection. Data that was already written is still sent.
 func (pc *peerConn) close() {
 	pc.closeOnce.Do(func() {
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -120,6 +122,30 @@
 	return true
 }
 
+// CloseGently ends all connections, also those that are accepted later, so that their peers get
+// all that was written, and returns once they have closed them, at most when ctx ends. Data that
+// a peer sends to a connection that is closed resets it, and what was written is discarded.
+func (s *Server) CloseGently(ctx context.Context) {
+	for _, pc := range s.endWriting() {
+		select {
+		case <-pc.done:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// endWriting ends the writing on all connections and returns them.
+func (s *Server) endWriting() []*peerConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+	for pc := range s.conns {
+		pc.closeWrite()
+	}
+	return slices.Collect(maps.Keys(s.conns))
+}
+
 // AllReplied reports whether no request of a peer runs and each reply was written on its
 // connection, if that is open.
 func (s *Server) AllReplied() bool { return !s.anyRunning() && s.allWritten() }
