Forward a target that begins with two slashes unchanged

Callers saw: a request for a target such as //a/b, on a route that matches it (prefix / or //a/), reached the upstream as ://a/b, which a server answers 400 or closes on. Cause: the request was written by net/http, whose URL.RequestURI puts a scheme and a colon before an opaque target that begins with two slashes. Change: the client writes the request line and the headers itself, with the target as the caller sent it. A method, target or host with a space or a control character, which no caller's request has, is refused as not sent; net/http refused only to write some of these, and the answer was then awaited until the deadline.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -1,13 +1,11 @@
 package upstream
 
 import (
-	"bytes"
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -33,7 +31,8 @@
 	// ErrUnreachable means that the upstream accepted no connection; the request
 	// has not run.
 	ErrUnreachable = errors.New("upstream does not accept connections")
-	// ErrNotSent means that the request's context ended before the request was sent.
+	// ErrNotSent means that the request's context ended before the request was sent, or that
+	// it is none that can be sent.
 	ErrNotSent = errors.New("request was not sent to the upstream")
 	// ErrInvalidResponse means that the connection or the request's context
 	// ended, or that something other than a complete, valid response arrived;
@@ -100,6 +99,9 @@
 // ErrInvalidResponse. When ctx ends, the connection is reset, upon which most
 // upstreams abandon the request.
 func (c *Client) Do(ctx context.Context, call Call) (*hopv1.Answer, error) {
+	if strings.ContainsFunc(call.Method+call.Target+call.Host, endsWord) {
+		return nil, fmt.Errorf("%w: a space or a control character in its method, target or host", ErrNotSent)
+	}
 	connection, err := c.pool.get(ctx, call.Idempotent)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
@@ -130,14 +132,14 @@
 // exchange writes the request and reads its response. Reusable reports whether
 // the connection can carry another request.
 func (c *Client) exchange(connection *conn, call Call) (answer *hopv1.Answer, reusable bool, err error) {
-	request := c.request(call)
+	header := requestHeader(call)
 	written := make(chan error, 1)
 	if len(call.Body) <= maxInlineBody {
-		written <- writeRequest(connection, request)
+		written <- writeRequest(connection.writer, call, header)
 	} else {
-		go func() { written <- writeRequest(connection, request) }()
+		go func() { written <- writeRequest(connection.writer, call, header) }()
 	}
-	answer, reusable, err = c.readAnswer(connection, request, call.Id)
+	answer, reusable, err = c.readAnswer(connection, &http.Request{Method: call.Method}, call.Id)
 	if err != nil {
 		return nil, false, err
 	}
@@ -149,16 +151,9 @@
 	}
 }
 
-func writeRequest(connection *conn, request *http.Request) error {
-	if err := request.Write(connection.writer); err != nil {
-		return err
-	}
-	return connection.writer.Flush()
-}
-
-// request builds the HTTP request from the caller's request; each extra header
-// replaces the caller's headers of the same name.
-func (c *Client) request(call Call) *http.Request {
+// requestHeader returns the caller's headers, of which each extra header replaces those of
+// the same name, and that of the body's length.
+func requestHeader(call Call) http.Header {
 	header := make(http.Header, len(call.Headers)+len(call.ExtraHeaders)+1)
 	for _, h := range call.Headers {
 		header[h.Name] = append(header[h.Name], h.Value)
@@ -166,24 +161,27 @@
 	for _, h := range call.ExtraHeaders {
 		header[h.Name] = []string{h.Value}
 	}
-	if _, set := header["User-Agent"]; !set {
-		// An empty value keeps net/http from adding its default User-Agent.
-		header["User-Agent"] = []string{""}
-	}
-	request := &http.Request{
-		Method:        call.Method,
-		URL:           &url.URL{Opaque: call.Target},
-		Proto:         "HTTP/1.1",
-		ProtoMajor:    1,
-		ProtoMinor:    1,
-		Header:        header,
-		Host:          call.Host,
-		ContentLength: int64(len(call.Body)),
+	if len(call.Body) > 0 || takesBody[call.Method] {
+		header["Content-Length"] = []string{strconv.Itoa(len(call.Body))}
 	}
-	if len(call.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(call.Body))
-	}
-	return request
+	return header
+}
+
+// endsWord reports whether a character cannot be part of a word of a request's first lines.
+func endsWord(c rune) bool { return c <= ' ' || c == 0x7f }
+
+// takesBody holds the methods whose requests name the length of an empty body.
+var takesBody = map[string]bool{http.MethodPost: true, http.MethodPut: true, http.MethodPatch: true}
+
+// writeRequest writes a request with the caller's target as it is. Package net/http would
+// take one that begins with two slashes for an address.
+func writeRequest(writer *bufio.Writer, call Call, header http.Header) error {
+	// A bufio.Writer keeps its first error, which Flush returns.
+	_, _ = fmt.Fprintf(writer, "%s %s HTTP/1.1\r\nHost: %s\r\n", call.Method, call.Target, call.Host)
+	_ = header.Write(writer)
+	_, _ = writer.WriteString("\r\n")
+	_, _ = writer.Write(call.Body)
+	return writer.Flush()
 }
 
 // readAnswer reads responses, at most maxResponses, until the one that carries
