Close idle connections between the cases of a test

The upstream closes after each answer without saying so; if the close of the last, complete answer of one case arrived late, the first request of the next case went out on that connection and ended as 502, as it should, but without the cut that it was to test.

Change: the test closes all idle connections between its cases. Its checks are as before.

Conclusion: a fault of the test's set-up.

--- a/internal/proxy/cut_test.go
+++ b/internal/proxy/cut_test.go
@@ -81,14 +81,17 @@
 		u := &cutUpstream{}
 		address := startRawUpstream(t, u.write)
 		var entry string
+		var closeIdle func()
 		if place == "local" {
-			_, entry = startEntry(t, rule, address)
+			closeIdle, entry = startEntry(t, rule, address)
 		} else {
-			_, entry = startEntry(t, rule, "", address)
+			closeIdle, entry = startEntry(t, rule, "", address)
 		}
 		for name, whole := range wholeAnswers {
 			for end, reset := range map[string]bool{"closed": false, "reset": true} {
 				t.Run(fmt.Sprintf("%s, %s, %s", place, name, end), func(t *testing.T) {
+					// The connection of the last answer may not be closed yet.
+					closeIdle()
 					for _, cut := range whole.cuts() {
 						u.set(whole.text[:cut], reset)
 						before := u.count()
--- a/internal/proxy/upstreams_test.go
+++ b/internal/proxy/upstreams_test.go
@@ -42,17 +42,20 @@
 }
 
 // startEntry starts an entry daemon beside the upstream at local, or beside none of the
-// service if it is "", with a peer for each upstream of remote. It returns the address for
-// callers.
-func startEntry(t *testing.T, rule manifest.RetryRule, local string, remote ...string) (*Proxy, string) {
+// service if it is "", with a peer for each upstream of remote. It returns a function that
+// closes all idle connections to upstreams, and the address for callers.
+func startEntry(t *testing.T, rule manifest.RetryRule, local string, remote ...string) (closeIdle func(), address string) {
 	t.Helper()
 	entry := newProxyBeside(t, local, rule)
+	all := []*Proxy{entry}
 	peers := newTestPeers(t)
 	entry.deps.Peers = peers
 	var members []control.Member
 	for i, address := range remote {
 		instance := string(rune('b' + i))
-		handler := executingHandler{silentHandler{instance, make(chan string, 100)}, newProxyBeside(t, address, rule)}
+		p := newProxyBeside(t, address, rule)
+		all = append(all, p)
+		handler := executingHandler{silentHandler{instance, make(chan string, 100)}, p}
 		member, _ := startPeerWith(t, instance, handler)
 		members = append(members, member)
 	}
@@ -62,7 +65,12 @@
 	}
 	server := httptest.NewServer(entry.Handler())
 	t.Cleanup(server.Close)
-	return entry, strings.TrimPrefix(server.URL, "http://")
+	closeIdle = func() {
+		for _, p := range all {
+			p.client.CloseIdleConnections()
+		}
+	}
+	return closeIdle, strings.TrimPrefix(server.URL, "http://")
 }
 
 // startRawUpstream starts an upstream that answers each request with what write writes. It
