Give a test's daemon its peers before they call it

Cause: startLinkedPeer set the peers of a data path after the peer whose handler uses it was started: a data race in the test, in TestPeerRefusesUploadBeforeItsTransfer.

Change: the peers are set first. No check changes.

It was first seen in a run of the whole package with -race.

--- a/internal/proxy/link_test.go
+++ b/internal/proxy/link_test.go
@@ -38,10 +38,10 @@
 func startLinkedPeer(t *testing.T, machine *shaping.Link) (*Proxy, *faultlink.Link, chan string) {
 	t.Helper()
 	p := newTestProxy(t, manifest.Service{Name: "s"}, manifest.RetryRule{Name: "rule", Attempts: 2})
-	runs := make(chan string, 10)
-	member, network := startPeerOn(t, "b", answeringHandler{silentHandler{"b", make(chan string, 10)}, p, runs}, machine)
 	peers := newTestPeers(t)
 	p.deps.Peers = peers
+	runs := make(chan string, 10)
+	member, network := startPeerOn(t, "b", answeringHandler{silentHandler{"b", make(chan string, 10)}, p, runs}, machine)
 	peers.SetMembers([]control.Member{member}, 1)
 	for peers.UsablePeers() < 1 {
 		time.Sleep(time.Millisecond)
