Name the method in the tests of answers that are cut

Cause: they sent requests with an empty method, for which net/http wrote GET. The client writes the request line itself by now, and the method as it is. Change: the tests name GET. Their checks are the same. Requests of callers always have a method.

--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -58,7 +58,11 @@
 	return client
 }
 
+// doMethod sends a request with the method, or GET if that is empty.
 func doMethod(client *Client, method string) (*hopv1.Answer, error) {
+	if method == "" {
+		method = http.MethodGet
+	}
 	return doCall(client, &hopv1.Request{Id: "id", Method: method, Target: []byte("/"), Host: "h", Idempotent: true})
 }
 
