Keep each run of an id that runs twice

What callers could see: a nested request refused (503) by a daemon that stops, or asked for a key (401) or counted in a quota, although its parent runs there.

Cause: the requests that run at the upstream were recorded by id, one for an id. If a caller sends a request again under its id while it runs, the end of one run removed the record of the other. While both ran, nested requests belonged to the latest, also when that was abandoned, and then ended with it.

Change: all runs of an id are recorded; a nested request belongs to the latest one that is awaited.

Tests: TestParentIsKnownWhileItRuns names the run that it removes, otherwise unchanged.

Which of two runs of one id sent a nested request is not known; both are runs of the same request.

--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -127,7 +127,7 @@
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	running := p.running.add(request.Id, request.Retry)
-	defer p.running.remove(request.Id)
+	defer p.running.remove(request.Id, running)
 	mean := p.admissionController.Load().ServiceTime
 	extra := []*hopv1.Header{
 		{Name: p.cfg.Headers.RequestID, Value: request.Id},
--- a/internal/proxy/running.go
+++ b/internal/proxy/running.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,8 +12,13 @@
 )
 
 // runningRequests holds the requests that run at the upstream beside this daemon,
-// by id. All methods may be called from any goroutine.
-type runningRequests struct{ byID sync.Map }
+// by id. All methods may be called from any goroutine. The zero value is ready for use.
+type runningRequests struct {
+	mu sync.Mutex
+	// byID holds several requests of one id, in the order in which they began, if a caller
+	// has sent it again while it runs.
+	byID map[string][]*runningRequest
+}
 
 // runningRequest is one request that runs at the upstream.
 type runningRequest struct {
@@ -33,22 +39,45 @@
 func (r *runningRequests) add(id string, retry bool) *runningRequest {
 	running := &runningRequest{retry: retry}
 	running.abandoned, running.abandon = context.WithCancel(context.Background())
-	r.byID.Store(id, running)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byID == nil {
+		r.byID = map[string][]*runningRequest{}
+	}
+	r.byID[id] = append(r.byID[id], running)
 	return running
 }
 
-func (r *runningRequests) remove(id string) { r.byID.Delete(id) }
+// remove removes a request that has ended. Others with the same id remain.
+func (r *runningRequests) remove(id string, running *runningRequest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := slices.DeleteFunc(r.byID[id], func(other *runningRequest) bool { return other == running })
+	if len(all) == 0 {
+		delete(r.byID, id)
+		return
+	}
+	r.byID[id] = all
+}
 
-// get returns the running request with the id, or nil.
+// get returns the running request with the id, or nil. If there are several, it returns the
+// latest one that was not abandoned, or else the latest one.
 func (r *runningRequests) get(id string) *runningRequest {
 	if id == "" {
 		return nil
 	}
-	running, ok := r.byID.Load(id)
-	if !ok {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := r.byID[id]
+	for _, running := range slices.Backward(all) {
+		if running.abandoned.Err() == nil {
+			return running
+		}
+	}
+	if len(all) == 0 {
 		return nil
 	}
-	return running.(*runningRequest)
+	return all[len(all)-1]
 }
 
 // longRuns is the number of mean service times after which a run that ended at its
--- a/internal/proxy/running_test.go
+++ b/internal/proxy/running_test.go
@@ -42,7 +42,7 @@
 	if nested := (&call{parent: parent}); !nested.isRetry() {
 		t.Error("a nested call of a retried run does not count as a retry")
 	}
-	requests.remove("p")
+	requests.remove("p", parent)
 	if requests.get("p") != nil {
 		t.Error("the request is found after its end")
 	}
