--- a/internal/proxy/sameid_test.go
+++ b/internal/proxy/sameid_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -17,7 +18,7 @@
 	for _, firstEnds := range []bool{true, false} {
 		t.Run(fmt.Sprintf("first ends: %t", firstEnds), func(t *testing.T) {
 			begun := make(chan chan bool, 2)
-			entry, address := startEntry(t, manifest.RetryRule{Name: "rule", Attempts: 1}, startRawUpstream(t, func(conn net.Conn, request *http.Request) bool {
+			upstreamAddress := startRawUpstream(t, func(conn net.Conn, request *http.Request) bool {
 				id := request.Header.Get("Request-Id")
 				if id == "p" {
 					end := make(chan bool)
@@ -26,7 +27,11 @@
 				}
 				_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", id)
 				return err == nil
-			}))
+			})
+			entry := newProxyBeside(t, upstreamAddress, manifest.RetryRule{Name: "rule", Attempts: 1})
+			server := httptest.NewServer(entry.Handler())
+			defer server.Close()
+			address := server.Listener.Addr().String()
 			entry.cfg.ParentID = func(id string) string { parent, _, _ := strings.Cut(id, "."); return parent }
 			answered := make(chan int, 2)
 			send := func() {
