--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -289,6 +289,9 @@
 // pingState returns the state for pings and pongs, with only the rollouts in progress.
 func (d *Daemon) pingState() *hopv1.State { return d.rollouts.addTo(d.proxy.State(), false) }
 
+// TakesWork reports whether the local upstream accepts requests.
+func (d *Daemon) TakesWork() bool { return d.proxy.State().GetTakesWork() }
+
 // UsablePeers returns the number of reachable daemons whose upstream accepts
 // requests. This daemon is not counted.
 func (d *Daemon) UsablePeers() int { return d.peers.UsablePeers() }
