Send callers that end their sending what was answered

Change: the requests are cancelled as before, since a caller that leaves looks the same; their answers are sent, and then the connection is closed. No further request begins. Found in the search for other ends of a caller's connection.

--- a/internal/pipeline/branch.go
+++ b/internal/pipeline/branch.go
@@ -37,6 +37,8 @@
 			n := copy(p, b.head)
 			b.head = b.head[n:]
 			return n, nil
+		case b.front.callerEnded:
+			return 0, io.EOF
 		}
 		b.front.changed.Wait()
 	}
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -45,6 +45,9 @@
 	// last is set once no further request is to be served, and so none is to be read: of one
 	// that was not read, its caller knows that it has not run.
 	last bool
+	// callerEnded is set once the caller has ended its sending direction, as it does to leave.
+	// Requests that are served are cancelled by that, and their answers still sent.
+	callerEnded bool
 	// draining is set once the connection is to end when nothing on it waits for an answer.
 	draining bool
 	// ended is set when the connection fails or is closed, and closing when it is to be closed
@@ -178,8 +181,11 @@
 // fill waits for more data. It returns nil if there is some, or if a state has changed. The
 // caller holds mu, which is released meanwhile.
 func (c *Conn) fill(p []byte) error {
-	if c.ended {
+	switch {
+	case c.ended:
 		return net.ErrClosed
+	case c.callerEnded:
+		return io.EOF
 	}
 	if len(c.ahead) >= maxAhead || c.last {
 		return c.awaitChange()
@@ -190,7 +196,13 @@
 	}
 	n, err := c.receive(p)
 	c.ahead = append(c.ahead, p[:n]...)
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, io.EOF):
+		c.callerEnded = true
+		c.last = true
+		c.changed.Broadcast()
+	default:
 		_ = c.end(err)
 	}
 	return err
--- a/internal/pipeline/end.go
+++ b/internal/pipeline/end.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"io"
 	"net"
 	"time"
 
@@ -39,6 +40,8 @@
 		c.last = true
 		c.changed.Broadcast()
 		return nil
+	case c.callerEnded:
+		return c.end(io.EOF)
 	case c.reading:
 		return c.end(net.ErrClosed)
 	}
--- a/internal/pipeline/ends_test.go
+++ b/internal/pipeline/ends_test.go
@@ -10,6 +10,40 @@
 	"time"
 )
 
+// TestAnswerReachesACallerThatHasEndedItsSending covers a caller that sends a request, ends
+// its sending direction and waits: whatever the handler answers reaches it, as with net/http
+// alone.
+func TestAnswerReachesACallerThatHasEndedItsSending(t *testing.T) {
+	for name, text := range map[string]string{
+		"alone":          get("/0"),
+		"behind another": get("/0") + get("/1"),
+		"with a body":    "POST /0 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab",
+	} {
+		for _, pipelined := range []bool{false, true} {
+			if name == "behind another" && !pipelined {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s, pipelined %t", name, pipelined), func(t *testing.T) {
+				address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					time.Sleep(50 * time.Millisecond)
+					fmt.Fprint(w, r.URL.Path)
+				}, pipelined)
+				conn := dial(t, address, text)
+				_ = conn.CloseWrite()
+				reader := bufio.NewReader(conn)
+				expectAnswers(t, reader, "/0")
+				if name == "behind another" {
+					expectAnswers(t, reader, "/1")
+				}
+				if _, err := reader.ReadByte(); err != io.EOF {
+					t.Errorf("after the last answer: %v", err)
+				}
+			})
+		}
+	}
+}
+
 // TestLastAnswerIsNotLostWithWhatIsSentBehindIt covers an answer that ends the connection
 // while the caller sends more, and reads late: data that is unread at the close must not
 // make the system discard the part of the answer that is not sent yet.
