Read nothing while an answer is found to be the last one

A Read that waited for data went on while the answer was found to be the last one of its connection, and what it read was neither served nor left for the caller to send again. Change: the Read is ended before it is decided, and nothing is read until then. Conclusion: a request that was read is answered, without a window.

--- a/internal/pipeline/answers.go
+++ b/internal/pipeline/answers.go
@@ -77,9 +77,7 @@
 func (c *Conn) wake() {
 	c.changed.Broadcast()
 	if c.isFree() && (len(c.ahead) > 0 || c.draining) && !c.ended {
-		c.interrupted = true
-		// If this fails, the connection has ended, and so has the Read.
-		_ = c.Conn.SetReadDeadline(longAgo)
+		c.interrupt()
 	}
 }
 
@@ -95,11 +93,20 @@
 	if n := len(c.branches); n > 0 && c.branches[n-1] != b {
 		return false
 	}
-	if len(c.unserved()) > 0 {
-		return false
-	}
-	c.last = true
-	return true
+	c.last = c.passThrough || c.nothingWaits()
+	return c.last
+}
+
+// nothingWaits reports whether no request that was read waits to be served. None is read while
+// that is decided: one that was would get no answer if it were the wrong decision. The caller
+// holds mu, which is released meanwhile.
+func (c *Conn) nothingWaits() bool {
+	c.pauseReading()
+	defer func() {
+		c.paused = false
+		c.changed.Broadcast()
+	}()
+	return len(c.unserved()) == 0
 }
 
 // isNext reports whether all answers before that of b were sent. The caller holds mu.
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -56,8 +56,8 @@
 	closing bool
 	// cause says why the connection has ended.
 	cause error
-	// reading is set while a goroutine waits for data.
-	reading bool
+	// reading is set while a goroutine waits for data, and paused while none may.
+	reading, paused bool
 	// deadline is that of net/http for Read. While interrupted is set, another one is set on
 	// the connection, which ends a Read that waits for data.
 	deadline    time.Time
@@ -187,7 +187,7 @@
 	case c.callerEnded:
 		return io.EOF
 	}
-	if len(c.ahead) >= maxAhead || c.last {
+	if len(c.ahead) >= maxAhead || c.last || c.paused {
 		return c.awaitChange()
 	}
 	// Package net/http waits for the end of the connection with a buffer of one byte.
@@ -216,6 +216,9 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	c.reading = false
+	if c.paused {
+		c.changed.Broadcast()
+	}
 	if n > 0 {
 		return n, nil
 	}
@@ -226,6 +229,23 @@
 	return 0, err
 }
 
+// pauseReading ends a Read that waits for data, and keeps others from reading until paused is
+// reset. The caller holds mu, which is released meanwhile.
+func (c *Conn) pauseReading() {
+	c.paused = true
+	for c.reading && !c.ended {
+		c.interrupt()
+		c.changed.Wait()
+	}
+}
+
+// interrupt lets a Read that waits for data look at the state again. The caller holds mu.
+func (c *Conn) interrupt() {
+	c.interrupted = true
+	// If this fails, the connection has ended, and so has the Read.
+	_ = c.Conn.SetReadDeadline(longAgo)
+}
+
 // awaitChange waits until a state changes or the deadline passes. The caller holds mu, which
 // is released meanwhile.
 func (c *Conn) awaitChange() error {
