--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -14,7 +14,6 @@
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 	"godwitmount/internal/code"
 	"godwitmount/internal/event"
-	"godwitmount/internal/hop"
 	"godwitmount/internal/pipeline"
 	"godwitmount/internal/routing"
 )
@@ -270,51 +269,6 @@
 	return uint32(max(remaining.Milliseconds(), 0))
 }
 
-// sendTo sends the request to a peer. It returns connection errors as failure
-// frames and backs off from a peer that caused one.
-func (f *forwarder) sendTo(ctx context.Context, instance string) *hopv1.Frame {
-	peers := f.proxy.deps.Peers
-	p := peers.get(instance)
-	if p == nil {
-		return failureFrame(code.CallConnectRefused, true, 0, nil)
-	}
-	frame, err := p.send(ctx, f.call.request, f.moveFromSilentPeer)
-	switch {
-	case err == nil:
-		if answer := frame.GetAnswer(); f.proxy.noticeOf(answer).leaving {
-			p.recordLeaving(answer.GetState())
-		}
-		return notCancelled(frame)
-	case errors.Is(err, hop.ErrNotSent) && ctx.Err() != nil:
-		// The request was withdrawn while the peer had not received all of it.
-		return failureFrame(code.CallDeadlineNotRun, true, 0, nil)
-	case errors.Is(err, hop.ErrTransferLate):
-		f.transferLate = true
-		return failureFrame(code.CallShed, true, 0, nil)
-	case errors.Is(err, hop.ErrNotSent):
-		p.backOff(peers.now())
-		return failureFrame(code.CallConnectRefused, true, 0, nil)
-	case errors.Is(err, hop.ErrConnectionLost), errors.Is(err, hop.ErrPeerSilent):
-		p.backOff(peers.now())
-		return failureFrame(code.CallPeerLost, false, 0, nil)
-	default:
-		return failureFrame(code.CallDeadlineUnknown, false, 0, nil)
-	}
-}
-
-// notCancelled replaces a peer's failure that says that the caller has disconnected: the
-// peer took this daemon for vanished, while the caller still waits.
-func notCancelled(frame *hopv1.Frame) *hopv1.Frame {
-	failed := frame.GetFailure()
-	if failed == nil || code.Code(failed.Code) != code.CallCancelled {
-		return frame
-	}
-	if failed.NotRun {
-		return failureFrame(code.CallConnectRefused, true, 0, failed.State)
-	}
-	return failureFrame(code.CallPeerLost, false, 0, failed.State)
-}
-
 // recordOutcome counts an attempt's outcome and classifies it. A frame that is
 // neither an answer nor a failure is replaced by a failure: the request may have run.
 func (f *forwarder) recordOutcome(frame *hopv1.Frame) (*hopv1.Frame, result) {
