Set the deadline of a test before its server runs

Change: the deadline is set first. The checks are the same. Figures: go test -race -count=30 of it: passes.

--- a/internal/hop/server_test.go
+++ b/internal/hop/server_test.go
@@ -17,14 +17,14 @@
 	server := NewServer(&hopv1.Hello{Instance: "server"}, handler, nil)
 	server.Close()
 	accepted, opened := net.Pipe()
+	if err := opened.SetReadDeadline(time.Now().Add(resumeLimit)); err != nil {
+		t.Fatal(err)
+	}
 	served := make(chan struct{})
 	go func() {
 		server.serve(accepted)
 		close(served)
 	}()
-	if err := opened.SetReadDeadline(time.Now().Add(resumeLimit)); err != nil {
-		t.Fatal(err)
-	}
 	if _, err := opened.Read(make([]byte, 1)); err != io.EOF {
 		t.Fatalf("got error %v, want that the connection is closed", err)
 	}
