Pass no request on whose caller left before it was read

That a caller has left was checked 100 ms after a request was read, and a request that must not run twice was not cancelled once it was placed. Change: it is checked before the request is placed as well, and an ended request is not placed.

--- a/internal/daemon/disconnect.go
+++ b/internal/daemon/disconnect.go
@@ -24,14 +24,15 @@
 
 // watchCaller returns the request with a context that also ends when its caller closes
 // the connection while another request waits on it. Package net/http reads no further
-// then and does not notice. The caller must call stop.
+// then and does not notice. The context has ended already if the caller has left before the
+// request was read, as happens on a busy machine. The caller must call stop.
 func watchCaller(r *http.Request) (watched *http.Request, stop func()) {
 	conn, ok := r.Context().Value(connKey{}).(syscall.Conn)
 	if !ok {
 		return r, func() {}
 	}
 	ctx, cancel := context.WithCancel(r.Context())
-	scheduleCheck(ctx, cancel, conn)
+	checkCaller(ctx, cancel, conn)
 	return r.WithContext(ctx), cancel
 }
 
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -89,6 +89,9 @@
 // If ctx ends first, it returns a failure, even if there is a fallback.
 func (f *forwarder) forward(ctx context.Context) (*hopv1.Answer, *failure) {
 	f.proxy.recordRequest(f.call)
+	if ctx.Err() != nil {
+		return nil, f.contextFailure(ctx)
+	}
 	for {
 		frame, r := f.attempt(ctx)
 		if f.proxy.isCutOff() && r != answered {
