Look for requests behind an answer after reading is paused

Since, the Read is ended before an answer is found to be the last one, and that Read split the requests that waited into branches; that there were none had been checked before. Change: both checks, for branches and for requests that wait, come after the pause.

--- a/internal/pipeline/answers.go
+++ b/internal/pipeline/answers.go
@@ -90,23 +90,23 @@
 	for b != nil && !c.ended && !c.isNext(b) {
 		c.changed.Wait()
 	}
-	if n := len(c.branches); n > 0 && c.branches[n-1] != b {
-		return false
-	}
-	c.last = c.passThrough || c.nothingWaits()
+	c.last = c.passThrough || c.nothingBehind(b)
 	return c.last
 }
 
-// nothingWaits reports whether no request that was read waits to be served. None is read while
-// that is decided: one that was would get no answer if it were the wrong decision. The caller
-// holds mu, which is released meanwhile.
-func (c *Conn) nothingWaits() bool {
+// nothingBehind reports whether no request behind that of b, or with nil behind that on the
+// connection itself, is served or was read. None is read while that is decided: one that was
+// would get no answer if it were the wrong decision. The caller holds mu, which is released
+// meanwhile.
+func (c *Conn) nothingBehind(b *branch) bool {
 	c.pauseReading()
 	defer func() {
 		c.paused = false
 		c.changed.Broadcast()
 	}()
-	return len(c.unserved()) == 0
+	n := len(c.branches)
+	isLast := n == 0 || c.branches[n-1] == b
+	return isLast && len(c.unserved()) == 0
 }
 
 // isNext reports whether all answers before that of b were sent. The caller holds mu.
--- a/internal/pipeline/drain_test.go
+++ b/internal/pipeline/drain_test.go
@@ -358,3 +358,25 @@
 		})
 	}
 }
+
+// TestRequestsBeyondTheBranchesKeepTheConnection covers more requests than are served side by
+// side: the rest begins while the answer before it is found not to be the last one.
+func TestRequestsBeyondTheBranchesKeepTheConnection(t *testing.T) {
+	const requests = maxBranches + 4
+	counted, _ := serveCounted(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(5 * time.Millisecond)
+		if CloseAfter(r.Context()) {
+			w.Header().Set("Connection", "close")
+		}
+		fmt.Fprint(w, r.URL.Path)
+	})
+	for range 50 {
+		var sent strings.Builder
+		var want []string
+		for i := range requests {
+			want = append(want, fmt.Sprintf("/%d", i))
+			sent.WriteString(get(want[i]))
+		}
+		expectAnswers(t, bufio.NewReader(dial(t, counted.Addr().String(), sent.String())), want...)
+	}
+}
