Let planned stops of the soak meet requests that run long

Cause: all requests of the soak ran for 20 ms, or had callers that leave, so that a planned stop never met one that ran long, and none was sent behind another one. The class of incident unanswered-at-stop could not show. Change: ten callers send one to three requests behind one another on raw connections, half of which run for 2.6 s of 3.5 s. After the faults each seed stops two daemons, the stops overlapping, with no fault for 3 s before. LOST is checked there also at daemons that don't stop, and for 502 and 504 in place of an upstream. The window of checkPlannedStops follows each request's deadline; for others it is as before. Grace stays 6 s, now a constant.

--- a/test/soak/config_test.go
+++ b/test/soak/config_test.go
@@ -126,7 +126,7 @@
 	route := func(prefix, service string) platformtest.Route {
 		return platformtest.Route{Prefix: prefix, Kind: platformtest.Idempotent, Service: service, TimeoutMS: 2000, GoalMS: 1000, MaxAttempts: maxAttempts}
 	}
-	routes := []platformtest.Route{route(longRoute, "back")}
+	routes := append(heldRoutes(), route(longRoute, "back"))
 	for v := uint64(1); v <= version; v++ {
 		routes = append(routes, route(sinceRoute(v), "desk"))
 	}
--- a/test/soak/gone_test.go
+++ b/test/soak/gone_test.go
@@ -53,7 +53,7 @@
 func (l *load) leave(client *http.Client, n *node, id string, leaveAfter time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveAfter)
 	defer cancel()
-	request, err := newRequest(ctx, n, http.MethodGet, longRoute+id, id, calmKey)
+	request, err := newRequest(ctx, n, http.MethodGet, longRoute+id, id, calmKey, deadline)
 	if err != nil {
 		l.problem("request %s: %v", id, err)
 		return false
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -44,6 +44,10 @@
 	since    uint64
 	accepted time.Time
 	answered time.Time
+	// turn is sent, or when the request before it on the connection was answered, if the
+	// daemon serves them one after the other. From then on its caller allows deadline.
+	turn     time.Time
+	deadline time.Duration
 	credential
 	// err is set if the caller received no complete response.
 	err error
@@ -59,6 +63,8 @@
 	outcomes []outcome
 	// departures are the requests of leavers.
 	departures []departure
+	// calm is the time with planned stops alone.
+	calm window
 	problems
 }
 
@@ -69,6 +75,11 @@
 		for j, special := range []func(context.Context, *node, *rand.Rand){l.leaver, l.flooder, l.rotating} {
 			wg.Go(func() { special(ctx, n, rand.New(rand.NewPCG(l.seed, uint64(100*i+99-j)))) })
 		}
+		for caller := range heldCallersPerNode {
+			wg.Go(func() {
+				l.heldCaller(ctx, n, rand.New(rand.NewPCG(l.seed, uint64(100*i+80+caller))), fmt.Sprintf("%d-%d", i, caller))
+			})
+		}
 		for caller := range callersPerNode {
 			wg.Go(func() {
 				l.caller(ctx, n, rand.New(rand.NewPCG(l.seed, uint64(100*i+caller))), fmt.Sprintf("%d-%d", i, caller))
@@ -99,7 +110,8 @@
 
 // call sends one request and checks that the response belongs to it.
 func (l *load) call(client *http.Client, n *node, id string, write bool, c credential) (o outcome) {
-	o = outcome{id: id, node: n.number, write: write, sent: time.Now(), credential: c}
+	o = outcome{id: id, node: n.number, write: write, sent: time.Now(), deadline: deadline, credential: c}
+	o.turn = o.sent
 	defer func() { o.answered = time.Now() }()
 	method, target := http.MethodPost, "/write/"+id
 	if !write {
@@ -108,7 +120,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+deadlineSlack)
 	defer cancel()
-	request, err := newRequest(ctx, n, method, target, id, c.key)
+	request, err := newRequest(ctx, n, method, target, id, c.key, deadline)
 	if err != nil {
 		o.err = err
 		return o
@@ -124,18 +136,24 @@
 		o.err = err
 		return o
 	}
+	l.checkAnswer(&o, response, string(body), target)
+	return o
+}
+
+// checkAnswer records the status of an answer and checks that it belongs to its request.
+func (l *load) checkAnswer(o *outcome, response *http.Response, body, target string) {
 	o.status, o.retryAfter = response.StatusCode, response.Header.Get("Retry-After")
-	if got := platformtest.AnswerID(response); got != id {
-		l.problem("request %s got the response to %q", id, got)
+	if got := platformtest.AnswerID(response); got != o.id {
+		l.problem("request %s got the response to %q", o.id, got)
 	}
-	if o.status == http.StatusOK && !strings.HasSuffix(string(body), " ran "+target) {
-		l.problem("request %s got body %q", id, body)
+	if o.status == http.StatusOK && !strings.HasSuffix(body, " ran "+target) {
+		l.problem("request %s got body %q", o.id, body)
 	}
-	return o
 }
 
-// newRequest returns a request with a key, or without one if it is "".
-func newRequest(ctx context.Context, n *node, method, target, id, key string) (*http.Request, error) {
+// newRequest returns a request with a key, or without one if it is "", whose caller allows
+// deadline.
+func newRequest(ctx context.Context, n *node, method, target, id, key string, deadline time.Duration) (*http.Request, error) {
 	request, err := platformtest.ShopRequest(ctx, n.host+":7481", method, target, id, deadline, "")
 	if err == nil && key != "" {
 		request.Header.Set(platform.Headers().CustomerKey, key)
@@ -175,15 +193,15 @@
 	}
 }
 
-// checkPlannedStops reports a request that got no complete response and was sent
-// between one deadline before the start of a planned stop of its daemon and
-// stopSlack before the end of the process.
+// checkPlannedStops reports a request that got no complete response, whose turn came after
+// one deadline before the start of a planned stop of its daemon, and which was sent once the
+// process served and up to stopSlack before its end.
 func (l *load) checkPlannedStops(o outcome) {
 	if o.err == nil {
 		return
 	}
 	for _, stop := range l.nodes[o.node].stops {
-		if o.sent.After(stop.began.Add(-deadline)) && o.sent.Before(stop.ended.Add(-stopSlack)) {
+		if o.turn.After(stop.began.Add(-o.deadline)) && o.sent.After(stop.served) && o.sent.Before(stop.ended.Add(-stopSlack)) {
 			l.problem("request %s, sent %s before the end of a planned stop, was cut off: %v", o.id, stop.ended.Sub(o.sent).Round(time.Millisecond), o.err)
 		}
 	}
--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -21,16 +21,17 @@
 const (
 	reportInterval = 100 * time.Millisecond
 	slots          = 4
-	// workTime is how long an upstream runs each request but those for longTarget.
+	// workTime is how long an upstream runs each request but slow ones and those for
+	// longTarget.
 	workTime = 20 * time.Millisecond
 	// restartDelay is the time between the end of a daemon or upstream and the
 	// start of the next one.
 	restartDelay = 100 * time.Millisecond
-	// minStopUptime is the minimum uptime of a process whose planned stop is
-	// checked. The check covers requests sent up to one deadline before the
-	// stop; after this uptime all of them went to this process and not to its
-	// predecessor.
-	minStopUptime = deadline + 500*time.Millisecond
+	// startTime is the time after its start from which on a process serves callers. The
+	// check of planned stops covers requests that were sent later.
+	startTime = 500 * time.Millisecond
+	// minStopUptime is the minimum uptime of a process whose planned stop is checked.
+	minStopUptime = deadline + startTime
 	// ackSlack is how long a request that was admitted before the upstream's
 	// draining was acknowledged may take to reach the upstream.
 	ackSlack = 100 * time.Millisecond
@@ -53,8 +54,8 @@
 	started time.Time
 	// ended is closed when the process has ended.
 	ended chan struct{}
-	// disturbed is set if the process was killed or paused since it started, a
-	// planned stop in progress included.
+	// disturbed is set if the process was killed or paused since it started or since
+	// settle, a planned stop in progress included.
 	disturbed bool
 	// pauses is the number of pauses of the process that are not over.
 	pauses int
@@ -73,8 +74,9 @@
 	retired   bool
 }
 
-// plannedStop holds when a process received SIGTERM and when it had ended.
-type plannedStop struct{ began, ended time.Time }
+// plannedStop holds from when on a process served callers, when it received SIGTERM and when it
+// had ended.
+type plannedStop struct{ served, began, ended time.Time }
 
 // nodeConfig says how a node is started.
 type nodeConfig struct {
@@ -105,7 +107,7 @@
 		"caller_listen": n.host + ":7481", "peer_listen": n.host + ":7482", "peer_advertise": n.host + ":7480",
 		"announce_listen": n.host + ":7483", "ready_listen": n.host + ":7484", "metrics_listen": n.host + ":7485",
 		"upstream_address": n.upstreamAddress(), "store_address": c.store, "heartbeat": reportInterval.String(),
-		"shutdown_grace": "6s", "strict_revoke": c.strictRevoke,
+		"shutdown_grace": grace.String(), "strict_revoke": c.strictRevoke,
 		// Enough for all requests of the load.
 		"log_lines_per_second": 5000,
 	}
@@ -236,7 +238,7 @@
 	n.mu.Lock()
 	undisturbed := !n.disturbed && n.process == process && began.Sub(n.started) > minStopUptime
 	if undisturbed {
-		n.stops = append(n.stops, plannedStop{began, time.Now()})
+		n.stops = append(n.stops, plannedStop{n.started.Add(startTime), began, time.Now()})
 	}
 	n.mu.Unlock()
 	if code := process.ProcessState.ExitCode(); undisturbed && code != 0 {
@@ -287,6 +289,9 @@
 	if strings.HasPrefix(target, longTarget) {
 		return longWork
 	}
+	if strings.Contains(target, "/"+slowMark) {
+		return slowWork
+	}
 	return workTime
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -125,13 +125,13 @@
 			n.shutdown()
 		}
 	}()
-	s.runPlan(drawPlan(seed, len(s.nodes), *length))
+	s.runPlan(seed, drawPlan(seed, len(s.nodes), *length))
 	s.reportProblems(seed)
 }
 
 // runPlan injects the faults of a plan under load and waits until all daemons
-// are healthy again.
-func (s *soak) runPlan(plan []fault) {
+// are healthy again. Planned stops alone follow, then what each seed ends with.
+func (s *soak) runPlan(seed uint64, plan []fault) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var background sync.WaitGroup
 	background.Go(func() { s.load.run(ctx) })
@@ -149,10 +149,12 @@
 		go func() { defer injected.Done(); s.inject(fault) }()
 	}
 	injected.Wait()
+	faultsEnded := time.Now()
 	s.awaitHealthy("recovery", recoveryTimeout)
 	if s.rollout != nil {
 		s.rollout.await(recoveryTimeout)
 	}
+	s.stopOverlapping(seed, faultsEnded)
 	s.publishInSilence()
 	s.restartAll()
 	cancel()
@@ -304,6 +306,7 @@
 		s.rollout.report(s.t, fmt.Sprintf("seed %d", seed))
 	}
 	s.load.check()
+	s.load.checkStopsAlone(s.t)
 	s.load.checkDepartures(&s.disturbances)
 	s.load.checkCustomers(s.t, strictRevoke(seed))
 	counts := map[string]int{}
