Refuse callers until the connections of peers are closed

Change: the connections of peers are closed first, those of callers last; until then callers are told that the daemon accepts no requests.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -120,10 +120,14 @@
 	return entering+running == 0 && d.callers.AllAnswered() && d.server.AllReplied()
 }
 
-// close closes the connections of callers, once each request that was read from them is
-// answered, then those of peers, and then everything else. It waits up to closeCallersTime
-// for callers, and up to closePeersTime for peers, but not beyond end.
+// close closes the connections of peers, then those of callers, once each request that was
+// read from them is answered, and then everything else. It waits up to closePeersTime for
+// peers, but not beyond end, and up to closeCallersTime for callers. Callers come last: until
+// then, they are told that the daemon accepts no requests.
 func (d *Daemon) close(ctx context.Context, end time.Time) {
+	bounded, cancel := context.WithDeadline(ctx, earlier(end, time.Now().Add(closePeersTime)))
+	defer cancel()
+	d.server.CloseGently(bounded)
 	if err := d.callers.Close(); err != nil {
 		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the listener for callers"), zap.Error(err))
 	}
@@ -132,9 +136,6 @@
 	if open := d.callers.Open(); open > 0 {
 		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the connections of callers"), zap.Int("open", open))
 	}
-	bounded, cancel := context.WithDeadline(ctx, earlier(end, time.Now().Add(closePeersTime)))
-	defer cancel()
-	d.server.CloseGently(bounded)
 	d.closeAll()
 }
 
