Wait for requests that peers were just sending

Cause: a peer confirms that it sends no more requests behind all that it has sent, but for one that another goroutine has begun to send at that moment: it follows the confirmation (read in review, not shown by a run). Change: a planned stop waits another 100 ms, as it did before the confirmation came. Figures: tests of daemon and of planned stops pass with -race; a stop takes 100 ms longer. Conclusion: closes the window for all but a sender that does not run for 100 ms.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -28,8 +28,10 @@
 	closeEntryShare = 0.65
 	exitShare       = 0.95
 	// drainNoticeTime bounds waiting for peers to confirm the notice that the daemon
-	// accepts no more requests.
+	// accepts no more requests, and lastRequestTime is how long Stop waits after that for
+	// requests that they were just sending.
 	drainNoticeTime = time.Second
+	lastRequestTime = 100 * time.Millisecond
 	// cutOffTime bounds answering the requests that are cut off at exitShare.
 	cutOffTime = 100 * time.Millisecond
 	// closeCallersTime bounds closing the connections of callers. Callers have it to read
@@ -68,6 +70,7 @@
 	d.peers.StartDraining()
 	d.broadcastState()
 	waitUntil(ctx, earlier(exitAt, time.Now().Add(drainNoticeTime)), d.server.DrainConfirmed)
+	sleep(ctx, lastRequestTime)
 	waitUntil(ctx, exitAt, d.idle)
 	cancelledAt := time.Now().Add(cancelNoticeTime)
 	waitUntil(ctx, earlier(exitAt, cancelledAt), d.peers.CancellationsConfirmed)
