Log why a request between daemons is lost and what ended its run

The logs could not tell the hypotheses apart: call-executed said "context canceled" for a Cancel, a resumption, the end of a connection and a cut-off alike, and call-peer-lost stood for three causes at the entry daemon.

Change: the context of a request at the executing daemon ends with a cause, which call-executed logs as ended_by; call-retried and call-answered log as lost_by why the attempt got no reply.

No decision changes.

--- a/internal/hop/cancel_test.go
+++ b/internal/hop/cancel_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 	"godwitmount/internal/code"
+	"godwitmount/internal/faultlink"
 	"godwitmount/internal/shaping"
 )
 
@@ -91,3 +93,33 @@
 		}
 	}
 }
+
+// TestEndOfARequestNamesItsCause checks that the executing daemon can tell apart why a request
+// of a peer ends.
+func TestEndOfARequestNamesItsCause(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(t *testing.T, peer *rawPeer, network *faultlink.Link)
+		want error
+	}{
+		"cancelled": {func(t *testing.T, peer *rawPeer, _ *faultlink.Link) {
+			peer.send(t, &hopv1.Frame{Stream: 1, Body: &hopv1.Frame_Cancel{Cancel: &hopv1.Cancel{}}})
+		}, ErrCancelled},
+		"not resumed": {func(t *testing.T, peer *rawPeer, network *faultlink.Link) {
+			dialRaw(t, network, 8).resume(t, []uint64{7}, nil)
+		}, ErrNotResumed},
+		"connection ended": {func(t *testing.T, peer *rawPeer, _ *faultlink.Link) {
+			_ = peer.Close()
+		}, ErrPeerGone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			handler, network, _, _ := startPair(t)
+			peer := dialRaw(t, network, 7)
+			peer.request(t, 1, "slow")
+			<-handler.started
+			c.end(t, peer, network)
+			if got := <-handler.causes; !errors.Is(got, c.want) {
+				t.Errorf("got the cause %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -32,6 +32,8 @@
 // until it is released.
 type testHandler struct {
 	cancelled chan string
+	// causes receives why the context of a request has ended, if there is room.
+	causes chan error
 	// disconnected receives the instance of each peer whose connection has ended.
 	disconnected chan string
 	states       atomic.Int64
@@ -59,12 +61,12 @@
 		select {
 		case <-h.release:
 		case <-ctx.Done():
-			h.cancelled <- request.Id
+			h.recordEnd(ctx, request.Id)
 		}
 	}
 	if request.Id == "slow" {
 		<-ctx.Done()
-		h.cancelled <- request.Id
+		h.recordEnd(ctx, request.Id)
 	}
 	if request.Id == "queued" {
 		<-ctx.Done()
@@ -88,6 +90,15 @@
 	return &hopv1.Frame{Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{Status: 200, Body: []byte(request.Id), State: h.State()}}}
 }
 
+// recordEnd records that the context of a request has ended.
+func (h *testHandler) recordEnd(ctx context.Context, id string) {
+	select {
+	case h.causes <- context.Cause(ctx):
+	default:
+	}
+	h.cancelled <- id
+}
+
 func (h *testHandler) Config() *hopv1.ConfigAnswer {
 	if packed, set := h.packed.Load().([]byte); set {
 		return &hopv1.ConfigAnswer{Version: 3, Packed: packed}
@@ -138,7 +149,7 @@
 // machines.
 func startPairBetween(t *testing.T, link, clientLink *shaping.Link) (*testHandler, *faultlink.Link, *Client, chan error) {
 	t.Helper()
-	handler := &testHandler{cancelled: make(chan string, 10), disconnected: make(chan string, 10),
+	handler := &testHandler{cancelled: make(chan string, 10), causes: make(chan error, 10), disconnected: make(chan string, 10),
 		started: make(chan string, 10), release: make(chan struct{}, 10)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -17,7 +17,8 @@
 type Handler interface {
 	// Execute runs a request at the local upstream and returns an Answer or
 	// Failure frame. Ctx ends when the peer cancels the request, or its connection
-	// has ended and the peer has not moved the request to another one.
+	// has ended and the peer has not moved the request to another one. Its cause is one of
+	// the errors in cause.go.
 	Execute(ctx context.Context, request *hopv1.Request) *hopv1.Frame
 	// Config returns the configuration in force.
 	Config() *hopv1.ConfigAnswer
--- a/internal/hop/session.go
+++ b/internal/hop/session.go
@@ -42,7 +42,7 @@
 	id     uint64
 	ledger ledger
 	// cancels holds, by stream, the function that cancels the running request.
-	cancels map[uint64]context.CancelFunc
+	cancels map[uint64]context.CancelCauseFunc
 	// replacedBy is the session to which the requests have moved, or nil.
 	replacedBy *session
 }
@@ -54,7 +54,7 @@
 		epoch:     server.epoch,
 		announced: map[uint64]announcedRequest{},
 		ledger:    ledger{running: map[uint64]bool{}},
-		cancels:   map[uint64]context.CancelFunc{},
+		cancels:   map[uint64]context.CancelCauseFunc{},
 	}
 }
 
@@ -108,7 +108,7 @@
 
 // start runs a request in a goroutine and sends the reply on its stream.
 func (s *session) start(stream uint64, request *hopv1.Request) {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	s.server.sessionsMu.Lock()
 	begins := s.ledger.begin(stream)
 	if begins {
@@ -116,11 +116,11 @@
 	}
 	s.server.sessionsMu.Unlock()
 	if !begins {
-		cancel()
+		cancel(nil)
 		return
 	}
 	go func() {
-		defer cancel()
+		defer cancel(nil)
 		reply := s.execute(ctx, request)
 		reply.Stream = stream
 		s.reply(reply)
@@ -224,7 +224,7 @@
 	}
 	result := s.ledger.resume(resume.GetWanted(), complete, sending)
 	for _, stream := range result.unwanted {
-		s.cancels[stream]()
+		s.cancels[stream](ErrNotResumed)
 	}
 	_ = s.peerConn.send(&hopv1.Frame{Body: &hopv1.Frame_Resumed{Resumed: &hopv1.Resumed{
 		NotReceived: result.notReceived, Lost: result.lost,
@@ -261,7 +261,7 @@
 	for stream, cancel := range earlier.cancels {
 		s.cancels[stream] = cancel
 	}
-	earlier.cancels = map[uint64]context.CancelFunc{}
+	earlier.cancels = map[uint64]context.CancelCauseFunc{}
 	earlier.peerConn.grants.close()
 	maps.Copy(unsent, earlier.peerConn.parts.takeUnsent())
 	earlier.replacedBy = s
@@ -276,9 +276,9 @@
 	defer s.server.sessionsMu.Unlock()
 	running := len(s.cancels)
 	if s.id == 0 || errors.Is(err, io.EOF) || s.server.isClosing() {
-		s.cancelRunning()
+		s.cancelRunning(ErrPeerGone)
 	} else if running > 0 {
-		time.AfterFunc(resumeGrace, s.cancelAll)
+		time.AfterFunc(resumeGrace, func() { s.cancelAll(ErrPeerGone) })
 	}
 	if s.id != 0 {
 		time.AfterFunc(replyRetention, s.dropUnsent)
@@ -308,7 +308,7 @@
 	defer s.server.sessionsMu.Unlock()
 	s.ledger.cancel(stream)
 	if cancel := s.cancels[stream]; cancel != nil {
-		cancel()
+		cancel(ErrCancelled)
 	}
 	if s.peerConn.parts.sendsCancellable(stream) {
 		// If these fail, the connection has ended, and the reply is not moved to the next one.
@@ -317,17 +317,18 @@
 	}
 }
 
-// cancelAll cancels all running requests that have not moved to another session. A
-// request that must not run twice goes on at the upstream, and its answer is still sent.
-func (s *session) cancelAll() {
+// cancelAll cancels, with a cause, all running requests that have not moved to another
+// session. A request that must not run twice goes on at the upstream, and its answer is still
+// sent.
+func (s *session) cancelAll(cause error) {
 	s.server.sessionsMu.Lock()
 	defer s.server.sessionsMu.Unlock()
-	s.cancelRunning()
+	s.cancelRunning(cause)
 }
 
 // cancelRunning is cancelAll for a caller that holds Server.sessionsMu.
-func (s *session) cancelRunning() {
+func (s *session) cancelRunning(cause error) {
 	for _, cancel := range s.cancels {
-		cancel()
+		cancel(cause)
 	}
 }
--- a/internal/hop/vanished.go
+++ b/internal/hop/vanished.go
@@ -26,7 +26,7 @@
 		s.peerConn.reset()
 		return
 	case quiet >= vanishedAfter:
-		s.cancelAll()
+		s.cancelAll(ErrPeerVanished)
 	default:
 		next -= quiet
 	}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -69,6 +69,8 @@
 	// run; lastFailure is that of any attempt.
 	uncertain   *failure
 	lastFailure *failure
+	// lostBy is why the last attempt that is CallPeerLost got no reply; nil if there is none.
+	lostBy error
 	// mayHaveRun is set once an upstream has run the request, or may have.
 	mayHaveRun bool
 	// retryAfter is the shortest time after which a refusing daemon expects to
@@ -109,7 +111,8 @@
 		}
 		f.remember(frame)
 		f.proxy.deps.Log.Request(event.CallRetried, true, zap.String("id", f.call.id), zap.String("at", f.lastInstance),
-			zap.Int("arrivals", f.deliveries), zap.Int("offers", f.offers), zap.Stringer("result", r))
+			zap.Int("arrivals", f.deliveries), zap.Int("offers", f.offers), zap.Stringer("result", r),
+			zap.NamedError("lost_by", f.lostBy))
 	}
 }
 
@@ -339,7 +342,7 @@
 		return nil
 	}
 	return []zap.Field{zap.String("route", f.call.route.Name), zap.Duration("age", f.call.age), zap.Bool("nested", f.call.nested), zap.Duration("goal", f.call.goal.Sub(f.call.started)), zap.String("at", f.lastInstance),
-		zap.Int("arrivals", f.deliveries), zap.Int("offers", f.offers), zap.Strings("tried", f.tried)}
+		zap.Int("arrivals", f.deliveries), zap.Int("offers", f.offers), zap.Strings("tried", f.tried), zap.NamedError("lost_by", f.lostBy)}
 }
 
 // writeAnswer sends an upstream's answer to the caller.
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -190,7 +190,7 @@
 		failed = code.CallCancelled
 	}
 	p.deps.Log.Request(event.CallExecuted, true, zap.String("id", request.Id), zap.String("route", request.Route), customerField(request.Customer),
-		zap.String("result", failed.String()), zap.Error(err), zap.Duration("took", took))
+		zap.String("result", failed.String()), zap.Error(err), zap.NamedError("ended_by", context.Cause(ctx)), zap.Duration("took", took))
 	return failureFrame(failed, notRun, 0, p.State())
 }
 
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -23,6 +23,9 @@
 		if answer := frame.GetAnswer(); f.proxy.noticeOf(answer).leaving {
 			p.recordLeaving(answer.GetState())
 		}
+		if isCancelled(frame) {
+			f.lostBy = errTakenForGone
+		}
 		return notCancelled(frame)
 	case errors.Is(err, hop.ErrNotSent) && ctx.Err() != nil:
 		// The request was withdrawn while the peer had not received all of it.
@@ -35,6 +38,7 @@
 		return failureFrame(code.CallConnectRefused, true, 0, nil)
 	case errors.Is(err, hop.ErrConnectionLost), errors.Is(err, hop.ErrPeerSilent):
 		p.backOff(peers.now())
+		f.lostBy = err
 		return failureFrame(code.CallPeerLost, false, 0, nil)
 	default:
 		return failureFrame(code.CallDeadlineUnknown, false, 0, nil)
@@ -44,12 +48,20 @@
 // notCancelled replaces a peer's failure that says that the caller has disconnected: the
 // peer took this daemon for vanished, while the caller still waits.
 func notCancelled(frame *hopv1.Frame) *hopv1.Frame {
-	failed := frame.GetFailure()
-	if failed == nil || code.Code(failed.Code) != code.CallCancelled {
+	if !isCancelled(frame) {
 		return frame
 	}
+	failed := frame.GetFailure()
 	if failed.NotRun {
 		return failureFrame(code.CallConnectRefused, true, 0, failed.State)
 	}
 	return failureFrame(code.CallPeerLost, false, 0, failed.State)
 }
+
+// isCancelled reports whether a peer's reply says that the caller has disconnected.
+func isCancelled(frame *hopv1.Frame) bool {
+	return code.Code(frame.GetFailure().GetCode()) == code.CallCancelled
+}
+
+// errTakenForGone means that a peer has ended a request for which this daemon still waits.
+var errTakenForGone = errors.New("the peer took this daemon for gone")
--- a/internal/proxy/stopping.go
+++ b/internal/proxy/stopping.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"godwitmount/internal/code"
@@ -50,13 +51,16 @@
 // isCutOff reports whether CutOff was called.
 func (p *Proxy) isCutOff() bool { return p.cut.Err() != nil }
 
+// errCutOff is the cause of the end of a context that CutOff has ended.
+var errCutOff = errors.New("a planned stop reached its time limit")
+
 // untilCutOff returns a context that also ends with CutOff. The caller must call cancel.
 func (p *Proxy) untilCutOff(ctx context.Context) (bounded context.Context, cancel func()) {
-	bounded, end := context.WithCancel(ctx)
-	stop := context.AfterFunc(p.cut, end)
+	bounded, end := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(p.cut, func() { end(errCutOff) })
 	return bounded, func() {
 		stop()
-		end()
+		end(nil)
 	}
 }
 
