Take no peer for silent whose data is unread

What callers saw: own 502s at daemons whose peers had answered.

Cause: on a machine without processor time the timers of a process go on before the goroutines that read its connections. The monitor took its own process's delay for the peer's silence, and the requests in flight there were given up or moved. Class: the judge of a silence is itself late.

Change: before a connection is replaced or counts as silent, the monitor looks whether data has arrived that was not read. Such a connection is not idle.

Tests: TestPeerWhoseDataIsUnreadIsNotSilent keeps the readers of a client from running for twice the read timeout. Before, the peer counted as silent and its connection was replaced, 3 of 3; it passes now, 3 of 3. The tests of internal/hop pass with the race detector.

--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -86,7 +86,7 @@
 
 // checkIdle sends a ping once the connection has been idle for pingAfter, and
 // records the delay when a ping was answered. It returns the idle time if the read
-// timeout has expired, and 0 otherwise.
+// timeout has expired, and 0 otherwise. A connection with unread data is not idle.
 func (c *Client) checkIdle(conn *clientConn, pingAfter time.Duration, busy bool) time.Duration {
 	now := c.now()
 	idleTime := conn.idleTime()
@@ -108,6 +108,9 @@
 		conn.pingSentAt.Store(int64(now))
 		c.sendPing(conn)
 	case pingSentAt > 0 && now-pingSentAt >= replaceAfter(timeout, c.Unconfirmed() > 0):
+		if conn.hasUnread() {
+			return 0
+		}
 		c.replace(conn)
 		// While requests are pending, the connection was idle for busyPingAfter
 		// before the ping. That time is part of the timeout. A request that was sent
