Hedge a request only where it would be placed

Cause: whether another upstream is left was asked of the list of available ones, and the next attempt of the placement, which sends no large request to another data centre beside a local upstream, and fills no remote one. Since the request is hedged this gives nothing up any more, but it would still take a retry from the budget and count a hedge that never is.

Change: the hedge asks the placement itself.

Tests: TestHedgeNeedsAPlacement fails with the earlier question (the retry is taken) and passes; the tests of internal/proxy pass.

--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -257,14 +257,11 @@
 	}
 }
 
-// hasUntried reports whether an available upstream is left to try.
-func (f *forwarder) hasUntried() bool {
-	for _, candidate := range f.allowedByRollout(f.proxy.candidates(f.call.service)) {
-		if candidate.Available && !f.hasTried(candidate.Instance) {
-			return true
-		}
-	}
-	return false
+// hasPlacement reports whether a further attempt would be made at an upstream by what is known
+// now.
+func (f *forwarder) hasPlacement() bool {
+	candidates := f.allowedByRollout(f.proxy.candidates(f.call.service))
+	return routing.Choose(candidates, f.placementRequest()) >= 0
 }
 
 func (f *forwarder) hasTried(instance string) bool { return slices.Contains(f.tried, instance) }
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -60,7 +60,7 @@
 	switch {
 	case decide(unknown, began, f.call.route.Rule) != retryWithBudget:
 		return "no further attempt"
-	case !f.hasUntried():
+	case !f.hasPlacement():
 		return "no other upstream"
 	case !f.takeRetry():
 		return "retry budget"
--- a/internal/proxy/hedge_test.go
+++ b/internal/proxy/hedge_test.go
@@ -14,6 +14,7 @@
 	"godwitmount/internal/control"
 	"godwitmount/internal/faultlink"
 	"godwitmount/internal/manifest"
+	"godwitmount/internal/routing"
 )
 
 // actingHandler is a peer beside an upstream of service s that answers requests as execute
@@ -199,6 +200,34 @@
 	}
 }
 
+// TestHedgeNeedsAPlacement covers a large request at a silent peer, beside a local upstream that
+// has refused it and a remote one that gets no large requests as long as there is a local one:
+// there is nothing to hedge with, and the retry stays in the budget.
+func TestHedgeNeedsAPlacement(t *testing.T) {
+	rule := manifest.RetryRule{Name: "rule", Attempts: 2, BudgetPercent: 100, On: []manifest.RetryOn{manifest.RetryUnknown}}
+	p := newProxyBeside(t, "", rule)
+	peers := newTestPeers(t)
+	p.deps.Peers = peers
+	answers := func(context.Context, *hopv1.Request) *hopv1.Frame { return signedAnswer("a") }
+	local, _ := startPeerWith(t, "b", actingHandler{silentHandler{"b", make(chan string, 100)}, answers})
+	remote, _ := startPeerWith(t, "c", actingHandler{silentHandler{"c", make(chan string, 100)}, answers})
+	remote.DataCentre = "other"
+	useMembers(peers, local, remote)
+	p.routes.recordSize("r", routing.LargeRequestBytes)
+	for name, c := range map[string]struct {
+		tried []string
+		want  string
+	}{"the local one is left": {nil, ""}, "only the remote one is left": {[]string{"b"}, "no other upstream"}} {
+		f := &forwarder{proxy: p, tried: c.tried, call: &call{
+			service: "s", route: &p.ActiveTable().Routes()[0], deadline: time.Now().Add(time.Minute), goal: time.Now().Add(time.Minute),
+		}}
+		p.recordRequest(f.call)
+		if got := f.mayHedge(progress{deliveries: 1}); got != c.want {
+			t.Errorf("%s: refused by %q, want %q", name, got, c.want)
+		}
+	}
+}
+
 // awaitCount waits until a counter has reached a value.
 func awaitCount(t *testing.T, what string, counter *atomic.Int64, want int64) {
 	t.Helper()
