Keep log lines of requests that may have run for last

Change: a line has an outcome in place of a flag: served, failed, or uncertain, that is, the request may have run and has no answer of an upstream. Those are dropped last; 0.2 of the limit is theirs alone. Successes keep their half.

Tests: TestUncertainRequestsAreDroppedLast takes the place of TestFailedRequestsAreDroppedLast and checks the three levels, the numbers dropped included, where that one checked two. The tests of asynclog and proxy pass with the race detector.

--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -1,7 +1,8 @@
 // Package asynclog writes the daemon's log. A goroutine writes the lines to the
 // output, so a slow or blocked output loses lines but never delays requests. Lines
 // about single requests are limited per second. Lines beyond the limit are dropped
-// and counted, and those of failed requests are dropped last.
+// and counted: first those of requests that were served, last those of requests that may have
+// run and have no answer of an upstream.
 package asynclog
 
 import (
@@ -19,13 +20,39 @@
 const (
 	// maxQueuedLines is the number of lines that may wait to be written.
 	maxQueuedLines = 1024
-	// successShare is the fraction of the limit after which lines about requests
-	// that succeeded are dropped. Lines about failed requests count towards it.
-	successShare = 0.5
+	// servedShare and failedShare are the fractions of the limit after which lines about
+	// requests with these outcomes are dropped. All lines count towards them.
+	servedShare = 0.5
+	failedShare = 0.8
 	// closeTimeout bounds the time that Close waits for queued lines.
 	closeTimeout = 200 * time.Millisecond
 )
 
+// Outcome says what a line about a request tells of it. It decides which lines are dropped
+// first.
+type Outcome uint8
+
+const (
+	// Served: it goes on, or an upstream has served it.
+	Served Outcome = iota
+	// Failed: it was refused, or an upstream has answered with a failure.
+	Failed
+	// Uncertain: it may have run and has no answer of an upstream.
+	Uncertain
+)
+
+// share returns the fraction of the limit after which lines with the outcome are dropped.
+func (o Outcome) share() float64 {
+	switch o {
+	case Served:
+		return servedShare
+	case Failed:
+		return failedShare
+	default:
+		return 1
+	}
+}
+
 // Logger is a log. Its methods may be called from any goroutine. Only Close
 // blocks, and it must be called at most once.
 type Logger struct {
@@ -62,8 +89,8 @@
 // Request writes a line about one request, unless the limit is reached. The first
 // call after a second in which lines were dropped also logs their number, and how
 // many lines could not be written since New.
-func (l *Logger) Request(number event.Number, failed bool, fields ...zap.Field) {
-	ok, dropped := l.budget.allow(time.Now(), failed)
+func (l *Logger) Request(number event.Number, outcome Outcome, fields ...zap.Field) {
+	ok, dropped := l.budget.allow(time.Now(), outcome)
 	if dropped > 0 {
 		event.LogLinesDropped.Info(l.log, zap.Int("lines", dropped), zap.Int64("unwritten", l.sink.dropped.Load()))
 	}
@@ -100,18 +127,14 @@
 
 // allow reports whether a line may be written. The first call in a second also
 // returns how many lines were dropped in the last second that had a call.
-func (b *budget) allow(now time.Time, failed bool) (ok bool, droppedBefore int) {
+func (b *budget) allow(now time.Time, outcome Outcome) (ok bool, droppedBefore int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if second := now.Unix(); second != b.second {
 		droppedBefore = b.dropped
 		b.second, b.used, b.dropped = second, 0, 0
 	}
-	limit := b.limit
-	if !failed {
-		limit = int(float64(limit) * successShare)
-	}
-	if b.used >= limit {
+	if b.used >= int(float64(b.limit)*outcome.share()) {
 		b.dropped++
 		b.total.Add(1)
 		return false, droppedBefore
--- a/internal/asynclog/asynclog_test.go
+++ b/internal/asynclog/asynclog_test.go
@@ -49,27 +49,24 @@
 	return o.text.Write(line)
 }
 
-// TestFailedRequestsAreDroppedLast checks that successful requests leave half of
-// the limit to failed ones.
-func TestFailedRequestsAreDroppedLast(t *testing.T) {
+// TestUncertainRequestsAreDroppedLast checks that requests that were served leave half of the
+// limit to failed ones, and that these leave a part of it to those that may have run.
+func TestUncertainRequestsAreDroppedLast(t *testing.T) {
 	b := budget{limit: 100}
 	now := time.Unix(1000, 0)
-	succeeded, failed := 0, 0
-	for range 200 {
-		if ok, _ := b.allow(now, false); ok {
-			succeeded++
-		}
-	}
-	for range 200 {
-		if ok, _ := b.allow(now, true); ok {
-			failed++
+	allowed := map[Outcome]int{}
+	for _, outcome := range []Outcome{Served, Failed, Uncertain} {
+		for range 200 {
+			if ok, _ := b.allow(now, outcome); ok {
+				allowed[outcome]++
+			}
 		}
 	}
-	if succeeded != 50 || failed != 50 {
-		t.Errorf("%d lines of successful requests and %d of failed ones were allowed, want 50 of each", succeeded, failed)
+	if allowed[Served] != 50 || allowed[Failed] != 30 || allowed[Uncertain] != 20 {
+		t.Errorf("lines were allowed by outcome: %v, want 50, 30 and 20", allowed)
 	}
-	if _, dropped := b.allow(now.Add(time.Second), true); dropped != 300 {
-		t.Errorf("%d lines are reported as dropped, want 300", dropped)
+	if _, dropped := b.allow(now.Add(time.Second), Uncertain); dropped != 500 {
+		t.Errorf("%d lines are reported as dropped, want 500", dropped)
 	}
 }
 
@@ -77,7 +74,7 @@
 	out := &output{}
 	logger := New(out, "a-1", zapcore.InfoLevel, 10)
 	for range 5 {
-		logger.Request(event.CallAnswered, true)
+		logger.Request(event.CallAnswered, Uncertain)
 	}
 	logger.Close()
 	out.mu.Lock()
--- a/internal/proxy/decide.go
+++ b/internal/proxy/decide.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"godwitmount/internal/asynclog"
 	"godwitmount/internal/manifest"
 )
 
@@ -34,6 +35,14 @@
 	return names[r]
 }
 
+// outcome returns what a log line tells of a request after an attempt with the result.
+func (r result) outcome() asynclog.Outcome {
+	if r == unknown || r == timedOut {
+		return asynclog.Uncertain
+	}
+	return asynclog.Failed
+}
+
 // progress counts the attempts of a request so far.
 type progress struct {
 	// deliveries is the number of attempts that reached, or may have reached,
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/asynclog"
 	"godwitmount/internal/code"
 	"godwitmount/internal/event"
 	"godwitmount/internal/pipeline"
@@ -124,7 +125,7 @@
 			return frame, r
 		}
 		f.remember(frame)
-		f.proxy.deps.Log.Request(event.CallRetried, true, zap.String("id", f.call.id), zap.String("at", f.lastInstance),
+		f.proxy.deps.Log.Request(event.CallRetried, r.outcome(), zap.String("id", f.call.id), zap.String("at", f.lastInstance),
 			zap.Int("arrivals", f.deliveries), zap.Int("offers", f.offers), zap.Stringer("result", r),
 			zap.NamedError("lost_by", f.lostBy))
 	}
@@ -219,7 +220,7 @@
 	f.chooseVersion(candidate.Version)
 	f.lastInstance = candidate.Instance
 	f.tried = append(f.tried, candidate.Instance)
-	p.deps.Log.Request(event.CallRouted, false, zap.String("id", c.id), zap.String("to", candidate.Instance),
+	p.deps.Log.Request(event.CallRouted, asynclog.Served, zap.String("id", c.id), zap.String("to", candidate.Instance),
 		zap.Float64("load", candidate.Load), zap.Duration("hold", candidate.ServiceTime), zap.Bool("near", candidate.Local),
 		zap.Int("candidates", len(candidates)))
 	c.request.RemainingMs = wireMilliseconds(time.Until(c.deadline))
@@ -333,7 +334,7 @@
 	fields := []zap.Field{zap.String("id", c.id), c.customerField(), zap.String("result", failed.code.String()),
 		zap.Bool("not_run", failed.notRun), zap.Duration("took", time.Since(c.started)),
 		zap.Uint64("config", c.version), zap.Duration("retry_after", delay)}
-	p.deps.Log.Request(event.CallAnswered, true, append(fields, f.fields()...)...)
+	p.deps.Log.Request(event.CallAnswered, failed.outcome(), append(fields, f.fields()...)...)
 	w.Header().Set(p.cfg.Headers.RequestID, c.id)
 	c.limitUnreadBody(w, r)
 	p.closeIfStopping(w, r)
@@ -368,7 +369,7 @@
 	}
 	p.metrics.recordAnswer(c, strconv.Itoa(int(answer.Status)))
 	p.metrics.customers.record(c.customer, statusResult(answer.Status))
-	p.deps.Log.Request(event.CallAnswered, answer.Status >= http.StatusInternalServerError,
+	p.deps.Log.Request(event.CallAnswered, outcomeOf(answer.Status),
 		slices.Concat([]zap.Field{zap.String("id", c.id), c.customerField(), zap.Uint32("status", answer.Status),
 			zap.Duration("took", time.Since(c.started)), zap.Uint64("config", c.version)}, f.fields())...)
 	p.routes.recordSize(c.route.Name, len(answer.Body)+len(c.request.Body))
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -9,6 +9,7 @@
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 	"godwitmount/internal/admission"
+	"godwitmount/internal/asynclog"
 	"godwitmount/internal/code"
 	"godwitmount/internal/control"
 	"godwitmount/internal/event"
@@ -151,7 +152,7 @@
 		failed = bounded.Err() == nil || errors.Is(bounded.Err(), context.DeadlineExceeded) && took > longRuns*mean
 		return p.runFailure(bounded, request, u, err, took), failed
 	}
-	p.deps.Log.Request(event.CallExecuted, answer.Status >= 500, zap.String("id", request.Id),
+	p.deps.Log.Request(event.CallExecuted, outcomeOf(answer.Status), zap.String("id", request.Id),
 		zap.String("route", request.Route), customerField(request.Customer), zap.Uint64("status", uint64(answer.Status)),
 		zap.Bool("not_run", answer.NotRun), zap.Duration("waited", started-arrived), zap.Duration("took", took))
 	p.consecutiveTimeouts.Store(0)
@@ -189,7 +190,11 @@
 	case ctx.Err() != nil:
 		failed = code.CallCancelled
 	}
-	p.deps.Log.Request(event.CallExecuted, true, zap.String("id", request.Id), zap.String("route", request.Route), customerField(request.Customer),
+	outcome := asynclog.Uncertain
+	if notRun {
+		outcome = asynclog.Failed
+	}
+	p.deps.Log.Request(event.CallExecuted, outcome, zap.String("id", request.Id), zap.String("route", request.Route), customerField(request.Customer),
 		zap.String("result", failed.String()), zap.Error(err), zap.NamedError("ended_by", context.Cause(ctx)), zap.Duration("took", took))
 	return failureFrame(failed, notRun, 0, p.State())
 }
@@ -211,7 +216,7 @@
 func (p *Proxy) refuse(request *hopv1.Request, refusal code.Code, retry time.Duration) *hopv1.Frame {
 	state := p.State()
 	p.metrics.recordRefusal(refusal)
-	p.deps.Log.Request(event.CallExecuted, true, zap.String("id", request.Id), zap.String("route", request.Route), customerField(request.Customer),
+	p.deps.Log.Request(event.CallExecuted, asynclog.Failed, zap.String("id", request.Id), zap.String("route", request.Route), customerField(request.Customer),
 		zap.String("result", refusal.String()), zap.Uint64("running", uint64(state.Running)),
 		zap.Uint64("waiting", uint64(state.Waiting)), zap.Duration("retry_after", retry))
 	return failureFrame(refusal, true, retry, state)
--- a/internal/proxy/failure.go
+++ b/internal/proxy/failure.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"godwitmount/internal/asynclog"
 	"godwitmount/internal/code"
 	"godwitmount/internal/pipeline"
 )
@@ -25,6 +26,23 @@
 	return &failure{code: c, notRun: c.Info().Outcome == code.NotRun}
 }
 
+// outcome returns what a log line tells of a request that ends with the failure.
+func (f *failure) outcome() asynclog.Outcome {
+	if f.notRun {
+		return asynclog.Failed
+	}
+	return asynclog.Uncertain
+}
+
+// outcomeOf returns what a log line tells of a request that an upstream answered with the
+// status.
+func outcomeOf(status uint32) asynclog.Outcome {
+	if status >= http.StatusInternalServerError {
+		return asynclog.Failed
+	}
+	return asynclog.Served
+}
+
 // write sends the failure to the caller. For codes that ask for a retry, it sets
 // Retry-After, in seconds with three decimals, and closes the connection unless requests
 // behind this one are served on it. Ctx is that of the request. The error is that of writeWhole.
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/asynclog"
 	"godwitmount/internal/code"
 	"godwitmount/internal/event"
 )
@@ -77,7 +78,7 @@
 	p, began := f.proxy, f.progress
 	began.deliveries++
 	refusal := f.mayHedge(began)
-	p.deps.Log.Request(event.CallHedged, true, zap.String("id", f.call.id), zap.String("silent", f.lastInstance),
+	p.deps.Log.Request(event.CallHedged, asynclog.Uncertain, zap.String("id", f.call.id), zap.String("silent", f.lastInstance),
 		zap.Bool("hedged", refusal == ""), zap.String("refused_by", refusal))
 	if refusal != "" {
 		p.metrics.hedges.WithLabelValues(notHedged).Inc()
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/asynclog"
 	"godwitmount/internal/code"
 	"godwitmount/internal/event"
 	"godwitmount/internal/routing"
@@ -42,7 +43,7 @@
 func (p *Proxy) RefuseTransfer(instance string, bytes int, excess time.Duration) *hopv1.Frame {
 	retry := max(excess, time.Millisecond) // 0 would mean unknown.
 	p.metrics.recordRefusal(code.CallShed)
-	p.deps.Log.Request(event.CallExecuted, true, zap.String("peer", instance), zap.Int("bytes", bytes),
+	p.deps.Log.Request(event.CallExecuted, asynclog.Failed, zap.String("peer", instance), zap.Int("bytes", bytes),
 		zap.String("result", code.CallShed.String()), zap.Duration("retry_after", retry))
 	return failureFrame(code.CallShed, true, retry, p.State())
 }
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/asynclog"
 	"godwitmount/internal/control"
 	"godwitmount/internal/event"
 	"godwitmount/internal/quarantine"
@@ -45,7 +46,7 @@
 	crash := quarantine.Crash(xxhash.Sum64String(p.cfg.Instance + u.ID + strconv.FormatInt(u.StartTime, 10)))
 	f := fingerprint(request)
 	if p.suspects.Add(quarantine.Suspect{Fingerprint: f, Crashes: []quarantine.Crash{crash}}, p.now()) {
-		p.deps.Log.Request(event.RequestCrashed, true, zap.String("id", request.Id), zap.Uint64("fingerprint", uint64(f)),
+		p.deps.Log.Request(event.RequestCrashed, asynclog.Uncertain, zap.String("id", request.Id), zap.Uint64("fingerprint", uint64(f)),
 			zap.String("upstream", u.ID), zap.Bool("refused", p.suspects.Quarantined(f, p.now())))
 		<-p.pushSuspects()
 	}
--- a/internal/proxy/unanswered.go
+++ b/internal/proxy/unanswered.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"godwitmount/internal/asynclog"
 	"godwitmount/internal/event"
 )
 
@@ -64,7 +65,7 @@
 func (p *Proxy) recordUnanswered(stage, id string, cause error) {
 	side := closedBy(cause)
 	p.metrics.unanswered.WithLabelValues(stage, side).Inc()
-	p.deps.Log.Request(event.CallUnanswered, true, zap.String("id", id), zap.String("stage", stage),
+	p.deps.Log.Request(event.CallUnanswered, asynclog.Uncertain, zap.String("id", id), zap.String("stage", stage),
 		zap.String("closed_by", side), zap.Bool("stopping", p.stopping.Load()), zap.Error(cause))
 }
 
