Count no peer as vanished whose data is unread

Change: a connection with unread data is not quiet; it is looked at again 0.1 s later.

Tests: TestPeerWhoseDataIsUnreadHasNotVanished failed before (1 request cancelled, 2 of 2) and passes 3 of 3 with the race detector.

--- a/internal/hop/unread_test.go
+++ b/internal/hop/unread_test.go
@@ -50,3 +50,26 @@
 		t.Errorf("the connection was replaced %d times", n)
 	}
 }
+
+// TestPeerWhoseDataIsUnreadHasNotVanished covers a daemon that does not come to read what a peer
+// sends for so long that the peer would count as vanished: its requests must not be cancelled.
+func TestPeerWhoseDataIsUnreadHasNotVanished(t *testing.T) {
+	t.Parallel()
+	handler, network, _, _ := startPair(t)
+	peer := dialRaw(t, network, 7)
+	peer.request(t, 1, "held")
+	<-handler.started
+	hold := make(chan struct{})
+	handler.holdStates.Store(&hold)
+	ping := &hopv1.Frame{Body: &hopv1.Frame_Ping{Ping: &hopv1.Ping{State: &hopv1.State{}}}}
+	peer.send(t, ping)
+	for handler.states.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	peer.send(t, ping)
+	time.Sleep(vanishedAfter + unreadTime)
+	close(hold)
+	if n := len(handler.cancelled); n > 0 {
+		t.Errorf("%d requests of the peer were cancelled", n)
+	}
+}
--- a/internal/hop/vanished.go
+++ b/internal/hop/vanished.go
@@ -11,17 +11,21 @@
 	// longer than the pause between pings of an idle one, and than a short suspension
 	// of the peer, which may still get the answers of requests that are not cancelled.
 	abandonedAfter = 10 * time.Second
+	// unreadCheckInterval is the time to the next check of a quiet connection with unread data.
+	unreadCheckInterval = 100 * time.Millisecond
 )
 
 // watchQuiet cancels the requests of a peer that has vanished without closing its
-// connection, and later resets the connection. It calls itself again until the
-// connection ends.
+// connection, and later resets the connection. A connection with unread data is not quiet.
+// It calls itself again until the connection ends.
 func (s *session) watchQuiet() {
 	if isClosed(s.peerConn.done) {
 		return
 	}
 	next := vanishedAfter
 	switch quiet := s.peerConn.quietTime(); {
+	case quiet >= vanishedAfter && s.peerConn.hasUnread():
+		next = unreadCheckInterval
 	case quiet >= abandonedAfter:
 		s.peerConn.reset()
 		return
