Replace no connection between daemons with unread data

Cause: a second connection to a peer that does not answer a ping replaces the first when it completes its handshake and nothing was read from the first meanwhile. The peer sends small answers again on the new connection, but keeps none above 64 KiB: a large one that it had sent whole was lost, and its caller got 502.

Change: a connection with unread data is not replaced.

Tests: TestConnectionWithUnreadDataIsNotReplaced failed before, 2 of 2, and passes, 4 of 4 with the race detector. The function that a test's client calls with states is given at its start, since a later change is a data race of the test.

--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -155,6 +155,12 @@
 // startPairBetween is startPair with the network links of the server's and the client's
 // machines.
 func startPairBetween(t *testing.T, link, clientLink *shaping.Link) (*testHandler, *faultlink.Link, *Client, chan error) {
+	t.Helper()
+	return startPairWith(t, link, clientLink, func(*hopv1.State) {})
+}
+
+// startPairWith is startPairBetween with a function that the client calls with each state.
+func startPairWith(t *testing.T, link, clientLink *shaping.Link, stateReceived func(*hopv1.State)) (*testHandler, *faultlink.Link, *Client, chan error) {
 	t.Helper()
 	handler := &testHandler{cancelled: make(chan string, 10), causes: make(chan error, 10), disconnected: make(chan string, 10),
 		started: make(chan string, 10), release: make(chan struct{}, 10)}
@@ -175,7 +181,7 @@
 		Instance:      "server",
 		Up:            func() { up <- struct{}{} },
 		Down:          func(err error) { down <- err },
-		StateReceived: func(*hopv1.State) {},
+		StateReceived: stateReceived,
 		DrainRecord:   func() *hopv1.Left { return nil },
 		DrainRecordReceived: func(record *hopv1.Left) {
 			if record.GetUpstream() != "u-1" || record.GetBorn() != 5 {
--- a/internal/hop/resume.go
+++ b/internal/hop/resume.go
@@ -74,12 +74,12 @@
 }
 
 // retire makes conn replace the connection beside which it was opened. It returns false
-// if that one has ended or is not silent: data has arrived on it since conn was opened.
-// The caller holds mu.
+// if that one has ended or is not silent: data has arrived on it since conn was opened, or was
+// not read. The caller holds mu.
 func (c *Client) retire(conn *clientConn) bool {
 	silent := conn.replaces
 	c.replacing = false
-	if !c.established(silent) || silent.idleTime() < c.now()-conn.openedAt {
+	if !c.established(silent) || silent.idleTime() < c.now()-conn.openedAt || silent.hasUnread() {
 		return false
 	}
 	silent.next = conn
--- a/internal/hop/unread_test.go
+++ b/internal/hop/unread_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,20 +14,35 @@
 // exceeds the read timeout.
 const unreadTime = 2 * minTimeout
 
+// heldReader keeps the goroutines that read connections from going on once hold is set, until
+// release is closed.
+type heldReader struct {
+	hold          atomic.Bool
+	held, release chan struct{}
+}
+
+func newHeldReader() *heldReader {
+	return &heldReader{held: make(chan struct{}, 10), release: make(chan struct{})}
+}
+
+func (r *heldReader) stateReceived(*hopv1.State) {
+	if !r.hold.Load() {
+		return
+	}
+	select {
+	case r.held <- struct{}{}:
+	default:
+	}
+	<-r.release
+}
+
 // TestPeerWhoseDataIsUnreadIsNotSilent covers a daemon that has no processor time to read
 // what its peer has answered, while its timers go on: the requests in flight there must not be
 // given up, nor their connection be replaced.
 func TestPeerWhoseDataIsUnreadIsNotSilent(t *testing.T) {
-	handler, _, client, down := startPair(t)
-	blocked, release := make(chan struct{}, 10), make(chan struct{})
-	// Only the goroutines that read connections get here.
-	client.hooks.StateReceived = func(*hopv1.State) {
-		select {
-		case blocked <- struct{}{}:
-		default:
-		}
-		<-release
-	}
+	reader := newHeldReader()
+	handler, _, client, down := startPairWith(t, nil, nil, reader.stateReceived)
+	reader.hold.Store(true)
 	silent := make(chan struct{}, 1)
 	ended := make(chan error, 1)
 	go func() {
@@ -36,9 +53,9 @@
 		ended <- err
 	}()
 	<-handler.started
-	<-blocked
+	<-reader.held
 	time.Sleep(unreadTime)
-	close(release)
+	close(reader.release)
 	handler.release <- struct{}{}
 	if err := <-ended; err != nil {
 		t.Errorf("the request ended with %v", err)
@@ -51,6 +68,37 @@
 	}
 }
 
+// TestConnectionWithUnreadDataIsNotReplaced covers a second connection that completes its
+// handshake while an answer of the first has arrived and was not read. The peer does not keep
+// large answers that it has sent: with the first connection this one would be lost.
+func TestConnectionWithUnreadDataIsNotReplaced(t *testing.T) {
+	reader := newHeldReader()
+	handler, network, client, _ := startPairWith(t, nil, nil, reader.stateReceived)
+	reader.hold.Store(true)
+	defer close(reader.release)
+	handler.server.Broadcast(&hopv1.State{})
+	<-reader.held
+	handler.server.Broadcast(&hopv1.State{})
+	first := client.conn.Load()
+	for !first.hasUnread() {
+		time.Sleep(time.Millisecond)
+	}
+	opened, err := net.Dial("tcp", network.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := client.begin(opened, first, client.now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.close()
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	if client.retire(second) {
+		t.Error("the connection with unread data was replaced")
+	}
+}
+
 // TestPeerWhoseDataIsUnreadHasNotVanished covers a daemon that does not come to read what a peer
 // sends for so long that the peer would count as vanished: its requests must not be cancelled.
 func TestPeerWhoseDataIsUnreadHasNotVanished(t *testing.T) {
