Reuse no connection to an upstream that is about to be reset

What callers saw: in planned stops, in calm, own 502s for requests whose run was cut within milliseconds, also for requests that must not run twice (LOST). The daemon beside the upstream logged call-answer-broken, "use of closed network connection", 0.70 and 1.13 ms after the run began.

Cause: when the context of a request ends as its whole answer has just been read, the answer counts, and the connection went back to the pool although its reset was already under way in another goroutine. That then hit the next request on the connection. On a machine with little processor time there are milliseconds between the two.

Ruled out for these runs: a cancellation by the entry daemon (the error would be that of the context), the upstream (it had not closed anything), and the end of the grace.

Change: a connection whose reset has begun is not kept.

Tests: TestRequestIsNotCutOffByTheCancellationOfTheOneBefore ends the context while the answer is read.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -114,10 +114,12 @@
 	}
 	stop := context.AfterFunc(ctx, connection.abort)
 	answer, reusable, err := c.exchange(connection, call)
-	if !stop() && ctx.Err() != nil && err != nil {
+	// If the context has ended, abort runs, or will in a moment.
+	aborted := !stop()
+	if aborted && err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalidResponse, ctx.Err())
 	}
-	if err != nil || !reusable {
+	if err != nil || !reusable || aborted {
 		connection.abort()
 	} else {
 		c.pool.put(connection)
