Close the listener for callers once

Cause: two owners. Stop closes the listener for callers before it ends their connections; http.Server.Close closes each listener that it serves, unless its Serve has returned by then, which is a race when no connection is left to wait for. The second close reached the listener of the system.

Change: pipeline.Listener owns the listener that it is given and closes it once, whoever ends it first.

TestListenerIsClosedOnce fails before: the inner listener was closed twice, the second time with that error.

--- a/internal/pipeline/ends_test.go
+++ b/internal/pipeline/ends_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -87,3 +90,36 @@
 		}
 	}
 }
+
+// closeCountingListener counts how often it is closed. From the second time on, that fails.
+type closeCountingListener struct {
+	net.Listener
+	closes atomic.Int64
+}
+
+func (l *closeCountingListener) Close() error {
+	l.closes.Add(1)
+	return l.Listener.Close()
+}
+
+// TestListenerIsClosedOnce covers a planned stop: the daemon closes the listener for callers,
+// and the server that it belongs to closes it again at its end, if it has not noticed that.
+func TestListenerIsClosedOnce(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	counted := &closeCountingListener{Listener: inner}
+	listener := NewListener(counted, ignoreUnserved)
+	for range 2 {
+		if err := listener.Close(); err != nil {
+			t.Errorf("close the listener: %v", err)
+		}
+	}
+	if n := counted.closes.Load(); n != 1 {
+		t.Errorf("the inner listener was closed %d times", n)
+	}
+	if _, err := listener.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("accept after the close: %v", err)
+	}
+}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -57,7 +57,8 @@
 	err  error
 }
 
-// NewListener returns a listener for the connections that inner accepts. Unserved is called
+// NewListener returns a listener for the connections that inner accepts. It owns inner, which
+// nobody else may close. Unserved is called
 // with the heads of the requests that were read and not served when their connection ended,
 // and with the cause of that: net.ErrClosed if the server ended it, and otherwise the error
 // of the connection. It must not block.
@@ -145,10 +146,15 @@
 	}
 }
 
-// Close implements net.Listener.
+// Close implements net.Listener. It closes the inner listener, which l owns, once: a planned
+// stop closes l before the server does, which closes each listener that it serves.
 func (l *Listener) Close() error {
-	l.once.Do(func() { close(l.ended) })
-	return l.Listener.Close()
+	var err error
+	l.once.Do(func() {
+		close(l.ended)
+		err = l.Listener.Close()
+	})
+	return err
 }
 
 // ConnState must be called by the server with each change of a connection's state.
