Ask another peer for a configuration when one stops or fails

Cause: the core asked the first local daemon that reported a version, also one whose state said that it stops, and knew no other: reports of the version that came during the fetch were dropped. After the loss it waited for the next report of anybody. A fetch from another data centre was repeated at the same daemon without an end, even if that was gone.

Change: the core keeps which reachable peers have a newer version than the one in force, and which of these stop. A lost fetch, or one that brings an older version, is repeated at once at another peer. The end of a fetch counts for that fetch alone.

The directive fetch-failed names its peer in the transcripts, as the event does now.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -79,20 +79,21 @@
 	// gets requests again; 0 if the upstream is reachable.
 	unreachableUntil time.Duration
 	stopping         bool
-	// fetching is the version requested from a peer, 0 for none, and fetchEnds the
-	// time after which the fetch counts as failed.
-	fetching  uint64
-	fetchEnds time.Duration
-	// remoteVersion is the newest version that a daemon of another data centre
-	// reported before a local one did; 0 for none. remoteSource is that daemon,
-	// or empty once a read of the store for the version was requested.
-	// remoteReadAt is the monotonic time of the next attempt to obtain it.
+	// sources holds, by instance, the reachable peers that have reported a newer version
+	// than the one in force.
+	sources map[string]configSource
+	// fetching is the version requested from the peer fetchingFrom, 0 for none, and
+	// fetchEnds the time after which the fetch counts as failed.
+	fetching     uint64
+	fetchingFrom string
+	fetchEnds    time.Duration
+	// remoteVersion is the newest version that a peer of another data centre, or one
+	// that stops, reported before a running local one did; 0 for none. storeAsked is set
+	// once a read of the store for it was requested. remoteReadAt is the monotonic time
+	// of the next attempt to obtain it.
 	remoteVersion uint64
-	remoteSource  string
+	storeAsked    bool
 	remoteReadAt  time.Duration
-	// fallbackSource is the daemon to fetch remoteVersion from if the store did
-	// not return it.
-	fallbackSource string
 	// reachable is the set of the reachable peers, by instance.
 	reachable map[string]bool
 	// storeUnavailable is the set of the peers that the store does not answer, by
@@ -112,7 +113,7 @@
 // New returns the core of a daemon that has just started. It begins as a store
 // watcher that is alone.
 func New(cfg Config) *Core {
-	return &Core{cfg: cfg, members: map[string]memberRow{}, reachable: map[string]bool{}, storeUnavailable: map[string]bool{}, storeWatcher: SetStoreWatcher{On: true, Turns: 1}}
+	return &Core{cfg: cfg, members: map[string]memberRow{}, sources: map[string]configSource{}, reachable: map[string]bool{}, storeUnavailable: map[string]bool{}, storeWatcher: SetStoreWatcher{On: true, Turns: 1}}
 }
 
 // Step processes one event and returns the resulting effects in the order in
@@ -127,14 +128,12 @@
 	case ConfigRead:
 		c.configRead(ev)
 	case ConfigRejected:
-		if ev.From != FromStore {
-			c.endFetch()
-		}
 		c.log(event.ConfigRefused, true, step.F("error", ev.Err), step.F("from", ev.From))
+		c.fetchLost(ev.From)
 	case PeerConfigVersion:
 		c.peerVersion(ev)
 	case FetchFailed:
-		c.endFetch()
+		c.fetchLost(ev.Instance)
 	case PeerHandshake:
 		c.peerHandshake(ev.Member)
 	case PeerReachability:
@@ -177,10 +176,7 @@
 // configRead puts a configuration in force if it is newer than the current one
 // and compiles. Within one process the version in force never decreases.
 func (c *Core) configRead(ev ConfigRead) {
-	if ev.From != FromStore {
-		// The fetch has ended, even if the peer sent another version.
-		c.endFetch()
-	}
+	c.fetchReturned(ev.From, ev.Version)
 	if ev.Version <= c.version {
 		c.logOlderConfig(ev)
 		return
@@ -192,7 +188,10 @@
 	}
 	c.version = ev.Version
 	c.limited = table.HasLimitedCustomers()
-	c.endFetch()
+	c.dropOldSources()
+	if c.fetching <= c.version {
+		c.endFetch()
+	}
 	c.emit(PublishTable{Version: ev.Version, Table: table, Packed: ev.Packed})
 	c.readOwnEntryWhenDue()
 	c.log(event.ConfigApplied, false, step.F("version", ev.Version), step.F("from", ev.From), step.F("routes", len(table.Routes())))
@@ -227,8 +226,8 @@
 		c.unreachableUntil = 0
 		c.publishUpstream()
 	}
-	if c.fetching > 0 && c.now >= c.fetchEnds {
-		c.endFetch()
+	if c.now >= c.fetchEnds {
+		c.fetchLost(c.fetchingFrom)
 	}
 	c.dropMissing()
 	if c.publishPending {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -66,7 +66,7 @@
 	case "rejected":
 		return ConfigRejected{Err: errors.New("no version"), From: "store"}
 	case "peer":
-		return PeerConfigVersion{Instance: text("from"), Version: number("version")}
+		return PeerConfigVersion{Instance: text("from"), Version: number("version"), Stopping: d.HasArg("stopping")}
 	case "greeted":
 		instance := text("instance")
 		return PeerHandshake{Member: Member{Instance: instance, DataCentre: text("data-centre"), Address: "at-" + instance, Service: "desk"}}
@@ -75,7 +75,7 @@
 	case "store-of":
 		return PeerStoreAvailability{Instance: text("instance"), Unavailable: d.HasArg("lost")}
 	case "fetch-failed":
-		return FetchFailed{}
+		return FetchFailed{Instance: text("from")}
 	case "members":
 		era := store.Era(number("era"))
 		return MembersRead{Rows: parseRows(d.Input, era), Complete: d.HasArg("whole"), Unnamed: d.HasArg("unnamed"), Position: store.Position{Era: era, Version: number("at")}}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -196,11 +196,15 @@
 	c.members[key] = memberRow{position: at, writtenVersion: c.members[key].writtenVersion}
 	delete(c.reachable, key)
 	delete(c.storeUnavailable, key)
+	delete(c.sources, key)
 }
 
 // peerReachability applies that a peer has become reachable or unreachable.
 func (c *Core) peerReachability(ev PeerReachability) {
 	setMembership(c.reachable, ev.Instance, ev.Reachable)
+	if !ev.Reachable {
+		delete(c.sources, ev.Instance)
+	}
 	if known := c.members[ev.Instance]; known.missing && !ev.Reachable {
 		known.unreachableSince = c.now
 		c.members[ev.Instance] = known
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -30,6 +30,8 @@
 type PeerConfigVersion struct {
 	Instance string
 	Version  uint64
+	// Stopping is set once the peer has begun a planned stop.
+	Stopping bool
 }
 
 // PeerHandshake reports that a daemon connected to this one and completed the
@@ -52,7 +54,9 @@
 }
 
 // FetchFailed reports that a peer did not return its configuration.
-type FetchFailed struct{}
+type FetchFailed struct {
+	Instance string
+}
 
 // MembersRead carries rows of the member table.
 type MembersRead struct {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -266,7 +266,7 @@
 	d.rollouts.peerState(instance, state)
 	version := state.GetConfigVersion()
 	if t := d.proxy.ActiveTable(); version > 0 && (t == nil || version > t.Version) {
-		d.loop.post(control.PeerConfigVersion{Instance: instance, Version: version})
+		d.loop.post(control.PeerConfigVersion{Instance: instance, Version: version, Stopping: state.GetStopping()})
 	}
 	if era := store.Era(state.GetStoreEra()); era > d.cfg.Platform.Store.Eras().Latest() {
 		d.loop.post(control.PeerStoreEra{Instance: instance, Era: era})
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -147,7 +147,7 @@
 	answer, err := d.peers.FetchConfig(ctx, e.Instance)
 	if err != nil {
 		d.log.Warn(event.PeerDown, zap.String("peer", e.Instance), zap.String("while", "fetching the peer's configuration"), zap.Error(err))
-		d.loop.post(control.FetchFailed{})
+		d.loop.post(control.FetchFailed{Instance: e.Instance})
 		return
 	}
 	d.readPacked(answer.GetPacked(), e.Instance)
