Answer requests that have arrived when a planned stop ends

A process that gets little processor time is late to read.

Change: draining, a connection on which nothing waits for an answer ends only if no data has arrived on it. What has arrived is read, and refused like any request that comes so late, with the connection's last answer. What was read is owed an answer: the stop waits for that until the end of its grace period for requests, as it does before, instead of closeCallersTime alone.

TestRequestThatHasArrivedIsAnsweredAsTheServerEnds, whose connections are read only after the end began, fails before for each of 10 callers (unexpected EOF). Packages pipeline and daemon pass 3 times with -race. What crosses the close on the network is not answered by this.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -125,8 +125,9 @@
 
 // close closes the connections of peers, then those of callers, once each request that was
 // read from them is answered, and then everything else. It waits up to closePeersTime for
-// peers, but not beyond end, and up to closeCallersTime for callers. Callers come last: until
-// then, they are told that the daemon accepts no requests.
+// peers, but not beyond end, and up to closeCallersTime for callers, or until end for answers to
+// the requests that were read last. Callers come last: until then, they are told that the daemon
+// accepts no requests.
 func (d *Daemon) close(ctx context.Context, end time.Time) {
 	bounded, cancel := context.WithDeadline(ctx, earlier(end, time.Now().Add(closePeersTime)))
 	defer cancel()
@@ -136,6 +137,7 @@
 	}
 	d.callers.Drain()
 	waitUntil(ctx, time.Now().Add(closeCallersTime), func() bool { return d.callers.Open() == 0 })
+	waitUntil(ctx, end, d.callers.AllAnswered)
 	if open := d.callers.Open(); open > 0 {
 		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the connections of callers"), zap.Int("open", open))
 	}
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -77,7 +77,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for {
-		if c.draining && c.isQuiet() {
+		if c.draining && c.isQuiet() && !c.hasRequestToRead() {
 			// Package net/http would answer a part of a head.
 			c.endSoon()
 			return 0, io.EOF
@@ -114,6 +114,9 @@
 // isQuiet reports whether nothing that was read waits for an answer.
 func (c *Conn) isQuiet() bool { return c.isFree() && len(c.ahead) == 0 }
 
+// hasRequestToRead reports whether data has arrived behind what was read, and may be read.
+func (c *Conn) hasRequestToRead() bool { return !c.last && !c.callerEnded && c.hasUnreadData() }
+
 // beginRequest delivers the request that ahead begins with, or leaves the connection to
 // net/http. The caller holds mu.
 func (c *Conn) beginRequest() {
--- a/internal/pipeline/drain_test.go
+++ b/internal/pipeline/drain_test.go
@@ -380,3 +380,76 @@
 		expectAnswers(t, bufio.NewReader(dial(t, counted.Addr().String(), sent.String())), want...)
 	}
 }
+
+// gatedListener accepts connections whose reads begin only when the gate is open, as those of a
+// process that gets no processor time.
+type gatedListener struct {
+	net.Listener
+	gate chan bool
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &gatedConn{conn.(*net.TCPConn), l.gate}, nil
+}
+
+type gatedConn struct {
+	*net.TCPConn
+	gate chan bool
+}
+
+func (c *gatedConn) Read(p []byte) (int, error) {
+	<-c.gate
+	return c.TCPConn.Read(p)
+}
+
+// TestRequestThatHasArrivedIsAnsweredAsTheServerEnds covers requests that have arrived at the
+// system, and that the process has not come to read when it ends its connections.
+func TestRequestThatHasArrivedIsAnsweredAsTheServerEnds(t *testing.T) {
+	const callers = 10
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gated := &gatedListener{Listener: inner, gate: make(chan bool)}
+	listener := NewListener(gated, ignoreUnserved)
+	server := &http.Server{ConnState: ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		closeIfLast(w, r)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	var conns []*net.TCPConn
+	for range callers {
+		conns = append(conns, dial(t, inner.Addr().String(), get("/")))
+	}
+	awaitOpen(t, listener, callers)
+	_ = listener.Close()
+	listener.Drain()
+	close(gated.gate)
+	for i, conn := range conns {
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Errorf("caller %d has no answer: %v", i, err)
+			continue
+		}
+		if response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+			t.Errorf("caller %d: status %d, last answer %t", i, response.StatusCode, response.Close)
+		}
+	}
+	awaitOpen(t, listener, 0)
+}
+
+// awaitOpen waits until the listener has a number of open connections.
+func awaitOpen(t *testing.T, listener *Listener, want int) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); listener.Open() != want; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are open, want %d", listener.Open(), want)
+		}
+	}
+}
