Accept the connections that wait before the port closes

Callers come with a new connection for each retry, and a process that gets little processor time is late to accept.

Change: the planned stop first accepts what waits, for 50 ms at most, and then closes the listener. The requests on these connections are refused like those of all others.

TestConnectionThatWaitsIsAnsweredAsTheServerEnds fails with a plain Close: connection reset for the 10 callers.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -37,6 +37,9 @@
 	// closeCallersTime bounds closing the connections of callers. Callers have it to read
 	// their last answers.
 	closeCallersTime = 100 * time.Millisecond
+	// stopAcceptingTime bounds accepting the connections of callers that the system has
+	// established when the listener for them is closed.
+	stopAcceptingTime = 50 * time.Millisecond
 	// closePeersTime bounds closing the connections of peers, which have it to receive their
 	// last replies.
 	closePeersTime = 500 * time.Millisecond
@@ -132,7 +135,7 @@
 	bounded, cancel := context.WithDeadline(ctx, earlier(end, time.Now().Add(closePeersTime)))
 	defer cancel()
 	d.server.CloseGently(bounded)
-	if err := d.callers.Close(); err != nil {
+	if err := d.callers.StopAccepting(stopAcceptingTime); err != nil {
 		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the listener for callers"), zap.Error(err))
 	}
 	d.callers.Drain()
--- a/internal/pipeline/drain_test.go
+++ b/internal/pipeline/drain_test.go
@@ -384,16 +384,16 @@
 // gatedListener accepts connections whose reads begin only when the gate is open, as those of a
 // process that gets no processor time.
 type gatedListener struct {
-	net.Listener
+	*net.TCPListener
 	gate chan bool
 }
 
 func (l *gatedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.AcceptTCP()
 	if err != nil {
 		return nil, err
 	}
-	return &gatedConn{conn.(*net.TCPConn), l.gate}, nil
+	return &gatedConn{conn, l.gate}, nil
 }
 
 type gatedConn struct {
@@ -414,7 +414,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	gated := &gatedListener{Listener: inner, gate: make(chan bool)}
+	gated := &gatedListener{TCPListener: inner.(*net.TCPListener), gate: make(chan bool)}
 	listener := NewListener(gated, ignoreUnserved)
 	server := &http.Server{ConnState: ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		closeIfLast(w, r)
@@ -427,7 +427,9 @@
 		conns = append(conns, dial(t, inner.Addr().String(), get("/")))
 	}
 	awaitOpen(t, listener, callers)
-	_ = listener.Close()
+	if err := listener.StopAccepting(5 * time.Second); err != nil {
+		t.Error(err)
+	}
 	listener.Drain()
 	close(gated.gate)
 	for i, conn := range conns {
@@ -453,3 +455,59 @@
 		}
 	}
 }
+
+// lateListener is a listener of the system whose connections are accepted only when the gate is
+// open, as by a process that gets no processor time.
+type lateListener struct {
+	*net.TCPListener
+	gate chan bool
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.gate
+	return l.TCPListener.Accept()
+}
+
+// TestConnectionThatWaitsIsAnsweredAsTheServerEnds covers callers whose connections the system
+// has established, with a request on each, and that the process has not come to accept when it
+// closes the listener.
+func TestConnectionThatWaitsIsAnsweredAsTheServerEnds(t *testing.T) {
+	const callers = 10
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	late := &lateListener{inner.(*net.TCPListener), make(chan bool)}
+	listener := NewListener(late, ignoreUnserved)
+	server := &http.Server{ConnState: ConnState, ConnContext: ConnContext, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		closeIfLast(w, r)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	var conns []*net.TCPConn
+	for range callers {
+		conns = append(conns, dial(t, inner.Addr().String(), get("/")))
+	}
+	stopped := make(chan error)
+	go func() { stopped <- listener.StopAccepting(5 * time.Second) }()
+	time.Sleep(20 * time.Millisecond)
+	close(late.gate)
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	listener.Drain()
+	for i, conn := range conns {
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+			t.Errorf("caller %d has no answer: %v", i, err)
+		} else if response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+			t.Errorf("caller %d: status %d, last answer %t", i, response.StatusCode, response.Close)
+		}
+	}
+	if conn, err := net.Dial("tcp", inner.Addr().String()); err == nil {
+		_ = conn.Close()
+		t.Error("the listener is open")
+	}
+	awaitOpen(t, listener, 0)
+}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -17,11 +17,14 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 )
 
 const (
@@ -42,9 +45,11 @@
 	accepted chan accepted
 	// unserved is called with the requests that were read and not served; see NewListener.
 	unserved func(heads [][]byte, cause error)
-	// ended is closed when the listener is closed.
-	ended chan struct{}
-	once  sync.Once
+	// stopping is set once no connections are to be accepted but those that wait.
+	stopping atomic.Bool
+	// ended is closed when the listener is closed, by closeOnce.
+	ended     chan struct{}
+	closeOnce func() error
 
 	mu sync.Mutex
 	// conns are the connections that are not closed.
@@ -64,6 +69,10 @@
 // of the connection. It must not block.
 func NewListener(inner net.Listener, unserved func(heads [][]byte, cause error)) *Listener {
 	l := &Listener{Listener: inner, unserved: unserved, accepted: make(chan accepted), ended: make(chan struct{}), conns: map[*Conn]bool{}}
+	l.closeOnce = sync.OnceValue(func() error {
+		close(l.ended)
+		return l.Listener.Close()
+	})
 	go l.acceptAll()
 	return l
 }
@@ -73,6 +82,14 @@
 func (l *Listener) acceptAll() {
 	for {
 		conn, err := l.Listener.Accept()
+		if l.stopping.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+			if !l.acceptWaiting() {
+				// StopAccepting returns the error.
+				_ = l.Close()
+				return
+			}
+			continue
+		}
 		if err != nil {
 			if !l.pass(accepted{err: err}) {
 				return
@@ -117,7 +134,7 @@
 }
 
 // Drain ends each connection as soon as no request that was read from it waits for its
-// answer. It must be called after Close.
+// answer. It must be called after Close or StopAccepting.
 func (l *Listener) Drain() {
 	for _, c := range l.open() {
 		c.drain()
@@ -148,14 +165,7 @@
 
 // Close implements net.Listener. It closes the inner listener, which l owns, once: a planned
 // stop closes l before the server does, which closes each listener that it serves.
-func (l *Listener) Close() error {
-	var err error
-	l.once.Do(func() {
-		close(l.ended)
-		err = l.Listener.Close()
-	})
-	return err
-}
+func (l *Listener) Close() error { return l.closeOnce() }
 
 // ConnState must be called by the server with each change of a connection's state.
 func ConnState(conn net.Conn, state http.ConnState) {
