Do not reset callers that are sending a head at the end of a stop

Change: a connection on which net/http has read a part of a head ends with lingerTime, too.

TestPartOfAHeadThatHasArrivedResetsNothing fails before (broken pipe, by a reset).

--- a/internal/pipeline/answers.go
+++ b/internal/pipeline/answers.go
@@ -19,6 +19,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = true
+	c.inHead = false
 }
 
 // answered is called when net/http has answered the request that it read from the
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -33,6 +33,9 @@
 	deliver int
 	// passThrough is set once the connection is left to net/http alone.
 	passThrough bool
+	// inHead is set while net/http has read a part of a head, for which the connection was
+	// left to it.
+	inHead bool
 	// serving is set while net/http serves a request that it has read from the connection, and
 	// alone while it is one beside which no other is served.
 	serving, alone bool
@@ -129,6 +132,7 @@
 	body, known := bodyLength(head)
 	if !known {
 		c.passThrough = true
+		c.inHead = len(head) == 0
 		return
 	}
 	c.alone = !isSimple(head)
--- a/internal/pipeline/drain_test.go
+++ b/internal/pipeline/drain_test.go
@@ -511,3 +511,34 @@
 	}
 	awaitOpen(t, listener, 0)
 }
+
+// TestPartOfAHeadThatHasArrivedResetsNothing covers a caller that is sending a head when the
+// server ends its connections, and goes on sending: its connection ends without a reset, which
+// would discard answers that it has not read.
+func TestPartOfAHeadThatHasArrivedResetsNothing(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gated := &gatedListener{TCPListener: inner.(*net.TCPListener), gate: make(chan bool)}
+	listener := NewListener(gated, ignoreUnserved)
+	server := &http.Server{ConnState: ConnState, ConnContext: ConnContext, Handler: http.NotFoundHandler()}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn := dial(t, inner.Addr().String(), "GET /1 HTTP/1.1\r\nHo")
+	if err := listener.StopAccepting(5 * time.Second); err != nil {
+		t.Error(err)
+	}
+	listener.Drain()
+	close(gated.gate)
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("after the stop: %v", err)
+	}
+	for range 3 {
+		if _, err := io.WriteString(conn, "st: h\r\n"); err != nil {
+			t.Errorf("the rest of the head: %v", err)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/internal/pipeline/end.go
+++ b/internal/pipeline/end.go
@@ -9,7 +9,7 @@
 )
 
 // lingerTime is how long a connection that the server has ended stays open, if unread data is
-// on it, for its caller to read the last answer.
+// on it or may follow, for its caller to read the last answer.
 const lingerTime = 500 * time.Millisecond
 
 // drain ends the connection once nothing on it waits for an answer.
@@ -69,13 +69,14 @@
 	return c.Conn.Close()
 }
 
-// endSoon is end, but leaves the caller time to read the last answer. Unread data would make
-// the system discard that. The caller holds mu.
+// endSoon is end, but leaves the caller time to read the last answer. Unread data, and such that
+// a caller that has sent a part of a head still sends, would make the system discard that. The
+// caller holds mu.
 func (c *Conn) endSoon() {
 	if c.ended {
 		return
 	}
-	if !c.hasUnreadData() {
+	if !c.hasUnreadData() && !c.inHead {
 		_ = c.end(net.ErrClosed)
 		return
 	}
