--- a/internal/pipeline/answers.go
+++ b/internal/pipeline/answers.go
@@ -19,6 +19,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = true
+	c.used = true
 	c.inHead = false
 }
 
