--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -37,6 +37,9 @@
 	// closeCallersTime bounds closing the connections of callers. Callers have it to read
 	// their last answers.
 	closeCallersTime = 100 * time.Millisecond
+	// stopAcceptingTime bounds accepting the connections of callers that the system has
+	// established when the listener for them is closed.
+	stopAcceptingTime = 50 * time.Millisecond
 	// closePeersTime bounds closing the connections of peers, which have it to receive their
 	// last replies.
 	closePeersTime = 500 * time.Millisecond
@@ -125,17 +128,19 @@
 
 // close closes the connections of peers, then those of callers, once each request that was
 // read from them is answered, and then everything else. It waits up to closePeersTime for
-// peers, but not beyond end, and up to closeCallersTime for callers. Callers come last: until
-// then, they are told that the daemon accepts no requests.
+// peers, but not beyond end, and up to closeCallersTime for callers, or until end for answers to
+// the requests that were read last. Callers come last: until then, they are told that the daemon
+// accepts no requests.
 func (d *Daemon) close(ctx context.Context, end time.Time) {
 	bounded, cancel := context.WithDeadline(ctx, earlier(end, time.Now().Add(closePeersTime)))
 	defer cancel()
 	d.server.CloseGently(bounded)
-	if err := d.callers.Close(); err != nil {
+	if err := d.callers.StopAccepting(stopAcceptingTime); err != nil {
 		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the listener for callers"), zap.Error(err))
 	}
 	d.callers.Drain()
 	waitUntil(ctx, time.Now().Add(closeCallersTime), func() bool { return d.callers.Open() == 0 })
+	waitUntil(ctx, end, d.callers.AllAnswered)
 	if open := d.callers.Open(); open > 0 {
 		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the connections of callers"), zap.Int("open", open))
 	}
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -33,6 +33,9 @@
 	deliver int
 	// passThrough is set once the connection is left to net/http alone.
 	passThrough bool
+	// inHead is set while net/http has read a part of a head, for which the connection was
+	// left to it.
+	inHead bool
 	// serving is set while net/http serves a request that it has read from the connection, and
 	// alone while it is one beside which no other is served.
 	serving, alone bool
@@ -50,6 +53,10 @@
 	callerEnded bool
 	// draining is set once the connection is to end when nothing on it waits for an answer.
 	draining bool
+	// acceptedAt is when the connection was accepted; used is set once net/http has read the head
+	// of a request from it.
+	acceptedAt time.Time
+	used       bool
 	// ended is set when the connection fails or is closed, and closing when it is to be closed
 	// after the last branch.
 	ended   bool
@@ -65,7 +72,7 @@
 }
 
 func newConn(conn net.Conn, listener *Listener) *Conn {
-	c := &Conn{Conn: conn, listener: listener}
+	c := &Conn{Conn: conn, listener: listener, acceptedAt: time.Now()}
 	c.changed.L = &c.mu
 	return c
 }
@@ -77,7 +84,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for {
-		if c.draining && c.isQuiet() {
+		if c.draining && c.isQuiet() && !c.hasRequestToRead() && !c.awaitsFirstRequest() {
 			// Package net/http would answer a part of a head.
 			c.endSoon()
 			return 0, io.EOF
@@ -114,6 +121,9 @@
 // isQuiet reports whether nothing that was read waits for an answer.
 func (c *Conn) isQuiet() bool { return c.isFree() && len(c.ahead) == 0 }
 
+// hasRequestToRead reports whether data has arrived behind what was read, and may be read.
+func (c *Conn) hasRequestToRead() bool { return !c.last && !c.callerEnded && c.hasUnreadData() }
+
 // beginRequest delivers the request that ahead begins with, or leaves the connection to
 // net/http. The caller holds mu.
 func (c *Conn) beginRequest() {
@@ -126,6 +136,7 @@
 	body, known := bodyLength(head)
 	if !known {
 		c.passThrough = true
+		c.inHead = len(head) == 0
 		return
 	}
 	c.alone = !isSimple(head)
--- a/internal/pipeline/end.go
+++ b/internal/pipeline/end.go
@@ -9,17 +9,31 @@
 )
 
 // lingerTime is how long a connection that the server has ended stays open, if unread data is
-// on it, for its caller to read the last answer.
+// on it or may follow, for its caller to read the last answer.
 const lingerTime = 500 * time.Millisecond
 
-// drain ends the connection once nothing on it waits for an answer.
+// firstRequestTime is how long the first request of a new connection may take to arrive when
+// the server ends. It is longer than the network takes between a caller and its daemon.
+const firstRequestTime = 80 * time.Millisecond
+
+// drain ends the connection once nothing on it waits for an answer. A new connection has until
+// firstRequestTime for its first request: a caller connects to send one.
 func (c *Conn) drain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining = true
+	if c.awaitsFirstRequest() {
+		time.AfterFunc(firstRequestTime, c.drain)
+	}
 	c.wake()
 }
 
+// awaitsFirstRequest reports whether the connection is so new that the first request on it may
+// be on its way.
+func (c *Conn) awaitsFirstRequest() bool {
+	return !c.used && !c.last && !c.callerEnded && time.Since(c.acceptedAt) < firstRequestTime
+}
+
 // isUnanswered reports whether requests that were read wait for an answer.
 func (c *Conn) isUnanswered() bool {
 	c.mu.Lock()
@@ -69,13 +83,14 @@
 	return c.Conn.Close()
 }
 
-// endSoon is end, but leaves the caller time to read the last answer. Unread data would make
-// the system discard that. The caller holds mu.
+// endSoon is end, but leaves the caller time to read the last answer. Unread data, and such that
+// a caller that has sent a part of a head still sends, would make the system discard that. The
+// caller holds mu.
 func (c *Conn) endSoon() {
 	if c.ended {
 		return
 	}
-	if !c.hasUnreadData() {
+	if !c.hasUnreadData() && !c.inHead {
 		_ = c.end(net.ErrClosed)
 		return
 	}
