Revert "Answer the first request of a connection accepted at the end of a stop"

That change gives a connection that was accepted within 80 ms before the end time for its first request. A time limit and two fields on each connection are not worth that. The tests of internal/pipeline pass without it.

--- a/internal/pipeline/answers.go
+++ b/internal/pipeline/answers.go
@@ -19,7 +19,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = true
-	c.used = true
 	c.inHead = false
 }
 
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -53,10 +53,6 @@
 	callerEnded bool
 	// draining is set once the connection is to end when nothing on it waits for an answer.
 	draining bool
-	// acceptedAt is when the connection was accepted; used is set once net/http has read the head
-	// of a request from it.
-	acceptedAt time.Time
-	used       bool
 	// ended is set when the connection fails or is closed, and closing when it is to be closed
 	// after the last branch.
 	ended   bool
@@ -72,7 +68,7 @@
 }
 
 func newConn(conn net.Conn, listener *Listener) *Conn {
-	c := &Conn{Conn: conn, listener: listener, acceptedAt: time.Now()}
+	c := &Conn{Conn: conn, listener: listener}
 	c.changed.L = &c.mu
 	return c
 }
@@ -84,7 +80,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for {
-		if c.draining && c.isQuiet() && !c.hasRequestToRead() && !c.awaitsFirstRequest() {
+		if c.draining && c.isQuiet() && !c.hasRequestToRead() {
 			// Package net/http would answer a part of a head.
 			c.endSoon()
 			return 0, io.EOF
--- a/internal/pipeline/end.go
+++ b/internal/pipeline/end.go
@@ -12,28 +12,14 @@
 // on it or may follow, for its caller to read the last answer.
 const lingerTime = 500 * time.Millisecond
 
-// firstRequestTime is how long the first request of a new connection may take to arrive when
-// the server ends. It is longer than the network takes between a caller and its daemon.
-const firstRequestTime = 80 * time.Millisecond
-
-// drain ends the connection once nothing on it waits for an answer. A new connection has until
-// firstRequestTime for its first request: a caller connects to send one.
+// drain ends the connection once nothing on it waits for an answer.
 func (c *Conn) drain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining = true
-	if c.awaitsFirstRequest() {
-		time.AfterFunc(firstRequestTime, c.drain)
-	}
 	c.wake()
 }
 
-// awaitsFirstRequest reports whether the connection is so new that the first request on it may
-// be on its way.
-func (c *Conn) awaitsFirstRequest() bool {
-	return !c.used && !c.last && !c.callerEnded && time.Since(c.acceptedAt) < firstRequestTime
-}
-
 // isUnanswered reports whether requests that were read wait for an answer.
 func (c *Conn) isUnanswered() bool {
 	c.mu.Lock()
