Begin no waiting request when those in flight are cut off

Cause: at the end of a planned stop, Proxy.CutOff ends the context of each request in a goroutine of its own. A request that ran and was ended first released its slot before the context of one that waited had ended; that one was admitted, sent to the upstream and cut off some milliseconds later. If it must not run twice, its caller got 502 (call-stopped) and could not send it again, in place of 503.

Seen in a trial of overlapping stops on real daemons: a request that had waited since 0.6 s before the stop of its entry daemon began at the upstream at 4.717 s and ended at 4.720 s, as its executing daemon cut off.

Change: what may begin is checked in one place (Proxy.obstacle), before and after the wait for a slot, and includes the cut-off. A slot that a cut run has released is released after the cut-off, so the check is exact.

TestRequestThatWaitsAtTheCutOffDoesNotBegin, 2 slots and 30 requests that wait, -race: without the change 7 of 10 runs failed (1 or 2 requests began), with it 0 of 40. internal/proxy -race -count=5: ok.

--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -46,10 +46,7 @@
 	arrived := p.now()
 	deadline := arrived + milliseconds(request.RemainingMs)
 	u := p.upstream.Load()
-	if !u.AcceptsRequests() || u.Service != request.Service {
-		return p.refuse(request, code.CallDraining, 0)
-	}
-	if refusal := p.rollouts.refusal(u, request, p.deps.BootClock); refusal != code.OK {
+	if refusal := p.obstacle(u, request); refusal != code.OK {
 		return p.refuse(request, refusal, 0)
 	}
 	if p.isQuarantined(request) {
@@ -73,12 +70,10 @@
 	}
 	upstreamFailed := true
 	defer func() { slot.Release(upstreamFailed) }()
-	// The upstream may have changed while the request waited.
+	// The upstream may have changed while the request waited, or the slot be one of those that
+	// become free as the requests in flight are cut off.
 	u = p.upstream.Load()
-	if !u.AcceptsRequests() || u.Service != request.Service {
-		return p.refuse(request, code.CallDraining, 0)
-	}
-	if refusal := p.rollouts.refusal(u, request, p.deps.BootClock); refusal != code.OK {
+	if refusal := p.obstacle(u, request); refusal != code.OK {
 		return p.refuse(request, refusal, 0)
 	}
 	var frame *hopv1.Frame
@@ -89,6 +84,14 @@
 	return frame
 }
 
+// obstacle returns why the upstream u must not begin the request now, or code.OK.
+func (p *Proxy) obstacle(u *control.Upstream, request *hopv1.Request) code.Code {
+	if p.isCutOff() || !u.AcceptsRequests() || u.Service != request.Service {
+		return code.CallDraining
+	}
+	return p.rollouts.refusal(u, request, p.deps.BootClock)
+}
+
 // refusalCode returns the result code for a request that got no slot. A request
 // that could not start within its goal is shed unless its deadline has passed.
 func (p *Proxy) refusalCode(reason admission.Reason, deadlinePassed bool) code.Code {
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -86,3 +87,39 @@
 		t.Errorf("frame %v, %d runs; want call-deadline-not-run after 1 run", frame, count.Load())
 	}
 }
+
+// TestRequestThatWaitsAtTheCutOffDoesNotBegin covers requests that wait for a slot when those in
+// flight are cut off: the slots that become free then are not for them.
+func TestRequestThatWaitsAtTheCutOffDoesNotBegin(t *testing.T) {
+	const slots, waiting = 2, 30
+	runs := make(chan string, slots+waiting)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		runs <- r.Header.Get("Request-Id")
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	p := newTestProxy(t, manifest.Service{Name: "s"}, manifest.RetryRule{Name: "rule", Attempts: 2})
+	p.SetUpstream(control.Upstream{ID: "u", StartTime: 1, Service: "s", Slots: slots, State: control.UpstreamReady, Address: strings.TrimPrefix(server.URL, "http://")})
+	frames := make(chan *hopv1.Frame, slots+waiting)
+	for i := range slots + waiting {
+		go func() {
+			frames <- p.ExecuteFor(context.Background(), &hopv1.Request{Id: fmt.Sprint(i), Method: "POST", Target: []byte("/"), Service: "s", RemainingMs: 60000, GoalMs: 60000})
+		}()
+	}
+	for range slots {
+		<-runs
+	}
+	for p.admissionController.Load().Waiting < waiting {
+		time.Sleep(time.Millisecond)
+	}
+	p.CutOff()
+	refused := 0
+	for range slots + waiting {
+		if failed := (<-frames).GetFailure(); failed.GetNotRun() && code.Code(failed.GetCode()) == code.CallDraining {
+			refused++
+		}
+	}
+	if refused != waiting || len(runs) > 0 {
+		t.Errorf("%d requests refused, %d more began; want %d and none", refused, len(runs), waiting)
+	}
+}
