Stop without waiting for the control loop first

Cause: Daemon.Stop passed the stop to the control loop and waited until that had processed it, as long as its context lasted: the grace and a second. A loop that hangs used up the grace. Nothing was refused meanwhile, no peer was told, and the process was killed at the end of the grace with what it had taken.

Change: the stop is passed on beside the rest, which does not depend on it.

Not seen on a deployment.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -58,12 +58,10 @@
 	began := time.Now()
 	grace := d.cfg.Settings.ShutdownGrace.Std()
 	d.stopping.Store(true)
-	if err := d.loop.do(ctx, control.StopRequested{}); err != nil {
-		d.log.Warn(event.DaemonStopping, zap.Error(err))
-	}
 	knownAt := began.Add(minUnreadyTime)
 	closeEntryAt := began.Add(time.Duration(closeEntryShare * float64(grace)))
 	exitAt := began.Add(time.Duration(exitShare * float64(grace)))
+	processed := d.requestStop(ctx, exitAt)
 	d.proxy.BeginStop(proxy.StopPlan{KnownAt: knownAt, EndsAt: exitAt})
 	waitUntil(ctx, closeEntryAt, func() bool { return !time.Now().Before(knownAt) && d.callersQuiet() })
 	d.proxy.CloseEntry()
@@ -74,7 +72,7 @@
 	waitUntil(ctx, exitAt, d.idle)
 	cancelledAt := time.Now().Add(cancelNoticeTime)
 	waitUntil(ctx, earlier(exitAt, cancelledAt), d.peers.CancellationsConfirmed)
-	d.awaitMemberCalls(ctx, exitAt)
+	d.awaitMemberCalls(ctx, exitAt, processed)
 	entering, running := d.proxy.InFlight()
 	if !d.idle() {
 		d.proxy.CutOff()
@@ -89,16 +87,39 @@
 	return nil
 }
 
-// awaitMemberCalls waits until the calls for the member entry have ended, at most
-// until end. The removal of the entry must not be cancelled by the daemon's end.
-func (d *Daemon) awaitMemberCalls(ctx context.Context, end time.Time) {
+// requestStop passes the stop to the control loop, which has until end to process it. The
+// returned channel is closed once it has. What callers and peers get during a stop does not
+// depend on it: a loop that hangs must not use up their time.
+func (d *Daemon) requestStop(ctx context.Context, end time.Time) (processed <-chan struct{}) {
+	done := make(chan struct{})
+	go func() {
+		bounded, cancel := context.WithDeadline(ctx, end)
+		defer cancel()
+		if err := d.loop.do(bounded, control.StopRequested{}); err != nil {
+			d.log.Warn(event.DaemonStopping, zap.Error(err))
+			return
+		}
+		close(done)
+	}()
+	return done
+}
+
+// awaitMemberCalls waits until the control loop has processed the stop and the calls for the
+// member entry have ended, at most until end. The removal of the entry must not be cancelled by
+// the daemon's end.
+func (d *Daemon) awaitMemberCalls(ctx context.Context, end time.Time, processed <-chan struct{}) {
+	bounded, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	select {
+	case <-processed:
+	case <-bounded.Done():
+		return
+	}
 	ended := make(chan struct{})
 	go func() {
 		d.memberCallsLeft.Wait()
 		close(ended)
 	}()
-	bounded, cancel := context.WithDeadline(ctx, end)
-	defer cancel()
 	select {
 	case <-ended:
 	case <-bounded.Done():
