Refuse what may outlive a stop from its begin where a peer sends it

Cause: until callers know that a daemon stops (2.2 s after SIGTERM), it took every request, whatever its deadline. That is right for its own callers, which can't send theirs elsewhere, but it held for peers as well, which can. Where stops overlap, a daemon that stops 1 or 2 s before its peer cut off what it ran for that peer, in the middle of the peer's own grace: the caller got 502 in place of the upstream's answer, 1 to 2 s before the time up to which its own daemon could have waited. Requests that must not run twice were among them.

Change: a stopping daemon accepts a peer's request only if its deadline is before the end of the stop, from the begin of the stop on. The peer sends another one elsewhere, or refuses it as not run.

--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -17,12 +17,12 @@
 
 // ExecuteFor runs a peer's request like Execute. It records the network
 // round-trip time that the peer measured, and sets in the frame how long the
-// request was at this daemon. Once the daemon drains, it refuses the request: the peer
-// has an old state, and the run might be cut off when the process ends.
+// request was at this daemon. It refuses a request that might be cut off when the process
+// ends, and any once the daemon drains: the peer has an old state.
 func (p *Proxy) ExecuteFor(ctx context.Context, request *hopv1.Request) *hopv1.Frame {
 	arrived := p.now()
 	p.recordRTT(microseconds(request.LineDelayUs))
-	if p.deps.Peers.Draining() || !p.acceptsUntil(time.Now().Add(milliseconds(request.RemainingMs))) {
+	if p.deps.Peers.Draining() || !p.acceptsFromPeerUntil(time.Now().Add(milliseconds(request.RemainingMs))) {
 		return p.refuse(request, code.CallDraining, 0)
 	}
 	ctx, cancel := p.untilCutOff(ctx)
--- a/internal/proxy/stopping.go
+++ b/internal/proxy/stopping.go
@@ -9,18 +9,25 @@
 
 // StopPlan says which requests are accepted during a planned stop.
 type StopPlan struct {
-	// KnownAt is when callers know that the daemon stops. Until then, each request is
-	// accepted: its caller could not send it elsewhere.
+	// KnownAt is when callers know that the daemon stops. Until then, each of their requests
+	// is accepted: its caller could not send it elsewhere.
 	KnownAt time.Time
-	// EndsAt is when requests that are still in flight are cut off. After KnownAt, only
-	// requests whose deadline is before it are accepted.
+	// EndsAt is when requests that are still in flight are cut off. Of peers' requests, and of
+	// callers' after KnownAt, only those whose deadline is before it are accepted.
 	EndsAt time.Time
 }
 
-// accepts reports whether a request that arrives at now is accepted. Without a plan, the
-// daemon does not stop.
+// accepts reports whether a caller's request that arrives at now is accepted. Without a plan,
+// the daemon does not stop.
 func (s *StopPlan) accepts(now, deadline time.Time) bool {
-	return s == nil || now.Before(s.KnownAt) || !deadline.After(s.EndsAt)
+	return s == nil || now.Before(s.KnownAt) || s.acceptsFromPeer(deadline)
+}
+
+// acceptsFromPeer reports whether a peer's request is accepted. Unlike a caller, a peer sends it
+// elsewhere at once, and the stop of this daemon must not break it off: the peer may be in the
+// middle of a stop of its own.
+func (s *StopPlan) acceptsFromPeer(deadline time.Time) bool {
+	return s == nil || !deadline.After(s.EndsAt)
 }
 
 // BeginStop makes the answers to callers' requests close their connections, and refuses
@@ -35,11 +42,16 @@
 	}
 }
 
-// acceptsUntil reports whether a planned stop lets a request in that ends at deadline.
+// acceptsUntil reports whether a planned stop lets a caller's request in that ends at deadline.
 func (p *Proxy) acceptsUntil(deadline time.Time) bool {
 	return p.stopPlan.Load().accepts(time.Now(), deadline)
 }
 
+// acceptsFromPeerUntil is acceptsUntil for the request of a peer.
+func (p *Proxy) acceptsFromPeerUntil(deadline time.Time) bool {
+	return p.stopPlan.Load().acceptsFromPeer(deadline)
+}
+
 // CloseEntry refuses new requests of callers. Requests in flight continue, and nested
 // ones that they need are still served.
 func (p *Proxy) CloseEntry() { p.entryClosed.Store(true) }
