Refuse a request whose body comes too late for a planned stop

Cause: whether a request may outlive a stop was asked when its head had arrived. A head that came before callers know of the stop let the request in whatever its deadline; its body could follow any time later. The request was passed on when it was complete, and cut off at the end of the grace.

Change: the stop is asked again when the body is there. A request that can no longer end in time is refused as not run.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -97,7 +97,7 @@
 		return c, f
 	}
 	p.setTimes(c, r)
-	if !c.nested && !p.acceptsUntil(c.deadline) {
+	if !p.stopAccepts(c) {
 		return c, newFailure(code.CallDraining)
 	}
 	if f = p.identifyCustomer(c, r.Header, table, verdict); f != nil {
@@ -114,6 +114,10 @@
 	if f != nil {
 		return c, f
 	}
+	if !p.stopAccepts(c) {
+		// The body took so long that the request would now be cut off.
+		return c, newFailure(code.CallDraining)
+	}
 	c.request = &hopv1.Request{
 		Id:            c.id,
 		Method:        r.Method,
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -22,7 +22,7 @@
 func (p *Proxy) ExecuteFor(ctx context.Context, request *hopv1.Request) *hopv1.Frame {
 	arrived := p.now()
 	p.recordRTT(microseconds(request.LineDelayUs))
-	if p.deps.Peers.Draining() || !p.acceptsFromPeerUntil(time.Now().Add(milliseconds(request.RemainingMs))) {
+	if p.deps.Peers.Draining() || !p.stopAcceptsFromPeer(time.Now().Add(milliseconds(request.RemainingMs))) {
 		return p.refuse(request, code.CallDraining, 0)
 	}
 	ctx, cancel := p.untilCutOff(ctx)
--- a/internal/proxy/stopping.go
+++ b/internal/proxy/stopping.go
@@ -42,13 +42,14 @@
 	}
 }
 
-// acceptsUntil reports whether a planned stop lets a caller's request in that ends at deadline.
-func (p *Proxy) acceptsUntil(deadline time.Time) bool {
-	return p.stopPlan.Load().accepts(time.Now(), deadline)
+// stopAccepts reports whether a planned stop lets a caller's request in, now that it has arrived
+// as far as it has. Requests that run at the upstream need their nested ones to end.
+func (p *Proxy) stopAccepts(c *call) bool {
+	return c.nested || p.stopPlan.Load().accepts(time.Now(), c.deadline)
 }
 
-// acceptsFromPeerUntil is acceptsUntil for the request of a peer.
-func (p *Proxy) acceptsFromPeerUntil(deadline time.Time) bool {
+// stopAcceptsFromPeer is stopAccepts for the request of a peer that ends at deadline.
+func (p *Proxy) stopAcceptsFromPeer(deadline time.Time) bool {
 	return p.stopPlan.Load().acceptsFromPeer(deadline)
 }
 
