Begin no run that is expected to outlive a planned stop

Cause: a request was asked whether it may outlive a stop when it arrived, not when it began. One that had arrived before the stop, or before callers knew of it, waited for a slot at the stopping daemon for up to seconds, was sent to the upstream then, and cut off: 502 where it must not run twice, although another daemon could have run it, or its caller could have sent it again. Where stops overlap, this was in the middle of the stop of its entry daemon.

Change: with its slot, a request is begun during a stop only if it ends in time, by its deadline or by the upper estimate of its run that the admission queue keeps for its kind. Otherwise it is refused as not run, and goes elsewhere. The estimate, not the deadline alone, decides here: most waiting requests have long deadlines and short runs, and were accepted.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -209,3 +209,11 @@
 	q := c.queue
 	return Load{Running: q.running, Waiting: len(q.waiting), Slots: q.UsableSlots(), ServiceTime: q.ServiceTime(), Open: q.open, RateLimited: q.rate.limited}
 }
+
+// Needs returns an upper estimate of the time for which a request of a kind holds its slot: about
+// one in ten takes longer.
+func (c *Controller) Needs(kind string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.queue.needs(kind)
+}
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -76,6 +76,9 @@
 	if refusal := p.obstacle(u, request); refusal != code.OK {
 		return p.refuse(request, refusal, 0)
 	}
+	if !p.stopAllowsRun(request, p.epoch.Add(deadline)) {
+		return p.refuse(request, code.CallDraining, 0)
+	}
 	var frame *hopv1.Frame
 	began := p.now()
 	frame, upstreamFailed = p.run(ctx, request, u, arrived, deadline)
--- a/internal/proxy/stopping.go
+++ b/internal/proxy/stopping.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 	"godwitmount/internal/code"
 )
 
@@ -30,6 +31,13 @@
 	return s == nil || !deadline.After(s.EndsAt)
 }
 
+// allowsRun reports whether a request that was accepted is begun at now, after it may have waited.
+// It needs the given time, unless its deadline is earlier. One that would be cut off is refused
+// instead, while it can still run elsewhere.
+func (s *StopPlan) allowsRun(now, deadline time.Time, needs time.Duration) bool {
+	return s == nil || !deadline.After(s.EndsAt) || !now.Add(needs).After(s.EndsAt)
+}
+
 // BeginStop makes the answers to callers' requests close their connections, and refuses
 // requests according to the plan.
 func (p *Proxy) BeginStop(plan StopPlan) {
@@ -53,6 +61,13 @@
 	return p.stopPlan.Load().acceptsFromPeer(deadline)
 }
 
+// stopAllowsRun reports whether a planned stop leaves the time for the run of a request that ends at
+// deadline, at the upstream beside this daemon.
+func (p *Proxy) stopAllowsRun(request *hopv1.Request, deadline time.Time) bool {
+	plan := p.stopPlan.Load()
+	return plan == nil || plan.allowsRun(time.Now(), deadline, p.admissionController.Needs(request.Route))
+}
+
 // CloseEntry refuses new requests of callers. Requests in flight continue, and nested
 // ones that they need are still served.
 func (p *Proxy) CloseEntry() { p.entryClosed.Store(true) }
--- a/internal/proxy/stopping_test.go
+++ b/internal/proxy/stopping_test.go
@@ -36,3 +36,29 @@
 		t.Error("a daemon that does not stop refuses")
 	}
 }
+
+// TestStopPlanBeginsWhatIsExpectedToEnd replays requests that get a slot in a planned stop.
+func TestStopPlanBeginsWhatIsExpectedToEnd(t *testing.T) {
+	began := time.Now()
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	plan := &StopPlan{KnownAt: began.Add(ms(2200)), EndsAt: began.Add(ms(5700))}
+	for _, c := range []struct {
+		now, deadline, needs int
+		want                 bool
+	}{
+		{0, 10000, 5700, true},
+		{0, 10000, 5701, false},
+		{0, 5700, 9000, true},
+		{3000, 10000, 100, true},
+		{3000, 10000, 3000, false},
+		{5600, 5700, 3000, true},
+		{5601, 10000, 100, false},
+	} {
+		if got := plan.allowsRun(began.Add(ms(c.now)), began.Add(ms(c.deadline)), ms(c.needs)); got != c.want {
+			t.Errorf("at %d ms, %d ms long, with the deadline at %d ms: %t", c.now, c.needs, c.deadline, got)
+		}
+	}
+	if !(*StopPlan)(nil).allowsRun(began, began.Add(ms(100000)), ms(100000)) {
+		t.Error("a daemon that does not stop refuses")
+	}
+}
