End a planned stop inside its grace whatever is left

Cause: after 0.95 of the grace, a stop waited for up to 0.1 s for what it had cut off, and for up to 0.1 s for callers to close; these times were fixed. They fit into the 0.3 s that are left of a grace of 6 s, but not into less than 4 s, so the process was killed before it had closed its connections. Peers, on the other hand, got no time at all to receive their last replies when the 0.95 had passed.

Change: 0.98 of the grace ends all waits. Peers have until 0.1 s before that.

The tests of stops in internal/daemon (3 times) and platform/platformtest (twice), -race: ok.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -24,9 +24,11 @@
 	// at the latest, requests of callers are refused and peers are notified to
 	// send none. exitShare is the fraction after which Stop no longer waits for
 	// requests in flight. Requests accepted before the first have the time
-	// between the two to finish.
+	// between the two to finish. endShare is the fraction after which all connections are
+	// closed: the process may be killed at the end of the period.
 	closeEntryShare = 0.65
 	exitShare       = 0.95
+	endShare        = 0.98
 	// drainNoticeTime bounds waiting for peers to confirm the notice that the daemon
 	// accepts no more requests, and lastRequestTime is how long Stop waits after that for
 	// requests that they were just sending.
@@ -59,8 +61,9 @@
 	grace := d.cfg.Settings.ShutdownGrace.Std()
 	d.stopping.Store(true)
 	knownAt := began.Add(minUnreadyTime)
-	closeEntryAt := began.Add(time.Duration(closeEntryShare * float64(grace)))
-	exitAt := began.Add(time.Duration(exitShare * float64(grace)))
+	closeEntryAt := began.Add(share(grace, closeEntryShare))
+	exitAt := began.Add(share(grace, exitShare))
+	endAt := began.Add(share(grace, endShare))
 	processed := d.requestStop(ctx, exitAt)
 	d.proxy.BeginStop(proxy.StopPlan{KnownAt: knownAt, EndsAt: exitAt})
 	waitUntil(ctx, closeEntryAt, func() bool { return !time.Now().Before(knownAt) && d.callersQuiet() })
@@ -68,7 +71,7 @@
 	d.peers.StartDraining()
 	d.broadcastState()
 	waitUntil(ctx, earlier(exitAt, time.Now().Add(drainNoticeTime)), d.server.DrainConfirmed)
-	sleep(ctx, lastRequestTime)
+	sleep(ctx, min(lastRequestTime, time.Until(exitAt)))
 	waitUntil(ctx, exitAt, d.idle)
 	cancelledAt := time.Now().Add(cancelNoticeTime)
 	waitUntil(ctx, earlier(exitAt, cancelledAt), d.peers.CancellationsConfirmed)
@@ -76,11 +79,11 @@
 	entering, running := d.proxy.InFlight()
 	if !d.idle() {
 		d.proxy.CutOff()
-		waitUntil(ctx, time.Now().Add(cutOffTime), d.idle)
+		waitUntil(ctx, earlier(endAt, time.Now().Add(cutOffTime)), d.idle)
 	}
 	d.log.Event(event.DaemonStopped, zap.Int64("entering", entering), zap.Int64("running", running),
 		zap.Duration("took", time.Since(began)))
-	d.close(ctx, exitAt)
+	d.close(ctx, endAt)
 	if entering+running > 0 {
 		return fmt.Errorf("%d requests of callers and %d at the upstream were cut off", entering, running)
 	}
@@ -146,17 +149,18 @@
 
 // close closes the connections of peers, then those of callers, once each request that was
 // read from them is answered, and then everything else. It waits up to closePeersTime for
-// peers, but not beyond end, and up to closeCallersTime for callers. Callers come last: until
+// peers and up to closeCallersTime for callers, but not beyond end. Callers come last: until
 // then, they are told that the daemon accepts no requests.
 func (d *Daemon) close(ctx context.Context, end time.Time) {
-	bounded, cancel := context.WithDeadline(ctx, earlier(end, time.Now().Add(closePeersTime)))
+	peersEnd := earlier(end.Add(-closeCallersTime), time.Now().Add(closePeersTime))
+	bounded, cancel := context.WithDeadline(ctx, peersEnd)
 	defer cancel()
 	d.server.CloseGently(bounded)
 	if err := d.callers.Close(); err != nil {
 		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the listener for callers"), zap.Error(err))
 	}
 	d.callers.Drain()
-	waitUntil(ctx, time.Now().Add(closeCallersTime), func() bool { return d.callers.Open() == 0 })
+	waitUntil(ctx, earlier(end, time.Now().Add(closeCallersTime)), func() bool { return d.callers.Open() == 0 })
 	if open := d.callers.Open(); open > 0 {
 		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the connections of callers"), zap.Int("open", open))
 	}
@@ -182,6 +186,11 @@
 	d.cancel()
 }
 
+// share returns a fraction of a duration.
+func share(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(fraction * float64(d))
+}
+
 // earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -96,7 +96,7 @@
 	const grace, late = 3 * time.Second, 300 * time.Millisecond
 	core := heldStopCore{released: make(chan struct{})}
 	d, rows := startHeldDaemon(t, core, grace)
-	time.AfterFunc(time.Duration(closeEntryShare*float64(grace))+late, func() { close(core.released) })
+	time.AfterFunc(share(grace, closeEntryShare)+late, func() { close(core.released) })
 	if err := d.Stop(context.Background()); err != nil {
 		t.Error(err)
 	}
