Leave time to answer what a stop with a short grace cuts off

Cause: what is in flight was cut off at 0.95 of the grace, however short that is. With a grace of 1 s, 0.05 s were left to answer all requests and to close all connections; the process is killed at the end.

Change: at least 0.3 s are left, which is what a grace of 6 s leaves, but the cut comes no sooner than the refusal of new requests at 0.65. Nothing changes from 6 s on.

TestExitTimeLeavesTimeToAnswer holds the times.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -29,6 +29,10 @@
 	closeEntryShare = 0.65
 	exitShare       = 0.95
 	endShare        = 0.98
+	// minExitTime is the time that is left at least, after Stop no longer waits for requests in
+	// flight, for answering them and closing all connections. In a short grace period it begins
+	// with the refusal of requests.
+	minExitTime = 300 * time.Millisecond
 	// drainNoticeTime bounds waiting for peers to confirm the notice that the daemon
 	// accepts no more requests, and lastRequestTime is how long Stop waits after that for
 	// requests that they were just sending.
@@ -62,7 +66,7 @@
 	d.stopping.Store(true)
 	knownAt := began.Add(minUnreadyTime)
 	closeEntryAt := began.Add(share(grace, closeEntryShare))
-	exitAt := began.Add(share(grace, exitShare))
+	exitAt := began.Add(exitTime(grace))
 	endAt := began.Add(share(grace, endShare))
 	processed := d.requestStop(ctx, exitAt)
 	d.proxy.BeginStop(proxy.StopPlan{KnownAt: knownAt, EndsAt: exitAt})
@@ -186,6 +190,13 @@
 	d.cancel()
 }
 
+// exitTime returns the time after which a stop with the grace period does not wait any longer
+// for requests in flight.
+func exitTime(grace time.Duration) time.Duration {
+	latest := min(share(grace, exitShare), grace-minExitTime)
+	return max(latest, share(grace, closeEntryShare))
+}
+
 // share returns a fraction of a duration.
 func share(d time.Duration, fraction float64) time.Duration {
 	return time.Duration(fraction * float64(d))
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -104,3 +104,13 @@
 		t.Error("the member entry was not removed")
 	}
 }
+
+// TestExitTimeLeavesTimeToAnswer lists the times for which requests in flight are waited for.
+func TestExitTimeLeavesTimeToAnswer(t *testing.T) {
+	for graceMs, want := range map[int]int{100: 65, 500: 325, 1000: 700, 3000: 2700, 6000: 5700, 60000: 57000} {
+		grace := time.Duration(graceMs) * time.Millisecond
+		if got := exitTime(grace); got != time.Duration(want)*time.Millisecond {
+			t.Errorf("grace %s: %s, want %d ms", grace, got, want)
+		}
+	}
+}
