--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -24,9 +24,15 @@
 	// at the latest, requests of callers are refused and peers are notified to
 	// send none. exitShare is the fraction after which Stop no longer waits for
 	// requests in flight. Requests accepted before the first have the time
-	// between the two to finish.
+	// between the two to finish. endShare is the fraction after which all connections are
+	// closed: the process may be killed at the end of the period.
 	closeEntryShare = 0.65
 	exitShare       = 0.95
+	endShare        = 0.98
+	// minExitTime is the time that is left at least, after Stop no longer waits for requests in
+	// flight, for answering them and closing all connections. In a short grace period it begins
+	// with the refusal of requests.
+	minExitTime = 300 * time.Millisecond
 	// drainNoticeTime bounds waiting for peers to confirm the notice that the daemon
 	// accepts no more requests, and lastRequestTime is how long Stop waits after that for
 	// requests that they were just sending.
@@ -61,47 +67,69 @@
 	began := time.Now()
 	grace := d.cfg.Settings.ShutdownGrace.Std()
 	d.stopping.Store(true)
-	if err := d.loop.do(ctx, control.StopRequested{}); err != nil {
-		d.log.Warn(event.DaemonStopping, zap.Error(err))
-	}
 	knownAt := began.Add(minUnreadyTime)
-	closeEntryAt := began.Add(time.Duration(closeEntryShare * float64(grace)))
-	exitAt := began.Add(time.Duration(exitShare * float64(grace)))
+	closeEntryAt := began.Add(share(grace, closeEntryShare))
+	exitAt := began.Add(exitTime(grace))
+	endAt := began.Add(share(grace, endShare))
+	processed := d.requestStop(ctx, exitAt)
 	d.proxy.BeginStop(proxy.StopPlan{KnownAt: knownAt, EndsAt: exitAt})
 	waitUntil(ctx, closeEntryAt, func() bool { return !time.Now().Before(knownAt) && d.callersQuiet() })
 	d.proxy.CloseEntry()
 	d.peers.StartDraining()
 	d.broadcastState()
 	waitUntil(ctx, earlier(exitAt, time.Now().Add(drainNoticeTime)), d.server.DrainConfirmed)
-	sleep(ctx, lastRequestTime)
+	sleep(ctx, min(lastRequestTime, time.Until(exitAt)))
 	waitUntil(ctx, exitAt, d.idle)
 	cancelledAt := time.Now().Add(cancelNoticeTime)
 	waitUntil(ctx, earlier(exitAt, cancelledAt), d.peers.CancellationsConfirmed)
-	d.awaitMemberCalls(ctx, exitAt)
+	d.awaitMemberCalls(ctx, exitAt, processed)
 	entering, running := d.proxy.InFlight()
 	if !d.idle() {
 		d.proxy.CutOff()
-		waitUntil(ctx, time.Now().Add(cutOffTime), d.idle)
+		waitUntil(ctx, earlier(endAt, time.Now().Add(cutOffTime)), d.idle)
 	}
 	d.log.Event(event.DaemonStopped, zap.Int64("entering", entering), zap.Int64("running", running),
 		zap.Duration("took", time.Since(began)))
-	d.close(ctx, exitAt)
+	d.close(ctx, endAt)
 	if entering+running > 0 {
 		return fmt.Errorf("%d requests of callers and %d at the upstream were cut off", entering, running)
 	}
 	return nil
 }
 
-// awaitMemberCalls waits until the calls for the member entry have ended, at most
-// until end. The removal of the entry must not be cancelled by the daemon's end.
-func (d *Daemon) awaitMemberCalls(ctx context.Context, end time.Time) {
+// requestStop passes the stop to the control loop, which has until end to process it. The
+// returned channel is closed once it has. What callers and peers get during a stop does not
+// depend on it: a loop that hangs must not use up their time.
+func (d *Daemon) requestStop(ctx context.Context, end time.Time) (processed <-chan struct{}) {
+	done := make(chan struct{})
+	go func() {
+		bounded, cancel := context.WithDeadline(ctx, end)
+		defer cancel()
+		if err := d.loop.do(bounded, control.StopRequested{}); err != nil {
+			d.log.Warn(event.DaemonStopping, zap.Error(err))
+			return
+		}
+		close(done)
+	}()
+	return done
+}
+
+// awaitMemberCalls waits until the control loop has processed the stop and the calls for the
+// member entry have ended, at most until end. The removal of the entry must not be cancelled by
+// the daemon's end.
+func (d *Daemon) awaitMemberCalls(ctx context.Context, end time.Time, processed <-chan struct{}) {
+	bounded, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	select {
+	case <-processed:
+	case <-bounded.Done():
+		return
+	}
 	ended := make(chan struct{})
 	go func() {
 		d.memberCallsLeft.Wait()
 		close(ended)
 	}()
-	bounded, cancel := context.WithDeadline(ctx, end)
-	defer cancel()
 	select {
 	case <-ended:
 	case <-bounded.Done():
@@ -128,18 +156,19 @@
 
 // close closes the connections of peers, then those of callers, once each request that was
 // read from them is answered, and then everything else. It waits up to closePeersTime for
-// peers, but not beyond end, and up to closeCallersTime for callers, or until end for answers to
-// the requests that were read last. Callers come last: until then, they are told that the daemon
+// peers and up to closeCallersTime for callers, or longer for answers to the requests that were
+// read last, but not beyond end. Callers come last: until then, they are told that the daemon
 // accepts no requests.
 func (d *Daemon) close(ctx context.Context, end time.Time) {
-	bounded, cancel := context.WithDeadline(ctx, earlier(end, time.Now().Add(closePeersTime)))
+	peersEnd := earlier(end.Add(-closeCallersTime), time.Now().Add(closePeersTime))
+	bounded, cancel := context.WithDeadline(ctx, peersEnd)
 	defer cancel()
 	d.server.CloseGently(bounded)
 	if err := d.callers.StopAccepting(stopAcceptingTime); err != nil {
 		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the listener for callers"), zap.Error(err))
 	}
 	d.callers.Drain()
-	waitUntil(ctx, time.Now().Add(closeCallersTime), func() bool { return d.callers.Open() == 0 })
+	waitUntil(ctx, earlier(end, time.Now().Add(closeCallersTime)), func() bool { return d.callers.Open() == 0 })
 	waitUntil(ctx, end, d.callers.AllAnswered)
 	if open := d.callers.Open(); open > 0 {
 		d.log.Warn(event.DaemonStopped, zap.String("while", "closing the connections of callers"), zap.Int("open", open))
@@ -166,6 +195,18 @@
 	d.cancel()
 }
 
+// exitTime returns the time after which a stop with the grace period does not wait any longer
+// for requests in flight.
+func exitTime(grace time.Duration) time.Duration {
+	latest := min(share(grace, exitShare), grace-minExitTime)
+	return max(latest, share(grace, closeEntryShare))
+}
+
+// share returns a fraction of a duration.
+func share(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(fraction * float64(d))
+}
+
 // earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -18,12 +18,12 @@
 
 // ExecuteFor runs a peer's request like Execute. It records the network
 // round-trip time that the peer measured, and sets in the frame how long the
-// request was at this daemon. Once the daemon drains, it refuses the request: the peer
-// has an old state, and the run might be cut off when the process ends.
+// request was at this daemon. It refuses a request that might be cut off when the process
+// ends, and any once the daemon drains: the peer has an old state.
 func (p *Proxy) ExecuteFor(ctx context.Context, request *hopv1.Request) *hopv1.Frame {
 	arrived := p.now()
 	p.recordRTT(microseconds(request.LineDelayUs))
-	if p.deps.Peers.Draining() || !p.acceptsUntil(time.Now().Add(milliseconds(request.RemainingMs))) {
+	if p.deps.Peers.Draining() || !p.stopAcceptsFromPeer(time.Now().Add(milliseconds(request.RemainingMs))) {
 		return p.refuse(request, code.CallDraining, 0)
 	}
 	ctx, cancel := p.untilCutOff(ctx)
@@ -47,10 +47,7 @@
 	arrived := p.now()
 	deadline := arrived + milliseconds(request.RemainingMs)
 	u := p.upstream.Load()
-	if !u.AcceptsRequests() || u.Service != request.Service {
-		return p.refuse(request, code.CallDraining, 0)
-	}
-	if refusal := p.rollouts.refusal(u, request, p.deps.BootClock); refusal != code.OK {
+	if refusal := p.obstacle(u, request); refusal != code.OK {
 		return p.refuse(request, refusal, 0)
 	}
 	if p.isQuarantined(request) {
@@ -74,14 +71,15 @@
 	}
 	upstreamFailed := true
 	defer func() { slot.Release(upstreamFailed) }()
-	// The upstream may have changed while the request waited.
+	// The upstream may have changed while the request waited, or the slot be one of those that
+	// become free as the requests in flight are cut off.
 	u = p.upstream.Load()
-	if !u.AcceptsRequests() || u.Service != request.Service {
-		return p.refuse(request, code.CallDraining, 0)
-	}
-	if refusal := p.rollouts.refusal(u, request, p.deps.BootClock); refusal != code.OK {
+	if refusal := p.obstacle(u, request); refusal != code.OK {
 		return p.refuse(request, refusal, 0)
 	}
+	if !p.stopAllowsRun(request, p.epoch.Add(deadline)) {
+		return p.refuse(request, code.CallDraining, 0)
+	}
 	var frame *hopv1.Frame
 	began := p.now()
 	frame, upstreamFailed = p.run(ctx, request, u, arrived, deadline)
@@ -90,6 +88,14 @@
 	return frame
 }
 
+// obstacle returns why the upstream u must not begin the request now, or code.OK.
+func (p *Proxy) obstacle(u *control.Upstream, request *hopv1.Request) code.Code {
+	if p.isCutOff() || !u.AcceptsRequests() || u.Service != request.Service {
+		return code.CallDraining
+	}
+	return p.rollouts.refusal(u, request, p.deps.BootClock)
+}
+
 // refusalCode returns the result code for a request that got no slot. A request
 // that could not start within its goal is shed unless its deadline has passed.
 func (p *Proxy) refusalCode(reason admission.Reason, deadlinePassed bool) code.Code {
--- a/internal/proxy/stopping.go
+++ b/internal/proxy/stopping.go
@@ -5,23 +5,38 @@
 	"errors"
 	"time"
 
+	hopv1 "godwitmount/gen/godwitmount/hop/v1"
 	"godwitmount/internal/code"
 )
 
 // StopPlan says which requests are accepted during a planned stop.
 type StopPlan struct {
-	// KnownAt is when callers know that the daemon stops. Until then, each request is
-	// accepted: its caller could not send it elsewhere.
+	// KnownAt is when callers know that the daemon stops. Until then, each of their requests
+	// is accepted: its caller could not send it elsewhere.
 	KnownAt time.Time
-	// EndsAt is when requests that are still in flight are cut off. After KnownAt, only
-	// requests whose deadline is before it are accepted.
+	// EndsAt is when requests that are still in flight are cut off. Of peers' requests, and of
+	// callers' after KnownAt, only those whose deadline is before it are accepted.
 	EndsAt time.Time
 }
 
-// accepts reports whether a request that arrives at now is accepted. Without a plan, the
-// daemon does not stop.
+// accepts reports whether a caller's request that arrives at now is accepted. Without a plan,
+// the daemon does not stop.
 func (s *StopPlan) accepts(now, deadline time.Time) bool {
-	return s == nil || now.Before(s.KnownAt) || !deadline.After(s.EndsAt)
+	return s == nil || now.Before(s.KnownAt) || s.acceptsFromPeer(deadline)
+}
+
+// acceptsFromPeer reports whether a peer's request is accepted. Unlike a caller, a peer sends it
+// elsewhere at once, and the stop of this daemon must not break it off: the peer may be in the
+// middle of a stop of its own.
+func (s *StopPlan) acceptsFromPeer(deadline time.Time) bool {
+	return s == nil || !deadline.After(s.EndsAt)
+}
+
+// allowsRun reports whether a request that was accepted is begun at now, after it may have waited.
+// It needs the given time, unless its deadline is earlier. One that would be cut off is refused
+// instead, while it can still run elsewhere.
+func (s *StopPlan) allowsRun(now, deadline time.Time, needs time.Duration) bool {
+	return s == nil || !deadline.After(s.EndsAt) || !now.Add(needs).After(s.EndsAt)
 }
 
 // BeginStop makes the answers to callers' requests close their connections, and refuses
@@ -36,9 +51,22 @@
 	}
 }
 
-// acceptsUntil reports whether a planned stop lets a request in that ends at deadline.
-func (p *Proxy) acceptsUntil(deadline time.Time) bool {
-	return p.stopPlan.Load().accepts(time.Now(), deadline)
+// stopAccepts reports whether a planned stop lets a caller's request in, now that it has arrived
+// as far as it has. Requests that run at the upstream need their nested ones to end.
+func (p *Proxy) stopAccepts(c *call) bool {
+	return c.nested || p.stopPlan.Load().accepts(time.Now(), c.deadline)
+}
+
+// stopAcceptsFromPeer is stopAccepts for the request of a peer that ends at deadline.
+func (p *Proxy) stopAcceptsFromPeer(deadline time.Time) bool {
+	return p.stopPlan.Load().acceptsFromPeer(deadline)
+}
+
+// stopAllowsRun reports whether a planned stop leaves the time for the run of a request that ends at
+// deadline, at the upstream beside this daemon.
+func (p *Proxy) stopAllowsRun(request *hopv1.Request, deadline time.Time) bool {
+	plan := p.stopPlan.Load()
+	return plan == nil || plan.allowsRun(time.Now(), deadline, p.admissionController.Needs(request.Route))
 }
 
 // CloseEntry refuses new requests of callers. Requests in flight continue, and nested
