Report a silent peer as down before its requests are told

Cause: the requests in flight at a peer were told of its silence before the peer counted as unreachable. A hedge that looked for another upstream at once found the silent peer available: a large request, which goes to no other data centre beside a local upstream, was not hedged.

Change: Down is called first. If the connection was replaced meanwhile, Up follows.

Tests: TestPeerIsDownBeforeItsRequestsAreTold failed before, 1 of 3 (the pause of 20 ms in the hook only makes the order visible when the other goroutine runs), and passes 3 of 3 with the race detector.

--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -156,11 +156,11 @@
 // machines.
 func startPairBetween(t *testing.T, link, clientLink *shaping.Link) (*testHandler, *faultlink.Link, *Client, chan error) {
 	t.Helper()
-	return startPairWith(t, link, clientLink, func(*hopv1.State) {})
+	return startPairWith(t, link, clientLink, func(*Hooks) {})
 }
 
-// startPairWith is startPairBetween with a function that the client calls with each state.
-func startPairWith(t *testing.T, link, clientLink *shaping.Link, stateReceived func(*hopv1.State)) (*testHandler, *faultlink.Link, *Client, chan error) {
+// startPairWith is startPairBetween with hooks of the client that adjust changes.
+func startPairWith(t *testing.T, link, clientLink *shaping.Link, adjust func(*Hooks)) (*testHandler, *faultlink.Link, *Client, chan error) {
 	t.Helper()
 	handler := &testHandler{cancelled: make(chan string, 10), causes: make(chan error, 10), disconnected: make(chan string, 10),
 		started: make(chan string, 10), release: make(chan struct{}, 10)}
@@ -177,11 +177,11 @@
 	}
 	start := time.Now()
 	up, down := make(chan struct{}, 10), make(chan error, 100)
-	client := NewClient(network.Address(), &hopv1.Hello{Instance: "client"}, Hooks{
+	hooks := Hooks{
 		Instance:      "server",
 		Up:            func() { up <- struct{}{} },
 		Down:          func(err error) { down <- err },
-		StateReceived: stateReceived,
+		StateReceived: func(*hopv1.State) {},
 		DrainRecord:   func() *hopv1.Left { return nil },
 		DrainRecordReceived: func(record *hopv1.Left) {
 			if record.GetUpstream() != "u-1" || record.GetBorn() != 5 {
@@ -193,7 +193,9 @@
 		AdaptiveTimeout: &AdaptiveTimeout{},
 		Link:            clientLink,
 		Now:             func() time.Duration { return time.Since(start) },
-	})
+	}
+	adjust(&hooks)
+	client := NewClient(network.Address(), &hopv1.Hello{Instance: "client"}, hooks)
 	t.Cleanup(func() {
 		client.Close()
 		server.Close()
--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -49,9 +49,7 @@
 			conn.reset()
 			return
 		}
-		if c.beginSilence(conn) {
-			c.hooks.Down(ErrPeerSilent)
-		}
+		c.beginSilence(conn)
 	}
 }
 
--- a/internal/hop/silence.go
+++ b/internal/hop/silence.go
@@ -7,9 +7,30 @@
 // it runs.
 const silenceLimit = 1200 * time.Millisecond
 
-// beginSilence marks the peer as silent and reports whether it was not, unless conn has
-// been replaced. Requests in flight are asked whether they give up; new ones are not sent.
-func (c *Client) beginSilence(conn *clientConn) bool {
+// beginSilence marks the peer as silent if it is not, unless conn has been replaced. New
+// requests are not sent. Requests in flight are told after Down was called: they look for
+// another upstream, and the silent one must not count as reachable.
+func (c *Client) beginSilence(conn *clientConn) {
+	if !c.maySilence(conn) {
+		return
+	}
+	c.hooks.Down(ErrPeerSilent)
+	if !c.closeSilence(conn) && c.conn.Load() != nil {
+		// The connection was replaced meanwhile.
+		c.hooks.Up()
+	}
+}
+
+// maySilence reports whether the peer is to be marked as silent.
+func (c *Client) maySilence(conn *clientConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !isClosed(c.silence) && c.established(conn)
+}
+
+// closeSilence tells the requests in flight that the peer is silent, and reports whether it
+// still is.
+func (c *Client) closeSilence(conn *clientConn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if isClosed(c.silence) || !c.established(conn) {
--- a/internal/hop/silence_test.go
+++ b/internal/hop/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,3 +71,28 @@
 		t.Errorf("an answered ping has been unanswered for %s", age)
 	}
 }
+
+// TestPeerIsDownBeforeItsRequestsAreTold covers a peer that falls silent: a request in flight there
+// looks for another upstream, and must not find the silent one reachable. A large request would
+// not go to another data centre beside it.
+func TestPeerIsDownBeforeItsRequestsAreTold(t *testing.T) {
+	var down atomic.Bool
+	handler, network, client, _ := startPairWith(t, nil, nil, func(hooks *Hooks) {
+		hooks.Down = func(error) {
+			time.Sleep(20 * time.Millisecond)
+			down.Store(true)
+		}
+	})
+	downWhenTold := make(chan bool, 1)
+	go func() {
+		_, _ = client.Do(context.Background(), &hopv1.Request{Id: "held"}, func() <-chan struct{} {
+			downWhenTold <- down.Load()
+			return giveUpAtOnce()
+		})
+	}()
+	<-handler.started
+	network.SetFault(faultlink.Blocked)
+	if !<-downWhenTold {
+		t.Error("the request was told before the peer was reported as down")
+	}
+}
--- a/internal/hop/unread_test.go
+++ b/internal/hop/unread_test.go
@@ -41,7 +41,7 @@
 // given up, nor their connection be replaced.
 func TestPeerWhoseDataIsUnreadIsNotSilent(t *testing.T) {
 	reader := newHeldReader()
-	handler, _, client, down := startPairWith(t, nil, nil, reader.stateReceived)
+	handler, _, client, down := startPairWith(t, nil, nil, func(hooks *Hooks) { hooks.StateReceived = reader.stateReceived })
 	reader.hold.Store(true)
 	silent := make(chan struct{}, 1)
 	ended := make(chan error, 1)
@@ -73,7 +73,7 @@
 // large answers that it has sent: with the first connection this one would be lost.
 func TestConnectionWithUnreadDataIsNotReplaced(t *testing.T) {
 	reader := newHeldReader()
-	handler, network, client, _ := startPairWith(t, nil, nil, reader.stateReceived)
+	handler, network, client, _ := startPairWith(t, nil, nil, func(hooks *Hooks) { hooks.StateReceived = reader.stateReceived })
 	reader.hold.Store(true)
 	defer close(reader.release)
 	handler.server.Broadcast(&hopv1.State{})
