Answer with an upstream's failure although a hedge goes on

Cause: when the first upstream answered a hedged request with a failure, the hedge was awaited, also on routes that do not retry failures. If it hung, the caller got an own 504 at the deadline in place of the upstream's answer. Found by the review.

Change: a failure that the route does not retry is the answer at once; it ends the hedge.

Tests: TestUpstreamsFailureIsNotHeldForAHedge got 504 after 5 s before, and passes 3 of 3 with the race detector.

--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -13,6 +13,7 @@
 	"godwitmount/internal/asynclog"
 	"godwitmount/internal/code"
 	"godwitmount/internal/event"
+	"godwitmount/internal/manifest"
 )
 
 // hedge is a second series of attempts of a request that may run twice, beside its first
@@ -115,11 +116,12 @@
 }
 
 // join returns the outcome of the first attempt and of the hedge beside it, given the reply
-// to the first. An upstream's answer ends the other one; otherwise it waits for both.
+// to the first. An upstream's answer ends the other one, also a failure that the route does not
+// retry; otherwise it waits for both.
 func (f *forwarder) join(h *hedge, reply *hopv1.Frame) (*hopv1.Frame, result) {
 	defer h.cancel()
 	frame, r := f.recordOutcome(reply)
-	if r == answered {
+	if r == answered || r == serverError && !f.call.route.Rule.RetriesOn(manifest.RetryStatus5xx) {
 		f.recordHedge(hedgeNeedless)
 		return frame, r
 	}
--- a/internal/proxy/hedge_test.go
+++ b/internal/proxy/hedge_test.go
@@ -32,9 +32,11 @@
 }
 func (h actingHandler) HelloState() *hopv1.State { return h.State() }
 
-// slowPeer runs requests until they are released or cancelled.
+// slowPeer runs requests until they are released or cancelled, and answers them then with
+// status, 0 meaning 200.
 type slowPeer struct {
 	started, release chan struct{}
+	status           atomic.Uint32
 	cancelled        atomic.Int64
 }
 
@@ -46,7 +48,11 @@
 	s.started <- struct{}{}
 	select {
 	case <-s.release:
-		return signedAnswer("slow")
+		answer := signedAnswer("slow")
+		if status := s.status.Load(); status > 0 {
+			answer.GetAnswer().Status = status
+		}
+		return answer
 	case <-ctx.Done():
 		s.cancelled.Add(1)
 		return failureFrame(code.CallCancelled, false, 0, nil)
@@ -74,7 +80,13 @@
 // runs the request, and then adds another peer.
 func startHedgedCall(t *testing.T, other func(ctx context.Context, request *hopv1.Request) *hopv1.Frame) *hedgedCall {
 	t.Helper()
-	rule := manifest.RetryRule{Name: "rule", Attempts: 2, BudgetPercent: 100, On: []manifest.RetryOn{manifest.RetryUnknown, manifest.RetryStatus5xx}}
+	return startHedgedCallOn(t, []manifest.RetryOn{manifest.RetryUnknown, manifest.RetryStatus5xx}, other)
+}
+
+// startHedgedCallOn is startHedgedCall with the outcomes on which the route retries.
+func startHedgedCallOn(t *testing.T, on []manifest.RetryOn, other func(ctx context.Context, request *hopv1.Request) *hopv1.Frame) *hedgedCall {
+	t.Helper()
+	rule := manifest.RetryRule{Name: "rule", Attempts: 2, BudgetPercent: 100, On: on}
 	entry := newProxyBeside(t, "", rule)
 	peers := newTestPeers(t)
 	entry.deps.Peers = peers
@@ -182,6 +194,20 @@
 	}
 }
 
+// TestUpstreamsFailureIsNotHeldForAHedge covers an upstream that answers with a failure on a route
+// that does not retry those, while the hedge goes on: the failure is the caller's answer at once.
+func TestUpstreamsFailureIsNotHeldForAHedge(t *testing.T) {
+	other := newSlowPeer()
+	m := startHedgedCallOn(t, []manifest.RetryOn{manifest.RetryUnknown}, other.execute)
+	m.slow.status.Store(http.StatusInternalServerError)
+	<-other.started
+	m.link.SetFault(faultlink.None)
+	close(m.slow.release)
+	if got := <-m.answer; got.status != http.StatusInternalServerError || got.body != "slow" {
+		t.Errorf("the caller got %+v", got)
+	}
+}
+
 // TestHedgeThatNobodyTakesCostsNoRetry covers the retry budget: what was taken for a hedge that
 // no upstream has run is left for the next attempt.
 func TestHedgeThatNobodyTakesCostsNoRetry(t *testing.T) {
