Remember that a hedge was tried at the new version of a rollout

Cause: a hedge that failed at the new version was forgotten, so that the next attempt could go there again. The test of a failed hedge now makes an answer for each request: two shared one frame, which the server writes to, a data race of the test.

Tests: TestHedgeAtANewVersionIsRemembered failed before; those of hedges pass, twice with the race detector.

--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -150,6 +150,7 @@
 	f.offers += other.offers - h.began.offers
 	f.crashes += other.crashes - h.began.crashes
 	f.tried = other.tried
+	f.rollout.triedNew = f.rollout.triedNew || other.rollout.triedNew
 	f.mayHaveRun = f.mayHaveRun || other.deliveries > h.began.deliveries
 	f.transferLate = f.transferLate || other.transferLate
 	if f.retryAfter == 0 || other.retryAfter > 0 && other.retryAfter < f.retryAfter {
--- a/internal/proxy/hedge_test.go
+++ b/internal/proxy/hedge_test.go
@@ -166,8 +166,6 @@
 // TestFailedHedgeLeavesTheFirstAttempt covers a second upstream that fails: the answer of the
 // first is awaited, and if that is lost, the caller gets what the second has answered.
 func TestFailedHedgeLeavesTheFirstAttempt(t *testing.T) {
-	failing := signedAnswer("failed")
-	failing.GetAnswer().Status = http.StatusInternalServerError
 	for name, c := range map[string]struct {
 		end        func(m *hedgedCall)
 		wantStatus int
@@ -183,6 +181,8 @@
 			asked := make(chan struct{}, 10)
 			m := startHedgedCall(t, func(context.Context, *hopv1.Request) *hopv1.Frame {
 				asked <- struct{}{}
+				failing := signedAnswer("failed")
+				failing.GetAnswer().Status = http.StatusInternalServerError
 				return failing
 			})
 			<-asked
@@ -254,6 +254,17 @@
 	}
 }
 
+// TestHedgeAtANewVersionIsRemembered covers a hedge that was tried at the new version of a
+// rollout: the next attempt does not go there again.
+func TestHedgeAtANewVersionIsRemembered(t *testing.T) {
+	h := &hedge{forwarder: &forwarder{rollout: rolloutAttempt{triedNew: true}}, result: unknown}
+	f := &forwarder{}
+	f.absorb(h)
+	if !f.rollout.triedNew {
+		t.Error("the request counts as not tried at the new version")
+	}
+}
+
 // awaitCount waits until a counter has reached a value.
 func awaitCount(t *testing.T, what string, counter *atomic.Int64, want int64) {
 	t.Helper()
