Take no peer for silent whose ping has not left

A ping counts as sent when it is queued. While the goroutine that writes does not run, the peer gets none, and counts as silent with nothing unread.

Change: a connection with queued frames and no write in progress is held up by this process, like one with unread data. Requests are told of a silence also where the connection is reset at once.

--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -44,12 +44,12 @@
 		if idleTime == 0 {
 			continue
 		}
+		c.beginSilence(conn)
 		if !c.established(conn) || idleTime >= c.hooks.AdaptiveTimeout.Timeout(c.now())+silenceLimit {
 			conn.resetAfter.Store(int64(idleTime))
 			conn.reset()
 			return
 		}
-		c.beginSilence(conn)
 	}
 }
 
@@ -84,7 +84,7 @@
 
 // checkIdle sends a ping once the connection has been idle for pingAfter, and
 // records the delay when a ping was answered. It returns the idle time if the read
-// timeout has expired, and 0 otherwise. A connection with unread data is not idle.
+// timeout has expired, and 0 otherwise. A connection that this process holds up is not idle.
 func (c *Client) checkIdle(conn *clientConn, pingAfter time.Duration, busy bool) time.Duration {
 	now := c.now()
 	idleTime := conn.idleTime()
@@ -106,7 +106,7 @@
 		conn.pingSentAt.Store(int64(now))
 		c.sendPing(conn)
 	case pingSentAt > 0 && now-pingSentAt >= replaceAfter(timeout, c.Unconfirmed() > 0):
-		if conn.hasUnread() {
+		if conn.isHeldUp(idleTime) {
 			return 0
 		}
 		c.replace(conn)
--- a/internal/hop/outbox.go
+++ b/internal/hop/outbox.go
@@ -84,6 +84,14 @@
 	return o.queuedBytes == 0 && !o.writing
 }
 
+// awaitsWriter reports whether frames wait although no batch is being written: the goroutine
+// that writes has not come to run.
+func (o *outbox) awaitsWriter() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.queuedBytes > 0 && !o.writing
+}
+
 // nextBatch removes and returns at most maxBatchBytes from the head of the
 // queue. A frame that does not fit is split across batches. The batch is empty
 // when the queue is. The call says that the batch before it was written.
--- a/internal/hop/unread_test.go
+++ b/internal/hop/unread_test.go
@@ -121,3 +121,55 @@
 		t.Errorf("%d requests of the peer were cancelled", n)
 	}
 }
+
+// TestPeerThatGotNoPingIsNotSilent covers a daemon whose timers go on while the goroutine that
+// writes to a connection does not run: the ping has not left, and its answer is not overdue.
+func TestPeerThatGotNoPingIsNotSilent(t *testing.T) {
+	_, network, client, _ := startPair(t)
+	opened, err := net.Dial("tcp", network.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = opened.Close() })
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	// A connection without the goroutine that writes.
+	pc := &peerConn{conn: opened, out: newOutbox(), done: ctx.Done(), cancel: cancel, epoch: time.Now()}
+	pc.parts = newPartSender(ctx, nil, pc.put, pc.out.awaitRoom)
+	pc.grants = newPartGranter(nil, pc.send)
+	conn := &clientConn{peerConn: pc, retired: make(chan struct{}), wake: make(chan struct{}, 1)}
+	c := &Client{
+		hooks: client.hooks, open: map[*clientConn]bool{conn: true}, pending: map[uint64]*pendingRequest{1: {}},
+		cancelled: map[uint64]bool{}, silence: make(chan struct{}),
+	}
+	c.pendingSince.Store(int64(c.now()))
+	c.conn.Store(conn)
+	for end := time.Now().Add(unreadTime); time.Now().Before(end); time.Sleep(busyCheckInterval) {
+		if idle := c.checkIdle(conn, busyPingAfter, true); idle > 0 {
+			t.Fatalf("the peer counts as silent after %s although the ping has not left", idle)
+		}
+	}
+}
+
+// TestReaderThatIsStuckLosesItsPeer covers a daemon that never comes to read: its peers do not
+// count as there for good.
+func TestReaderThatIsStuckLosesItsPeer(t *testing.T) {
+	t.Parallel()
+	reader := newHeldReader()
+	handler, _, client, _ := startPairWith(t, nil, nil, func(hooks *Hooks) { hooks.StateReceived = reader.stateReceived })
+	defer close(reader.release)
+	reader.hold.Store(true)
+	silent := make(chan struct{}, 1)
+	go func() {
+		_, _ = client.Do(context.Background(), &hopv1.Request{Id: "held"}, func() <-chan struct{} {
+			silent <- struct{}{}
+			return giveUpAtOnce()
+		})
+	}()
+	<-handler.started
+	select {
+	case <-silent:
+	case <-time.After(2 * heldUpLimit):
+		t.Error("the peer is not silent for a reader that is stuck")
+	}
+}
--- a/internal/hop/vanished.go
+++ b/internal/hop/vanished.go
@@ -16,19 +16,19 @@
 )
 
 // watchQuiet cancels the requests of a peer that has vanished without closing its
-// connection, and later resets the connection. A connection with unread data is not quiet.
-// It calls itself again until the connection ends.
+// connection, and later resets the connection. Until then, a connection with unread data
+// is not quiet. It calls itself again until the connection ends.
 func (s *session) watchQuiet() {
 	if isClosed(s.peerConn.done) {
 		return
 	}
 	next := vanishedAfter
 	switch quiet := s.peerConn.quietTime(); {
-	case quiet >= vanishedAfter && s.peerConn.hasUnread():
-		next = unreadCheckInterval
 	case quiet >= abandonedAfter:
 		s.peerConn.reset()
 		return
+	case quiet >= vanishedAfter && s.peerConn.hasUnread():
+		next = unreadCheckInterval
 	case quiet >= vanishedAfter:
 		s.cancelAll(ErrPeerVanished)
 	default:
