Await an answer that arrives on a connection that was replaced

Cause: a peer sends small answers again on the connection that replaces another one, but keeps none above 64 KiB. If it had queued all of a large answer, it reports the request as lost, and the client failed it and reset the old connection, although the answer was arriving there: an own 502 for an answer that was made and sent. A ping that is unanswered for 0.15 s is enough for a replacement.

Change: requests that the peer reports as lost are failed only once no data arrives on the replaced connections any more (none for 0.1 s, none unread), after 1 s at the latest.

--- a/internal/hop/resume.go
+++ b/internal/hop/resume.go
@@ -14,6 +14,8 @@
 	minReplaceAfter = 150 * time.Millisecond
 	// replaceInterval is the shortest time between two attempts to replace a connection.
 	replaceInterval = 500 * time.Millisecond
+	// retiredLimit bounds the wait for replies on a connection that was replaced.
+	retiredLimit = time.Second
 	// maxUnresolved bounds the sessions that a Resume names.
 	maxUnresolved = 8
 )
@@ -155,16 +157,40 @@
 			p.requestSend()
 		}
 	}
-	for _, stream := range resumed.GetLost() {
+	c.mu.Unlock()
+	c.endRetired(resumed.GetLost(), c.now()+retiredLimit)
+	if c.hooks.Resumed != nil {
+		c.hooks.Resumed(result, conn.replaces != nil)
+	}
+}
+
+// endRetired fails the requests whose replies the peer cannot send again, and resets the
+// connections that were replaced. It waits until end at most while data arrives there: a reply
+// may be on its way.
+func (c *Client) endRetired(lost []uint64, end time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(lost) > 0 && !c.closed && c.now() < end && c.retiredCarryData() {
+		time.AfterFunc(busyCheckInterval, func() { c.endRetired(lost, end) })
+		return
+	}
+	for _, stream := range lost {
 		if p := c.pending[stream]; p != nil {
 			c.fail(stream, p)
 		}
 	}
 	c.resetRetired()
-	c.mu.Unlock()
-	if c.hooks.Resumed != nil {
-		c.hooks.Resumed(result, conn.replaces != nil)
+}
+
+// retiredCarryData reports whether data arrives on a connection that was replaced. The caller
+// holds mu.
+func (c *Client) retiredCarryData() bool {
+	for conn := range c.open {
+		if isClosed(conn.retired) && (conn.idleTime() < busyPingAfter || conn.hasUnread()) {
+			return true
+		}
 	}
+	return false
 }
 
 // resetRetired resets the connections that were replaced. Nothing else ends those that are
--- a/internal/hop/resume_test.go
+++ b/internal/hop/resume_test.go
@@ -381,3 +381,39 @@
 		t.Errorf("got %v, want a Ping with the state", last)
 	}
 }
+
+// TestAnswerOnItsWayOnAReplacedConnectionIsNotLost covers a large answer, which the peer keeps no copy of, that
+// is on its way on a connection when that is replaced: a part of it has arrived, the rest follows
+// a moment after the Resumed.
+func TestAnswerOnItsWayOnAReplacedConnectionIsNotLost(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	client := dialTo(t, listener)
+	first := acceptHello(t, listener)
+	for client.conn.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	result := start(context.Background(), client, &hopv1.Request{Id: "a"})
+	second := acceptHello(t, listener)
+	resume := second.receive(t).GetResume()
+	if len(resume.GetWanted()) != 1 {
+		t.Fatalf("the second connection begins with %v", resume)
+	}
+	answer, err := encode(&hopv1.Frame{Stream: resume.Wanted[0], Body: &hopv1.Frame_Answer{Answer: &hopv1.Answer{Status: 200, Body: make([]byte, largeBody)}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := first.Write(answer[:len(answer)/2]); err != nil {
+		t.Fatal(err)
+	}
+	second.send(t, &hopv1.Frame{Body: &hopv1.Frame_Resumed{Resumed: &hopv1.Resumed{Lost: resume.Wanted}}})
+	time.Sleep(20 * time.Millisecond)
+	// If this fails, the client has reset the connection.
+	_, _ = first.Write(answer[len(answer)/2:])
+	if got := <-result; got.err != nil || len(got.frame.GetAnswer().GetBody()) != largeBody {
+		t.Errorf("the request ended with %d bytes, error %v", len(got.frame.GetAnswer().GetBody()), got.err)
+	}
+}
