Return a retry that no hedge needed

Cause: a hedge takes a retry from the budget before it is sent. If all others refused it and the first upstream answered after all, nothing had been sent twice, and the retry was gone: a silence under load, where everybody refuses, used up the budget.

Change: a retry that was counted and not made goes back to the part of the window in which it was counted. While the hedge still runs when the first upstream answers, the retry stays counted.

--- a/internal/proxy/budgets.go
+++ b/internal/proxy/budgets.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"time"
+
 	"godwitmount/internal/manifest"
 	"godwitmount/internal/routing"
 )
@@ -56,9 +58,9 @@
 	}
 }
 
-// takeRetry counts a retry in the budgets of a call's rule and service if both
+// takeRetry counts a retry in the budgets of a call's rule and service at now if both
 // allow it, and reports whether they do.
-func (p *Proxy) takeRetry(c *call) bool {
+func (p *Proxy) takeRetry(c *call, now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	share := callerShare
@@ -66,14 +68,23 @@
 		share = 1
 	}
 	rule, service := p.ruleBudget(c.route.Rule), p.budget(c.service)
-	if !rule.AllowsRetry(p.now(), 1) || !service.AllowsRetry(p.now(), share) {
+	if !rule.AllowsRetry(now, 1) || !service.AllowsRetry(now, share) {
 		return false
 	}
-	rule.RecordRetry(p.now())
-	service.RecordRetry(p.now())
+	rule.RecordRetry(now)
+	service.RecordRetry(now)
 	return true
 }
 
+// returnRetry takes back a retry of a call that takeRetry has counted at a time and that was
+// not made.
+func (p *Proxy) returnRetry(c *call, counted time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ruleBudget(c.route.Rule).ReturnRetry(counted)
+	p.budget(c.service).ReturnRetry(counted)
+}
+
 // ruleBudget returns the budget of a retry rule. It creates a new one at the first
 // call and when the rule's percentage has changed. The caller holds p.mu.
 func (p *Proxy) ruleBudget(rule *manifest.RetryRule) *routing.RetryBudget {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -82,8 +82,10 @@
 	// transferLate is set once the request was not transferred in time. Other upstreams
 	// would keep it past its goal as well.
 	transferLate bool
-	// retryTaken is set while the next retry is already counted in the budget.
-	retryTaken bool
+	// retryTaken is set while the next retry is already counted in the budget; retryCounted is
+	// when the last one was.
+	retryTaken   bool
+	retryCounted time.Duration
 	// rollout is what the attempts have to do with a rollout of the service.
 	rollout rolloutAttempt
 }
@@ -96,6 +98,9 @@
 		return nil, f.contextFailure(ctx)
 	}
 	frame, r := f.attempts(ctx)
+	if f.retryTaken {
+		f.proxy.returnRetry(f.call, f.retryCounted)
+	}
 	switch {
 	case r == answered:
 		return f.finish(frame)
@@ -270,9 +275,12 @@
 // takeRetry reports whether the budget allows a retry, and counts it there unless a hedge
 // has left one.
 func (f *forwarder) takeRetry() bool {
-	taken := f.retryTaken
-	f.retryTaken = false
-	return taken || f.proxy.takeRetry(f.call)
+	if f.retryTaken {
+		f.retryTaken = false
+		return true
+	}
+	f.retryCounted = f.proxy.now()
+	return f.proxy.takeRetry(f.call, f.retryCounted)
 }
 
 // wireMilliseconds returns the remaining time in the hop protocol's unit, whole
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -123,6 +123,7 @@
 	frame, r := f.recordOutcome(reply)
 	if r == answered || r == serverError && !f.call.route.Rule.RetriesOn(manifest.RetryStatus5xx) {
 		f.recordHedge(hedgeNeedless)
+		f.retryTaken = h.endedUnsent()
 		return frame, r
 	}
 	<-h.done
@@ -137,15 +138,25 @@
 	return h.frame, h.result
 }
 
+// endedUnsent reports whether the attempts have ended and none has reached an upstream.
+func (h *hedge) endedUnsent() bool {
+	select {
+	case <-h.done:
+		return h.forwarder.deliveries == h.began.deliveries
+	default:
+		return false
+	}
+}
+
 func (f *forwarder) recordHedge(outcome string) {
 	f.proxy.metrics.hedges.WithLabelValues(outcome).Inc()
 }
 
 // absorb adds what a hedge that has ended knows of the call. A retry that reached no upstream
-// is left in the budget for the next one.
+// is left for the next one.
 func (f *forwarder) absorb(h *hedge) {
 	other := h.forwarder
-	f.retryTaken = other.deliveries == h.began.deliveries
+	f.retryTaken = h.endedUnsent()
 	f.deliveries += other.deliveries - h.began.deliveries
 	f.offers += other.offers - h.began.offers
 	f.crashes += other.crashes - h.began.crashes
--- a/internal/proxy/hedge_test.go
+++ b/internal/proxy/hedge_test.go
@@ -216,7 +216,7 @@
 		want      bool
 	}{"refused": {0, true}, "run": {1, false}} {
 		began := progress{deliveries: 1}
-		h := &hedge{began: began, forwarder: &forwarder{progress: began}, result: notSent}
+		h := &hedge{began: began, forwarder: &forwarder{progress: began}, result: notSent, done: closedChannel()}
 		h.forwarder.deliveries += c.delivered
 		f := &forwarder{}
 		f.absorb(h)
@@ -257,7 +257,7 @@
 // TestHedgeAtANewVersionIsRemembered covers a hedge that was tried at the new version of a
 // rollout: the next attempt does not go there again.
 func TestHedgeAtANewVersionIsRemembered(t *testing.T) {
-	h := &hedge{forwarder: &forwarder{rollout: rolloutAttempt{triedNew: true}}, result: unknown}
+	h := &hedge{forwarder: &forwarder{rollout: rolloutAttempt{triedNew: true}}, result: unknown, done: closedChannel()}
 	f := &forwarder{}
 	f.absorb(h)
 	if !f.rollout.triedNew {
@@ -265,6 +265,28 @@
 	}
 }
 
+// TestNeedlessHedgeCostsNoRetry covers a hedge that all others refuse while the first upstream
+// answers after all: nothing was sent twice, and the budget has the retry again.
+func TestNeedlessHedgeCostsNoRetry(t *testing.T) {
+	refused := make(chan struct{}, 10)
+	m := startHedgedCall(t, func(context.Context, *hopv1.Request) *hopv1.Frame {
+		refused <- struct{}{}
+		return failureFrame(code.CallShed, true, 0, nil)
+	})
+	<-refused
+	m.link.SetFault(faultlink.None)
+	time.Sleep(100 * time.Millisecond)
+	close(m.slow.release)
+	if got := <-m.answer; got.status != http.StatusOK {
+		t.Fatalf("the caller got %+v", got)
+	}
+	// The rule allows as many retries as requests, one.
+	nested := &call{service: "s", route: &m.entry.ActiveTable().Routes()[0], nested: true}
+	if !m.entry.takeRetry(nested, m.entry.now()) {
+		t.Error("the retry was charged although no upstream got the request twice")
+	}
+}
+
 // awaitCount waits until a counter has reached a value.
 func awaitCount(t *testing.T, what string, counter *atomic.Int64, want int64) {
 	t.Helper()
--- a/internal/proxy/limits_test.go
+++ b/internal/proxy/limits_test.go
@@ -64,7 +64,7 @@
 	retries := 0
 	for range 100 {
 		p.recordRequest(c)
-		if p.takeRetry(c) {
+		if p.takeRetry(c, p.now()) {
 			retries++
 		}
 	}
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -95,7 +95,9 @@
 }
 
 // giveUpAtOnce gives a request up when its peer falls silent, waitForPeer does not.
-func giveUpAtOnce() <-chan struct{} {
+func giveUpAtOnce() <-chan struct{} { return closedChannel() }
+
+func closedChannel() chan struct{} {
 	closed := make(chan struct{})
 	close(closed)
 	return closed
--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -46,6 +46,14 @@
 // RecordRetry counts a retry, whether it is allowed or not.
 func (b *RetryBudget) RecordRetry(now time.Duration) { b.bucket(now).retries++ }
 
+// ReturnRetry takes back a retry that was counted at a time and not made.
+func (b *RetryBudget) ReturnRetry(counted time.Duration) {
+	number := b.number(counted)
+	if bucket := &b.buckets[number%windowBuckets]; bucket.number == number && bucket.retries > 0 {
+		bucket.retries--
+	}
+}
+
 // AllowsRetry reports whether a retry may use a share, between 0 and 1, of the
 // budget. It does not count the retry.
 func (b *RetryBudget) AllowsRetry(now time.Duration, share float64) bool {
@@ -63,10 +71,15 @@
 // bucket returns the bucket for a time, and resets it if its counts are from an
 // earlier window.
 func (b *RetryBudget) bucket(now time.Duration) *budgetBucket {
-	number := int64(now / (b.cfg.Window / windowBuckets))
+	number := b.number(now)
 	bucket := &b.buckets[number%windowBuckets]
 	if bucket.number != number {
 		*bucket = budgetBucket{number: number}
 	}
 	return bucket
 }
+
+// number returns the number of the bucket for a time.
+func (b *RetryBudget) number(now time.Duration) int64 {
+	return int64(now / (b.cfg.Window / windowBuckets))
+}
