Await a Resume that is unread before requests are cancelled

Cause: an executing daemon cancels the requests of a connection that was reset unless the peer moves them to another one within 0.25 s. A daemon that does not come to read has not seen the Resume by then, although it lies in the socket. Found by the review; it needs a connection that is reset, so that it is not expected in planned work.

Change: while data is unread on any connection, the requests run on for up to 0.2 s more. Work for a caller that has left may go on for 0.5 s.

--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -39,6 +39,10 @@
 	states       atomic.Int64
 	// holdStates, if it is set, is received from after each state.
 	holdStates atomic.Pointer[chan struct{}]
+	// holdHellos, if it is set, is received from after each Hello; heldHellos receives a value
+	// before that.
+	holdHellos atomic.Pointer[chan struct{}]
+	heldHellos chan struct{}
 	// packed holds the configuration, as []byte, if it is not the default.
 	packed atomic.Value
 	// remainingMs is the RemainingMs of the last request.
@@ -128,7 +132,12 @@
 
 func (h *testHandler) Resumed(string, int, int) {}
 
-func (h *testHandler) HelloReceived(*hopv1.Hello) {}
+func (h *testHandler) HelloReceived(*hopv1.Hello) {
+	if hold := h.holdHellos.Load(); hold != nil {
+		h.heldHellos <- struct{}{}
+		<-*hold
+	}
+}
 
 func (h *testHandler) RolloutReportReceived(string, *hopv1.RolloutReport) {}
 
@@ -163,7 +172,7 @@
 func startPairWith(t *testing.T, link, clientLink *shaping.Link, adjust func(*Hooks)) (*testHandler, *faultlink.Link, *Client, chan error) {
 	t.Helper()
 	handler := &testHandler{cancelled: make(chan string, 10), causes: make(chan error, 10), disconnected: make(chan string, 10),
-		started: make(chan string, 10), release: make(chan struct{}, 10)}
+		started: make(chan string, 10), release: make(chan struct{}, 10), heldHellos: make(chan struct{}, 100)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -175,6 +175,18 @@
 	return true
 }
 
+// hasUnread reports whether data is unread on a connection.
+func (s *Server) hasUnread() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for pc := range s.conns {
+		if pc.hasUnread() {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Server) isClosing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/hop/session.go
+++ b/internal/hop/session.go
@@ -16,6 +16,9 @@
 	// peer to move them to another one. A caller that has left with its entry daemon
 	// must not keep an upstream busy for longer than 0.5 s.
 	resumeGrace = 250 * time.Millisecond
+	// unreadResumeLimit is how much longer they run while this daemon has not read all that
+	// has arrived.
+	unreadResumeLimit = 200 * time.Millisecond
 	// sessionRetention is how long a session is known after the end of its connection.
 	// A peer that resumes it later is answered that its requests may have run.
 	sessionRetention = 10 * time.Second
@@ -278,7 +281,7 @@
 	if s.id == 0 || errors.Is(err, io.EOF) || s.server.isClosing() {
 		s.cancelRunning(ErrPeerGone)
 	} else if running > 0 {
-		time.AfterFunc(resumeGrace, func() { s.cancelAll(ErrPeerGone) })
+		time.AfterFunc(resumeGrace, func() { s.endUnlessUnread(time.Now().Add(unreadResumeLimit)) })
 	}
 	if s.id != 0 {
 		time.AfterFunc(replyRetention, s.dropUnsent)
@@ -287,6 +290,16 @@
 	return running
 }
 
+// endUnlessUnread cancels the requests of a connection that has ended, but waits until end at
+// most while data is unread on any connection: the peer's Resume may be in it.
+func (s *session) endUnlessUnread(end time.Time) {
+	if time.Now().Before(end) && s.server.hasUnread() {
+		time.AfterFunc(busyCheckInterval, func() { s.endUnlessUnread(end) })
+		return
+	}
+	s.cancelAll(ErrPeerGone)
+}
+
 // dropUnsent discards the large replies whose parts were not all sent, unless the peer has
 // moved them to another connection.
 func (s *session) dropUnsent() { s.peerConn.parts.takeUnsent() }
--- a/internal/hop/unread_test.go
+++ b/internal/hop/unread_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	hopv1 "godwitmount/gen/godwitmount/hop/v1"
+	"godwitmount/internal/faultlink"
 )
 
 // unreadTime is how long a daemon does not come to read from its connections in a test. It
@@ -173,3 +174,27 @@
 		t.Error("the peer is not silent for a reader that is stuck")
 	}
 }
+
+// TestUnreadResumeIsAwaited covers an executing daemon that has noticed the reset of a peer's
+// connection, and has not come to read the Resume that follows on another one within resumeGrace.
+func TestUnreadResumeIsAwaited(t *testing.T) {
+	handler, network, client, _ := startPair(t)
+	result := start(context.Background(), client, &hopv1.Request{Id: "held"})
+	<-handler.started
+	hold := make(chan struct{})
+	handler.holdHellos.Store(&hold)
+	network.SetFault(faultlink.Reset)
+	<-handler.disconnected
+	network.SetFault(faultlink.None)
+	<-handler.heldHellos
+	select {
+	case cause := <-handler.causes:
+		t.Errorf("the request was cancelled while the Resume was unread: %v", cause)
+	case <-time.After(resumeGrace + unreadResumeLimit/2):
+	}
+	close(hold)
+	handler.release <- struct{}{}
+	if got := <-result; got.err != nil || got.frame.GetAnswer() == nil {
+		t.Errorf("got %v, error %v", got.frame, got.err)
+	}
+}
