Ask for unread data of a connection in one place

Both use internal/socket now. No behaviour changes; the tests of pipeline and those of hop on silence, resumption and unread data pass with the race detector.

--- a/internal/hop/unread.go
+++ b/internal/hop/unread.go
@@ -4,7 +4,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"godwitmount/internal/socket"
 )
 
 // heldUpLimit is the idle time up to which a connection counts as held up. A process that is
@@ -23,18 +23,5 @@
 // on before the readers of connections.
 func (pc *peerConn) hasUnread() bool {
 	conn, ok := pc.conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unread := 0
-	err = raw.Control(func(fd uintptr) {
-		if n, ioctlErr := unix.IoctlGetInt(int(fd), unix.TIOCINQ); ioctlErr == nil {
-			unread = n
-		}
-	})
-	return err == nil && unread > 0
+	return ok && socket.HasUnread(conn)
 }
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"godwitmount/internal/socket"
 )
 
 // readBytes is the number of bytes that are read at a time while a request is served.
@@ -118,7 +120,7 @@
 func (c *Conn) isQuiet() bool { return c.isFree() && len(c.ahead) == 0 }
 
 // hasRequestToRead reports whether data has arrived behind what was read, and may be read.
-func (c *Conn) hasRequestToRead() bool { return !c.last && !c.callerEnded && c.hasUnreadData() }
+func (c *Conn) hasRequestToRead() bool { return !c.last && !c.callerEnded && socket.HasUnread(c) }
 
 // beginRequest delivers the request that ahead begins with, or leaves the connection to
 // net/http. The caller holds mu.
--- a/internal/pipeline/end.go
+++ b/internal/pipeline/end.go
@@ -5,7 +5,7 @@
 	"net"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"godwitmount/internal/socket"
 )
 
 // lingerTime is how long a connection that the server has ended stays open, if unread data is
@@ -76,7 +76,7 @@
 	if c.ended {
 		return
 	}
-	if !c.hasUnreadData() && !c.inHead {
+	if !socket.HasUnread(c) && !c.inHead {
 		_ = c.end(net.ErrClosed)
 		return
 	}
@@ -90,20 +90,6 @@
 	})
 }
 
-// hasUnreadData reports whether data has arrived that was not read from the connection.
-func (c *Conn) hasUnreadData() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unread := 0
-	err = raw.Control(func(fd uintptr) {
-		// If this fails, the connection has ended.
-		unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ)
-	})
-	return err == nil && unread > 0
-}
-
 // setEnded records the end of the connection and reports the requests that were not served.
 // The caller holds mu.
 func (c *Conn) setEnded(cause error) {
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -63,10 +63,9 @@
 }
 
 // NewListener returns a listener for the connections that inner accepts. It owns inner, which
-// nobody else may close. Unserved is called
-// with the heads of the requests that were read and not served when their connection ended,
-// and with the cause of that: net.ErrClosed if the server ended it, and otherwise the error
-// of the connection. It must not block.
+// nobody else may close. Unserved is called with the heads of the requests that were read and
+// not served when their connection ended, and with the cause of that: net.ErrClosed if the
+// server ended it, and otherwise the error of the connection. It must not block.
 func NewListener(inner net.Listener, unserved func(heads [][]byte, cause error)) *Listener {
 	l := &Listener{Listener: inner, unserved: unserved, accepted: make(chan accepted), ended: make(chan struct{}), conns: map[*Conn]bool{}}
 	l.closeOnce = sync.OnceValue(func() error {
