Measure by the ping how long this process may hold a connection up

Cause: the bound of 3.2 s was compared with the idle time, of which an idle connection has 2 s when its ping is sent, so that its own delay was excused for 1.2 s only. Found when the change was read once more.

Change: it is compared with the age of the ping.

Tests: those on unread data, pings that have not left and silence pass twice with the race detector; the bound is guarded by TestReaderThatIsStuckLosesItsPeer.

--- a/internal/hop/monitor.go
+++ b/internal/hop/monitor.go
@@ -106,7 +106,7 @@
 		conn.pingSentAt.Store(int64(now))
 		c.sendPing(conn)
 	case pingSentAt > 0 && now-pingSentAt >= replaceAfter(timeout, c.Unconfirmed() > 0):
-		if conn.isHeldUp(idleTime) {
+		if conn.isHeldUp(now - pingSentAt) {
 			return 0
 		}
 		c.replace(conn)
--- a/internal/hop/unread.go
+++ b/internal/hop/unread.go
@@ -7,15 +7,14 @@
 	"godwitmount/internal/socket"
 )
 
-// heldUpLimit is the idle time up to which a connection counts as held up. A process that is
+// heldUpLimit is the time for which a ping may be unanswered because of this process. One that is
 // behind for longer loses its peers anyway: they take it for vanished.
 const heldUpLimit = vanishedAfter
 
-// isHeldUp reports whether a connection that has been idle for a time is so because of this
-// process, which has not come to read what has arrived or to write what is queued, the ping
-// included.
-func (pc *peerConn) isHeldUp(idleTime time.Duration) bool {
-	return idleTime < heldUpLimit && (pc.hasUnread() || pc.out.awaitsWriter())
+// isHeldUp reports whether a ping that was queued some time ago is unanswered because of this
+// process, which has not come to read what has arrived, or to write what is queued.
+func (pc *peerConn) isHeldUp(pingAge time.Duration) bool {
+	return pingAge < heldUpLimit && (pc.hasUnread() || pc.out.awaitsWriter())
 }
 
 // hasUnread reports whether data has arrived that was not read. Then the peer is not silent:
