Count the bytes of a cut link before the client gets them

Cause: a fault of the test, not of the code. Its link wrote data to the client and counted it afterwards. On a busy machine the client had its handshake, and the test had set the number of bytes until the cut, before the handshake was counted: it cut at once, before the request was sent.

Change: the link counts first. What the test expects is unchanged.

--- a/internal/hop/cut_test.go
+++ b/internal/hop/cut_test.go
@@ -73,11 +73,13 @@
 		if err != nil {
 			return
 		}
-		kept := min(int64(n), l.left.Load())
+		// Counted first: the test sets left again as soon as the client has got its data.
+		left := l.left.Add(-int64(n))
+		kept := max(int64(n)+min(left, 0), 0)
 		if _, err := client.Write(buffer[:kept]); err != nil {
 			return
 		}
-		if l.left.Add(-int64(n)) < 0 {
+		if left < 0 {
 			l.left.Store(uncut)
 			l.cut.Store(true)
 			if l.reset {
