--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -30,6 +30,7 @@
 	"large-bodies":  largeBodies,
 	"stray-report":  strayReport,
 	"late-report":   lateReport,
+	"nested-stop":   nestedStop,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -94,9 +94,7 @@
 	w.runs = append(w.runs, one)
 	w.mu.Unlock()
 	w.machine.rig.note("worker %s (%s): runs %s %s, Caller-Service %q", w.id, w.machine.service, id, in.RequestURI, one.caller)
-	select {
-	case <-time.After(workTime):
-	case <-in.Context().Done():
+	if !w.work(in, id) {
 		return
 	}
 	if w.losesAnswer() {
@@ -108,6 +106,24 @@
 	_, _ = fmt.Fprintf(out, "%s ran %s", w.id, in.RequestURI)
 }
 
+// work does the work of a request, and reports whether it came to its end.
+func (w *worker) work(in *http.Request, id string) bool {
+	if in.URL.Path == seriesTarget {
+		return w.makeSeries(in, id)
+	}
+	takes := workTime
+	if in.URL.Path == lookupTarget {
+		takes = lookupTime
+	}
+	select {
+	case <-time.After(takes):
+		return true
+	case <-in.Context().Done():
+		w.machine.rig.note("worker %s (%s): %s is broken off", w.id, w.machine.service, id)
+		return false
+	}
+}
+
 // loseAnswers makes the worker lose a share of its answers: it runs the requests, and resets
 // their connections.
 func (w *worker) loseAnswers(share float64) {
