--- a/review/rig/machine.go
+++ b/review/rig/machine.go
@@ -37,31 +37,32 @@
 	return fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, 1+os.Getpid()/200%200, hostCount)
 }
 
-// freeAddress returns a free port of an address.
-func freeAddress(ip string) (string, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freeAddresses sets free ports of an address. All are held until the last one is found.
+func freeAddresses(ip string, addresses ...*string) error {
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = listener.Close() }()
+		*address = listener.Addr().String()
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return nil
 }
 
 // addMachine starts a machine with its worker and its daemon.
 func (r *rig) addMachine(zone, service string) error {
 	m := &machine{rig: r, zone: zone, service: service, ip: nextIP()}
 	m.name = fmt.Sprintf("sidecar-%s-%d", zone, len(r.machines)+1)
-	for _, address := range []*string{&m.inbound, &m.outbound, &m.ready, &m.control} {
-		var err error
-		if *address, err = freeAddress(m.ip); err != nil {
-			return err
-		}
-	}
 	worker, err := newWorker(m)
 	if err != nil {
 		return err
 	}
 	m.worker = worker
+	// The worker listens already, so that none of these is its port.
+	if err := freeAddresses(m.ip, &m.inbound, &m.outbound, &m.ready, &m.control); err != nil {
+		return err
+	}
 	m.settings = filepath.Join(r.temp, m.name+".toml")
 	if err := os.WriteFile(m.settings, []byte(m.settingsText()), 0o600); err != nil {
 		return err
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -31,6 +31,7 @@
 	"stray-report":  strayReport,
 	"late-report":   lateReport,
 	"popular-path":  popularPath,
+	"kept-after":    keptAfterTimeout,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -145,7 +145,7 @@
 		{Host: deskHost, Prefix: "/desk/read/", Kind: platformtest.Idempotent, Service: ordersService, TimeoutMS: 2500, GoalMS: 400, Priority: 2, MaxAttempts: 3},
 		{Host: stockHost, Prefix: "/pallets/", Kind: platformtest.NonIdempotent, Service: ordersService, TimeoutMS: 10000, GoalMS: 1500, Priority: 1, MaxAttempts: 2},
 		{Host: stockHost, Prefix: "/check/", Kind: platformtest.Idempotent, Service: ordersService, TimeoutMS: 2000, GoalMS: 300, Priority: 2, MaxAttempts: 3},
-		{Host: stockHost, Prefix: "/order/", Kind: platformtest.NonIdempotent, Service: ordersService, TimeoutMS: 2500, GoalMS: 400, Priority: 1, MaxAttempts: 2},
+		{Host: stockHost, Prefix: "/order/", Kind: platformtest.NonIdempotent, Service: ordersService, TimeoutMS: 1200, GoalMS: 400, Priority: 1, MaxAttempts: 2},
 		{Host: sheetHost, Prefix: "/sheet/", Kind: platformtest.Idempotent, Service: dispatchService, TimeoutMS: 2000, GoalMS: 300, Priority: 2, MaxAttempts: 3},
 	}
 }
@@ -193,25 +193,30 @@
 	err             error
 }
 
-// emptyBody is a body without bytes. With it, net/http does not send a request once more by
-// itself when its connection ends.
-type emptyBody struct{ io.Reader }
+// onceBody is a body with which net/http does not send a request once more by itself when its
+// connection ends.
+type onceBody struct{ io.Reader }
 
 // Close implements io.Closer.
-func (emptyBody) Close() error { return nil }
+func (onceBody) Close() error { return nil }
 
-// send sends a request to a machine, waits for its answer and records both.
+// send sends a request without a body to a machine, waits for its answer and records both.
 func (r *rig) send(m *machine, method, host, target string, deadline time.Duration) request {
+	return r.sendBody(m, method, host, target, "", deadline)
+}
+
+// sendBody is send for a request with a body.
+func (r *rig) sendBody(m *machine, method, host, target, body string, deadline time.Duration) request {
 	q := request{id: r.nextID(m), method: method, host: host, target: target, deadline: deadline, entry: m}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+500*time.Millisecond)
 	defer cancel()
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { q.kept = c.Reused }})
-	out, err := http.NewRequestWithContext(traced, method, "http://"+m.outbound+target, emptyBody{strings.NewReader("")})
+	out, err := http.NewRequestWithContext(traced, method, "http://"+m.outbound+target, onceBody{strings.NewReader(body)})
 	if err != nil {
 		q.err = err
 		return q
 	}
-	out.Host = host
+	out.Host, out.ContentLength = host, int64(len(body))
 	out.Header.Set("Attempt-Id", q.id)
 	out.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	q.sent = time.Now()
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -43,8 +43,9 @@
 	runs     []oneRun
 	// quiet ends the periodic reports.
 	quiet bool
-	// loses is the share of the answers that are lost.
-	loses float64
+	// loses is the share of the answers that are lost: with a reset, or silently.
+	loses  float64
+	silent bool
 }
 
 func newWorker(m *machine) (*worker, error) {
@@ -101,7 +102,7 @@
 	}
 	if w.losesAnswer() {
 		w.machine.rig.note("worker %s (%s): the answer to %s is lost", w.id, w.machine.service, id)
-		reset(out)
+		w.lose(out, in)
 		return
 	}
 	out.Header().Set("Response-Signature", "signed-by-"+w.id)
@@ -109,11 +110,23 @@
 }
 
 // loseAnswers makes the worker lose a share of its answers: it runs the requests, and resets
-// their connections.
-func (w *worker) loseAnswers(share float64) {
+// their connections or, if silent is set, leaves them open without a word.
+func (w *worker) loseAnswers(share float64, silent bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.loses = share
+	w.loses, w.silent = share, silent
+}
+
+// lose loses an answer.
+func (w *worker) lose(out http.ResponseWriter, in *http.Request) {
+	w.mu.Lock()
+	silent := w.silent
+	w.mu.Unlock()
+	if silent {
+		<-in.Context().Done()
+		return
+	}
+	reset(out)
 }
 
 func (w *worker) losesAnswer() bool {
