Review case 3: show it with frozen machines

How: review/3/run.sh stops three machines in turn for 4 s each; requests that begin there are not judged.

--- a/review/rig/encoded.go
+++ b/review/rig/encoded.go
@@ -41,7 +41,7 @@
 		losing := losingWorkers
 		for _, m := range r.machines {
 			if m.service == ordersService && losing > 0 {
-				m.worker.loseAnswers(lostShare, false)
+				m.worker.loseAnswers(lostShare)
 				losing--
 			}
 		}
@@ -49,7 +49,7 @@
 	}
 	time.Sleep(lostTime)
 	for _, m := range r.machines {
-		m.worker.loseAnswers(0, false)
+		m.worker.loseAnswers(0)
 	}
 	time.Sleep(2 * time.Second)
 	stop()
--- a/review/rig/kept.go
+++ b/review/rig/kept.go
@@ -3,26 +3,25 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
-// Dose of the silently lost answers: that of a standard day, share 0.6, x 0.3 and for_s 6.
 const (
-	silentWorkers = 3 // of 6, share 0.5
-	silentShare   = 0.3
-	silentTime    = 6 * time.Second
-	// silentPlays is how often that happens, with silentGap between two.
-	silentPlays = 8
-	silentGap   = 3 * time.Second
-	// afterTime is how long the traffic goes on when no answer is lost any more.
+	// freezeTime is how long a machine stands still; the site files have 4 s, of one machine.
+	freezeTime = 4 * time.Second
+	// freezeGap is the time between two machines that stand still.
+	freezeGap = 2 * time.Second
+	// afterTime is how long the traffic goes on when the machine is awake again.
 	afterTime = 10 * time.Second
 )
 
-// keptAfterTimeout has workers lose answers silently, so that some orders reach the timeout of
-// their route while their clients still wait. The clients keep their connections. Rule DENIED: no
-// more than 5 and one in 500 of all proper requests get a 4xx of the system's own.
+// keptAfterTimeout freezes three machines, one after the other, so that some orders that their
+// workers run for others reach the timeout of their route while their clients still wait. The clients keep their connections.
+// Rule DENIED: no more than 5 and one in 500 of all proper requests get a 4xx of the system's own.
 func keptAfterTimeout(r *rig) ([]string, error) {
 	if err := r.startUsual(); err != nil {
 		return nil, err
@@ -35,31 +34,39 @@
 		both.Wait()
 	})
 	time.Sleep(4 * time.Second)
-	for range silentPlays {
-		if r.trouble {
-			r.loseSilently(silentShare)
+	if r.trouble {
+		for _, m := range r.frozen() {
+			m.freeze(freezeTime)
+			time.Sleep(freezeGap)
 		}
-		time.Sleep(silentTime)
-		r.loseSilently(0)
-		time.Sleep(silentGap)
 	}
 	calm := time.Now()
-	r.note("no answer is lost any more")
 	time.Sleep(afterTime)
 	stop()
 	return deniedBreaks(r, calm), nil
 }
 
-// loseSilently makes silentWorkers of orders-desk lose a share of their answers.
-func (r *rig) loseSilently(share float64) {
-	silent := silentWorkers
-	for _, m := range r.machines {
-		if m.service == ordersService && silent > 0 {
-			m.worker.loseAnswers(share, true)
-			silent--
-		}
+// frozen returns the machines that stand still, one after the other.
+func (r *rig) frozen() []*machine { return []*machine{r.machines[0], r.machines[3], r.machines[6]} }
+
+// freeze stops the daemon and its worker for a while.
+func (m *machine) freeze(duration time.Duration) {
+	m.worker.freeze(true)
+	m.signal(syscall.SIGSTOP)
+	m.rig.note("%s: stands still", m.name)
+	time.Sleep(duration)
+	m.signal(syscall.SIGCONT)
+	m.worker.freeze(false)
+	m.rig.note("%s: is awake", m.name)
+}
+
+// signal sends a signal to the daemon.
+func (m *machine) signal(s syscall.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.process != nil {
+		_ = m.process.Process.Signal(s)
 	}
-	r.note("%d workers lose %.1f of their answers silently", silentWorkers, share)
 }
 
 // deniedBreaks returns how many requests got a 4xx of the system's own, if they are too many.
@@ -72,6 +79,10 @@
 		if q.status == http.StatusGatewayTimeout {
 			timedOut++
 		}
+		// Those that are frozen at any time are not judged.
+		if slices.Contains(r.frozen(), q.entry) {
+			continue
+		}
 		if q.status < 300 || q.status >= 500 || q.signature != "" {
 			continue
 		}
@@ -84,10 +95,10 @@
 		}
 	}
 	r.mu.Unlock()
-	r.note("of %d requests %d got 504 and %d a 4xx of the system's own, %d of these were sent later than 3 s after the last lost answer", all, timedOut, denied, late)
+	r.note("of %d requests %d got 504 and %d a 4xx of the system's own, %d of these were sent later than 3 s after the last machine was awake again", all, timedOut, denied, late)
 	if denied <= 5+all/500 {
 		return nil
 	}
-	return []string{fmt.Sprintf("DENIED: %d of %d proper requests got a 4xx of the system's own, allowed are %d; %d of them were sent later than 3 s after the last lost answer",
+	return []string{fmt.Sprintf("DENIED: %d of %d proper requests got a 4xx of the system's own, allowed are %d; %d of them were sent later than 3 s after the last machine was awake again",
 		denied, all, 5+all/500, late)}
 }
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -43,9 +43,10 @@
 	runs     []oneRun
 	// quiet ends the periodic reports.
 	quiet bool
-	// loses is the share of the answers that are lost: with a reset, or silently.
-	loses  float64
-	silent bool
+	// loses is the share of the answers that are lost.
+	loses float64
+	// awake is locked while the worker stands still.
+	awake sync.RWMutex
 }
 
 func newWorker(m *machine) (*worker, error) {
@@ -87,6 +88,7 @@
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	w.awaitAwake()
 	if _, err := readAll(in.Body); err != nil {
 		return
 	}
@@ -100,9 +102,10 @@
 	case <-in.Context().Done():
 		return
 	}
+	w.awaitAwake()
 	if w.losesAnswer() {
 		w.machine.rig.note("worker %s (%s): the answer to %s is lost", w.id, w.machine.service, id)
-		w.lose(out, in)
+		reset(out)
 		return
 	}
 	out.Header().Set("Response-Signature", "signed-by-"+w.id)
@@ -110,23 +113,26 @@
 }
 
 // loseAnswers makes the worker lose a share of its answers: it runs the requests, and resets
-// their connections or, if silent is set, leaves them open without a word.
-func (w *worker) loseAnswers(share float64, silent bool) {
+// their connections.
+func (w *worker) loseAnswers(share float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.loses, w.silent = share, silent
+	w.loses = share
 }
 
-// lose loses an answer.
-func (w *worker) lose(out http.ResponseWriter, in *http.Request) {
-	w.mu.Lock()
-	silent := w.silent
-	w.mu.Unlock()
-	if silent {
-		<-in.Context().Done()
+// freeze makes the worker stand still, or ends that.
+func (w *worker) freeze(still bool) {
+	if still {
+		w.awake.Lock()
 		return
 	}
-	reset(out)
+	w.awake.Unlock()
+}
+
+// awaitAwake returns once the worker does not stand still.
+func (w *worker) awaitAwake() {
+	w.awake.RLock()
+	defer w.awake.RUnlock()
 }
 
 func (w *worker) losesAnswer() bool {
@@ -177,6 +183,7 @@
 		w.mu.Lock()
 		quiet := w.quiet
 		w.mu.Unlock()
+		w.awaitAwake()
 		if !quiet {
 			_ = w.post("/api/Instances.Heartbeat/"+w.id, w.status("ready"))
 		}
