--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -74,6 +74,7 @@
 	CallNotExposed      Code = 524
 	CallVersionClosed   Code = 525
 	CallStopped         Code = 526
+	CallCancelledNotRun Code = 527
 )
 
 // Info describes one code.
@@ -130,7 +131,7 @@
 	{CallBadRequest, "call-bad-request", "The request is malformed.", NotRun, http.StatusBadRequest, false},
 	{CallPeerLost, "call-peer-lost", "The connection to the executing daemon was lost while the request was in progress.", Unknown, http.StatusBadGateway, false},
 	{CallRetryBudget, "call-retry-budget", "The request failed and the retry budget is exhausted.", NotRun, http.StatusServiceUnavailable, true},
-	{CallCancelled, "call-cancelled", "The caller disconnected.", Unknown, 499, false},
+	{CallCancelled, "call-cancelled", "The caller disconnected while the request may have been running.", Unknown, 499, false},
 	{CallAnswerBroken, "call-answer-broken", "The upstream's answer was incomplete or invalid.", Unknown, http.StatusBadGateway, false},
 	{CallHeadersTooLarge, "call-headers-too-large", "The request headers exceed the limit.", NotRun, http.StatusRequestHeaderFieldsTooLarge, false},
 	{CallUpstreamRefused, "call-upstream-refused", "The upstream refused the request without running it.", NotRun, http.StatusServiceUnavailable, true},
@@ -141,6 +142,7 @@
 	{CallNotExposed, "call-not-exposed", "The upstream has a new version on trial, and the request does not belong to the trial.", NotRun, http.StatusServiceUnavailable, true},
 	{CallVersionClosed, "call-version-closed", "A rollout gives no requests to the version of the upstream.", NotRun, http.StatusServiceUnavailable, true},
 	{CallStopped, "call-stopped", "A planned stop reached its time limit while the request may have been running.", Unknown, http.StatusBadGateway, false},
+	{CallCancelledNotRun, "call-cancelled-not-run", "The caller disconnected before the request started.", NotRun, http.StatusServiceUnavailable, true},
 }
 
 var byCode = indexByCode()
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -67,6 +67,8 @@
 	// the connection, which ends a Read that waits for data.
 	deadline    time.Time
 	interrupted bool
+	// bodyLimited is set while deadline is that of the body being delivered; see SetBodyDeadline.
+	bodyLimited bool
 }
 
 func newConn(conn net.Conn, listener *Listener) *Conn {
@@ -175,15 +177,25 @@
 	n := copy(p, available)
 	c.ahead = c.ahead[n:]
 	if !c.passThrough {
-		c.deliver -= n
+		c.delivered(n)
 	}
 	return n
 }
 
+// delivered counts bytes of the request being delivered that net/http has read. The deadline
+// of a body ends with it. The caller holds mu.
+func (c *Conn) delivered(n int) {
+	c.deliver -= n
+	if c.deliver == 0 && c.bodyLimited {
+		// If this fails, the connection has ended.
+		_ = c.setReadDeadline(time.Time{})
+	}
+}
+
 // receiveBody reads from the body of the request being delivered; see receive.
 func (c *Conn) receiveBody(p []byte) (int, error) {
 	n, err := c.receive(p[:min(len(p), c.deliver)])
-	c.deliver -= n
+	c.delivered(n)
 	return n, err
 }
 
@@ -280,7 +292,13 @@
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.setReadDeadline(t)
+}
+
+// setReadDeadline is SetReadDeadline for a caller that holds mu.
+func (c *Conn) setReadDeadline(t time.Time) error {
 	c.deadline = t
+	c.bodyLimited = false
 	c.changed.Broadcast()
 	if c.ended {
 		return net.ErrClosed
@@ -288,6 +306,21 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// setBodyDeadline is SetBodyDeadline for the request that is served on the connection itself.
+func (c *Conn) setBodyDeadline(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.passThrough {
+		return false
+	}
+	if c.deliver > 0 {
+		// If this fails, the connection has ended.
+		_ = c.setReadDeadline(t)
+		c.bodyLimited = true
+	}
+	return true
+}
+
 // SetDeadline implements net.Conn.
 func (c *Conn) SetDeadline(t time.Time) error {
 	if err := c.SetReadDeadline(t); err != nil {
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -25,6 +25,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -210,3 +211,18 @@
 	}
 	return true
 }
+
+// SetBodyDeadline sets the time by which the body of the request with this context must have
+// arrived. Unlike a read deadline of net/http, it ends with the body: from then on, net/http
+// watches the connection for its caller's leaving, and takes an error for that. It returns
+// false if it has no effect because the end of the body is not known here.
+func SetBodyDeadline(ctx context.Context, t time.Time) bool {
+	switch c := ctx.Value(connKey{}).(type) {
+	case *Conn:
+		return c.setBodyDeadline(t)
+	case *branch:
+		// It has no body.
+		return true
+	}
+	return false
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -15,6 +15,7 @@
 	"godwitmount/internal/code"
 	"godwitmount/internal/freshness"
 	"godwitmount/internal/manifest"
+	"godwitmount/internal/pipeline"
 	"godwitmount/internal/quota"
 	"godwitmount/internal/upstream"
 )
@@ -69,6 +70,8 @@
 	// token is the right to run the request, if the customer has a limit.
 	token   quota.Token
 	request *hopv1.Request
+	// bodyRead is set once the body has been read to its end.
+	bodyRead bool
 }
 
 // isRetry reports whether the call was made by a run that is a retry.
@@ -258,7 +261,8 @@
 	if !hasBody(r) {
 		return nil, nil
 	}
-	if err := http.NewResponseController(w).SetReadDeadline(c.deadline); err != nil {
+	outlastsBody, err := setBodyDeadline(w, r, c.deadline)
+	if err != nil {
 		return nil, newFailure(code.CallBadRequest)
 	}
 	var limited io.Reader = http.MaxBytesReader(w, r.Body, limit)
@@ -275,20 +279,39 @@
 	case err != nil:
 		return nil, newFailure(code.CallBadRequest)
 	}
-	// The server watches the connection while the request is served: a deadline that passes
-	// then would count as the caller's leaving.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	c.bodyRead = true
+	if outlastsBody {
+		// If this fails, the connection has ended.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
+	if !time.Now().Before(c.deadline) {
+		// A deadline that outlasts the body may have passed, so that no later request may be served
+		// on the connection: this answer ends it, or, where the deadline has ended with the
+		// body, may keep it.
+		return nil, newFailure(code.CallDeadlineNotRun)
+	}
 	return body, nil
 }
 
+// setBodyDeadline sets the time by which the request's body must have arrived, and reports
+// whether that deadline outlasts the body. Package net/http watches the connection from the end
+// of the body on; if a deadline passes then, it takes that for the caller's leaving and cancels
+// the context of the connection, from which those of all later requests on it derive.
+func setBodyDeadline(w http.ResponseWriter, r *http.Request, t time.Time) (outlastsBody bool, err error) {
+	if pipeline.SetBodyDeadline(r.Context(), t) {
+		return false, nil
+	}
+	return true, http.NewResponseController(w).SetReadDeadline(t)
+}
+
 // hasBody reports whether the request has a body, which may not have arrived yet.
 func hasBody(r *http.Request) bool { return r.Body != nil && r.ContentLength != 0 }
 
 // limitUnreadBody bounds the time for which the answer to a call waits for the rest of the
 // request's body: package net/http reads that first, to keep the connection. Without the
-// rest, the connection is closed after the answer.
+// rest, or if the limit would outlast the body, the connection is closed after the answer.
 func (c *call) limitUnreadBody(w http.ResponseWriter, r *http.Request) {
-	if !hasBody(r) {
+	if c.bodyRead || !hasBody(r) {
 		return
 	}
 	end := time.Now().Add(unreadBodyTime)
@@ -296,5 +319,7 @@
 		end = c.deadline
 	}
 	// If this fails, the connection has ended.
-	_ = http.NewResponseController(w).SetReadDeadline(end)
+	if outlastsBody, _ := setBodyDeadline(w, r, end); outlastsBody {
+		w.Header().Set("Connection", "close")
+	}
 }
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -203,7 +203,10 @@
 // whose caller has cancelled.
 func (f *forwarder) contextFailure(ctx context.Context) *failure {
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return &failure{code: code.CallCancelled, notRun: !f.mayHaveRun}
+		if f.mayHaveRun {
+			return newFailure(code.CallCancelled)
+		}
+		return newFailure(code.CallCancelledNotRun)
 	}
 	if f.mayHaveRun {
 		return newFailure(code.CallDeadlineUnknown)
--- a/internal/proxy/quota.go
+++ b/internal/proxy/quota.go
@@ -197,7 +197,7 @@
 	case errors.Is(err, context.DeadlineExceeded):
 		return quota.Token{}, newFailure(code.CallDeadlineNotRun)
 	case err != nil:
-		return quota.Token{}, newFailure(code.CallCancelled)
+		return quota.Token{}, newFailure(code.CallCancelledNotRun)
 	case d.Action == quota.Admit:
 		return d.Token, nil
 	}
