--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -73,6 +73,9 @@
 	// while a write is in progress.
 	selfWritten bool
 	upstream    Upstream
+	departures  departures
+	// unprovenSince is the monotonic time of the first report of an upstream that is Unproven.
+	unprovenSince time.Duration
 	// lastHeartbeat is the monotonic time of the last applied report.
 	lastHeartbeat time.Duration
 	// unreachableUntil is the monotonic time from which an unreachable upstream
@@ -162,7 +165,7 @@
 	case RolloutsChanged:
 		c.applyRollouts(ev.Services)
 	case StopRequested:
-		c.stop()
+		c.stop(ev)
 	}
 	return c.effects
 }
@@ -207,19 +210,19 @@
 }
 
 // stop starts a planned stop. It removes this daemon's member entry only if the
-// upstream has deregistered; otherwise the entry stays for the daemon's next
-// process.
-func (c *Core) stop() {
+// upstream has deregistered and ended; otherwise the entry stays for the daemon's next
+// process, which must not use an upstream that goes on after it has deregistered.
+func (c *Core) stop(ev StopRequested) {
 	c.stopping = true
-	c.log(event.DaemonStopping, false, step.F("upstream", c.upstream.State))
-	if c.upstream.State == UpstreamDeregistered {
+	c.log(event.DaemonStopping, false, step.F("upstream", c.upstream.State), step.F("runs", ev.UpstreamRuns))
+	if c.upstream.State == UpstreamDeregistered && !ev.UpstreamRuns {
 		c.emit(RemoveMember{Key: c.cfg.Self.Instance})
 	}
 }
 
 // tick performs the changes that depend on time alone.
 func (c *Core) tick() {
-	if !c.selfWritten && c.version > 0 && !c.stopping {
+	if !c.selfWritten && c.departures.read && (c.version > 0 || c.departurePending()) {
 		c.writeSelf()
 	}
 	if c.unreachableUntil > 0 && c.now >= c.unreachableUntil {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -87,7 +87,7 @@
 		if d.HasArg("failed") {
 			return MemberWritten{Err: store.ErrOutcomeUnknown}
 		}
-		return MemberWritten{}
+		return MemberWritten{Departure: Departure{Upstream: text("departure"), StartTime: int64(number("born"))}}
 	case "report":
 		report := UpstreamReport{
 			Upstream: text("id"), StartTime: int64(number("born")), Service: "desk", Address: "127.0.0.1:9",
@@ -111,7 +111,7 @@
 	case "stalled":
 		return UpstreamStalled{ID: text("id")}
 	case "stop":
-		return StopRequested{}
+		return StopRequested{UpstreamRuns: d.HasArg("runs")}
 	default:
 		t.Fatalf("unknown directive %s", d.Cmd)
 		return nil
--- /dev/null
+++ b/internal/control/departure.go
@@ -0,0 +1,143 @@
+package control
+
+import (
+	"godwitmount/internal/event"
+	"godwitmount/internal/step"
+)
+
+// Departure identifies the incarnation of the local upstream whose leaving this daemon, or an
+// earlier process of it, acknowledges. It is a part of the daemon's entry in the member table,
+// so that it outlives all processes that know of it. The zero Departure is none.
+type Departure struct {
+	Upstream string `json:"upstream"`
+	// StartTime is in Unix milliseconds; 0 for unknown.
+	StartTime int64 `json:"start_time,omitempty"`
+	// Deregistered is set if it has deregistered without having been draining.
+	Deregistered bool `json:"deregistered,omitempty"`
+	// DeregisteredAt is that of Upstream.
+	DeregisteredAt int64 `json:"deregistered_at,omitempty"`
+}
+
+// departures is what is known of the departures of the local upstream.
+type departures struct {
+	// read is set once a complete read of the member table has shown whether an earlier process
+	// has acknowledged a departure.
+	read bool
+	// latest is the departure that the entry is to hold, and recorded is set once it does.
+	latest   Departure
+	recorded bool
+}
+
+// departure returns the departure of an upstream that is draining or has deregistered.
+func (u *Upstream) departure() Departure {
+	return Departure{
+		Upstream: u.ID, StartTime: u.StartTime,
+		Deregistered: u.State == UpstreamDeregistered, DeregisteredAt: u.deregisteredAt,
+	}
+}
+
+// sameIncarnation reports whether both departures are of one incarnation. It may be draining
+// first and deregister then.
+func (d Departure) sameIncarnation(other Departure) bool {
+	return d.Upstream == other.Upstream && d.StartTime == other.StartTime
+}
+
+// covers reports whether the report ev comes from the incarnation that departs. Without a start
+// time that is not known: the upstream may have started again under its ID.
+func (d Departure) covers(ev UpstreamReport) bool {
+	u := Upstream{ID: d.Upstream, StartTime: d.StartTime, deregisteredAt: d.DeregisteredAt}
+	return (d.StartTime != 0 || d.DeregisteredAt != 0) && u.sameIncarnation(ev)
+}
+
+// recordDeparture writes the departure of the upstream, which is draining or has deregistered,
+// to this daemon's entry. Its reports are acknowledged once that is done.
+func (c *Core) recordDeparture() {
+	departure := c.upstream.departure()
+	if departure.sameIncarnation(c.departures.latest) {
+		return
+	}
+	c.departures.latest, c.departures.recorded = departure, false
+	c.emit(HoldAcknowledgement{})
+	if c.departures.read {
+		c.writeSelf()
+	}
+}
+
+// departurePending reports whether a departure is not on the store yet.
+func (c *Core) departurePending() bool {
+	return c.departures.latest != Departure{} && !c.departures.recorded
+}
+
+// departureRecorded applies that the entry on the store holds the departure.
+func (c *Core) departureRecorded(departure Departure) {
+	if !c.departurePending() || !departure.sameIncarnation(c.departures.latest) {
+		return
+	}
+	c.departures.recorded = true
+	c.emit(ReleaseAcknowledgement{})
+	c.log(event.DepartureRecorded, false, step.F("upstream", departure.Upstream))
+}
+
+// ownDepartureRead applies the departure in this daemon's entry. In a new process it is the one that
+// an earlier process has acknowledged.
+func (c *Core) ownDepartureRead(departure Departure) {
+	if departure == (Departure{}) {
+		return
+	}
+	if c.departures.latest == (Departure{}) {
+		c.departures.latest, c.departures.recorded = departure, true
+		c.restoreDeparture(departure)
+		return
+	}
+	c.departureRecorded(departure)
+}
+
+// restoreDeparture makes the upstream draining or deregistered again, unless another incarnation
+// has reported.
+func (c *Core) restoreDeparture(departure Departure) {
+	known := &c.upstream
+	other := known.State != UpstreamUnknown && (known.ID != departure.Upstream || known.StartTime != departure.StartTime)
+	if other && !c.restoresWithoutStart(departure) || known.Draining() {
+		return
+	}
+	known.ID, known.StartTime = departure.Upstream, departure.StartTime
+	known.State, known.deregisteredAt = UpstreamDraining, departure.DeregisteredAt
+	known.Unproven = false
+	if known.Address == "" {
+		known.Address = c.cfg.UpstreamAddress
+	}
+	if departure.Deregistered {
+		known.State = UpstreamDeregistered
+	}
+	c.publishUpstream()
+}
+
+// restoresWithoutStart reports whether the known upstream is the one that deregistered with an
+// unknown start time.
+func (c *Core) restoresWithoutStart(departure Departure) bool {
+	return departure.covers(UpstreamReport{Upstream: c.upstream.ID, StartTime: c.upstream.StartTime})
+}
+
+// departuresRead is called with each complete read of the member table.
+func (c *Core) departuresRead() {
+	c.departures.read = true
+	if c.upstream.Unproven {
+		c.upstream.Unproven = false
+		c.publishUpstream()
+	}
+}
+
+// isUnproven reports whether an upstream that reports ready may be one whose departure an
+// earlier process has acknowledged. While the store can't be read, it counts as proven once its reports
+// have gone on for a heartbeat interval: one that has left sends none, and a delayed one comes
+// alone.
+func (c *Core) isUnproven(before Upstream, sameIncarnation bool) bool {
+	if c.departures.read || sameIncarnation && !before.Unproven {
+		return false
+	}
+	if !sameIncarnation || !before.Unproven {
+		c.unprovenSince = c.now
+		return true
+	}
+	return c.now-c.unprovenSince < c.cfg.HeartbeatInterval
+}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -30,33 +30,48 @@
 	Service string `json:"service"`
 }
 
-func (m Member) encode() []byte {
-	text, err := json.Marshal(m)
+// entry is the JSON form of a row of the member table.
+type entry struct {
+	Member
+	Departure *Departure `json:"departure,omitempty"`
+}
+
+// encodeEntry returns the value of a row of the member table.
+func encodeEntry(m Member, departure Departure) []byte {
+	e := entry{Member: m}
+	if departure != (Departure{}) {
+		e.Departure = &departure
+	}
+	text, err := json.Marshal(e)
 	if err != nil {
-		// Marshalling a struct of strings cannot fail.
+		// Marshalling strings and numbers cannot fail.
 		panic(fmt.Sprintf("control: encode member: %v", err))
 	}
 	return text
 }
 
-// decodeMember decodes a row of the member table. It returns an error unless
+// decodeEntry decodes a row of the member table. It returns an error unless
 // the instance equals the row's key and the address and data centre are set.
-func decodeMember(key string, value []byte) (Member, error) {
-	var m Member
+func decodeEntry(key string, value []byte) (Member, Departure, error) {
+	var e entry
 	decoder := json.NewDecoder(bytes.NewReader(value))
-	if err := decoder.Decode(&m); err != nil {
-		return m, fmt.Errorf("decode member: %w", err)
+	if err := decoder.Decode(&e); err != nil {
+		return Member{}, Departure{}, fmt.Errorf("decode member: %w", err)
+	}
+	if e.Instance != key || e.Address == "" || e.DataCentre == "" {
+		return Member{}, Departure{}, fmt.Errorf("decode member: instance %q, address %q, data centre %q", e.Instance, e.Address, e.DataCentre)
 	}
-	if m.Instance != key || m.Address == "" || m.DataCentre == "" {
-		return m, fmt.Errorf("decode member: instance %q, address %q, data centre %q", m.Instance, m.Address, m.DataCentre)
+	if e.Departure == nil {
+		return e.Member, Departure{}, nil
 	}
-	return m, nil
+	return e.Member, *e.Departure, nil
 }
 
 // memberRow is what is known of one entry of the member table. The Member is zero
 // if the entry was removed.
 type memberRow struct {
 	Member
+	departure Departure
 	// position is that of the entry's last known change, or of the complete read
 	// that did not return it; zero if the daemon is known only from a handshake.
 	position store.Position
@@ -106,6 +121,7 @@
 	if ev.Complete {
 		first = !c.membersComplete
 		c.membersComplete = true
+		c.departuresRead()
 		c.markMissing(seen, ev)
 		c.era.membersReadIn(ev.Position.Era)
 		c.writeSelf()
@@ -139,17 +155,20 @@
 		c.log(event.MemberRestored, false, step.F("key", row.Key), step.F("version", row.Position.Version))
 		return false
 	}
-	member, err := decodeMember(row.Key, row.Value)
+	member, departure, err := decodeEntry(row.Key, row.Value)
 	if err != nil {
 		c.log(event.MemberUnreadable, true, step.F("key", row.Key), step.F("error", err))
 		return false
 	}
-	c.members[row.Key] = memberRow{Member: member, position: row.Position, writtenVersion: row.Position.Version}
+	c.members[row.Key] = memberRow{Member: member, departure: departure, position: row.Position, writtenVersion: row.Position.Version}
 	// An entry with another address or data centre is that of an earlier process. Whoever
 	// has read it cannot connect to this one.
 	if member == c.cfg.Self {
 		c.ownEntryRead, c.ownEntryDue = true, false
 	}
+	if row.Key == c.cfg.Self.Instance {
+		c.ownDepartureRead(departure)
+	}
 	return member != known.Member
 }
 
@@ -225,6 +244,9 @@
 // is to be read, unless a read has returned it before the result of the write.
 func (c *Core) memberWritten(ev MemberWritten) {
 	c.selfWritten = ev.Err == nil
+	if c.selfWritten {
+		c.departureRecorded(ev.Departure)
+	}
 	if c.selfWritten && c.members[c.cfg.Self.Instance].Member != c.cfg.Self {
 		c.ownEntryDue = true
 		c.ownEntryReadAt = c.now
@@ -245,12 +267,14 @@
 }
 
 // writeSelf writes this daemon's entry unless the member table already holds it
-// or the daemon is stopping.
+// or the daemon is stopping. A departure is written also then.
 func (c *Core) writeSelf() {
-	if c.stopping || c.members[c.cfg.Self.Instance].Member == c.cfg.Self {
-		c.selfWritten = true
+	own := c.members[c.cfg.Self.Instance]
+	departure := c.departures.latest
+	isWritten := own.Member == c.cfg.Self && own.departure == departure
+	c.selfWritten = true
+	if isWritten || c.stopping && !c.departurePending() {
 		return
 	}
-	c.selfWritten = true
-	c.emit(WriteMember{Key: c.cfg.Self.Instance, Value: c.cfg.Self.encode()})
+	c.emit(WriteMember{Key: c.cfg.Self.Instance, Value: encodeEntry(c.cfg.Self, departure), Departure: departure})
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -86,6 +86,8 @@
 	// Err is nil if the entry was written. Otherwise the write is repeated once
 	// a configuration is in force.
 	Err error
+	// Departure is that of the WriteMember.
+	Departure Departure
 }
 
 // UpstreamUnreachable reports that the upstream with this ID did not accept a
@@ -123,7 +125,10 @@
 }
 
 // StopRequested starts a planned stop.
-type StopRequested struct{}
+type StopRequested struct {
+	// UpstreamRuns is set if the local upstream still accepts connections.
+	UpstreamRuns bool
+}
 
 // EventName implements step.Event.
 func (ConfigRead) EventName() string { return "config-read" }
@@ -209,8 +214,18 @@
 type WriteMember struct {
 	Key   string
 	Value []byte
+	// Departure is the one that the entry holds.
+	Departure Departure
 }
 
+// HoldAcknowledgement makes reports that the local upstream leaves wait for their
+// acknowledgement until the next ReleaseAcknowledgement: what is acknowledged must be on the
+// store.
+type HoldAcknowledgement struct{}
+
+// ReleaseAcknowledgement ends HoldAcknowledgement.
+type ReleaseAcknowledgement struct{}
+
 // RemoveMember removes this daemon's entry from the member table.
 type RemoveMember struct {
 	Key string
@@ -272,6 +287,12 @@
 // EffectName implements step.Effect.
 func (WriteMember) EffectName() string { return "write-member" }
 
+// EffectName implements step.Effect.
+func (HoldAcknowledgement) EffectName() string { return "hold-acknowledgement" }
+
+// EffectName implements step.Effect.
+func (ReleaseAcknowledgement) EffectName() string { return "release-acknowledgement" }
+
 // EffectName implements step.Effect.
 func (RemoveMember) EffectName() string { return "remove-member" }
 
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -51,6 +51,9 @@
 	Unreachable bool
 	// Stalled is set from an UpstreamStalled event until its next report.
 	Stalled bool
+	// Unproven is set while it is not known whether an earlier process of this daemon has
+	// acknowledged that it leaves.
+	Unproven bool
 	// sequence is the sequence number of its last report.
 	sequence uint64
 	// lateSequence is that of the last report of this incarnation that was ignored since
@@ -64,7 +67,7 @@
 
 // AcceptsRequests reports whether the upstream may be given requests.
 func (u Upstream) AcceptsRequests() bool {
-	return u.State == UpstreamReady && !u.Unreachable && !u.Stalled && u.Slots > 0
+	return u.State == UpstreamReady && !u.Unreachable && !u.Stalled && !u.Unproven && u.Slots > 0
 }
 
 // Draining reports whether the upstream is draining or has deregistered.
@@ -122,6 +125,9 @@
 	if sameIncarnation {
 		c.upstream.Unreachable = before.Unreachable && c.now < c.unreachableUntil
 	}
+	if ev.State == UpstreamReady {
+		c.upstream.Unproven = c.isUnproven(before, sameIncarnation)
+	}
 	if !c.upstream.Unreachable {
 		c.unreachableUntil = 0
 	}
@@ -130,6 +136,9 @@
 	if changed != c.upstream {
 		c.publishUpstream()
 	}
+	if c.upstream.Draining() {
+		c.recordDeparture()
+	}
 }
 
 // sameIncarnation reports whether ev comes from the incarnation u. If u
@@ -150,6 +159,9 @@
 // draining is draining, however late the report is.
 func (c *Core) outdated(ev UpstreamReport, sameIncarnation bool) bool {
 	known := &c.upstream
+	if ev.State == UpstreamReady && c.departures.latest.covers(ev) {
+		return true
+	}
 	if known.State == UpstreamUnknown {
 		return false
 	}
@@ -198,6 +210,7 @@
 		known.State = UpstreamDeregistered
 		c.publishUpstream()
 	}
+	c.recordDeparture()
 }
 
 // upstreamWasDraining restores the draining state that a peer recorded before
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -124,6 +124,8 @@
 	storeVersion atomic.Uint64
 	// storeAddressChanges counts how often the store's address was changed.
 	storeAddressChanges atomic.Int64
+	// acknowledgements is held while it is to be recorded that the upstream leaves.
+	acknowledgements gate
 	// removed is set once the entry is to be removed.
 	removed atomic.Bool
 	// lastRequest is when the last request of a caller began, in nanoseconds
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -111,12 +111,19 @@
 }
 
 // applyReport returns nil once the control loop has processed the upstream's
-// report, also if the report was ignored as outdated. It returns an error if that
-// takes longer than reportTimeout or the daemon has ended.
+// report, also if the report was ignored as outdated. That the upstream leaves must be on
+// the store by then. It returns an error if that takes longer than reportTimeout or the
+// daemon has ended.
 func (d *Daemon) applyReport(report control.UpstreamReport) error {
 	ctx, cancel := context.WithTimeout(d.background, reportTimeout)
 	defer cancel()
-	return d.loop.do(ctx, report)
+	if err := d.loop.do(ctx, report); err != nil || report.State == control.UpstreamReady {
+		return err
+	}
+	if err := d.acknowledgements.wait(ctx); err != nil {
+		return fmt.Errorf("record that the upstream leaves: %w", err)
+	}
+	return nil
 }
 
 func (d *Daemon) logReportError(err error) { d.log.Warn(event.ReportRefused, zap.Error(err)) }
--- a/internal/daemon/perform.go
+++ b/internal/daemon/perform.go
@@ -47,6 +47,10 @@
 		d.broadcastState()
 	case control.WriteMember:
 		d.callForMember(func() { d.writeMember(e) })
+	case control.HoldAcknowledgement:
+		d.acknowledgements.hold()
+	case control.ReleaseAcknowledgement:
+		d.acknowledgements.release()
 	case control.RemoveMember:
 		d.removed.Store(true)
 		d.callForMember(func() { d.removeMember(e) })
@@ -120,7 +124,7 @@
 		d.log.Warn(event.StoreLost, zap.String("table", MembersTable), zap.Error(err))
 		sleep(d.background, minBackoff)
 	}
-	d.loop.post(control.MemberWritten{Err: err})
+	d.loop.post(control.MemberWritten{Err: err, Departure: e.Departure})
 }
 
 // publishStoreEra passes the store's era on to peers, counted unless it is the
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -105,7 +105,7 @@
 	go func() {
 		bounded, cancel := context.WithDeadline(ctx, end)
 		defer cancel()
-		if err := d.loop.do(bounded, control.StopRequested{}); err != nil {
+		if err := d.loop.do(bounded, control.StopRequested{UpstreamRuns: d.proxy.UpstreamRunsOn(bounded)}); err != nil {
 			d.log.Warn(event.DaemonStopping, zap.Error(err))
 			return
 		}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -45,6 +45,8 @@
 
 	WatchTurns Number = 3018
 
+	DepartureRecorded Number = 3019
+
 	CallRouted   Number = 4001
 	CallExecuted Number = 4002
 	CallAnswered Number = 4003
@@ -127,6 +129,7 @@
 	{SessionResumed, "session-resumed", "The requests on a lost or silent connection to a peer were resumed on a new one; the line says what became of them."},
 	{SessionMoved, "session-moved", "A peer has moved its requests to a new connection; the line says how many run on and how many were cancelled."},
 	{WatchTurns, "watch-turns", "This store watcher takes turns with another one of its data centre, or watches alone from now on."},
+	{DepartureRecorded, "departure-recorded", "The departure of the local upstream is on the store; its reports of it are acknowledged from now on."},
 
 	{CallRouted, "call-routed", "A request was sent to an upstream; the line says why this one was chosen."},
 	{CallExecuted, "call-executed", "The executing daemon ran or refused a request."},
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -249,6 +249,20 @@
 	p.updateAdmission()
 }
 
+// runsOnTimeout bounds the check of UpstreamRunsOn. The upstream is on the same machine.
+const runsOnTimeout = 200 * time.Millisecond
+
+// UpstreamRunsOn reports whether the upstream has deregistered and may still accept connections.
+func (p *Proxy) UpstreamRunsOn(ctx context.Context) bool {
+	u := p.upstream.Load()
+	if u.State != control.UpstreamDeregistered || u.Address == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, runsOnTimeout)
+	defer cancel()
+	return !p.client.Unreachable(ctx)
+}
+
 // SetStoreUnavailable sets whether the store does not answer this daemon, and
 // reports whether that has changed.
 func (p *Proxy) SetStoreUnavailable(unavailable bool) bool {
