--- a/cmd/godwitmountd/main.go
+++ b/cmd/godwitmountd/main.go
@@ -149,7 +149,8 @@
 	log := asynclog.New(os.Stdout, loaded.Instance, level, loaded.LogLinesPerSecond)
 	defer log.Close()
 	debug.SetMemoryLimit(loaded.MemoryLimitBytes)
-	d, err := daemon.Start(daemon.Config{Settings: loaded, Platform: platform.NewAdapter(loaded), Log: log})
+	readSettings := func() (*settings.Daemon, error) { return load(opts.Settings) }
+	d, err := daemon.Start(daemon.Config{Settings: loaded, Platform: platform.NewAdapter(loaded), Log: log, ReadSettings: readSettings})
 	if err != nil {
 		log.Warn(event.ListenFailed, zap.Error(err))
 		return exitFailed
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -82,6 +82,8 @@
 	// gets requests again; 0 if the upstream is reachable.
 	unreachableUntil time.Duration
 	stopping         bool
+	// service is the upstream's service in the settings; empty accepts any.
+	service string
 	// sources holds, by instance, the reachable peers that have reported a newer version
 	// than the one in force.
 	sources map[string]configSource
@@ -116,7 +118,7 @@
 // New returns the core of a daemon that has just started. It begins as a store
 // watcher that is alone.
 func New(cfg Config) *Core {
-	return &Core{cfg: cfg, members: map[string]memberRow{}, sources: map[string]configSource{}, reachable: map[string]bool{}, storeUnavailable: map[string]bool{}, storeWatcher: SetStoreWatcher{On: true, Turns: 1}}
+	return &Core{cfg: cfg, service: cfg.Self.Service, members: map[string]memberRow{}, sources: map[string]configSource{}, reachable: map[string]bool{}, storeUnavailable: map[string]bool{}, storeWatcher: SetStoreWatcher{On: true, Turns: 1}}
 }
 
 // Step processes one event and returns the resulting effects in the order in
@@ -152,6 +154,8 @@
 		c.membersRead(ev)
 	case UpstreamReport:
 		c.upstreamReport(ev)
+	case ServiceChanged:
+		c.service = ev.Service
 	case UpstreamUnreachable:
 		c.upstreamUnreachable(ev)
 	case DrainRecordReceived:
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -96,12 +96,17 @@
 		if d.HasArg("address") {
 			report.Address = text("address")
 		}
+		if d.HasArg("service") {
+			report.Service = text("service")
+		}
 		if d.HasArg("draining") {
 			report.State = UpstreamDraining
 		}
 		return report
 	case "leave":
 		return UpstreamReport{Upstream: text("id"), StartTime: int64(number("born")), State: UpstreamDeregistered}
+	case "service":
+		return ServiceChanged{Service: text("is")}
 	case "lost":
 		return UpstreamUnreachable{ID: text("id")}
 	case "reminded":
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -90,6 +90,11 @@
 	Departure Departure
 }
 
+// ServiceChanged reports that the settings were read again, and the upstream's service in them.
+type ServiceChanged struct {
+	Service string
+}
+
 // UpstreamUnreachable reports that the upstream with this ID did not accept a
 // connection.
 type UpstreamUnreachable struct {
@@ -163,6 +168,9 @@
 // EventName implements step.Event.
 func (MemberWritten) EventName() string { return "member-written" }
 
+// EventName implements step.Event.
+func (ServiceChanged) EventName() string { return "service-changed" }
+
 // EventName implements step.Event.
 func (UpstreamUnreachable) EventName() string { return "upstream-lost" }
 
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -97,7 +97,7 @@
 func (UpstreamReport) EventName() string { return "upstream-report" }
 
 // upstreamReport applies a report of the upstream. A late report, one of an
-// earlier incarnation, or one with another address than the configured one,
+// earlier incarnation, or one with another address or service than the configured one,
 // changes nothing.
 func (c *Core) upstreamReport(ev UpstreamReport) {
 	if ev.State == UpstreamDeregistered {
@@ -109,6 +109,10 @@
 		return
 	}
 	sameIncarnation := c.upstream.sameIncarnation(ev)
+	if c.otherService(ev, sameIncarnation) {
+		c.log(event.UpstreamIgnored, true, step.F("upstream", ev.Upstream), step.F("service", ev.Service), step.F("why", "not the configured service"))
+		return
+	}
 	if c.outdated(ev, sameIncarnation) {
 		c.log(event.UpstreamIgnored, false, step.F("upstream", ev.Upstream), step.F("sequence", ev.Sequence), step.F("why", "outdated"))
 		if sameIncarnation {
@@ -141,6 +145,16 @@
 	}
 }
 
+// otherService reports whether ev has another service than the configured one, and so comes from
+// another writer. That the known upstream is draining counts in any case: its service may have
+// been changed in the settings while it runs.
+func (c *Core) otherService(ev UpstreamReport, sameIncarnation bool) bool {
+	if c.service == "" || ev.Service == c.service {
+		return false
+	}
+	return ev.State != UpstreamDraining || !sameIncarnation
+}
+
 // sameIncarnation reports whether ev comes from the incarnation u. If u
 // deregistered with an unknown start time, only a start time after the
 // deregistration identifies a new incarnation.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -72,6 +72,8 @@
 	// BootClock reads the clock that goes on while the machine is suspended; nil means
 	// that of the machine.
 	BootClock func() time.Duration
+	// ReadSettings reads the settings again; nil if they do not change.
+	ReadSettings func() (*settings.Daemon, error)
 }
 
 // Daemon is a running daemon.
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -117,6 +117,9 @@
 func (d *Daemon) applyReport(report control.UpstreamReport) error {
 	ctx, cancel := context.WithTimeout(d.background, reportTimeout)
 	defer cancel()
+	if report.State != control.UpstreamDeregistered {
+		d.readChangedService(report.Service)
+	}
 	if err := d.loop.do(ctx, report); err != nil || report.State == control.UpstreamReady {
 		return err
 	}
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/zap"
 
+	"godwitmount/internal/control"
 	"godwitmount/internal/event"
 	"godwitmount/internal/settings"
 )
@@ -16,6 +17,7 @@
 	updated.Service, updated.StoreAddress = fresh.Service, fresh.StoreAddress
 	changed := updated != d.effective
 	d.proxy.SetService(fresh.Service)
+	d.loop.post(control.ServiceChanged{Service: fresh.Service})
 	d.cfg.Platform.Store.SetAddress(fresh.StoreAddress)
 	if updated.StoreAddress != d.effective.StoreAddress {
 		d.storeAddressChanged()
@@ -33,6 +35,29 @@
 	setLatest(d.readMembers, struct{}{})
 }
 
+// readChangedService reads the settings again if they name another service than the given one,
+// which an upstream reports: they may have changed since they were read.
+func (d *Daemon) readChangedService(reported string) {
+	if d.cfg.ReadSettings == nil || reported == d.service() {
+		return
+	}
+	fresh, err := d.cfg.ReadSettings()
+	if err != nil {
+		d.LogReloadError(err)
+		return
+	}
+	if fresh.Service == reported {
+		d.Reload(fresh)
+	}
+}
+
+// service returns the upstream's service in the settings in force.
+func (d *Daemon) service() string {
+	d.reloadMu.Lock()
+	defer d.reloadMu.Unlock()
+	return d.effective.Service
+}
+
 // LogReloadError logs that the settings could not be read again. The settings in
 // force stay.
 func (d *Daemon) LogReloadError(err error) { d.log.Warn(event.SettingsReread, zap.Error(err)) }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -338,13 +338,13 @@
 // maxReportedSuspects bounds the suspects in one message.
 const maxReportedSuspects = 256
 
-// callerService returns the service that requests from this machine come from:
-// that of the upstream if known, else that of the settings.
+// callerService returns the service that requests from this machine come from: that of the
+// settings or, if they name none, that of the upstream.
 func (p *Proxy) callerService() string {
-	if u := p.upstream.Load(); u.Service != "" {
-		return u.Service
+	if service := *p.service.Load(); service != "" {
+		return service
 	}
-	return *p.service.Load()
+	return p.upstream.Load().Service
 }
 
 // SetService sets the instance's service from the settings.
