Bound the memory of answers that are being read, and read none that is given up

Other operators reported a faulty upstream that sent bytes without end until its caller had no memory left; the requests of all others on the machine ended with it.

Cause: it could happen here in bodies. A body that was given up was closed, which reads it to its end, or in chunks until the deadline, with its bytes still referenced and no longer counted. And the bound was on bytes, 64 MiB on any machine, not on buffers, of which a growing body has two.

Change: a body is not closed; its connection is reset. What counts is the memory of the buffers, before it is allocated, the old and the new one while one grows. All bodies that are being read have half of memory_limit_bytes; buffers of up to 64 KiB are free, so that small answers are read meanwhile.

TestEndlessBodiesAreBoundedTogether counted the bytes read and allowed 1 MiB more for each request; it counts buffers against the bound now.

Conclusion: mended for answers that are being read.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,9 @@
 	// percent and perMille convert percentages and thousandths to shares.
 	percent  = 100
 	perMille = 1000
+	// bodyMemoryDivisor is what the memory limit is divided by to get the memory of the upstream's answers
+	// that are being read.
+	bodyMemoryDivisor = 2
 )
 
 // Platform holds what the daemon needs from the platform that it runs on.
@@ -200,6 +203,7 @@
 		RetryPercent: s.RetryPercent,
 		RetryExtra:   s.RetryExtra,
 		RetryWindow:  s.RetryWindow.Std(),
+		BodyMemory:   s.MemoryLimitBytes / bodyMemoryDivisor,
 		ExposeShare:  float64(s.ExposePerMille) / perMille,
 		Quota: quota.Params{
 			Window: s.QuotaWindow.Std(),
--- a/internal/proxy/limits_test.go
+++ b/internal/proxy/limits_test.go
@@ -24,7 +24,7 @@
 	log := asynclog.New(io.Discard, "i", zapcore.InfoLevel, 100)
 	peers := NewPeers(control.Member{Instance: "i"}, Listener{}, nil, log)
 	headers := Headers{RequestID: "Request-Id", Deadline: "Deadline", Signature: "Signature", Upstream: "Upstream-Id", NotRun: "Not-Run", CallerService: "Caller", CustomerKey: "Customer-Key", Customer: "Customer"}
-	p, err := New(Config{Instance: "i", Headers: headers, ParentID: func(string) string { return "" }, RetryPercent: 100, RetryExtra: 100, RetryWindow: 10 * time.Second},
+	p, err := New(Config{Instance: "i", Headers: headers, ParentID: func(string) string { return "" }, RetryPercent: 100, RetryExtra: 100, RetryWindow: 10 * time.Second, BodyMemory: 64 << 20},
 		Deps{Peers: peers, Log: log, BroadcastState: func() {}, Registerer: prometheus.NewRegistry()})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -74,6 +74,8 @@
 	// ExposeShare is the share of a service's requests that may go to a new version of
 	// its upstreams on trial; 0 disables rollouts.
 	ExposeShare float64
+	// BodyMemory bounds the memory of the upstream's answers that are being read, in bytes.
+	BodyMemory int64
 	// Quota bounds the requests of customers that have a limit.
 	Quota quota.Params
 }
@@ -200,7 +202,7 @@
 		RequestID: cfg.Headers.RequestID,
 		Signature: cfg.Headers.Signature,
 		NotRun:    cfg.Headers.NotRun,
-	})
+	}, cfg.BodyMemory)
 	p.cut, p.cutOff = context.WithCancel(context.Background())
 	p.upstream.Store(&control.Upstream{})
 	p.SetService(cfg.Service)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -171,7 +171,8 @@
 	// Rollback is the time after the 50th bad answer of a new version from which it must
 	// not get any more requests.
 	Rollback Duration `json:"rollback"`
-	// MemoryLimitBytes is the Go runtime's soft memory limit in bytes.
+	// MemoryLimitBytes is the Go runtime's soft memory limit in bytes. Half of it is for the
+	// upstream's answers that are being read.
 	MemoryLimitBytes int64 `json:"memory_limit_bytes"`
 	// LinkKbps is the rate of the machine's network link in kilobits per second, by
 	// which large messages to other daemons are paced, and below 100,000 also those from
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -8,63 +8,133 @@
 	"sync/atomic"
 )
 
+// Sizes of bodies in bytes.
 const (
-	// maxResponseBody is the largest response body in bytes.
+	// maxResponseBody is the largest response body.
 	maxResponseBody = 64 << 20
-	// maxIncomplete is the largest number of bytes of all bodies that are being read.
-	// Beyond it, those larger than smallBody fail: an upstream in trouble may send
-	// several bodies without end.
-	maxIncomplete = maxResponseBody
-	// smallBody is the size in bytes up to which a body is read in any case, and up to
-	// which memory is allocated by its announced length.
-	smallBody = 1 << 20
-	// maxRead is the largest number of bytes of a body that are read at once.
-	maxRead = 64 << 10
+	// freeBody is the size of a buffer up to which it counts for nothing: small answers are
+	// read whatever others hold.
+	freeBody = 64 << 10
+	// announcedBody is the size up to which a buffer is allocated by the announced length of a
+	// body. Of a larger one that many bytes must arrive first.
+	announcedBody = 1 << 20
+	// firstBuffer is the size of the first buffer of a body whose length is unknown.
+	firstBuffer = 4 << 10
 )
 
-// errTooManyBytes is returned for a body that is large while too many bytes are being
-// read.
-var errTooManyBytes = errors.New("bodies that are being read exceed the limit together")
+// errNoMemory is returned for a body that needs more memory than other bodies have left.
+var errNoMemory = errors.New("the bodies that are being read need too much memory")
 
-// bodyReader counts the bytes of a body that is being read.
-type bodyReader struct {
-	io.Reader
-	// all is the number of bytes of all bodies, own that of this one.
-	all *atomic.Int64
-	own int64
+// bodyMemory bounds the memory of the buffers of all bodies that are being read: an upstream in
+// trouble may send several without end.
+type bodyMemory struct {
+	limit int64
+	used  atomic.Int64
 }
 
-// Read implements io.Reader.
-func (r *bodyReader) Read(buffer []byte) (int, error) {
-	n, err := r.Reader.Read(buffer[:min(len(buffer), maxRead)])
-	r.own += int64(n)
-	if r.all.Add(int64(n)) > maxIncomplete && r.own > smallBody {
-		return n, errTooManyBytes
+// reserve takes n bytes, or returns false if there are fewer left.
+func (m *bodyMemory) reserve(n int64) bool {
+	if m.used.Add(n) > m.limit && n > 0 {
+		m.used.Add(-n)
+		return false
 	}
-	return n, err
+	return true
 }
 
-// readBody returns the complete body, none for HEAD, or an error if it is truncated or
-// exceeds maxResponseBody, or if all bodies exceed maxIncomplete.
+func (m *bodyMemory) release(n int64) { m.used.Add(-n) }
+
+// bodyBuffer holds the part of a body that has been read.
+type bodyBuffer struct {
+	memory *bodyMemory
+	data   []byte
+	// reserved is the part of memory that data takes.
+	reserved int64
+}
+
+// grow replaces the buffer by one of the given size. Both count until the bytes are copied.
+func (b *bodyBuffer) grow(size int64) error {
+	reserved := size
+	if size <= freeBody {
+		reserved = 0
+	}
+	if !b.memory.reserve(reserved) {
+		return errNoMemory
+	}
+	larger := make([]byte, len(b.data), size)
+	copy(larger, b.data)
+	b.data = larger
+	b.free()
+	b.reserved = reserved
+	return nil
+}
+
+// free gives back what the buffer has reserved.
+func (b *bodyBuffer) free() {
+	b.memory.release(b.reserved)
+	b.reserved = 0
+}
+
+// nextSize returns the size of the buffer that follows one that is full. Length is that of the
+// body; negative for unknown.
+func (b *bodyBuffer) nextSize(length int64) int64 {
+	full := int64(cap(b.data))
+	switch {
+	case length >= 0 && (length <= announcedBody || full > 0):
+		return length
+	case length >= 0:
+		return announcedBody
+	}
+	// One byte more than the largest body shows that a body is too large.
+	return min(max(2*full, firstBuffer), maxResponseBody+1)
+}
+
+// readAll reads a body to its end; a negative length is unknown. A body that ends before its
+// length gives io.ErrUnexpectedEOF.
+func (b *bodyBuffer) readAll(reader io.Reader, length int64) error {
+	for int64(len(b.data)) != length {
+		if len(b.data) > maxResponseBody {
+			return fmt.Errorf("body exceeds the limit of %d bytes", maxResponseBody)
+		}
+		if len(b.data) == cap(b.data) {
+			if err := b.grow(b.nextSize(length)); err != nil {
+				return err
+			}
+		}
+		n, err := reader.Read(b.data[len(b.data):cap(b.data)])
+		b.data = b.data[:len(b.data)+n]
+		if err != nil && int64(len(b.data)) != length {
+			return endOfBody(err, length)
+		}
+	}
+	return nil
+}
+
+// endOfBody returns what the error of a read of a body that is not complete by its length says of
+// the body: the end of one without a length completes it.
+func endOfBody(err error, length int64) error {
+	switch {
+	case err != io.EOF:
+		return err
+	case length >= 0:
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
+// readBody returns the complete body, none for HEAD, or an error if it is truncated, exceeds
+// maxResponseBody, or needs more memory than there is. The body is not closed: that would read
+// the rest of one that has failed, and its connection is reset instead.
 func (c *Client) readBody(response *http.Response) ([]byte, error) {
-	defer func() { _ = response.Body.Close() }()
 	if response.Request.Method == http.MethodHead {
 		return nil, nil
 	}
-	if response.ContentLength > maxResponseBody {
+	if response.ContentLength > min(maxResponseBody, c.memory.limit) {
 		return nil, fmt.Errorf("body of %d bytes exceeds the limit", response.ContentLength)
 	}
-	reader := &bodyReader{Reader: response.Body, all: &c.incomplete}
-	defer func() { c.incomplete.Add(-reader.own) }()
-	if response.ContentLength >= 0 && response.ContentLength <= smallBody {
-		body := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(reader, body)
-		return body, err
-	}
-	// A body that ends before its announced length gives io.ErrUnexpectedEOF.
-	body, err := io.ReadAll(io.LimitReader(reader, maxResponseBody+1))
-	if err == nil && len(body) > maxResponseBody {
-		return nil, fmt.Errorf("body exceeds the limit of %d bytes", maxResponseBody)
+	buffer := &bodyBuffer{memory: &c.memory}
+	defer buffer.free()
+	if err := buffer.readAll(response.Body, response.ContentLength); err != nil {
+		return nil, err
 	}
-	return body, err
+	return buffer.data, nil
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/http/httpguts"
@@ -58,12 +57,17 @@
 type Client struct {
 	headers Headers
 	pool    pool
-	// incomplete is the number of bytes of all response bodies that are being read.
-	incomplete atomic.Int64
+	// memory is that of the bodies that are being read.
+	memory bodyMemory
 }
 
-// NewClient returns a client without an address; see SetAddress.
-func NewClient(headers Headers) *Client { return &Client{headers: headers} }
+// NewClient returns a client without an address; see SetAddress. BodyMemory bounds the memory of all
+// response bodies that are being read, in bytes.
+func NewClient(headers Headers, bodyMemory int64) *Client {
+	c := &Client{headers: headers}
+	c.memory.limit = bodyMemory
+	return c
+}
 
 // SetAddress sets the upstream's address, host:port.
 func (c *Client) SetAddress(address string) { c.pool.setAddress(address) }
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -27,6 +27,9 @@
 	requests atomic.Int64
 }
 
+// testBodyMemory is the memory of the bodies that are being read, in bytes.
+const testBodyMemory = 64 << 20
+
 func startRawUpstream(t *testing.T, write func(net.Conn, *http.Request, int) bool) (*rawUpstream, *Client) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -36,7 +39,7 @@
 	t.Cleanup(func() { _ = listener.Close() })
 	u := &rawUpstream{listener: listener, write: write}
 	go u.serve()
-	client := NewClient(testHeaders)
+	client := NewClient(testHeaders, testBodyMemory)
 	client.SetAddress(listener.Addr().String())
 	return u, client
 }
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 )
 
 // endlessBytes is how much the upstreams of these tests send without an end, and
@@ -84,8 +85,8 @@
 			if _, err := io.WriteString(conn, pieces); err != nil {
 				return false
 			}
-			if incomplete := client.incomplete.Load(); incomplete > most.Load() {
-				most.Store(incomplete)
+			if used := client.memory.used.Load(); used > most.Load() {
+				most.Store(used)
 			}
 		}
 		return false
@@ -104,11 +105,56 @@
 		t.Errorf("a small answer: error %v", err)
 	}
 	failed.Wait()
-	// Each body may exceed the bound by what it reads at once.
-	if n := most.Load(); n > maxIncomplete+requests*smallBody {
-		t.Errorf("%d bytes of incomplete bodies at once", n)
+	if n := most.Load(); n > testBodyMemory {
+		t.Errorf("%d bytes for incomplete bodies at once", n)
 	}
-	if n := client.incomplete.Load(); n != 0 {
+	if n := client.memory.used.Load(); n != 0 {
 		t.Errorf("%d bytes are counted after all bodies have ended", n)
 	}
 }
+
+// TestBodyThatIsGivenUpIsNotReadOn guards against an upstream without end whose body is given up,
+// but read on until the caller's deadline.
+func TestBodyThatIsGivenUpIsNotReadOn(t *testing.T) {
+	piece := strings.Repeat("x", 4<<10)
+	for name, c := range map[string]struct{ start, piece string }{
+		"length": {"HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n", piece},
+		"chunks": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + piece + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, taken := startEndlessUpstream(t, c.start, c.piece)
+			client.memory.limit = 1 << 20
+			if _, err := do(client, "a", true); err == nil {
+				t.Error("got an answer")
+			}
+			if n := taken.Load(); n > maxTaken {
+				t.Errorf("the client took %d bytes", n)
+			}
+		})
+	}
+}
+
+// TestBodyOfAnyLengthIsWhole covers the buffers of bodies around the sizes at which they grow.
+func TestBodyOfAnyLengthIsWhole(t *testing.T) {
+	for _, size := range []int{0, 1, firstBuffer - 1, firstBuffer, firstBuffer + 1, freeBody, freeBody + 1, announcedBody, announcedBody + 1, 3*announcedBody + 1} {
+		for _, known := range []bool{true, false} {
+			text := strings.Repeat("0123456789", size/10+1)[:size]
+			length := int64(-1)
+			if known {
+				length = int64(size)
+			}
+			buffer := &bodyBuffer{memory: &bodyMemory{limit: testBodyMemory}}
+			if err := buffer.readAll(iotest.HalfReader(strings.NewReader(text)), length); err != nil || string(buffer.data) != text {
+				t.Errorf("%d bytes, known %t: %d bytes, %v", size, known, len(buffer.data), err)
+			}
+			buffer.free()
+			if used := buffer.memory.used.Load(); used != 0 {
+				t.Errorf("%d bytes, known %t: %d bytes stay reserved", size, known, used)
+			}
+		}
+	}
+	cut := &bodyBuffer{memory: &bodyMemory{limit: testBodyMemory}}
+	if err := cut.readAll(strings.NewReader("abc"), 4); err != io.ErrUnexpectedEOF {
+		t.Errorf("a body that is cut: %v", err)
+	}
+}
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -26,7 +26,7 @@
 		t.Fatal(err)
 	}
 	defer link.Close()
-	client := NewClient(testHeaders)
+	client := NewClient(testHeaders, testBodyMemory)
 	client.SetAddress(link.Address())
 	var together sync.WaitGroup
 	for _, id := range []string{"a", "b", "c"} {
