--- a/internal/ctl/match.go
+++ b/internal/ctl/match.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		return manifest.Request{}, failed(ExitUsage, code.OK, "%v", err)
 	}
-	path := target.Path
+	path := target.EscapedPath()
 	if path == "" {
 		path = "/"
 	}
--- a/internal/manifest/check_route.go
+++ b/internal/manifest/check_route.go
@@ -176,5 +176,5 @@
 	if slices.ContainsFunc([]byte(path), func(b byte) bool { return b < ' ' || b == 0x7f }) {
 		return false
 	}
-	return !hasDotSegment(path)
+	return !hasDotSegment(normalizePath(path))
 }
--- a/internal/manifest/compile.go
+++ b/internal/manifest/compile.go
@@ -51,6 +51,7 @@
 	effective := m.clone()
 	effective.normalize()
 	effective.fillZeros()
+	normalizePaths(effective.Routes)
 	if err := customersError(m.Customers); err != nil {
 		return nil, err
 	}
--- a/internal/manifest/explain.go
+++ b/internal/manifest/explain.go
@@ -21,6 +21,7 @@
 // Explain tests every route against the request, in match order. The taken route
 // is the one that Match returns.
 func (t *Table) Explain(req Request) []Explanation {
+	req.Path = normalizePath(req.Path)
 	explanations := make([]Explanation, len(t.routes))
 	taken := ""
 	for i := range t.routes {
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -109,7 +109,8 @@
 	Host string `json:"host,omitempty"`
 	// Path matches exactly. PathPrefix matches whole segments; one that ends
 	// in a slash doesn't match the path without that slash. At most one of the
-	// two is set.
+	// two is set. Both are compared with the encoded path of a request, in the normal form
+	// of RFC 3986.
 	Path       string `json:"path,omitempty"`
 	PathPrefix string `json:"path_prefix,omitempty"`
 	// Methods lists the methods that match.
--- a/internal/manifest/match.go
+++ b/internal/manifest/match.go
@@ -11,7 +11,7 @@
 	Method string
 	// Host may have a port and upper-case letters.
 	Host string
-	// Path is the decoded path, without the query.
+	// Path is the path as it is sent, without the query; see PathOf.
 	Path string
 	// Header has canonical names, as from net/http. It may be nil.
 	Header http.Header
@@ -22,10 +22,11 @@
 // leading slash: an upstream might resolve it to another path than the matched
 // one.
 func (t *Table) Match(req Request) (*CompiledRoute, bool) {
-	if !matchable(req.Path) {
+	path := normalizePath(req.Path)
+	if !matchable(path) {
 		return nil, false
 	}
-	position := t.index.first(normalizeHost(req.Host), req.Path, func(i int32) bool {
+	position := t.index.first(normalizeHost(req.Host), path, func(i int32) bool {
 		m := &t.routes[i].Match
 		return m.matchesMethod(req.Method) && m.matchesHeaders(req.Header)
 	})
@@ -35,11 +36,19 @@
 	return &t.routes[position], true
 }
 
-// matchable reports whether routes can match the path; see Match.
+// matchable reports whether routes can match the normal form of a path; see Match.
 func matchable(path string) bool {
 	return strings.HasPrefix(path, "/") && !hasDotSegment(path)
 }
 
+// normalizePaths replaces the paths of routes by their normal forms.
+func normalizePaths(routes []Route) {
+	for i := range routes {
+		m := &routes[i].Match
+		m.Path, m.PathPrefix = normalizePath(m.Path), normalizePath(m.PathPrefix)
+	}
+}
+
 func (m *Match) matchesHost(host string) bool {
 	return m.Host == "" || m.Host == host
 }
--- a/internal/manifest/unreachable.go
+++ b/internal/manifest/unreachable.go
@@ -13,6 +13,7 @@
 	canonical := m.clone()
 	canonical.normalize()
 	routes := canonical.Routes
+	normalizePaths(routes)
 	index := indexRoutes(routes)
 	for i := range routes {
 		match := &routes[i].Match
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -95,7 +95,7 @@
 	if p.entryClosed.Load() && !c.nested {
 		return c, newFailure(code.CallDraining)
 	}
-	table, verdict, f := p.findRoute(c, manifest.Request{Method: r.Method, Host: r.Host, Path: r.URL.Path, Header: r.Header})
+	table, verdict, f := p.findRoute(c, manifest.Request{Method: r.Method, Host: r.Host, Path: manifest.PathOf(r.RequestURI, r.URL), Header: r.Header})
 	if f != nil {
 		return c, f
 	}
