Read the entry again when the write of a departure fails

Cause: if only the answer of the store is lost, the departure is on the store, but its report was not acknowledged before a later write had an answer (found when the change was read once more).

Change: a failed write of a departure requests a read of the member table, which shows it. The line of a planned stop names whether the upstream runs by upstream_runs.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -218,7 +218,7 @@
 // process, which must not use an upstream that goes on after it has deregistered.
 func (c *Core) stop(ev StopRequested) {
 	c.stopping = true
-	c.log(event.DaemonStopping, false, step.F("upstream", c.upstream.State), step.F("runs", ev.UpstreamRuns))
+	c.log(event.DaemonStopping, false, step.F("upstream", c.upstream.State), step.F("upstream_runs", ev.UpstreamRuns))
 	if c.upstream.State == UpstreamDeregistered && !ev.UpstreamRuns {
 		c.emit(RemoveMember{Key: c.cfg.Self.Instance})
 	}
--- a/internal/control/departure.go
+++ b/internal/control/departure.go
@@ -78,8 +78,8 @@
 	c.log(event.DepartureRecorded, false, step.F("upstream", departure.Upstream))
 }
 
-// ownDepartureRead applies the departure in this daemon's entry. In a new process it is the one that
-// an earlier process has acknowledged.
+// ownDepartureRead applies the departure in this daemon's entry. In a new process it is the one
+// that an earlier process has acknowledged.
 func (c *Core) ownDepartureRead(departure Departure) {
 	if departure == (Departure{}) {
 		return
@@ -128,9 +128,9 @@
 }
 
 // isUnproven reports whether an upstream that reports ready may be one whose departure an
-// earlier process has acknowledged. While the store can't be read, it counts as proven once its reports
-// have gone on for a heartbeat interval: one that has left sends none, and a delayed one comes
-// alone.
+// earlier process has acknowledged. While the store cannot be read, it counts as proven once its
+// reports have gone on for a heartbeat interval: one that has left sends none, and a delayed
+// one comes alone.
 func (c *Core) isUnproven(before Upstream, sameIncarnation bool) bool {
 	if c.departures.read || sameIncarnation && !before.Unproven {
 		return false
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -244,8 +244,12 @@
 // is to be read, unless a read has returned it before the result of the write.
 func (c *Core) memberWritten(ev MemberWritten) {
 	c.selfWritten = ev.Err == nil
-	if c.selfWritten {
+	switch {
+	case c.selfWritten:
 		c.departureRecorded(ev.Departure)
+	case c.departurePending():
+		// Only the answer of the store may have been lost.
+		c.emit(ReadMembers{})
 	}
 	if c.selfWritten && c.members[c.cfg.Self.Instance].Member != c.cfg.Self {
 		c.ownEntryDue = true
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,8 +38,8 @@
 	// percent and perMille convert percentages and thousandths to shares.
 	percent  = 100
 	perMille = 1000
-	// bodyMemoryDivisor is what the memory limit is divided by to get the memory of the upstream's answers
-	// that are being read.
+	// bodyMemoryDivisor is what the memory limit is divided by to get the memory of the
+	// upstream's answers that are being read.
 	bodyMemoryDivisor = 2
 )
 
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -5,8 +5,8 @@
 	"sync"
 )
 
-// gate makes goroutines wait while it is held. The zero value is not held. Its methods may be called
-// from any goroutine.
+// gate makes goroutines wait while it is held. The zero value is not held. Its methods may be
+// called from any goroutine.
 type gate struct {
 	mu sync.Mutex
 	// released is closed by release; nil while the gate is not held.
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -285,9 +285,8 @@
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
 	if !time.Now().Before(c.deadline) {
-		// A deadline that outlasts the body may have passed, so that no later request may be served
-		// on the connection: this answer ends it, or, where the deadline has ended with the
-		// body, may keep it.
+		// If the deadline outlasts the body, it may have passed since, and no later request
+		// may be served on the connection. The answer to this one ends it.
 		return nil, newFailure(code.CallDeadlineNotRun)
 	}
 	return body, nil
