Use what was there for departures and encoded characters

Cause: found when the change was read once more. departures.read was membersComplete under another name, set at the same place. restoreDeparture and upstreamWasDraining restored the same state, and the first compared incarnations by hand beside sameIncarnation. path.go decoded hexadecimal digits itself.

Change: membersComplete, one restoreDeparture for the entry and for the records of peers, sameIncarnation, and strconv. Behaviour stays, but for one thing: an upstream that a peer names while it is unproven is published once instead of twice.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -226,7 +226,7 @@
 
 // tick performs the changes that depend on time alone.
 func (c *Core) tick() {
-	if !c.selfWritten && c.departures.read && (c.version > 0 || c.departurePending()) {
+	if !c.selfWritten && c.membersComplete && (c.version > 0 || c.departurePending()) {
 		c.writeSelf()
 	}
 	if c.unreachableUntil > 0 && c.now >= c.unreachableUntil {
--- a/internal/control/departure.go
+++ b/internal/control/departure.go
@@ -20,9 +20,6 @@
 
 // departures is what is known of the departures of the local upstream.
 type departures struct {
-	// read is set once a complete read of the member table has shown whether an earlier process
-	// has acknowledged a departure.
-	read bool
 	// latest is the departure that the entry is to hold, and recorded is set once it does.
 	latest   Departure
 	recorded bool
@@ -45,8 +42,12 @@
 // covers reports whether the report ev comes from the incarnation that departs. Without a start
 // time that is not known: the upstream may have started again under its ID.
 func (d Departure) covers(ev UpstreamReport) bool {
-	u := Upstream{ID: d.Upstream, StartTime: d.StartTime, deregisteredAt: d.DeregisteredAt}
-	return (d.StartTime != 0 || d.DeregisteredAt != 0) && u.sameIncarnation(ev)
+	return (d.StartTime != 0 || d.DeregisteredAt != 0) && d.upstream().sameIncarnation(ev)
+}
+
+// upstream returns what the departure says of its upstream.
+func (d Departure) upstream() Upstream {
+	return Upstream{ID: d.Upstream, StartTime: d.StartTime, deregisteredAt: d.DeregisteredAt}
 }
 
 // recordDeparture writes the departure of the upstream, which is draining or has deregistered,
@@ -58,7 +59,7 @@
 	}
 	c.departures.latest, c.departures.recorded = departure, false
 	c.emit(HoldAcknowledgement{})
-	if c.departures.read {
+	if c.membersComplete {
 		c.writeSelf()
 	}
 }
@@ -96,8 +97,8 @@
 // has reported.
 func (c *Core) restoreDeparture(departure Departure) {
 	known := &c.upstream
-	other := known.State != UpstreamUnknown && (known.ID != departure.Upstream || known.StartTime != departure.StartTime)
-	if other && !c.restoresWithoutStart(departure) || known.Draining() {
+	same := departure.upstream().sameIncarnation(UpstreamReport{Upstream: known.ID, StartTime: known.StartTime})
+	if known.State != UpstreamUnknown && !same || known.Draining() {
 		return
 	}
 	known.ID, known.StartTime = departure.Upstream, departure.StartTime
@@ -112,15 +113,9 @@
 	c.publishUpstream()
 }
 
-// restoresWithoutStart reports whether the known upstream is the one that deregistered with an
-// unknown start time.
-func (c *Core) restoresWithoutStart(departure Departure) bool {
-	return departure.covers(UpstreamReport{Upstream: c.upstream.ID, StartTime: c.upstream.StartTime})
-}
-
-// departuresRead is called with each complete read of the member table.
-func (c *Core) departuresRead() {
-	c.departures.read = true
+// proveUpstream is called with each complete read of the member table: it has shown whether an
+// earlier process has acknowledged a departure.
+func (c *Core) proveUpstream() {
 	if c.upstream.Unproven {
 		c.upstream.Unproven = false
 		c.publishUpstream()
@@ -132,7 +127,7 @@
 // reports have gone on for a heartbeat interval: one that has left sends none, and a delayed
 // one comes alone.
 func (c *Core) isUnproven(before Upstream, sameIncarnation bool) bool {
-	if c.departures.read || sameIncarnation && !before.Unproven {
+	if c.membersComplete || sameIncarnation && !before.Unproven {
 		return false
 	}
 	if !sameIncarnation || !before.Unproven {
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -121,7 +121,7 @@
 	if ev.Complete {
 		first = !c.membersComplete
 		c.membersComplete = true
-		c.departuresRead()
+		c.proveUpstream()
 		c.markMissing(seen, ev)
 		c.era.membersReadIn(ev.Position.Era)
 		c.writeSelf()
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -231,14 +231,9 @@
 // this process started. It applies only to the known incarnation, or to any if
 // none has reported yet.
 func (c *Core) upstreamWasDraining(ev DrainRecordReceived) {
-	known := &c.upstream
-	other := known.State != UpstreamUnknown && (known.ID != ev.ID || known.StartTime != ev.StartTime)
-	if ev.ID == "" || ev.StartTime == 0 || other || known.Draining() {
-		return
+	if ev.ID != "" && ev.StartTime != 0 {
+		c.restoreDeparture(Departure{Upstream: ev.ID, StartTime: ev.StartTime})
 	}
-	known.ID, known.StartTime = ev.ID, ev.StartTime
-	known.State = UpstreamDraining
-	c.publishUpstream()
 }
 
 // upstreamLeaving stops sending requests to an upstream that has announced its end. An
--- a/internal/manifest/path.go
+++ b/internal/manifest/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/url"
+	"strconv"
 	"strings"
 )
 
@@ -26,11 +27,9 @@
 	}
 	var out strings.Builder
 	for i := 0; i < len(path); i++ {
-		c := path[i]
-		encoded := c == '%' && i+2 < len(path) && isHex(path[i+1]) && isHex(path[i+2])
+		c, encoded := decodedAt(path, i)
 		if encoded {
-			c = unhex(path[i+1])<<4 | unhex(path[i+2])
-			i += 2
+			i += len("%2F") - 1
 		}
 		if isUnreserved(c) || !encoded && isPathDelimiter(c) {
 			out.WriteByte(c)
@@ -55,17 +54,16 @@
 
 const upperHex = "0123456789ABCDEF"
 
-func isHex(c byte) bool { return strings.IndexByte("0123456789abcdefABCDEF", c) >= 0 }
-
-// unhex returns the value of a hexadecimal digit.
-func unhex(c byte) byte {
-	switch {
-	case c >= 'a':
-		return c - 'a' + 10
-	case c >= 'A':
-		return c - 'A' + 10
+// decodedAt returns the character at an index of an encoded path, and whether it is encoded there.
+func decodedAt(path string, i int) (c byte, encoded bool) {
+	if path[i] != '%' || i+2 >= len(path) {
+		return path[i], false
+	}
+	value, err := strconv.ParseUint(path[i+1:i+3], 16, 8)
+	if err != nil {
+		return path[i], false
 	}
-	return c - '0'
+	return byte(value), true
 }
 
 // isUnreserved reports whether a character means the same whether or not it is encoded.
