Count no memory that was refused to a body

Cause: reserve added the bytes before it compared, and took them back when they were too many: for a moment they counted, and could refuse the bytes of another body that fit. Nothing was allocated for them.

Change: the bytes are compared before they are added, by compare and swap.

--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -34,11 +34,15 @@
 
 // reserve takes n bytes, or returns false if there are fewer left.
 func (m *bodyMemory) reserve(n int64) bool {
-	if m.used.Add(n) > m.limit && n > 0 {
-		m.used.Add(-n)
-		return false
+	for {
+		used := m.used.Load()
+		if n > 0 && used+n > m.limit {
+			return false
+		}
+		if m.used.CompareAndSwap(used, used+n) {
+			return true
+		}
 	}
-	return true
 }
 
 func (m *bodyMemory) release(n int64) { m.used.Add(-n) }
