--- a/review/rig2/allowance.go
+++ b/review/rig2/allowance.go
@@ -57,7 +57,7 @@
 		}()
 	}
 	// More than the whole allowance is asked for in one zone, and nothing in the others.
-	const aloneTime = 40 * time.Second
+	const aloneTime = 60 * time.Second
 	start(p.nodes[0], 120)
 	time.Sleep(aloneTime)
 	if p.trouble {
