--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -44,6 +44,16 @@
 	o.count[status]++
 }
 
+// served returns the share of the attempts that got status 200, and the number of all.
+func (o *outcome) served() (share float64, all int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, count := range o.count {
+		all += count
+	}
+	return float64(o.count[http.StatusOK]) / float64(max(all, 1)), all
+}
+
 func (o *outcome) String() string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -55,7 +65,11 @@
 func (n *node) send(client *http.Client, method string, r route, id string, body []byte) int {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(r.timeoutMS)*time.Millisecond)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.at(outboundPort)+r.prefix+"x", bytes.NewReader(body))
+	path := r.prefix + "x"
+	if r.ownPath {
+		path = r.prefix + id
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.at(outboundPort)+path, bytes.NewReader(body))
 	if err != nil {
 		return 0
 	}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -32,7 +32,8 @@
 	"foreign-report": foreignReport,
 	"keys":           keys,
 	"late-report":    lateReport,
-	"uploads":        uploads,
+	"popular":        popular,
+	"stop-calls":     stopCalls,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/rig2/play.go
+++ b/review/rig2/play.go
@@ -27,8 +27,6 @@
 	slots        = 18
 	// daemonProgram is the run line of deploy/system.toml.
 	daemonProgram = "target/godwitmountd"
-	// restartDelay is the platform's pause before it starts a process again.
-	restartDelay = 300 * time.Millisecond
 )
 
 // Ports of a machine. Each machine has a loopback address of its own.
@@ -244,6 +242,8 @@
 	timeoutMS                         int
 	// key is that of the tenant whose clients send the requests; empty for none.
 	key string
+	// ownPath is set if each request is for a path of its own.
+	ownPath bool
 }
 
 // tenant is a tenant of the configuration.
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -31,6 +31,8 @@
 	mu       sync.Mutex
 	sequence int
 	runs     []arrival
+	// caller makes the calls of the requests that run; nil for none.
+	caller *caller
 	// slots holds a value for each request that runs.
 	slots chan struct{}
 }
@@ -81,6 +83,13 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if c := w.currentCaller(); c != nil {
+		if !c.run(id) {
+			out.Header().Set("Response-Signature", "signed-by-"+w.id)
+			out.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+	}
 	select {
 	case <-time.After(w.work):
 	case <-r.Context().Done():
@@ -90,6 +99,19 @@
 	_, _ = fmt.Fprintf(out, "%s ran %s", w.id, id)
 }
 
+// setCaller makes the requests that the worker runs make calls.
+func (w *worker) setCaller(c *caller) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.caller = c
+}
+
+func (w *worker) currentCaller() *caller {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.caller
+}
+
 // arrivals returns the requests that the worker began to run.
 func (w *worker) arrivals() []arrival {
 	w.mu.Lock()
