--- a/review/rig3/rig/mesh.go
+++ b/review/rig3/rig/mesh.go
@@ -61,6 +61,8 @@
 	closers []io.Closer
 	lastID  atomic.Int64
 	client  *http.Client
+	// storeDown is set while the store is down.
+	storeDown atomic.Bool
 	// Closing is set by Close.
 	Closing atomic.Bool
 }
@@ -77,7 +79,7 @@
 	if links {
 		m.Network = NewNetwork()
 	}
-	m.store = httptest.NewServer(m.Store.Handler())
+	m.store = httptest.NewServer(m.storeHandler())
 	m.client = &http.Client{
 		Transport:     &http.Transport{MaxIdleConnsPerHost: 200, DisableCompression: true, IdleConnTimeout: 10 * time.Second},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -86,6 +88,28 @@
 	return m, nil
 }
 
+// storeHandler returns the handler of the store's calls, which resets them while the store is down.
+func (m *Mesh) storeHandler() http.Handler {
+	inner := m.Store.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !m.storeDown.Load() {
+			inner.ServeHTTP(w, r)
+			return
+		}
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			reset(conn)
+		}
+	})
+}
+
+// SetStoreDown makes the store reset all connections and calls, or ends that.
+func (m *Mesh) SetStoreDown(down bool) {
+	m.storeDown.Store(down)
+	if down {
+		m.store.CloseClientConnections()
+	}
+}
+
 // takePorts sets addresses to different free ports of a host.
 func takePorts(host string, addresses ...*string) error {
 	for _, address := range addresses {
@@ -255,13 +279,20 @@
 
 // Call describes one request of a client.
 type Call struct {
-	Method, Host, Path, Key string
-	Budget                  time.Duration
+	// ID is the attempt's id; empty for a new one.
+	ID, Method, Host, Path, Key string
+	Budget                      time.Duration
 }
 
+// NewID returns an id that no request has had.
+func (m *Mesh) NewID() string { return fmt.Sprintf("%016x", m.lastID.Add(1)) }
+
 // Send sends one request to a node's daemon and records what becomes of it.
 func (m *Mesh) Send(n *Node, c Call) (status int, retryAfter time.Duration) {
-	id := fmt.Sprintf("%016x", m.lastID.Add(1))
+	id := c.ID
+	if id == "" {
+		id = m.NewID()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.Budget)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, c.Method, "http://"+n.Outbound+c.Path, nil)
