--- a/review/rig3/rig/link.go
+++ b/review/rig3/rig/link.go
@@ -19,45 +19,10 @@
 type Network struct {
 	mu   sync.Mutex
 	cuts map[string]bool
-	open map[*pair]bool
-}
-
-// pair is a forwarded connection.
-type pair struct {
-	from, to     net.Conn
-	sender, node string
-	silent       chan struct{}
-}
-
-// Reset resets all connections of a node to others.
-func (n *Network) Reset(node string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for p := range n.open {
-		if p.sender == node || p.node == node {
-			reset(p.from)
-			reset(p.to)
-		}
-	}
-}
-
-// Silence makes all open connections of a node carry nothing for good.
-func (n *Network) Silence(node string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for p := range n.open {
-		if p.sender == node || p.node == node {
-			select {
-			case <-p.silent:
-			default:
-				close(p.silent)
-			}
-		}
-	}
 }
 
 // NewNetwork returns a network without cuts.
-func NewNetwork() *Network { return &Network{cuts: map[string]bool{}, open: map[*pair]bool{}} }
+func NewNetwork() *Network { return &Network{cuts: map[string]bool{}} }
 
 // Isolate cuts a node off from all other nodes, or ends that.
 func (n *Network) Isolate(node string, cut bool) {
@@ -117,26 +82,16 @@
 		reset(to)
 		return
 	}
-	p := &pair{from, to, sender, node, make(chan struct{})}
-	n.mu.Lock()
-	n.open[p] = true
-	n.mu.Unlock()
-	go n.copy(from, to, to, p)
-	n.copy(to, reader, from, p)
+	go n.copy(from, to, to, sender, node)
+	n.copy(to, reader, from, sender, node)
 }
 
 // copy forwards one direction until either connection ends, and then ends both.
-func (n *Network) copy(to net.Conn, from io.Reader, fromConn net.Conn, p *pair) {
+func (n *Network) copy(to net.Conn, from io.Reader, fromConn net.Conn, sender, node string) {
 	buffer := make([]byte, 16<<10)
 	for {
 		count, err := from.Read(buffer)
-		n.await(p.sender, p.node)
-		select {
-		case <-p.silent:
-			_, _ = io.Copy(io.Discard, from)
-			return
-		default:
-		}
+		n.await(sender, node)
 		if count > 0 {
 			if _, writeErr := to.Write(buffer[:count]); writeErr != nil {
 				err = writeErr
@@ -153,9 +108,6 @@
 		}
 		reset(to)
 		reset(fromConn)
-		n.mu.Lock()
-		delete(n.open, p)
-		n.mu.Unlock()
 		return
 	}
 }
--- a/review/rig3/rig/mesh.go
+++ b/review/rig3/rig/mesh.go
@@ -26,9 +26,6 @@
 // Program is the daemon's program, as the deploy file builds and names it.
 const Program = "target/godwitmountd"
 
-// LinkKbps is the rate of the links.
-var LinkKbps = 0
-
 // Beat is the interval of status reports.
 const Beat = 1500 * time.Millisecond
 
@@ -41,9 +38,6 @@
 	withNetwork                    bool
 	log                            *os.File
 
-	// Planned is set while the end of the process is planned.
-	Planned atomic.Bool
-
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
@@ -63,8 +57,6 @@
 	client  *http.Client
 	// storeDown is set while the store is down.
 	storeDown atomic.Bool
-	// Closing is set by Close.
-	Closing atomic.Bool
 }
 
 // NewMesh starts the platform's store. Bounds are those of the settings files. With links, all
@@ -162,7 +154,7 @@
 			"caller_listen": n.Outbound, "peer_listen": n.inbound, "peer_advertise": n.advertised, "announce_listen": n.Control,
 			"ready_listen": n.Ready, "upstream_address": n.App, "store_address": store, "heartbeat": Beat.String(),
 			"shutdown_grace": "6s", "memory_limit_bytes": 170 << 20, "quota_window": "5s", "quota_excess_percent": 10, "quota_slack": 20,
-			"strict_revoke": true, "revoke_limit": "5s", "retry_extra": 56, "link_kbps": LinkKbps, "log_lines_per_second": 5000,
+			"strict_revoke": true, "revoke_limit": "5s", "retry_extra": 56,
 		})
 		return string(text), err
 	}
@@ -279,20 +271,13 @@
 
 // Call describes one request of a client.
 type Call struct {
-	// ID is the attempt's id; empty for a new one.
-	ID, Method, Host, Path, Key string
-	Budget                      time.Duration
+	Method, Host, Path, Key string
+	Budget                  time.Duration
 }
 
-// NewID returns an id that no request has had.
-func (m *Mesh) NewID() string { return fmt.Sprintf("%016x", m.lastID.Add(1)) }
-
 // Send sends one request to a node's daemon and records what becomes of it.
 func (m *Mesh) Send(n *Node, c Call) (status int, retryAfter time.Duration) {
-	id := c.ID
-	if id == "" {
-		id = m.NewID()
-	}
+	id := fmt.Sprintf("%016x", m.lastID.Add(1))
 	ctx, cancel := context.WithTimeout(context.Background(), c.Budget)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, c.Method, "http://"+n.Outbound+c.Path, nil)
@@ -343,7 +328,6 @@
 
 // Close ends all daemons that were started and removes the temporary folder, unless KEEP is set.
 func (m *Mesh) Close() {
-	m.Closing.Store(true)
 	for _, n := range m.Nodes {
 		n.Signal(syscall.SIGKILL)
 		n.Signal(syscall.SIGCONT)
--- a/review/rig3/rig/worker.go
+++ b/review/rig3/rig/worker.go
@@ -24,8 +24,6 @@
 	Work time.Duration
 	// Beat is the interval of its status reports.
 	Beat time.Duration
-	// Answer returns the body of an answer; nil for a short one.
-	Answer func(r *http.Request, body []byte) []byte
 	// CrashOn is the path of the request that crashes it, and Crashed is called then.
 	CrashOn string
 	Crashed func()
@@ -105,8 +103,7 @@
 		rw.Header().Set("Instance-Id", w.cfg.ID)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
 	w.record.Ran(id, w.cfg.ID, r.Header.Get("Tenant"), r.URL.Path)
@@ -125,10 +122,6 @@
 		return
 	}
 	rw.Header().Set("Response-Signature", "signed-by-"+w.cfg.ID)
-	if w.cfg.Answer != nil {
-		_, _ = rw.Write(w.cfg.Answer(r, body))
-		return
-	}
 	_, _ = fmt.Fprintf(rw, "%s ran %s", w.cfg.ID, id)
 }
 
