--- a/review/rig3/drain/main.go
+++ b/review/rig3/drain/main.go
@@ -38,7 +38,7 @@
 			}
 		}
 	}
-	if err := m.AwaitReady(10 * time.Second); err != nil {
+	if err := m.AwaitReady(15 * time.Second); err != nil {
 		return m, false, err
 	}
 	for _, n := range m.Nodes[1:] {
--- a/review/rig3/killer/main.go
+++ b/review/rig3/killer/main.go
@@ -48,7 +48,7 @@
 			}
 		}
 	}
-	if err := m.AwaitReady(10 * time.Second); err != nil {
+	if err := m.AwaitReady(15 * time.Second); err != nil {
 		return m, false, err
 	}
 	for _, n := range m.Nodes {
@@ -79,7 +79,7 @@
 		}
 	}
 	time.Sleep(contact + 3*time.Second)
-	if err := m.AwaitReady(5 * time.Second); err != nil {
+	if err := m.AwaitReady(15 * time.Second); err != nil {
 		return m, false, err
 	}
 	from := m.Record.Now()
