--- a/review/rig3/share/main.go
+++ b/review/rig3/share/main.go
@@ -19,7 +19,7 @@
 	excess, slack = 0.1, 20.0
 	key           = "7yx5x42q492cqf75rjvz"
 	// calm is how long the tenant's clients are in the first zone alone.
-	calm   = 12 * time.Second
+	calm   = 20 * time.Second
 	cutFor = 6300 * time.Millisecond
 	after  = 5 * time.Second
 )
