--- a/review/rig3/crash/main.go
+++ b/review/rig3/crash/main.go
@@ -25,8 +25,8 @@
 	timeout   = 600 * time.Millisecond
 	work      = 20 * time.Millisecond
 	slots     = 100
-	// Each of the rounds is calm for calm and a suspension for suspended.
-	rounds    = 20
+	// Each of the rounds is calm for calm, a suspension for suspended, and after.
+	rounds    = 17
 	calm      = 2500 * time.Millisecond
 	suspended = 1800 * time.Millisecond
 	// after is how long the daemon is watched after a suspension.
@@ -63,7 +63,7 @@
 	time.Sleep(3 * time.Second)
 	m.Record.Event("clients begin")
 	var clients sync.WaitGroup
-	end := m.Record.Now() + rounds*(calm+suspended)
+	end := m.Record.Now() + rounds*(calm+suspended+after)
 	for _, n := range m.Nodes[1:] {
 		m.SendEvery(&clients, n, perFront, end, func(number int) rig.Call {
 			return rig.Call{Method: "POST", Host: "seats.example", Path: fmt.Sprintf("/seats/%s-%d", n.Name, number), Budget: timeout, Body: strings.Repeat("x", bodyBytes)}
